--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,13 @@
+"""Prepare the tests: one seed, no wall clock, hypothesis derandomized."""
+
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=50,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile("ci")
--- /dev/null
+++ b/features/steps/errors_steps.py
@@ -0,0 +1,18 @@
+from behave import then, when
+
+from comfreytray.errors import ANSWER_BY_KIND, Kind, Ran, Retry
+
+
+@when("the whole table of answers is walked")
+def walk_table(context):
+    context.answers = dict(ANSWER_BY_KIND)
+
+
+@then("every kind has a status, an outcome and an exit code")
+def check_answers(context):
+    assert set(context.answers) == set(Kind)
+    for kind, answer in context.answers.items():
+        assert 400 <= answer.status <= 599, kind
+        assert answer.ran in Ran, kind
+        assert 0 < answer.exit_code < 128, kind
+        assert (answer.retry is Retry.LATER) <= (answer.retry_after_s is not None), kind
--- /dev/null
+++ b/src/comfreytray/content.py
@@ -0,0 +1,227 @@
+"""Content-addressed configuration: a version is a tree of immutable blobs.
+
+A head names a version record by digest; the record names pages; a page maps item
+keys to body digests. What two versions share has the same digest, so it is stored
+and sent once.
+"""
+
+from collections.abc import Iterable, Mapping
+from hashlib import blake2b
+
+import msgpack
+from attrs import field, frozen
+
+from comfreytray.errors import Failure, Kind
+
+DIGEST_BYTES = 16
+PAGE_COUNT = 64
+MAX_BODY_BYTES = 900_000
+
+
+def digest_of(data: bytes) -> bytes:
+    """Hash a blob."""
+    return blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+@frozen(kw_only=True)
+class Head:
+    """Name the newest accepted version."""
+
+    version: int
+    digest: bytes
+    """Digest of the version record."""
+
+
+@frozen(kw_only=True)
+class VersionRecord:
+    """Describe one accepted version; never changed after."""
+
+    version: int
+    parent: bytes
+    """Digest of the record before it, empty for the first."""
+    pages: tuple[bytes, ...]
+    change_id: str
+    operator: str
+    language: str
+    accepted_at_s: float
+    summary: str
+    changed_keys: tuple[str, ...]
+
+
+def encode_record(record: VersionRecord) -> bytes:
+    """Pack a version record as a blob."""
+    return msgpack.packb(  # type: ignore[no-any-return]
+        [
+            "record",
+            record.version,
+            record.parent,
+            list(record.pages),
+            record.change_id,
+            record.operator,
+            record.language,
+            record.accepted_at_s,
+            record.summary,
+            list(record.changed_keys),
+        ]
+    )
+
+
+def decode_record(blob: bytes) -> VersionRecord | Failure:
+    """Unpack a version record."""
+    try:
+        (
+            name,
+            version,
+            parent,
+            pages,
+            change_id,
+            operator,
+            language,
+            at,
+            text,
+            keys,
+        ) = msgpack.unpackb(blob)
+        if name != "record":
+            raise ValueError(name)
+        return VersionRecord(
+            version=version,
+            parent=parent,
+            pages=tuple(pages),
+            change_id=change_id,
+            operator=operator,
+            language=language,
+            accepted_at_s=at,
+            summary=text,
+            changed_keys=tuple(keys),
+        )
+    except Exception as error:
+        return Failure(kind=Kind.BAD_FRAME, detail=f"record: {type(error).__name__}")
+
+
+def page_of(key: str) -> int:
+    """Give the number of the page that holds an item key."""
+    return blake2b(key.encode(), digest_size=2).digest()[0] % PAGE_COUNT
+
+
+def encode_page(parts_by_key: Mapping[str, tuple[bytes, ...]]) -> bytes:
+    """Pack a page: for each item key the digests of its body's parts."""
+    rows = [[key, list(parts_by_key[key])] for key in sorted(parts_by_key)]
+    return msgpack.packb(["page", rows])  # type: ignore[no-any-return]
+
+
+def decode_page(blob: bytes) -> dict[str, tuple[bytes, ...]] | Failure:
+    """Unpack a page."""
+    try:
+        name, rows = msgpack.unpackb(blob)
+        if name != "page":
+            raise ValueError(name)
+        return {str(key): tuple(parts) for key, parts in rows}
+    except Exception as error:
+        return Failure(kind=Kind.BAD_FRAME, detail=f"page: {type(error).__name__}")
+
+
+def split_body(body: bytes) -> list[bytes]:
+    """Cut a body into parts that each fit into one stored value."""
+    if not body:
+        return [b""]
+    return [
+        body[start : start + MAX_BODY_BYTES]
+        for start in range(0, len(body), MAX_BODY_BYTES)
+    ]
+
+
+@frozen(kw_only=True)
+class Content:
+    """Hold blobs by digest, checked as they come in."""
+
+    blob_by_digest: dict[bytes, bytes] = field(factory=dict)
+
+    def get(self, digest: bytes) -> bytes | None:
+        """Return a blob that is held."""
+        return self.blob_by_digest.get(digest)
+
+    def put(self, digest: bytes, blob: bytes) -> Failure | None:
+        """Keep a blob if it is what its digest says."""
+        if digest_of(blob) != digest:
+            return Failure(kind=Kind.DIGEST_MISMATCH, detail=digest.hex())
+        self.blob_by_digest[digest] = blob
+        return None
+
+    def add(self, blob: bytes) -> bytes:
+        """Keep a blob of one's own and return its digest."""
+        digest = digest_of(blob)
+        self.blob_by_digest[digest] = blob
+        return digest
+
+    def record(self, head: Head) -> VersionRecord | Failure:
+        """Read the record of a version."""
+        blob = self.get(head.digest)
+        if blob is None:
+            return Failure(kind=Kind.INCOMPLETE_VERSION, detail="record")
+        return decode_record(blob)
+
+    def missing(self, head: Head) -> list[bytes] | Failure:
+        """List the digests to fetch next; an empty list means all is held."""
+        if self.get(head.digest) is None:
+            return [head.digest]
+        record = self.record(head)
+        if isinstance(record, Failure):
+            return record
+        if record.version != head.version:
+            return Failure(kind=Kind.DIGEST_MISMATCH, detail="version of record")
+        absent = [page for page in set(record.pages) if self.get(page) is None]
+        for page in set(record.pages):
+            blob = self.get(page)
+            if blob is None:
+                continue
+            parts_by_key = decode_page(blob)
+            if isinstance(parts_by_key, Failure):
+                return parts_by_key
+            for parts in parts_by_key.values():
+                absent.extend(part for part in parts if self.get(part) is None)
+        return sorted(set(absent))
+
+    def items(self, head: Head) -> dict[str, bytes] | Failure:
+        """Read all items of a version that is held whole."""
+        missing = self.missing(head)
+        if isinstance(missing, Failure):
+            return missing
+        if missing:
+            return Failure(kind=Kind.INCOMPLETE_VERSION, detail=f"{len(missing)} blobs")
+        record = self.record(head)
+        if isinstance(record, Failure):
+            return record
+        body_by_key: dict[str, bytes] = {}
+        for page in record.pages:
+            parts_by_key = decode_page(self.blob_by_digest[page])
+            if isinstance(parts_by_key, Failure):
+                return parts_by_key
+            for key, parts in parts_by_key.items():
+                body_by_key[key] = b"".join(self.blob_by_digest[p] for p in parts)
+        return body_by_key
+
+    def references(self, head: Head) -> set[bytes]:
+        """List the digests of all blobs of a version, as far as they are held."""
+        found = {head.digest}
+        record = self.record(head)
+        if isinstance(record, Failure):
+            return found
+        found.update(record.pages)
+        for page in record.pages:
+            blob = self.get(page)
+            parts_by_key = decode_page(blob) if blob is not None else {}
+            if isinstance(parts_by_key, Failure):
+                continue
+            for parts in parts_by_key.values():
+                found.update(parts)
+        return found
+
+    def retain(self, heads: Iterable[Head]) -> int:
+        """Drop the blobs that no given version uses; return how many."""
+        keep: set[bytes] = set()
+        for head in heads:
+            keep |= self.references(head)
+        drop = [digest for digest in self.blob_by_digest if digest not in keep]
+        for digest in drop:
+            del self.blob_by_digest[digest]
+        return len(drop)
--- /dev/null
+++ b/src/comfreytray/interfaces.py
@@ -0,0 +1,86 @@
+"""Protocols through which the pure decisions meet clock, network and store."""
+
+from typing import Protocol
+
+from attrs import frozen
+
+from comfreytray.errors import Failure
+
+Address = tuple[str, int]
+"""IP number and port."""
+
+
+class Clock(Protocol):
+    """Tell the time in seconds."""
+
+    def monotonic(self) -> float:
+        """Return seconds that never run backwards."""
+        ...
+
+    def wall(self) -> float:
+        """Return seconds since the epoch."""
+        ...
+
+
+class Network(Protocol):
+    """Send typed messages to other nodes, best effort and without blocking."""
+
+    def send_datagram(self, to: Address, message: object) -> None:
+        """Send a small message that may be lost, reordered or doubled."""
+        ...
+
+    def send_stream(self, to: Address, message: object) -> None:
+        """Queue a message on the ordered stream to a node; it is lost with it."""
+        ...
+
+
+@frozen(kw_only=True)
+class StoredObject:
+    """Hold one object of the platform's store."""
+
+    key: str
+    value: bytes
+    version: int
+    """Store-wide revision of the write that made this value."""
+
+
+@frozen(kw_only=True)
+class WatchBatch:
+    """Hold what a watch has seen up to a revision."""
+
+    revision: int
+    objects: tuple[StoredObject, ...]
+    """Latest values; a deleted object is absent."""
+
+
+class ObjectStore(Protocol):
+    """Use the platform's object API; each call counts.
+
+    Failures are STORE_UNAVAILABLE (did not take effect),
+    STORE_OUTCOME_UNKNOWN (a write may have), CONFLICT, NOT_FOUND and
+    VALUE_TOO_LARGE.
+    """
+
+    def get(self, key: str) -> StoredObject | Failure:
+        """Read one object."""
+        ...
+
+    def list(self, prefix: str) -> tuple[StoredObject, ...] | Failure:
+        """Read all objects whose keys start with the prefix, in key order."""
+        ...
+
+    def put(
+        self, key: str, value: bytes, *, expected_version: int | None
+    ) -> StoredObject | Failure:
+        """Write if the version is as expected; 0 expects no object, None any."""
+        ...
+
+    def delete(self, key: str, *, expected_version: int | None) -> Failure | None:
+        """Delete if the version is as expected."""
+        ...
+
+    def watch(
+        self, prefix: str, *, after_revision: int, timeout_s: float
+    ) -> WatchBatch | Failure:
+        """Wait until an object under the prefix changes after a revision."""
+        ...
--- /dev/null
+++ b/src/comfreytray/logs.py
@@ -0,0 +1,69 @@
+"""Log events: one line of key=value pairs each, from a closed list of names."""
+
+import json
+from enum import Enum
+
+from absl import logging
+
+
+class Event(Enum):
+    """Name every event that the product logs."""
+
+    NODE_STARTED = "node-started"
+    NODE_STOPPING = "node-stopping"
+    NODE_STOPPED = "node-stopped"
+    SETTING_REFUSED = "setting-refused"
+    VERSION_APPLIED = "version-applied"
+    VERSION_REFUSED = "version-refused"
+    CHANGE_ACCEPTED = "change-accepted"
+    CHANGE_REFUSED = "change-refused"
+    MEMBER_JOINED = "member-joined"
+    MEMBER_SUSPECTED = "member-suspected"
+    MEMBER_DEAD = "member-dead"
+    MEMBER_LEFT = "member-left"
+    MEMBER_REFUTED = "member-refuted"
+    ENDPOINT_ANNOUNCED = "endpoint-announced"
+    ENDPOINT_LAPSED = "endpoint-lapsed"
+    ENDPOINT_LEAVING = "endpoint-leaving"
+    ENDPOINT_EJECTED = "endpoint-ejected"
+    ENDPOINT_RESTORED = "endpoint-restored"
+    SELF_DOUBT = "self-doubt"
+    STORE_UNAVAILABLE = "store-unavailable"
+    STORE_BACK = "store-back"
+    FRAME_REFUSED = "frame-refused"
+    STREAM_OPENED = "stream-opened"
+    STREAM_CLOSED = "stream-closed"
+    CALL_REFUSED = "call-refused"
+    CALL_FAILED = "call-failed"
+    CLAIMS_TAKEN_OVER = "claims-taken-over"
+    CLAIMS_FENCED = "claims-fenced"
+    INTERNAL_ERROR = "internal-error"
+
+
+_BARE = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+@,"
+)
+
+
+def _quote(value: object) -> str:
+    text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    if text and all(character in _BARE for character in text):
+        return text
+    return json.dumps(text)
+
+
+def format_event(event: Event, fields: dict[str, object]) -> str:
+    """Make one line that no value can break or forge."""
+    pairs = [f"event={event.value}"]
+    pairs.extend(f"{name}={_quote(value)}" for name, value in fields.items())
+    return " ".join(pairs)
+
+
+def log(event: Event, **fields: object) -> None:
+    """Log an event at information level."""
+    logging.info("%s", format_event(event, fields))
+
+
+def warn(event: Event, **fields: object) -> None:
+    """Log an event that an operator should look at."""
+    logging.warning("%s", format_event(event, fields))
