--- /dev/null
+++ b/features/steps/calls_rig.py
@@ -0,0 +1,273 @@
+"""Nodes and upstreams of one process on loopback, for the tests of the call path."""
+
+import random
+import socket as plain_socket
+
+import eventlet
+from eventlet.green import socket
+
+from comfreytray.clock import SystemClock
+from comfreytray.content import Head
+from comfreytray.metrics import Metrics
+from comfreytray.proxy import CallPath
+from comfreytray.records import Endpoint, LocalUpstream, MembershipView, NodeRecord
+from comfreytray.snapshots import Route, Snapshot
+from comfreytray.testing import MemoryStore
+
+WAIT_S = 20.0
+ALL_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "DELETE"})
+
+
+class Upstream:
+    """Log every request that ran and answer as `script` says."""
+
+    def __init__(self, script=None):
+        self.ran = []
+        self.ended = []
+        self.script = script or (lambda head, body: answer(200, b"ok"))
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.open_connections = 0
+        self.running = 0
+        self.most_running = 0
+        self.greenlet = eventlet.spawn(self._accept)
+
+    def _accept(self):
+        while True:
+            sock, _ = self.listener.accept()
+            eventlet.spawn_n(self._serve, sock)
+
+    def _serve(self, sock):
+        self.open_connections += 1
+        try:
+            held = b""
+            while True:
+                while b"\r\n\r\n" not in held:
+                    part = sock.recv(65536)
+                    if not part:
+                        return
+                    held += part
+                head, _, held = held.partition(b"\r\n\r\n")
+                length = 0
+                for line in head.split(b"\r\n"):
+                    if line.lower().startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                while len(held) < length:
+                    part = sock.recv(65536)
+                    if not part:
+                        return
+                    held += part
+                body, held = held[:length], held[length:]
+                self.ran.append(head.split(b" ")[1].decode())
+                self.running += 1
+                self.most_running = max(self.most_running, self.running)
+                try:
+                    parts = self.script(head, body)
+                    for part in [parts] if isinstance(parts, bytes) else parts:
+                        if part is None:
+                            return
+                        sock.sendall(part)
+                finally:
+                    self.running -= 1
+                    self.ended.append(head.split(b" ")[1].decode())
+        except OSError:
+            pass
+        finally:
+            self.open_connections -= 1
+            sock.close()
+
+    def close(self):
+        self.greenlet.kill()
+        self.listener.close()
+
+
+def answer(status, body, *headers):
+    """Make a whole answer."""
+    lines = [f"HTTP/1.1 {status} Fine".encode()]
+    lines += [header.encode() for header in headers]
+    lines += [b"Content-Length: %d" % len(body), b"", b""]
+    return b"\r\n".join(lines) + body
+
+
+class Fleet:
+    """Run nodes of one service, each beside an upstream of its own."""
+
+    def __init__(self, *, slots=4, connections=8, store=None, clock=None):
+        self.slots, self.connections = slots, connections
+        self.clock = clock or SystemClock()
+        self.store = store or MemoryStore()
+        self.record_by_id = {}
+        self.hidden = set()
+        self.path_by_id, self.upstream_by_id, self.http_by_id = {}, {}, {}
+        self.greenlets = []
+        self.routes = (
+            Route(
+                customer="canhdieu",
+                name="plain",
+                path="/",
+                methods=ALL_METHODS,
+                service="lichbay",
+            ),
+        )
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for greenlet in self.greenlets:
+            greenlet.kill()
+        for path in self.path_by_id.values():
+            path.__exit__(None, None, None)
+        for upstream in self.upstream_by_id.values():
+            upstream.close()
+
+    def add(self, node_id, *, script=None, service="lichbay", place="mien-bac-1"):
+        upstream = Upstream(script)
+        streams = eventlet.listen(("127.0.0.1", 0))
+        http = eventlet.listen(("127.0.0.1", 0))
+        endpoint = Endpoint(
+            service=service,
+            instance_id=node_id,
+            slots=self.slots,
+            connections=self.connections,
+        )
+        self.record_by_id[node_id] = NodeRecord(
+            node_id=node_id,
+            incarnation=1,
+            region=place.rpartition("-")[0],
+            data_centre=place,
+            host="127.0.0.1",
+            control_port=0,
+            call_port=streams.getsockname()[1],
+            endpoint=endpoint,
+        )
+        local = LocalUpstream(host="127.0.0.1", port=upstream.port, endpoint=endpoint)
+        path = CallPath(
+            node=lambda: self.record_by_id[node_id],
+            members=self.members,
+            snapshot=self.snapshot,
+            local_upstream=lambda: local,
+            clock=self.clock,
+            random=random.Random(7),
+            store=self.store,
+            metrics=Metrics(),
+            tracer=None,
+        )
+        path.__enter__()
+        self.greenlets.append(eventlet.spawn(path.serve_streams, streams))
+        self.greenlets.append(eventlet.spawn(path.serve_http, http))
+        self.path_by_id[node_id] = path
+        self.upstream_by_id[node_id] = upstream
+        self.http_by_id[node_id] = http.getsockname()
+        return path
+
+    def members(self):
+        records = [r for i, r in self.record_by_id.items() if i not in self.hidden]
+        services = {r.endpoint.service for r in records}
+        return MembershipView(
+            by_id={r.node_id: r for r in records},
+            endpoints_by_service={
+                s: tuple(r for r in records if r.endpoint.service == s)
+                for s in services
+            },
+        )
+
+    def snapshot(self):
+        return Snapshot(
+            head=Head(version=1, digest=b"1" * 16),
+            routes_by_customer={"canhdieu": self.routes},
+            customer_by_host={"canhdieu.test": "canhdieu"},
+        )
+
+    def raw(self, node_id, data):
+        """Open a caller's connection and send bytes on it."""
+        sock = socket.create_connection(self.http_by_id[node_id])
+        sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+        sock.settimeout(WAIT_S)
+        sock.sendall(data)
+        return sock
+
+    def call(self, node_id, method="GET", target="/x", body=b"", headers=()):
+        """Make one call and return status, headers and body, whole or not."""
+        lines = [f"{method} {target} HTTP/1.1", "Host: canhdieu.test"]
+        lines += list(headers)
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        lines += ["Connection: close", "", ""]
+        sock = self.raw(node_id, "\r\n".join(lines).encode() + body)
+        try:
+            return read_answer(sock)
+        finally:
+            sock.close()
+
+
+class Answer:
+    """Hold what a caller got."""
+
+    def __init__(self, status, headers, body, whole):
+        self.status, self.headers = status, headers
+        self.body, self.whole = body, whole
+
+    @property
+    def kind(self):
+        return self.headers.get("comfreytray-error", "")
+
+    @property
+    def ran(self):
+        return self.headers.get("comfreytray-ran", "")
+
+
+def read_answer(sock):
+    """Read one answer to its end and say whether it was whole."""
+    held = b""
+    while b"\r\n\r\n" not in held:
+        part = sock.recv(65536)
+        if not part:
+            return Answer(0, {}, held, False)
+        held += part
+    head, _, held = held.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    status = int(lines[0].split(" ")[1])
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(": ")
+        headers[name.lower()] = value
+    if headers.get("transfer-encoding") == "chunked":
+        body, whole = _read_chunks(sock, held)
+        return Answer(status, headers, body, whole)
+    length = int(headers.get("content-length", 0))
+    while len(held) < length:
+        part = sock.recv(65536)
+        if not part:
+            return Answer(status, headers, held, False)
+        held += part
+    return Answer(status, headers, held[:length], True)
+
+
+def _read_chunks(sock, held):
+    body = b""
+    while True:
+        while b"\r\n" not in held:
+            part = sock.recv(65536)
+            if not part:
+                return body, False
+            held += part
+        line, _, held = held.partition(b"\r\n")
+        size = int(line, 16)
+        while len(held) < size + 2:
+            part = sock.recv(65536)
+            if not part:
+                return body, False
+            held += part
+        if size == 0:
+            return body, True
+        body, held = body + held[:size], held[size + 2 :]
+
+
+def until(condition):
+    """Wait for a condition; False when it never came true."""
+    for _ in range(int(WAIT_S / 0.005)):
+        if condition():
+            return True
+        eventlet.sleep(0.005)
+    return False
--- /dev/null
+++ b/src/comfreytray/connections.py
@@ -0,0 +1,448 @@
+"""Carry call streams over TCP: one connection to each owner, greenlets around it."""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from types import TracebackType
+from typing import Any, Protocol
+
+import eventlet
+from attrs import define, field
+from eventlet.green import socket
+
+from comfreytray import frames, logs
+from comfreytray.calls import Call, CallCutError, Outcome, Reply, fail
+from comfreytray.errors import Failure, Kind
+from comfreytray.interfaces import Address, Clock
+from comfreytray.metrics import Metrics
+from comfreytray.records import NodeRecord
+from comfreytray.signals import Signal
+from comfreytray.streams import (
+    CallStream,
+    CallStreams,
+    Outbox,
+    OwnerStream,
+    OwnerStreams,
+    chunks_of,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+READ_BYTES = 65_536
+MAX_OUTBOX_BYTES = 4_194_304
+IDLE_TIMEOUT_S = 60.0
+
+
+class Writer:
+    """Write an outbox to a socket: at once if the kernel takes it, else later."""
+
+    def __init__(self, *, sock: Any, outbox: Outbox, on_lost: Callable[[], None]):
+        self.sock = sock
+        self.outbox = outbox
+        self.on_lost = on_lost
+        self.drained = Signal()
+        self._busy = False
+
+    def flush(self) -> None:
+        """Write what waits without blocking; a greenlet goes on with the rest."""
+        if self._busy or not self.outbox.size:
+            return
+        block = self.outbox.take()
+        try:
+            sent = self.sock.fd.send(block)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.on_lost()
+            return
+        self.outbox.written(sent)
+        if self.outbox.size:
+            self._busy = True
+            eventlet.spawn_n(self._write_rest)
+
+    def _write_rest(self) -> None:
+        try:
+            while self.outbox.size:
+                self.outbox.written(self.sock.send(self.outbox.take()))
+        except OSError:
+            self.on_lost()
+        finally:
+            self._busy = False
+            self.drained.fire()
+
+
+class Link:
+    """Hold one connection to an owner."""
+
+    def __init__(
+        self,
+        *,
+        sock: Any,
+        streams: CallStreams,
+        clock: Clock,
+        on_closed: Callable[["Link"], None],
+    ) -> None:
+        self.sock = sock
+        self.streams = streams
+        self.clock = clock
+        self.on_closed = on_closed
+        self.heard_at = clock.monotonic()
+        self.writer = Writer(sock=sock, outbox=streams.outbox, on_lost=self.close)
+
+    def close(self) -> None:
+        """Close the connection and end its calls."""
+        if self.streams.closed:
+            return
+        self.streams.lose()
+        self.on_closed(self)
+        _shut(self.sock)
+
+    def read(self) -> None:
+        """Take in answers until the connection ends."""
+        reason = "end"
+        try:
+            while not self.streams.closed:
+                received = self.sock.recv(READ_BYTES)
+                if not received:
+                    break
+                self.heard_at = self.clock.monotonic()
+                fault = self.streams.receive(received)
+                if fault is not None:
+                    reason = fault.detail or fault.kind.value
+                    logs.warn(logs.Event.FRAME_REFUSED, reason=reason)
+                    break
+        except (OSError, EOFError) as error:
+            reason = type(error).__name__
+        finally:
+            self.close()
+
+
+@define(kw_only=True, eq=False)
+class _Opening:
+    """Let calls wait for one attempt to connect."""
+
+    waiters: list[Signal] = field(factory=list)
+    failure: Failure | None = None
+
+
+class StreamClient:
+    """Send calls to owners over one connection each."""
+
+    def __init__(self, *, own_id: str, clock: Clock, metrics: Metrics) -> None:
+        self.own_id = own_id
+        self.clock = clock
+        self.metrics = metrics
+        self._link_by_address: dict[tuple[str, Address], Link] = {}
+        self._opening_by_address: dict[tuple[str, Address], _Opening] = {}
+
+    def __enter__(self) -> "StreamClient":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for link in list(self._link_by_address.values()):
+            link.close()
+
+    def call(self, record: NodeRecord, call: Call) -> Reply | Outcome:
+        """Run a call at the node beside another upstream."""
+        link = self._link(record, call)
+        if isinstance(link, Failure):
+            return Outcome.of(link)
+        left_s = call.deadline - self.clock.monotonic()
+        if left_s <= 0:
+            return fail(Kind.DEADLINE_BEFORE_RUN, "before sending")
+        if link.streams.outbox.size > MAX_OUTBOX_BYTES:
+            return fail(Kind.NODE_UNREACHABLE, "connection is backed up")
+        signal = Signal()
+        stream = link.streams.open(call, left_s=left_s)
+        stream.notify = signal.fire
+        link.writer.flush()
+        try:
+            return self._head(link, stream, signal, call)
+        except BaseException:
+            self._cancel(link, stream)
+            raise
+
+    def _head(
+        self, link: Link, stream: CallStream, signal: Signal, call: Call
+    ) -> Reply | Outcome:
+        while not stream.status and stream.outcome is None:
+            left_s = call.deadline - self.clock.monotonic()
+            if left_s <= 0:
+                return self._late(link, stream)
+            signal.wait(left_s)
+        if not stream.status:
+            assert stream.outcome is not None
+            return stream.outcome
+        reply = Reply(
+            status=stream.status,
+            reason=stream.reason,
+            headers=stream.headers,
+            load=stream.load,
+        )
+        if stream.whole:
+            reply.body = b"".join(stream.chunks)
+            return reply
+        reply.close = lambda: self._cancel(link, stream)
+        reply.rest = self._rest(link, stream, signal, call)
+        return reply
+
+    def _late(self, link: Link, stream: CallStream) -> Outcome:
+        unsent = link.streams.outbox.sent < stream.end_offset
+        self._cancel(link, stream)
+        if unsent:
+            link.close()
+            return fail(Kind.DEADLINE_BEFORE_RUN, "not sent")
+        return fail(Kind.DEADLINE_WHILE_RUNNING, "no answer from the owner")
+
+    def _rest(
+        self, link: Link, stream: CallStream, signal: Signal, call: Call
+    ) -> Iterator[bytes]:
+        try:
+            while True:
+                if stream.chunks:
+                    chunk = link.streams.take_chunk(stream)
+                    link.writer.flush()
+                    yield chunk
+                    continue
+                if stream.whole:
+                    return
+                if stream.outcome is not None:
+                    raise CallCutError(stream.outcome.failure)
+                left_s = call.deadline - self.clock.monotonic()
+                if left_s <= 0:
+                    raise CallCutError(Failure(kind=Kind.ANSWER_CUT, detail="deadline"))
+                signal.wait(left_s)
+        finally:
+            self._cancel(link, stream)
+
+    def _cancel(self, link: Link, stream: CallStream) -> None:
+        link.streams.cancel(stream)
+        if not link.streams.closed:
+            link.writer.flush()
+
+    def _link(self, record: NodeRecord, call: Call) -> Link | Failure:
+        place = (record.node_id, record.call_address)
+        link = self._link_by_address.get(place)
+        if link is not None:
+            return link
+        opening = self._opening_by_address.get(place)
+        if opening is None:
+            opening = self._opening_by_address[place] = _Opening()
+            eventlet.spawn_n(self._open, place, opening)
+        signal = Signal()
+        opening.waiters.append(signal)
+        left_s = call.deadline - self.clock.monotonic()
+        if not signal.wait(min(left_s, CONNECT_TIMEOUT_S)):
+            return Failure(kind=Kind.NODE_UNREACHABLE, detail="connect timeout")
+        link = self._link_by_address.get(place)
+        if link is not None:
+            return link
+        return opening.failure or Failure(kind=Kind.NODE_UNREACHABLE)
+
+    def _open(self, place: tuple[str, Address], opening: _Opening) -> None:
+        node_id, address = place
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.settimeout(CONNECT_TIMEOUT_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.connect(address)
+            sock.settimeout(None)
+        except (OSError, EOFError) as error:
+            sock.close()
+            detail = type(error).__name__
+            opening.failure = Failure(kind=Kind.NODE_UNREACHABLE, detail=detail)
+        else:
+            self._adopt(place, sock, node_id)
+        del self._opening_by_address[place]
+        for signal in opening.waiters:
+            signal.fire()
+
+    def _adopt(self, place: tuple[str, Address], sock: Any, node_id: str) -> None:
+        streams = CallStreams(caller_id=self.own_id, expected_id=node_id)
+
+        def forget(closed: Link) -> None:
+            if self._link_by_address.get(place) is closed:
+                del self._link_by_address[place]
+            self.metrics.count("stream_late_frames", closed.streams.late_frames)
+
+        link = Link(sock=sock, streams=streams, clock=self.clock, on_closed=forget)
+        self._link_by_address[place] = link
+        eventlet.spawn_n(link.read)
+
+    def close_idle(self) -> None:
+        """Close the connections without calls that were silent for long."""
+        limit = self.clock.monotonic() - IDLE_TIMEOUT_S
+        for link in list(self._link_by_address.values()):
+            if not link.streams.stream_by_id and link.heard_at < limit:
+                link.close()
+
+
+class Handler(Protocol):
+    """Run a call at its owner."""
+
+    def __call__(self, call: Call) -> Reply | Outcome:
+        """Return the answer, or the failure and whether the call ran."""
+        ...
+
+
+class StreamServer:
+    """Run the calls that other nodes send."""
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        clock: Clock,
+        handle: Handler,
+        load: Callable[[], float],
+    ) -> None:
+        self.node_id = node_id
+        self.clock = clock
+        self.handle = handle
+        self.load = load
+        self._sockets: set[Any] = set()
+
+    def __enter__(self) -> "StreamServer":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for sock in list(self._sockets):
+            _shut(sock)
+
+    def serve(self, listener: Any) -> None:
+        """Accept connections until the listener is closed."""
+        while True:
+            try:
+                sock, address = listener.accept()
+            except (OSError, EOFError):
+                return
+            eventlet.spawn_n(self._serve_connection, sock, address)
+
+    def _serve_connection(self, sock: Any, address: Address) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sockets.add(sock)
+        streams = OwnerStreams(node_id=self.node_id, clock=self.clock)
+        writer = Writer(sock=sock, outbox=streams.outbox, on_lost=streams.lose)
+        try:
+            while not streams.closed:
+                received = sock.recv(READ_BYTES)
+                if not received:
+                    return
+                opened = streams.receive(received)
+                if isinstance(opened, Failure):
+                    self._log_refused(opened, address)
+                    return
+                for stream in opened:
+                    _Served(server=self, streams=streams, writer=writer, stream=stream)
+                writer.flush()
+        except (OSError, EOFError):
+            return
+        finally:
+            streams.lose()
+            self._sockets.discard(sock)
+            _shut(sock)
+
+    def _log_refused(self, failure: Failure, address: Address) -> None:
+        logs.warn(
+            logs.Event.FRAME_REFUSED,
+            peer=f"{address[0]}:{address[1]}",
+            kind=failure.kind.value,
+            reason=failure.detail,
+        )
+
+
+class _Served:
+    """Run one call of a connection in a greenlet of its own."""
+
+    def __init__(
+        self,
+        *,
+        server: StreamServer,
+        streams: OwnerStreams,
+        writer: Writer,
+        stream: OwnerStream,
+    ) -> None:
+        self.server = server
+        self.streams = streams
+        self.writer = writer
+        self.stream = stream
+        self.signal = Signal()
+        stream.notify = self._changed
+        self.greenlet = eventlet.spawn(self._run)
+
+    def _changed(self) -> None:
+        if self.stream.cancelled:
+            eventlet.spawn_n(self._kill)
+            return
+        self.signal.fire()
+
+    def _kill(self) -> None:
+        self.greenlet.kill()
+
+    def _run(self) -> None:
+        try:
+            result = self.server.handle(self.stream.call)
+        except Exception as error:
+            logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+            result = fail(Kind.INTERNAL, type(error).__name__)
+        if isinstance(result, Outcome):
+            self.streams.refuse(self.stream, result, load=self.server.load())
+            self.writer.flush()
+            return
+        try:
+            self._answer(result)
+        finally:
+            result.close()
+            self.writer.flush()
+
+    def _answer(self, reply: Reply) -> None:
+        parts = chunks_of(reply.body) if len(reply.body) > frames.CHUNK_BYTES else None
+        first = next(parts) if parts is not None else reply.body
+        self.streams.head(
+            self.stream,
+            status=reply.status,
+            reason=reply.reason,
+            headers=reply.headers,
+            body=first,
+            last=parts is None and reply.rest is None,
+            load=self.server.load(),
+        )
+        self.writer.flush()
+        if parts is None and reply.rest is None:
+            return
+        try:
+            for part in parts or ():
+                self._send(part)
+            for part in reply.rest or ():
+                for chunk in chunks_of(part):
+                    self._send(chunk)
+        except CallCutError as error:
+            self.streams.cut(self.stream, error.failure)
+            return
+        self.streams.data(self.stream, b"", last=True)
+
+    def _send(self, chunk: bytes) -> None:
+        deadline = self.stream.call.deadline
+        while self.stream.credit < len(chunk) or (
+            self.writer.outbox.size > MAX_OUTBOX_BYTES
+        ):
+            left_s = deadline - self.server.clock.monotonic()
+            if left_s <= 0:
+                raise CallCutError(Failure(kind=Kind.ANSWER_CUT, detail="slow reader"))
+            self.signal.wait(min(left_s, 0.05) if self.stream.credit else left_s)
+        self.streams.data(self.stream, chunk, last=False)
+        self.writer.flush()
+
+
+def _shut(sock: Any) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+    sock.close()
--- /dev/null
+++ b/src/comfreytray/dispatch.py
@@ -0,0 +1,111 @@
+"""Send a call to endpoints until one answers or nothing more may be tried."""
+
+from collections.abc import Callable, Iterator
+
+from comfreytray.calls import Call, Outcome, Reply
+from comfreytray.connections import StreamClient
+from comfreytray.errors import Failure
+from comfreytray.interfaces import Clock
+from comfreytray.metrics import Metrics
+from comfreytray.owner import Owner
+from comfreytray.records import NodeRecord
+from comfreytray.retries import Budget, Decision, decide
+from comfreytray.routing import EndpointView, Router
+
+
+class Dispatcher:
+    """Pick endpoints for a call and follow its attempts."""
+
+    def __init__(
+        self,
+        *,
+        node: Callable[[], NodeRecord],
+        router: Router,
+        owner: Owner,
+        client: StreamClient,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.node = node
+        self.router = router
+        self.owner = owner
+        self.client = client
+        self.clock = clock
+        self.metrics = metrics
+        self.budget = Budget()
+
+    def run(self, call: Call) -> Reply | Outcome:
+        """Run a call at an endpoint of its service."""
+        self.budget.earn()
+        excluded: list[str] = []
+        redirects = 0
+        last: Outcome | None = None
+        while True:
+            record = self.router.pick(call.service, exclude=excluded)
+            if isinstance(record, Failure):
+                return last or Outcome.of(record)
+            result = self._attempt(record, call)
+            if isinstance(result, Reply):
+                return result
+            decision = decide(
+                call,
+                result,
+                redirects=redirects,
+                time_left_s=call.deadline - self.clock.monotonic(),
+                budget=self.budget,
+            )
+            if decision is Decision.GIVE_UP:
+                return result
+            last = result
+            excluded.append(record.node_id)
+            if decision is Decision.REDIRECT:
+                redirects += 1
+                self.metrics.count("calls_redirected")
+                continue
+            call.retried = True
+            self.metrics.count("calls_retried")
+
+    def _attempt(self, record: NodeRecord, call: Call) -> Reply | Outcome:
+        view = self.router.begin(record)
+        started = self.clock.monotonic()
+        try:
+            if record.node_id == self.node().node_id:
+                result = self.owner.run(call)
+            else:
+                result = self.client.call(record, call)
+        except BaseException:
+            self.router.abandon(view)
+            raise
+        if isinstance(result, Outcome):
+            result.node_id = record.node_id
+            self.router.fail(view, result.failure, load=result.load)
+            return result
+        took_s = self.clock.monotonic() - started
+        if result.rest is None:
+            self.router.finish(view, took_s=took_s, load=result.load)
+            return result
+        return self._follow(result, result.rest, view, took_s)
+
+    def _follow(
+        self, reply: Reply, rest: Iterator[bytes], view: EndpointView, took_s: float
+    ) -> Reply:
+        """Count the endpoint's call as in flight until its last byte."""
+        end = reply.close
+        counted = False
+
+        def close() -> None:
+            nonlocal counted
+            end()
+            if not counted:
+                counted = True
+                self.router.finish(view, took_s=took_s, load=reply.load)
+
+        def follow() -> Iterator[bytes]:
+            try:
+                yield from rest
+            finally:
+                close()
+
+        reply.rest = follow()
+        reply.close = close
+        return reply
--- a/src/comfreytray/errors.py
+++ b/src/comfreytray/errors.py
@@ -37,6 +37,7 @@
     CUSTOMER_OVER_SHARE = "customer-over-share"
     LEAVING = "leaving"
     WRONG_NODE = "wrong-node"
+    CHAIN_TOO_DEEP = "chain-too-deep"
     DEADLINE_BEFORE_RUN = "deadline-before-run"
     DEADLINE_WHILE_RUNNING = "deadline-while-running"
     CONNECT_FAILED = "connect-failed"
@@ -45,6 +46,7 @@
     CANCELLED = "cancelled"
     REPEAT_RUNNING = "repeat-running"
     REPEAT_UNKNOWN = "repeat-unknown"
+    REPEAT_RAN = "repeat-ran"
     KEY_REUSED = "key-reused"
     CLAIMS_UNAVAILABLE = "claims-unavailable"
     INVALID_CONTENT = "invalid-content"
@@ -116,6 +118,7 @@
     Kind.CUSTOMER_OVER_SHARE: _answer(429, Ran.NO, Retry.LATER, 1),
     Kind.LEAVING: _answer(503, Ran.NO, Retry.LATER, 1),
     Kind.WRONG_NODE: _answer(503, Ran.NO, Retry.LATER, 1),
+    Kind.CHAIN_TOO_DEEP: _answer(508, Ran.NO, Retry.NEVER),
     Kind.DEADLINE_BEFORE_RUN: _answer(504, Ran.NO, Retry.LATER, 1),
     Kind.DEADLINE_WHILE_RUNNING: _answer(504, Ran.UNKNOWN, Retry.IF_IDEMPOTENT),
     Kind.CONNECT_FAILED: _answer(503, Ran.NO, Retry.LATER, 1),
@@ -124,6 +127,7 @@
     Kind.CANCELLED: _answer(499, Ran.UNKNOWN, Retry.IF_IDEMPOTENT),
     Kind.REPEAT_RUNNING: _answer(409, Ran.UNKNOWN, Retry.LATER, 1),
     Kind.REPEAT_UNKNOWN: _answer(409, Ran.UNKNOWN, Retry.NEVER),
+    Kind.REPEAT_RAN: _answer(409, Ran.YES, Retry.NEVER),
     Kind.KEY_REUSED: _answer(422, Ran.NO, Retry.NEVER),
     Kind.CLAIMS_UNAVAILABLE: _answer(503, Ran.NO, Retry.LATER, 2),
     Kind.INVALID_CONTENT: _answer(422, Ran.NO, Retry.NEVER, None, EXIT_INVALID),
--- /dev/null
+++ b/src/comfreytray/owner.py
@@ -0,0 +1,107 @@
+"""Run calls at the upstream beside this node, within its limits."""
+
+from collections.abc import Callable
+from types import TracebackType
+
+from comfreytray.calls import Call, Outcome, Reply, fail
+from comfreytray.errors import Failure, Kind
+from comfreytray.exceptions import invariant
+from comfreytray.interfaces import Clock
+from comfreytray.limits import Admission, Ticket, TicketState
+from comfreytray.metrics import Metrics
+from comfreytray.records import EndpointState, LocalUpstream
+from comfreytray.signals import Signal
+from comfreytray.upstream import UpstreamPool
+
+
+class Owner:
+    """Admit calls to the local upstream and run them."""
+
+    def __init__(
+        self,
+        *,
+        local_upstream: Callable[[], LocalUpstream | None],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.local_upstream = local_upstream
+        self.clock = clock
+        self.metrics = metrics
+        self.admission = Admission(clock=clock, slots=0)
+        self.pool = UpstreamPool(clock=clock, connections=0)
+
+    def __enter__(self) -> "Owner":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.pool.__exit__(kind, error, trace)
+
+    @property
+    def load(self) -> float:
+        """Give the slots and queue places in use as a share of the slots."""
+        return self.admission.load
+
+    @property
+    def in_flight(self) -> int:
+        """Count the calls that hold a slot or wait for one."""
+        return self.admission.held + self.admission.queued
+
+    def run(self, call: Call) -> Reply | Outcome:
+        """Run a call of any node at the local upstream."""
+        upstream = self.local_upstream()
+        if upstream is None or upstream.endpoint.service != call.service:
+            return fail(Kind.WRONG_NODE, "no such service here")
+        if upstream.endpoint.state is EndpointState.DRAINING:
+            return fail(Kind.LEAVING, "upstream is draining")
+        self._follow(upstream)
+        ticket = self.admission.offer(
+            customer=call.customer, share=call.share, deadline=call.deadline
+        )
+        if isinstance(ticket, Failure):
+            return Outcome.of(ticket, load=self.load)
+        failure = self._wait(ticket, call)
+        if failure is not None:
+            return Outcome.of(failure, load=self.load)
+        invariant(ticket.state is TicketState.HELD, "a call runs only with a slot")
+        reply = self.pool.call(
+            (upstream.host, upstream.port),
+            call,
+            on_end=lambda: self.admission.release(ticket),
+        )
+        reply.load = self.load
+        return reply
+
+    def leave(self) -> None:
+        """Refuse new calls; calls in flight finish."""
+        self.admission.leave()
+
+    def _follow(self, upstream: LocalUpstream) -> None:
+        self.admission.resize(
+            min(upstream.endpoint.slots, upstream.endpoint.connections)
+        )
+        self.pool.connections = upstream.endpoint.connections
+
+    def _wait(self, ticket: Ticket, call: Call) -> Failure | None:
+        if ticket.state is TicketState.HELD:
+            return None
+        signal = Signal()
+        ticket.notify = signal.fire
+        try:
+            left_s = call.deadline - self.clock.monotonic()
+            while ticket.state is TicketState.QUEUED and left_s > 0:
+                signal.wait(left_s)
+                left_s = call.deadline - self.clock.monotonic()
+        except BaseException:
+            self.admission.release(ticket)
+            raise
+        if self.admission.holds(ticket):
+            return None
+        self.admission.release(ticket)
+        return ticket.failure or Failure(
+            kind=Kind.DEADLINE_BEFORE_RUN, detail="in the queue"
+        )
--- /dev/null
+++ b/src/comfreytray/proxy.py
@@ -0,0 +1,264 @@
+"""The call path of a node: HTTP from callers, streams from other nodes."""
+
+import json
+import random
+from collections.abc import Callable, Iterable, Iterator
+from types import TracebackType
+from typing import Any
+
+import eventlet
+from attrs import define
+
+from comfreytray import httpserver, logs, requests
+from comfreytray.calls import (
+    ERROR_HEADER,
+    RAN_HEADER,
+    Call,
+    CallCancelledError,
+    CallCutError,
+    Outcome,
+    Reply,
+    fail,
+)
+from comfreytray.connections import StreamClient, StreamServer
+from comfreytray.dispatch import Dispatcher
+from comfreytray.errors import Failure, Kind
+from comfreytray.interfaces import Clock, ObjectStore
+from comfreytray.metrics import Metrics
+from comfreytray.owner import Owner
+from comfreytray.records import LocalUpstream, MembershipView, NodeRecord
+from comfreytray.routing import Router
+from comfreytray.snapshots import Snapshot
+from comfreytray.sweeping import Sweeper
+
+DRAIN_POLL_S = 0.02
+
+Environ = dict[str, Any]
+MessageFor = Callable[[Failure, str], str]
+"""Give the text for a failure in a language that an Accept-Language header allows."""
+
+
+def plain_message(failure: Failure, accept_language: str) -> str:
+    """Give a failure's kind as text where no catalogue is at hand."""
+    del accept_language
+    return failure.kind.value
+
+
+@define(kw_only=True, eq=False)
+class _Ending:
+    """Hold a streamed answer and tell the node when it is over."""
+
+    reply: Reply
+    on_end: Callable[[], None]
+
+    def __iter__(self) -> Iterator[bytes]:
+        if self.reply.body:
+            yield self.reply.body
+        yield from self.reply.rest or ()
+
+    def close(self) -> None:
+        """Free what the answer holds, whether it was read to its end or not."""
+        self.reply.close()
+        self.on_end()
+
+
+class CallPath:
+    """Carry calls from callers to endpoints and from other nodes to the upstream."""
+
+    def __init__(
+        self,
+        *,
+        node: Callable[[], NodeRecord],
+        members: Callable[[], MembershipView],
+        snapshot: Callable[[], Snapshot | None],
+        local_upstream: Callable[[], LocalUpstream | None],
+        clock: Clock,
+        random: random.Random,
+        store: ObjectStore,
+        metrics: Metrics,
+        tracer: object | None = None,
+        message_for: MessageFor = plain_message,
+    ) -> None:
+        self.node = node
+        self.snapshot = snapshot
+        self.clock = clock
+        self.metrics = metrics
+        self.message_for = message_for
+        self.leaving = False
+        self.in_flight = 0
+        own_id = node().node_id
+        self.router = Router(node=node, members=members, clock=clock, random=random)
+        self.owner = Owner(local_upstream=local_upstream, clock=clock, metrics=metrics)
+        self.client = StreamClient(own_id=own_id, clock=clock, metrics=metrics)
+        self.server = StreamServer(
+            node_id=own_id,
+            clock=clock,
+            handle=self._run_for_node,
+            load=lambda: self.owner.load,
+        )
+        self.dispatcher = Dispatcher(
+            node=node,
+            router=self.router,
+            owner=self.owner,
+            client=self.client,
+            clock=clock,
+            metrics=metrics,
+        )
+        self.sweeper = Sweeper(
+            clock=clock,
+            owner=self.owner,
+            client=self.client,
+            router=self.router,
+        )
+        self.head_started_by_socket = self.sweeper.head_started_by_socket
+        self._sweep: Any = None
+
+    def __enter__(self) -> "CallPath":
+        self._sweep = eventlet.spawn(self.sweeper.run)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._sweep.kill()
+        for part in (self.server, self.client, self.owner):
+            part.__exit__(kind, error, trace)
+
+    def serve_http(self, listener: Any) -> None:
+        """Serve callers until the listener is closed."""
+        httpserver.serve(listener, self.wsgi_app, self)
+
+    def serve_streams(self, listener: Any) -> None:
+        """Serve the call streams of other nodes until the listener is closed."""
+        self.server.serve(listener)
+
+    def drain(self, timeout_s: float) -> bool:
+        """Refuse new work for the upstream and wait for all calls in flight."""
+        self.leaving = True
+        self.router.leaving = True
+        self.owner.leave()
+        end = self.clock.monotonic() + timeout_s
+        while self.in_flight or self.owner.in_flight:
+            if self.clock.monotonic() >= end:
+                return False
+            eventlet.sleep(DRAIN_POLL_S)
+        return True
+
+    def report(self) -> dict[str, object]:
+        """Return the state of the call path in plain types."""
+        return {
+            "in_flight": self.in_flight,
+            "leaving": self.leaving,
+            "slots": self.owner.admission.slots,
+            "held": self.owner.admission.held,
+            "queued": self.owner.admission.queued,
+            "upstream_connections": self.owner.pool.open_count,
+            "panics": self.router.panics,
+            "retry_tokens": round(self.dispatcher.budget.tokens, 2),
+            "endpoints": self.router.report(),
+        }
+
+    def wsgi_app(
+        self, environ: Environ, start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one call of a caller."""
+        self.in_flight += 1
+        streaming = False
+        entry = self.sweeper.enter(environ)
+        try:
+            call = requests.read(
+                environ, snapshot=self.snapshot(), now=self.clock.monotonic()
+            )
+            result = Outcome.of(call) if isinstance(call, Failure) else self._run(call)
+            if isinstance(result, Outcome):
+                return self._refuse(environ, start_response, result)
+            if self.leaving:
+                requests.close_after(environ)
+            streaming = result.rest is not None
+            return self._answer(environ, start_response, result)
+        except CallCancelledError:
+            self.metrics.count("calls_cancelled")
+            requests.close_after(environ)
+            return self._refuse(environ, start_response, fail(Kind.CANCELLED))
+        except Exception as error:
+            logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+            return self._refuse(environ, start_response, fail(Kind.INTERNAL))
+        finally:
+            self.sweeper.leave(entry)
+            if not streaming:
+                self.in_flight -= 1
+
+    def refusal(self, failure: Failure, accept_language: str) -> bytes:
+        """Return a whole HTTP answer for a head that is refused."""
+        status, headers, body = self._refusal(Outcome.of(failure), accept_language)
+        lines = [f"HTTP/1.1 {status}"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        lines.extend((f"Content-Length: {len(body)}", "Connection: close", "", ""))
+        return "\r\n".join(lines).encode("latin-1") + body
+
+    def _run(self, call: Call) -> Reply | Outcome:
+        self.metrics.count("calls")
+        if call.key:
+            return fail(Kind.CLAIMS_UNAVAILABLE, "not built yet")
+        return self.dispatcher.run(call)
+
+    def _run_for_node(self, call: Call) -> Reply | Outcome:
+        self.metrics.count("calls_for_nodes")
+        return self.owner.run(call)
+
+    def _answer(
+        self, environ: Environ, start_response: Callable[..., Any], reply: Reply
+    ) -> Iterable[bytes]:
+        status = f"{reply.status} {reply.reason or 'Status'}"
+        start_response(status, list(reply.headers))
+        if reply.rest is None:
+            return [reply.body]
+        return _Ending(reply=reply, on_end=self._end_streaming)
+
+    def _end_streaming(self) -> None:
+        self.in_flight -= 1
+
+    def _refuse(
+        self,
+        environ: Environ,
+        start_response: Callable[..., Any],
+        outcome: Outcome,
+    ) -> Iterable[bytes]:
+        kind = outcome.failure.kind
+        self.metrics.count(f"refused_{kind.value}")
+        language = environ.get("HTTP_ACCEPT_LANGUAGE", "")
+        status, headers, body = self._refusal(outcome, language)
+        if requests.body_unread(environ) or self.leaving:
+            requests.close_after(environ)
+        start_response(status, headers)
+        return [body]
+
+    def _refusal(
+        self, outcome: Outcome, accept_language: str
+    ) -> tuple[str, list[tuple[str, str]], bytes]:
+        failure = outcome.failure
+        retry_after_s = failure.retry_after_s or failure.answer.retry_after_s
+        text = self.message_for(failure, accept_language)
+        body = json.dumps(
+            {
+                "kind": failure.kind.value,
+                "ran": outcome.ran.value,
+                "message": text,
+                "retry_after_s": retry_after_s,
+            },
+            ensure_ascii=False,
+        ).encode()
+        headers = [
+            ("Content-Type", "application/json; charset=utf-8"),
+            (ERROR_HEADER, failure.kind.value),
+            (RAN_HEADER, outcome.ran.value),
+        ]
+        if retry_after_s is not None:
+            headers.append(("Retry-After", str(retry_after_s)))
+        return f"{failure.answer.status} {failure.kind.value}", headers, body
+
+
+__all__ = ["CallCutError", "CallPath", "MessageFor", "plain_message"]
--- /dev/null
+++ b/src/comfreytray/requests.py
@@ -0,0 +1,177 @@
+"""Read a caller's HTTP request into a call, or say why it is refused."""
+
+from typing import Any
+from urllib.parse import unquote
+
+import eventlet
+
+from comfreytray.calls import (
+    DEADLINE_HEADER,
+    DEPTH_HEADER,
+    IDEMPOTENT_METHODS,
+    KEY_HEADER,
+    MAX_BODY_BYTES,
+    MAX_DEPTH,
+    RETRIED_HEADER,
+    Call,
+    request_headers,
+)
+from comfreytray.errors import Failure, Kind
+from comfreytray.snapshots import Route, Snapshot
+
+BODY_TIMEOUT_S = 10.0
+READ_BYTES = 65_536
+MAX_KEY_LENGTH = 255
+MAX_DEADLINE_MS = 86_400_000
+MS_PER_S = 1000.0
+
+Environ = dict[str, Any]
+
+
+class _BodyTimeoutError(Exception):
+    """End the reading of a body that comes too slowly."""
+
+
+def read(environ: Environ, *, snapshot: Snapshot | None, now: float) -> Call | Failure:
+    """Match a request to its route and read it whole."""
+    if snapshot is None:
+        return Failure(kind=Kind.NO_CONFIGURATION)
+    route = _route(environ, snapshot)
+    if isinstance(route, Failure):
+        return route
+    left_s = _left_s(environ, route)
+    depth = _number(environ, DEPTH_HEADER, MAX_DEPTH + 1)
+    if left_s is None or depth is None:
+        return Failure(kind=Kind.BAD_REQUEST, detail="deadline or depth")
+    if depth > MAX_DEPTH:
+        return Failure(kind=Kind.CHAIN_TOO_DEEP)
+    if left_s <= 0:
+        return Failure(kind=Kind.DEADLINE_BEFORE_RUN, detail="no time left at entry")
+    method: str = environ["REQUEST_METHOD"]
+    idempotent = route.idempotent or method in IDEMPOTENT_METHODS
+    key = environ.get(_variable(KEY_HEADER), "").strip()
+    if len(key) > MAX_KEY_LENGTH:
+        return Failure(kind=Kind.BAD_REQUEST, detail="idempotency key")
+    body = read_body(environ)
+    if isinstance(body, Failure):
+        return body
+    return Call(
+        service=route.service,
+        customer=route.customer,
+        share=route.share,
+        method=method,
+        target=_target(environ),
+        headers=request_headers(_pairs(environ)),
+        body=body,
+        deadline=now + left_s,
+        idempotent=idempotent,
+        depth=depth,
+        retried=_variable(RETRIED_HEADER) in environ,
+        key="" if idempotent else key,
+        trace=environ.get("HTTP_TRACEPARENT", ""),
+    )
+
+
+def read_body(environ: Environ) -> bytes | Failure:
+    """Read a body whole, within its size and time."""
+    chunked = "HTTP_TRANSFER_ENCODING" in environ
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if not chunked and length == 0:
+        return b""
+    if length > MAX_BODY_BYTES:
+        return Failure(kind=Kind.BODY_TOO_LARGE)
+    try:
+        with eventlet.Timeout(BODY_TIMEOUT_S, _BodyTimeoutError()):
+            body = _read_parts(environ["wsgi.input"])
+    except (_BodyTimeoutError, TimeoutError):
+        close_after(environ)
+        return Failure(kind=Kind.BODY_TOO_SLOW)
+    except (OSError, ValueError, EOFError):
+        close_after(environ)
+        return Failure(kind=Kind.BAD_REQUEST, detail="body")
+    if len(body) > MAX_BODY_BYTES:
+        return Failure(kind=Kind.BODY_TOO_LARGE)
+    if not chunked and len(body) < length:
+        close_after(environ)
+        return Failure(kind=Kind.BAD_REQUEST, detail="body cut")
+    environ["comfreytray.body_read"] = True
+    return body
+
+
+def _read_parts(source: Any) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while size <= MAX_BODY_BYTES:
+        part = source.read(READ_BYTES)
+        if not part:
+            break
+        parts.append(part)
+        size += len(part)
+    return b"".join(parts)
+
+
+def body_unread(environ: Environ) -> bool:
+    """Say whether a request has a body that was not read to its end."""
+    if environ.get("comfreytray.body_read"):
+        return False
+    length = environ.get("CONTENT_LENGTH") or "0"
+    return "HTTP_TRANSFER_ENCODING" in environ or length != "0"
+
+
+def close_after(environ: Environ) -> None:
+    """Have the server close the connection after the answer."""
+    protocol = environ.get("comfreytray.protocol")
+    if protocol is not None:
+        protocol.close_connection = True
+
+
+def _route(environ: Environ, snapshot: Snapshot) -> Route | Failure:
+    path = unquote(_raw_path(environ))
+    if any(part in (".", "..") for part in path.split("/")) or "\x00" in path:
+        return Failure(kind=Kind.BAD_REQUEST, detail="dot segment")
+    host = environ.get("HTTP_HOST", "")
+    return snapshot.match(host=host, method=environ["REQUEST_METHOD"], path=path)
+
+
+def _raw_path(environ: Environ) -> str:
+    raw: str = environ.get("RAW_PATH_INFO") or environ.get("PATH_INFO", "/")
+    return raw
+
+
+def _target(environ: Environ) -> str:
+    query = environ.get("QUERY_STRING")
+    path = _raw_path(environ)
+    return f"{path}?{query}" if query else path
+
+
+def _pairs(environ: Environ) -> tuple[tuple[str, str], ...]:
+    raw = environ.get("headers_raw")
+    if raw is not None:
+        return tuple(raw)
+    return tuple(
+        (name.removeprefix("HTTP_").replace("_", "-").title(), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    )
+
+
+def _variable(header: str) -> str:
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+def _number(environ: Environ, header: str, limit: int) -> int | None:
+    text = environ.get(_variable(header))
+    if text is None:
+        return 0
+    if not (text.isascii() and text.isdigit()):
+        return None
+    return min(int(text[:12]), limit)
+
+
+def _left_s(environ: Environ, route: Route) -> float | None:
+    if _variable(DEADLINE_HEADER) not in environ:
+        return route.timeout_s
+    left_ms = _number(environ, DEADLINE_HEADER, MAX_DEADLINE_MS)
+    if left_ms is None:
+        return None
+    return min(route.timeout_s, left_ms / MS_PER_S)
--- /dev/null
+++ b/src/comfreytray/signals.py
@@ -0,0 +1,45 @@
+"""Wake one greenlet from another."""
+
+from typing import Any
+
+from eventlet import getcurrent
+from eventlet.hubs import get_hub
+
+
+class Signal:
+    """Let one greenlet wait until another fires the signal."""
+
+    __slots__ = ("_fired", "_waiter", "_wake")
+
+    def __init__(self) -> None:
+        self._fired = False
+        self._waiter: Any = None
+        self._wake: Any = None
+
+    def fire(self) -> None:
+        """Wake the waiter, or let the next wait return at once."""
+        waiter = self._waiter
+        if waiter is None:
+            self._fired = True
+            return
+        self._waiter = None
+        self._wake = get_hub().schedule_call_global(0, waiter.switch, True)
+
+    def wait(self, timeout_s: float) -> bool:
+        """Return True when fired, False when the time is over first."""
+        if self._fired:
+            self._fired = False
+            return True
+        if timeout_s <= 0:
+            return False
+        hub = get_hub()
+        self._waiter = getcurrent()
+        timer = hub.schedule_call_global(timeout_s, self._waiter.switch, False)
+        try:
+            return bool(hub.switch())
+        finally:
+            timer.cancel()
+            self._waiter = None
+            if self._wake is not None:
+                self._wake.cancel()
+                self._wake = None
--- /dev/null
+++ b/src/comfreytray/streams.py
@@ -0,0 +1,385 @@
+"""State of call streams on both sides of a connection, without any input or output.
+
+Ids grow and are never reused on a connection; nothing is sent again on another one.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+
+from attrs import define, field
+
+from comfreytray import frames
+from comfreytray.calls import Call, Headers, Outcome, fail
+from comfreytray.errors import Failure, Kind
+from comfreytray.exceptions import invariant
+from comfreytray.interfaces import Clock
+
+MAX_OPEN_STREAMS = 1024
+
+
+class Outbox:
+    """Hold what is still to be written, and how many bytes the kernel took."""
+
+    def __init__(self) -> None:
+        self.pending: deque[bytes] = deque()
+        self.enqueued = 0
+        self.sent = 0
+
+    @property
+    def size(self) -> int:
+        """Give the bytes that still wait."""
+        return self.enqueued - self.sent
+
+    def push(self, packed: bytes) -> int:
+        """Queue bytes; return the offset of their end."""
+        self.pending.append(packed)
+        self.enqueued += len(packed)
+        return self.enqueued
+
+    def take(self) -> bytes:
+        """Return all that waits as one block."""
+        if len(self.pending) > 1:
+            block = b"".join(self.pending)
+            self.pending.clear()
+            self.pending.append(block)
+        return self.pending[0] if self.pending else b""
+
+    def written(self, size: int) -> None:
+        """Drop what the kernel took from the front."""
+        self.sent += size
+        block = self.pending.popleft()
+        if size < len(block):
+            self.pending.appendleft(block[size:])
+
+
+def _ignore() -> None:
+    return None
+
+
+@define(kw_only=True, eq=False)
+class CallStream:
+    """Hold a call's stream on the side that opened it."""
+
+    stream_id: int
+    end_offset: int
+    notify: Callable[[], None] = _ignore
+    """Called after each change that the reader of the stream waits for."""
+    status: int = 0
+    reason: str = ""
+    headers: Headers = ()
+    load: float = 0.0
+    chunks: deque[bytes] = field(factory=deque)
+    buffered: int = 0
+    whole: bool = False
+    """Whether the last byte of the answer has come in."""
+    outcome: Outcome | None = None
+
+    @property
+    def ended(self) -> bool:
+        """Say whether nothing more will come."""
+        return self.whole or self.outcome is not None
+
+
+class CallStreams:
+    """Open calls on one connection and match answers to them."""
+
+    def __init__(self, *, caller_id: str, expected_id: str) -> None:
+        self.outbox = Outbox()
+        self.stream_by_id: dict[int, CallStream] = {}
+        self.closed = False
+        self.late_frames = 0
+        self._last_id = 0
+        self._decoder = frames.Decoder()
+        self.outbox.push(frames.hello(caller_id=caller_id, expected_id=expected_id))
+
+    def open(self, call: Call, *, left_s: float) -> CallStream:
+        """Queue a call and return its stream."""
+        invariant(not self.closed, "no call is opened on a closed connection")
+        self._last_id += 1
+        packed = frames.open_call(self._last_id, call, left_s)
+        stream = CallStream(
+            stream_id=self._last_id, end_offset=self.outbox.push(packed)
+        )
+        self.stream_by_id[stream.stream_id] = stream
+        return stream
+
+    def take_chunk(self, stream: CallStream) -> bytes:
+        """Take the next part of an answer and grant the owner as much again."""
+        chunk = stream.chunks.popleft()
+        stream.buffered -= len(chunk)
+        if not stream.ended and chunk and not self.closed:
+            self.outbox.push(frames.credit(stream.stream_id, len(chunk)))
+        return chunk
+
+    def cancel(self, stream: CallStream) -> None:
+        """Give a call up; what still comes for it is dropped."""
+        if self.stream_by_id.pop(stream.stream_id, None) is None:
+            return
+        if not self.closed:
+            self.outbox.push(frames.cancel(stream.stream_id))
+
+    def receive(self, received: bytes) -> Failure | None:
+        """Take bytes of the owner; a Failure means that the connection must close."""
+        decoded = self._decoder.feed(received)
+        if isinstance(decoded, Failure):
+            return decoded
+        for frame in decoded:
+            fault = self._take(frame)
+            if fault is not None:
+                return fault
+        return None
+
+    def lose(self) -> None:
+        """End each call that is open: unsent ones did not run, others may have."""
+        self.closed = True
+        for stream in list(self.stream_by_id.values()):
+            if self.outbox.sent < stream.end_offset:
+                outcome = fail(Kind.NODE_UNREACHABLE, "connection lost before sending")
+            elif stream.status:
+                outcome = fail(Kind.ANSWER_CUT, "connection lost")
+            else:
+                outcome = fail(Kind.LOST_AFTER_SEND, "connection lost")
+            self._end(stream, outcome)
+
+    def _take(self, frame: frames.Frame) -> Failure | None:
+        tag = frame[0]
+        if tag not in _FROM_OWNER:
+            return Failure(kind=Kind.BAD_FRAME, detail=f"tag {tag} from an owner")
+        if frame[1] > self._last_id:
+            return Failure(kind=Kind.BAD_FRAME, detail="answer to a call never made")
+        stream = self.stream_by_id.get(frame[1])
+        if stream is None:
+            self.late_frames += 1
+            return None
+        invariant(stream.stream_id == frame[1], "an answer matches its own call only")
+        return _FROM_OWNER[tag](self, stream, frame)
+
+    def _take_head(self, stream: CallStream, frame: frames.Frame) -> Failure | None:
+        if stream.status:
+            return Failure(kind=Kind.BAD_FRAME, detail="second head")
+        stream.status, stream.reason, stream.headers = frame[2:5]
+        stream.load = frame[7]
+        return self._add(stream, frame[5], last=frame[6])
+
+    def _take_data(self, stream: CallStream, frame: frames.Frame) -> Failure | None:
+        if not stream.status:
+            return Failure(kind=Kind.BAD_FRAME, detail="body before head")
+        return self._add(stream, frame[2], last=frame[3])
+
+    def _add(self, stream: CallStream, chunk: bytes, *, last: bool) -> Failure | None:
+        if chunk:
+            stream.chunks.append(chunk)
+            stream.buffered += len(chunk)
+        if stream.buffered > frames.WINDOW_BYTES:
+            return Failure(kind=Kind.FRAME_TOO_LARGE, detail="window overrun")
+        if last:
+            stream.whole = True
+            del self.stream_by_id[stream.stream_id]
+        stream.notify()
+        return None
+
+    def _take_refuse(self, stream: CallStream, frame: frames.Frame) -> Failure | None:
+        if stream.status:
+            return Failure(kind=Kind.BAD_FRAME, detail="refusal after head")
+        kind, ran = frames.kind_of(frame[2]), frames.ran_of(frame[3])
+        if kind is None or ran is None:
+            return Failure(kind=Kind.BAD_FRAME, detail="refusal")
+        failure = Failure(kind=kind, detail=frame[4], retry_after_s=frame[5] or None)
+        self._end(stream, Outcome(failure=failure, ran=ran, load=frame[6]))
+        return None
+
+    def _take_cut(self, stream: CallStream, frame: frames.Frame) -> Failure | None:
+        if not stream.status:
+            return Failure(kind=Kind.BAD_FRAME, detail="cut before head")
+        kind = frames.kind_of(frame[2]) or Kind.ANSWER_CUT
+        self._end(stream, fail(kind, frame[3]))
+        return None
+
+    def _end(self, stream: CallStream, outcome: Outcome) -> None:
+        self.stream_by_id.pop(stream.stream_id, None)
+        stream.outcome = outcome
+        stream.notify()
+
+
+_FROM_OWNER = {
+    frames.HEAD: CallStreams._take_head,
+    frames.DATA: CallStreams._take_data,
+    frames.REFUSE: CallStreams._take_refuse,
+    frames.CUT: CallStreams._take_cut,
+}
+
+
+@define(kw_only=True, eq=False)
+class OwnerStream:
+    """Hold a call's stream on the side that runs it."""
+
+    stream_id: int
+    call: Call
+    credit: int = frames.WINDOW_BYTES
+    cancelled: bool = False
+    notify: Callable[[], None] = _ignore
+    """Called when credit came in or the call was cancelled."""
+
+
+class OwnerStreams:
+    """Accept calls from one connection and send their answers."""
+
+    def __init__(self, *, node_id: str, clock: Clock) -> None:
+        self.node_id = node_id
+        self.clock = clock
+        self.outbox = Outbox()
+        self.hello: frames.Hello | None = None
+        self.stream_by_id: dict[int, OwnerStream] = {}
+        self.closed = False
+        self._last_id = 0
+        self._decoder = frames.Decoder()
+
+    def receive(self, received: bytes) -> list[OwnerStream] | Failure:
+        """Take bytes of the caller and return the calls that it opened."""
+        decoded = self._decoder.feed(received)
+        if isinstance(decoded, Failure):
+            return decoded
+        opened: list[OwnerStream] = []
+        for frame in decoded:
+            taken = self._take(frame)
+            if isinstance(taken, Failure):
+                return taken
+            if taken is not None:
+                opened.append(taken)
+        return [stream for stream in opened if not stream.cancelled]
+
+    def refuse(self, stream: OwnerStream, outcome: Outcome, *, load: float) -> None:
+        """Answer a call with a failure."""
+        if self._finish(stream):
+            self.outbox.push(
+                frames.refuse(stream.stream_id, outcome.failure, outcome.ran, load)
+            )
+
+    def head(
+        self,
+        stream: OwnerStream,
+        *,
+        status: int,
+        reason: str,
+        headers: Headers,
+        body: bytes,
+        last: bool,
+        load: float,
+    ) -> None:
+        """Send the head of an answer and the first part of its body."""
+        invariant(len(body) <= stream.credit, "credits are never overdrawn")
+        stream.credit -= len(body)
+        live = self._finish(stream) if last else self._is_live(stream)
+        if live:
+            self.outbox.push(
+                frames.head(
+                    stream.stream_id,
+                    status=status,
+                    reason=reason,
+                    headers=headers,
+                    body=body,
+                    last=last,
+                    load=load,
+                )
+            )
+
+    def data(self, stream: OwnerStream, chunk: bytes, *, last: bool) -> None:
+        """Send a further part of an answer."""
+        invariant(len(chunk) <= stream.credit, "credits are never overdrawn")
+        stream.credit -= len(chunk)
+        live = self._finish(stream) if last else self._is_live(stream)
+        if live:
+            self.outbox.push(frames.data(stream.stream_id, chunk, last=last))
+
+    def cut(self, stream: OwnerStream, failure: Failure) -> None:
+        """Say that an answer broke off."""
+        if self._finish(stream):
+            self.outbox.push(frames.cut(stream.stream_id, failure))
+
+    def lose(self) -> None:
+        """Cancel each call of a connection that is gone."""
+        self.closed = True
+        for stream in list(self.stream_by_id.values()):
+            self._cancel(stream)
+
+    def _is_live(self, stream: OwnerStream) -> bool:
+        return not self.closed and stream.stream_id in self.stream_by_id
+
+    def _finish(self, stream: OwnerStream) -> bool:
+        return (
+            self.stream_by_id.pop(stream.stream_id, None) is not None
+            and not self.closed
+        )
+
+    def _cancel(self, stream: OwnerStream) -> None:
+        self.stream_by_id.pop(stream.stream_id, None)
+        stream.cancelled = True
+        stream.notify()
+
+    def _take(self, frame: frames.Frame) -> OwnerStream | Failure | None:
+        tag = frame[0]
+        if self.hello is None:
+            return self._take_hello(frame)
+        if tag == frames.OPEN:
+            return self._take_open(frame)
+        if tag not in (frames.CREDIT, frames.CANCEL):
+            return Failure(kind=Kind.BAD_FRAME, detail=f"tag {tag} from a caller")
+        stream = self.stream_by_id.get(frame[1])
+        if stream is None:
+            return None
+        if tag == frames.CANCEL:
+            self._cancel(stream)
+            return None
+        stream.credit += frame[2]
+        if stream.credit > frames.WINDOW_BYTES:
+            return Failure(kind=Kind.BAD_FRAME, detail="credit over the window")
+        stream.notify()
+        return None
+
+    def _take_hello(self, frame: frames.Frame) -> Failure | None:
+        if frame[0] != frames.HELLO or frame[1] != frames.PROTOCOL_VERSION:
+            return Failure(kind=Kind.BAD_FRAME, detail="no hello of this version")
+        self.hello = frames.Hello(
+            version=frame[1], caller_id=frame[2], expected_id=frame[3]
+        )
+        return None
+
+    def _take_open(self, frame: frames.Frame) -> OwnerStream | Failure | None:
+        stream_id = frame[1]
+        if stream_id <= self._last_id:
+            return Failure(kind=Kind.BAD_FRAME, detail="stream id used again")
+        self._last_id = stream_id
+        stream = OwnerStream(stream_id=stream_id, call=self._call_of(frame))
+        self.stream_by_id[stream_id] = stream
+        if self.hello is not None and self.hello.expected_id != self.node_id:
+            self.refuse(stream, fail(Kind.WRONG_NODE, "another node"), load=0.0)
+            return None
+        if len(self.stream_by_id) > MAX_OPEN_STREAMS:
+            self.refuse(stream, fail(Kind.OVERLOADED, "streams"), load=1.0)
+            return None
+        return stream
+
+    def _call_of(self, frame: frames.Frame) -> Call:
+        left_s = frame[9] / frames.MICROSECONDS_PER_S
+        return Call(
+            service=frame[2],
+            customer=frame[3],
+            share=frame[4],
+            method=frame[5],
+            target=frame[6],
+            headers=frame[7],
+            body=frame[8],
+            deadline=self.clock.monotonic() + left_s,
+            idempotent=frame[10],
+            depth=frame[11],
+            retried=frame[12],
+            key=frame[13],
+            trace=frame[14],
+        )
+
+
+def chunks_of(body: bytes) -> Iterator[bytes]:
+    """Cut a body into parts that each fit into one frame."""
+    view = memoryview(body)
+    for start in range(0, len(body), frames.CHUNK_BYTES):
+        yield bytes(view[start : start + frames.CHUNK_BYTES])
--- /dev/null
+++ b/src/comfreytray/sweeping.py
@@ -0,0 +1,100 @@
+"""Find callers that hung up, heads that come too slowly and idle connections."""
+
+import socket as plain_socket
+from typing import Any
+
+import eventlet
+from attrs import define
+
+from comfreytray import logs
+from comfreytray.calls import CallCancelledError
+from comfreytray.connections import StreamClient
+from comfreytray.httpserver import HEAD_TIMEOUT_S
+from comfreytray.interfaces import Clock
+from comfreytray.owner import Owner
+from comfreytray.routing import Router
+
+PERIOD_S = 0.05
+GRACE_S = 0.05
+IDLE_EVERY = 40
+_PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
+
+
+@define(kw_only=True, eq=False)
+class Entry:
+    """Hold one caller's call while it waits for its answer."""
+
+    greenlet: Any
+    sock: Any
+    started: float
+
+
+class Sweeper:
+    """Look over the calls and connections of a node once per period."""
+
+    def __init__(
+        self, *, clock: Clock, owner: Owner, client: StreamClient, router: Router
+    ) -> None:
+        self.clock = clock
+        self.owner = owner
+        self.client = client
+        self.router = router
+        self.entries: set[Entry] = set()
+        self.head_started_by_socket: dict[Any, float] = {}
+
+    def enter(self, environ: dict[str, Any]) -> Entry:
+        """Follow the caller of a call."""
+        source = environ.get("eventlet.input")
+        entry = Entry(
+            greenlet=eventlet.getcurrent(),
+            sock=source.get_socket() if source is not None else None,
+            started=self.clock.monotonic(),
+        )
+        self.entries.add(entry)
+        return entry
+
+    def leave(self, entry: Entry) -> None:
+        """Follow a caller no longer."""
+        self.entries.discard(entry)
+
+    def run(self) -> None:
+        """Sweep once per period."""
+        turn = 0
+        while True:
+            eventlet.sleep(PERIOD_S)
+            turn += 1
+            try:
+                self.sweep()
+                if turn % IDLE_EVERY == 0:
+                    self._close_idle()
+            except Exception as error:
+                logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+
+    def sweep(self) -> None:
+        """Cancel the calls of callers that are gone and end heads that are late."""
+        now = self.clock.monotonic()
+        for entry in list(self.entries):
+            if now - entry.started >= GRACE_S and _is_gone(entry.sock):
+                self.entries.discard(entry)
+                eventlet.kill(entry.greenlet, CallCancelledError())
+        for sock, started in list(self.head_started_by_socket.items()):
+            if now - started >= HEAD_TIMEOUT_S:
+                del self.head_started_by_socket[sock]
+                sock.shutdown(plain_socket.SHUT_RDWR)
+        self.owner.admission.expire()
+
+    def _close_idle(self) -> None:
+        self.owner.pool.close_idle()
+        self.client.close_idle()
+        self.router.forget_unused()
+
+
+def _is_gone(sock: Any) -> bool:
+    if sock is None:
+        return False
+    try:
+        return not sock.fd.recv(1, _PEEK_FLAGS)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
