Claim idempotency keys in a fenced log before their calls run

Cause: a key has to be honoured across nodes and through the death of any of them, with no disk and a few hundred store writes a second.

Change: a key hashes to one of 64 partitions; a partition's log is a sequence of objects, each appended by create-if-absent. The create is the fence: a paused or superseded keeper finds its number taken, reads on and checks its claims again. Claims of one interval share a write. Outcomes and small answers follow in later appends, so a repeat gets the recorded answer, "running", "ran" or "unknown". A retry after an attempt that may have run no longer ends in "did not run" (found while writing this: an idempotent call lost at one endpoint and shed at the next said so).

Ruled out: one object per key (a write and a delete for each call); one object per partition rewritten at each append (bytes across regions); a lease for the keeper (a paused holder would still have to be fenced at the log).

--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -1,9 +1,12 @@
 """Nodes and upstreams of one process on loopback, for the tests of the call path."""
 
+import os
 import random
 import socket as plain_socket
+import time
 
 import eventlet
+from absl import logging
 from eventlet.green import socket
 
 from comfreytray.clock import SystemClock
@@ -14,6 +17,8 @@
 from comfreytray.snapshots import Route, Snapshot
 from comfreytray.testing import MemoryStore
 
+logging.set_verbosity(logging.ERROR)
+
 WAIT_S = 20.0
 ALL_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "DELETE"})
 
@@ -271,3 +276,17 @@
             return True
         eventlet.sleep(0.005)
     return False
+
+
+def soak_seeds(count):
+    """Give fixed seeds, or fresh ones for as long as the soak lasts."""
+    seconds = float(os.environ.get("COMFREYTRAY_SOAK_SECONDS", "0"))
+    first = int(os.environ.get("COMFREYTRAY_SOAK_SEED", "1"))
+    if not seconds:
+        yield from range(first, first + count)
+        return
+    end = time.monotonic() + seconds
+    seed = first * 1_000_000
+    while time.monotonic() < end:
+        yield seed
+        seed += 1
--- a/src/comfreytray/calls.py
+++ b/src/comfreytray/calls.py
@@ -117,6 +117,14 @@
         return cls(failure=failure, ran=failure.answer.ran, load=load)
 
 
+_CERTAINTY = (Ran.NO, Ran.UNKNOWN, Ran.YES)
+
+
+def worse(first: Ran, second: Ran) -> Ran:
+    """Combine what is known of two attempts at one call."""
+    return max(first, second, key=_CERTAINTY.index)
+
+
 def fail(kind: Kind, detail: str = "", retry_after_s: int | None = None) -> Outcome:
     """Make the outcome of a call that failed."""
     failure = Failure(kind=kind, detail=detail, retry_after_s=retry_after_s)
--- a/src/comfreytray/dispatch.py
+++ b/src/comfreytray/dispatch.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable, Iterator
 
-from comfreytray.calls import Call, Outcome, Reply
+from comfreytray.calls import Call, Outcome, Reply, worse
 from comfreytray.connections import StreamClient
-from comfreytray.errors import Failure
+from comfreytray.errors import Failure, Ran
 from comfreytray.interfaces import Clock
 from comfreytray.metrics import Metrics
 from comfreytray.owner import Owner
@@ -40,6 +40,7 @@
         excluded: list[str] = []
         redirects = 0
         last: Outcome | None = None
+        worst = Ran.NO
         while True:
             record = self.router.pick(call.service, exclude=excluded)
             if isinstance(record, Failure):
@@ -54,6 +55,7 @@
                 time_left_s=call.deadline - self.clock.monotonic(),
                 budget=self.budget,
             )
+            worst = result.ran = worse(worst, result.ran)
             if decision is Decision.GIVE_UP:
                 return result
             last = result
--- /dev/null
+++ b/src/comfreytray/ownerstreams.py
@@ -0,0 +1,190 @@
+"""State of call streams on the side that runs calls, without any input or output."""
+
+from collections.abc import Callable, Iterator
+
+from attrs import define
+
+from comfreytray import frames
+from comfreytray.calls import Call, Headers, Outcome, fail
+from comfreytray.errors import Failure, Kind
+from comfreytray.exceptions import invariant
+from comfreytray.interfaces import Clock
+from comfreytray.streams import Outbox, ignore
+
+MAX_OPEN_STREAMS = 1024
+
+
+@define(kw_only=True, eq=False)
+class OwnerStream:
+    """Hold a call's stream on the side that runs it."""
+
+    stream_id: int
+    call: Call
+    credit: int = frames.WINDOW_BYTES
+    cancelled: bool = False
+    notify: Callable[[], None] = ignore
+    """Called when credit came in or the call was cancelled."""
+
+
+class OwnerStreams:
+    """Accept calls from one connection and send their answers."""
+
+    def __init__(self, *, node_id: str, clock: Clock) -> None:
+        self.node_id = node_id
+        self.clock = clock
+        self.outbox = Outbox()
+        self.hello: frames.Hello | None = None
+        self.stream_by_id: dict[int, OwnerStream] = {}
+        self.closed = False
+        self._last_id = 0
+        self._decoder = frames.Decoder()
+
+    def receive(self, received: bytes) -> list[OwnerStream] | Failure:
+        """Take bytes of the caller and return the calls that it opened."""
+        decoded = self._decoder.feed(received)
+        if isinstance(decoded, Failure):
+            return decoded
+        opened: list[OwnerStream] = []
+        for frame in decoded:
+            taken = self._take(frame)
+            if isinstance(taken, Failure):
+                return taken
+            if taken is not None:
+                opened.append(taken)
+        return [stream for stream in opened if not stream.cancelled]
+
+    def refuse(self, stream: OwnerStream, outcome: Outcome, *, load: float) -> None:
+        """Answer a call with a failure."""
+        if self._finish(stream):
+            self.outbox.push(
+                frames.refuse(stream.stream_id, outcome.failure, outcome.ran, load)
+            )
+
+    def head(
+        self,
+        stream: OwnerStream,
+        *,
+        status: int,
+        reason: str,
+        headers: Headers,
+        body: bytes,
+        last: bool,
+        load: float,
+    ) -> None:
+        """Send the head of an answer and the first part of its body."""
+        invariant(len(body) <= stream.credit, "credits are never overdrawn")
+        stream.credit -= len(body)
+        live = self._finish(stream) if last else self._is_live(stream)
+        if live:
+            self.outbox.push(
+                frames.head(
+                    stream.stream_id,
+                    status=status,
+                    reason=reason,
+                    headers=headers,
+                    body=body,
+                    last=last,
+                    load=load,
+                )
+            )
+
+    def data(self, stream: OwnerStream, chunk: bytes, *, last: bool) -> None:
+        """Send a further part of an answer."""
+        invariant(len(chunk) <= stream.credit, "credits are never overdrawn")
+        stream.credit -= len(chunk)
+        live = self._finish(stream) if last else self._is_live(stream)
+        if live:
+            self.outbox.push(frames.data(stream.stream_id, chunk, last=last))
+
+    def cut(self, stream: OwnerStream, failure: Failure) -> None:
+        """Say that an answer broke off."""
+        if self._finish(stream):
+            self.outbox.push(frames.cut(stream.stream_id, failure))
+
+    def lose(self) -> None:
+        """Cancel each call of a connection that is gone."""
+        self.closed = True
+        for stream in list(self.stream_by_id.values()):
+            self._cancel(stream)
+
+    def _is_live(self, stream: OwnerStream) -> bool:
+        return not self.closed and stream.stream_id in self.stream_by_id
+
+    def _finish(self, stream: OwnerStream) -> bool:
+        return (
+            self.stream_by_id.pop(stream.stream_id, None) is not None
+            and not self.closed
+        )
+
+    def _cancel(self, stream: OwnerStream) -> None:
+        self.stream_by_id.pop(stream.stream_id, None)
+        stream.cancelled = True
+        stream.notify()
+
+    def _take(self, frame: frames.Frame) -> OwnerStream | Failure | None:
+        tag = frame[0]
+        if self.hello is None:
+            return self._take_hello(frame)
+        if tag == frames.OPEN:
+            return self._take_open(frame)
+        if tag not in (frames.CREDIT, frames.CANCEL):
+            return Failure(kind=Kind.BAD_FRAME, detail=f"tag {tag} from a caller")
+        stream = self.stream_by_id.get(frame[1])
+        if stream is None:
+            return None
+        if tag == frames.CANCEL:
+            self._cancel(stream)
+            return None
+        stream.credit += frame[2]
+        if stream.credit > frames.WINDOW_BYTES:
+            return Failure(kind=Kind.BAD_FRAME, detail="credit over the window")
+        stream.notify()
+        return None
+
+    def _take_hello(self, frame: frames.Frame) -> Failure | None:
+        if frame[0] != frames.HELLO or frame[1] != frames.PROTOCOL_VERSION:
+            return Failure(kind=Kind.BAD_FRAME, detail="no hello of this version")
+        self.hello = frames.Hello(
+            version=frame[1], caller_id=frame[2], expected_id=frame[3]
+        )
+        return None
+
+    def _take_open(self, frame: frames.Frame) -> OwnerStream | Failure | None:
+        stream_id = frame[1]
+        if stream_id <= self._last_id:
+            return Failure(kind=Kind.BAD_FRAME, detail="stream id used again")
+        self._last_id = stream_id
+        stream = OwnerStream(stream_id=stream_id, call=self._call_of(frame))
+        self.stream_by_id[stream_id] = stream
+        if self.hello is not None and self.hello.expected_id != self.node_id:
+            self.refuse(stream, fail(Kind.WRONG_NODE, "another node"), load=0.0)
+            return None
+        if len(self.stream_by_id) > MAX_OPEN_STREAMS:
+            self.refuse(stream, fail(Kind.OVERLOADED, "streams"), load=1.0)
+            return None
+        return stream
+
+    def _call_of(self, frame: frames.Frame) -> Call:
+        left_s = frame[9] / frames.MICROSECONDS_PER_S
+        return Call(
+            service=frame[2],
+            customer=frame[3],
+            share=frame[4],
+            method=frame[5],
+            target=frame[6],
+            headers=frame[7],
+            body=frame[8],
+            deadline=self.clock.monotonic() + left_s,
+            idempotent=frame[10],
+            depth=frame[11],
+            retried=frame[12],
+            key=frame[13],
+            trace=frame[14],
+        )
+
+
+def chunks_of(body: bytes) -> Iterator[bytes]:
+    """Cut a body into parts that each fit into one frame."""
+    view = memoryview(body)
+    for start in range(0, len(body), frames.CHUNK_BYTES):
+        yield bytes(view[start : start + frames.CHUNK_BYTES])
--- a/src/comfreytray/proxy.py
+++ b/src/comfreytray/proxy.py
@@ -20,15 +20,17 @@
     Reply,
     fail,
 )
-from comfreytray.connections import StreamClient, StreamServer
+from comfreytray.connections import StreamClient
 from comfreytray.dispatch import Dispatcher
 from comfreytray.errors import Failure, Kind
 from comfreytray.interfaces import Clock, ObjectStore
+from comfreytray.keyed import KeyedCalls
 from comfreytray.metrics import Metrics
 from comfreytray.owner import Owner
 from comfreytray.records import LocalUpstream, MembershipView, NodeRecord
 from comfreytray.routing import Router
 from comfreytray.snapshots import Snapshot
+from comfreytray.streamserver import StreamServer
 from comfreytray.sweeping import Sweeper
 
 DRAIN_POLL_S = 0.02
@@ -104,11 +106,21 @@
             clock=clock,
             metrics=metrics,
         )
+        self.keyed = KeyedCalls(
+            node=node,
+            members=members,
+            client=self.client,
+            run=self.dispatcher.run,
+            store=store,
+            clock=clock,
+            random=random,
+        )
         self.sweeper = Sweeper(
             clock=clock,
             owner=self.owner,
             client=self.client,
             router=self.router,
+            keyed=self.keyed,
         )
         self.head_started_by_socket = self.sweeper.head_started_by_socket
         self._sweep: Any = None
@@ -139,9 +151,10 @@
         """Refuse new work for the upstream and wait for all calls in flight."""
         self.leaving = True
         self.router.leaving = True
+        self.keyed.leave()
         self.owner.leave()
         end = self.clock.monotonic() + timeout_s
-        while self.in_flight or self.owner.in_flight:
+        while self.in_flight or self.owner.in_flight or not self.keyed.settled:
             if self.clock.monotonic() >= end:
                 return False
             eventlet.sleep(DRAIN_POLL_S)
@@ -202,11 +215,13 @@
     def _run(self, call: Call) -> Reply | Outcome:
         self.metrics.count("calls")
         if call.key:
-            return fail(Kind.CLAIMS_UNAVAILABLE, "not built yet")
+            return self.keyed.run(call)
         return self.dispatcher.run(call)
 
     def _run_for_node(self, call: Call) -> Reply | Outcome:
         self.metrics.count("calls_for_nodes")
+        if call.key:
+            return self.keyed.keep(call)
         return self.owner.run(call)
 
     def _answer(
--- /dev/null
+++ b/src/comfreytray/streamserver.py
@@ -0,0 +1,178 @@
+"""Run the calls that other nodes send over their streams."""
+
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any, Protocol
+
+import eventlet
+from eventlet.green import socket
+
+from comfreytray import frames, logs
+from comfreytray.calls import Call, CallCutError, Outcome, Reply, fail
+from comfreytray.connections import MAX_OUTBOX_BYTES, READ_BYTES, Writer, shut
+from comfreytray.errors import Failure, Kind
+from comfreytray.interfaces import Address, Clock
+from comfreytray.ownerstreams import OwnerStream, OwnerStreams, chunks_of
+from comfreytray.signals import Signal
+
+
+class Handler(Protocol):
+    """Run a call at its owner."""
+
+    def __call__(self, call: Call) -> Reply | Outcome:
+        """Return the answer, or the failure and whether the call ran."""
+        ...
+
+
+class StreamServer:
+    """Run the calls that other nodes send."""
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        clock: Clock,
+        handle: Handler,
+        load: Callable[[], float],
+    ) -> None:
+        self.node_id = node_id
+        self.clock = clock
+        self.handle = handle
+        self.load = load
+        self._sockets: set[Any] = set()
+
+    def __enter__(self) -> "StreamServer":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for sock in list(self._sockets):
+            shut(sock)
+
+    def serve(self, listener: Any) -> None:
+        """Accept connections until the listener is closed."""
+        while True:
+            try:
+                sock, address = listener.accept()
+            except (OSError, EOFError):
+                return
+            eventlet.spawn_n(self._serve_connection, sock, address)
+
+    def _serve_connection(self, sock: Any, address: Address) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sockets.add(sock)
+        streams = OwnerStreams(node_id=self.node_id, clock=self.clock)
+        writer = Writer(sock=sock, outbox=streams.outbox, on_lost=streams.lose)
+        try:
+            while not streams.closed:
+                received = sock.recv(READ_BYTES)
+                if not received:
+                    return
+                opened = streams.receive(received)
+                if isinstance(opened, Failure):
+                    self._log_refused(opened, address)
+                    return
+                for stream in opened:
+                    _Served(server=self, streams=streams, writer=writer, stream=stream)
+                writer.flush()
+        except (OSError, EOFError):
+            return
+        finally:
+            streams.lose()
+            self._sockets.discard(sock)
+            shut(sock)
+
+    def _log_refused(self, failure: Failure, address: Address) -> None:
+        logs.warn(
+            logs.Event.FRAME_REFUSED,
+            peer=f"{address[0]}:{address[1]}",
+            kind=failure.kind.value,
+            reason=failure.detail,
+        )
+
+
+class _Served:
+    """Run one call of a connection in a greenlet of its own."""
+
+    def __init__(
+        self,
+        *,
+        server: StreamServer,
+        streams: OwnerStreams,
+        writer: Writer,
+        stream: OwnerStream,
+    ) -> None:
+        self.server = server
+        self.streams = streams
+        self.writer = writer
+        self.stream = stream
+        self.signal = Signal()
+        stream.notify = self._changed
+        self.greenlet = eventlet.spawn(self._run)
+
+    def _changed(self) -> None:
+        if self.stream.cancelled:
+            eventlet.spawn_n(self._kill)
+            return
+        self.signal.fire()
+
+    def _kill(self) -> None:
+        self.greenlet.kill()
+
+    def _run(self) -> None:
+        try:
+            result = self.server.handle(self.stream.call)
+        except Exception as error:
+            logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+            result = fail(Kind.INTERNAL, type(error).__name__)
+        if isinstance(result, Outcome):
+            self.streams.refuse(self.stream, result, load=self.server.load())
+            self.writer.flush()
+            return
+        try:
+            self._answer(result)
+        finally:
+            result.close()
+            self.writer.flush()
+
+    def _answer(self, reply: Reply) -> None:
+        parts = chunks_of(reply.body) if len(reply.body) > frames.CHUNK_BYTES else None
+        first = next(parts) if parts is not None else reply.body
+        self.streams.head(
+            self.stream,
+            status=reply.status,
+            reason=reply.reason,
+            headers=reply.headers,
+            body=first,
+            last=parts is None and reply.rest is None,
+            load=self.server.load(),
+        )
+        self.writer.flush()
+        if parts is None and reply.rest is None:
+            return
+        try:
+            for part in parts or ():
+                self._send(part)
+            for part in reply.rest or ():
+                for chunk in chunks_of(part):
+                    self._send(chunk)
+        except CallCutError as error:
+            self.streams.cut(self.stream, error.failure)
+            return
+        self.streams.data(self.stream, b"", last=True)
+
+    def _send(self, chunk: bytes) -> None:
+        deadline = self.stream.call.deadline
+        while self.stream.credit < len(chunk) or (
+            self.writer.outbox.size > MAX_OUTBOX_BYTES
+        ):
+            left_s = deadline - self.server.clock.monotonic()
+            if left_s <= 0:
+                raise CallCutError(Failure(kind=Kind.ANSWER_CUT, detail="slow reader"))
+            self.signal.wait(min(left_s, 0.05) if self.stream.credit else left_s)
+        self.streams.data(self.stream, chunk, last=False)
+        self.writer.flush()
--- a/src/comfreytray/sweeping.py
+++ b/src/comfreytray/sweeping.py
@@ -11,6 +11,7 @@
 from comfreytray.connections import StreamClient
 from comfreytray.httpserver import HEAD_TIMEOUT_S
 from comfreytray.interfaces import Clock
+from comfreytray.keyed import KeyedCalls
 from comfreytray.owner import Owner
 from comfreytray.routing import Router
 
@@ -33,12 +34,19 @@
     """Look over the calls and connections of a node once per period."""
 
     def __init__(
-        self, *, clock: Clock, owner: Owner, client: StreamClient, router: Router
+        self,
+        *,
+        clock: Clock,
+        owner: Owner,
+        client: StreamClient,
+        router: Router,
+        keyed: KeyedCalls,
     ) -> None:
         self.clock = clock
         self.owner = owner
         self.client = client
         self.router = router
+        self.keyed = keyed
         self.entries: set[Entry] = set()
         self.head_started_by_socket: dict[Any, float] = {}
 
@@ -87,6 +95,7 @@
         self.owner.pool.close_idle()
         self.client.close_idle()
         self.router.forget_unused()
+        self.keyed.tidy()
 
 
 def _is_gone(sock: Any) -> bool:
