--- /dev/null
+++ b/features/steps/calls_limits_steps.py
@@ -0,0 +1,229 @@
+import math
+import random
+
+from behave import then, when
+from calls_rig import soak_seeds
+
+from comfreytray.calls import Call, Outcome
+from comfreytray.errors import Failure, Kind, Ran
+from comfreytray.limits import QUEUE_PER_SLOT, Admission, Ticket, TicketState
+from comfreytray.retries import BUDGET_RESERVE, RETRY_SHARE, Budget, Decision, decide
+from comfreytray.testing import FakeClock
+
+SHARE_BY_CUSTOMER = {"small": 0.25, "half": 0.5, "whole": 1.0}
+
+
+class AdmissionRun:
+    """Drive an admission at random and check each step."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.clock = FakeClock()
+        self.slots = self.random.randint(1, 8)
+        self.admission = Admission(clock=self.clock, slots=self.slots)
+        self.tickets = []
+        self.faults = []
+
+    def waiting(self):
+        return [t for t in self.tickets if t.state is TicketState.QUEUED]
+
+    def holding(self):
+        return [t for t in self.tickets if t.state is TicketState.HELD]
+
+    def cap(self, customer):
+        return max(1, math.floor(self.slots * SHARE_BY_CUSTOMER[customer]))
+
+    def held(self, customer):
+        return sum(1 for t in self.holding() if t.customer == customer)
+
+    def eligible(self):
+        return [
+            t for t in self.waiting() if self.held(t.customer) < self.cap(t.customer)
+        ]
+
+    def offer(self):
+        customer = self.random.choice(list(SHARE_BY_CUSTOMER))
+        ticket = self.admission.offer(
+            customer=customer,
+            share=SHARE_BY_CUSTOMER[customer],
+            deadline=self.clock.now + self.random.choice([0.001, 0.05, 0.2, 1.0, 5.0]),
+        )
+        if isinstance(ticket, Ticket):
+            self.tickets.append(ticket)
+        elif ticket.answer.ran is not Ran.NO:
+            self.faults.append(f"refused as {ticket.kind}")
+
+    def release(self):
+        held = self.holding()
+        if not held:
+            return
+        ended = self.random.choice(held)
+        before = self.waiting()
+        ended.state = TicketState.DONE
+        timely = [t for t in self.eligible() if t.deadline > self.clock.now]
+        order_by_ticket = {id(t): self.order(t) for t in timely}
+        ended.state = TicketState.HELD
+        full = self.admission.held > self.slots
+        self.admission.release(ended)
+        admitted = [t for t in before if t.state is TicketState.HELD]
+        if full or not (order_by_ticket or admitted):
+            return
+        best = min(order_by_ticket.values(), default=None)
+        if best not in [order_by_ticket.get(id(ticket)) for ticket in admitted]:
+            self.faults.append("another call was admitted before the next in order")
+
+    def order(self, ticket):
+        share = SHARE_BY_CUSTOMER[ticket.customer]
+        return (self.held(ticket.customer) / share, ticket.deadline)
+
+    def step(self):
+        draw = self.random.random()
+        if draw < 0.5:
+            self.offer()
+        elif draw < 0.75:
+            self.release()
+        elif draw < 0.8 and self.waiting():
+            self.admission.release(self.random.choice(self.waiting()))
+        elif draw < 0.9:
+            self.clock.now += self.random.choice([0.001, 0.01, 0.1])
+            self.admission.expire()
+        elif draw < 0.92:
+            self.slots = self.random.randint(1, 8)
+            self.admission.resize(self.slots)
+        self.check()
+
+    def check(self):
+        held = len(self.holding())
+        if held != self.admission.held or len(self.waiting()) != self.admission.queued:
+            self.faults.append("the counts are wrong")
+        if held < self.slots and self.eligible():
+            self.faults.append("a free slot is kept from a call that may have it")
+        if any(t.deadline <= self.clock.now - 0.1 for t in self.waiting()):
+            self.faults.append("a call waits past its deadline")
+
+
+@when("calls of three customers arrive, end, expire and hang up at random")
+def run_admission(context):
+    context.faults = []
+    context.excess = []
+    for seed in soak_seeds(60):
+        run = AdmissionRun(seed)
+        for _ in range(400):
+            before = run.admission.held
+            queued = run.admission.queued
+            run.step()
+            grew = run.admission.held > before
+            if grew and run.admission.held > run.slots:
+                context.excess.append((seed, "slots"))
+            longer = run.admission.queued > queued
+            if longer and run.admission.queued > QUEUE_PER_SLOT * run.slots:
+                context.excess.append((seed, "queue"))
+        for ticket in list(run.tickets):
+            run.admission.release(ticket)
+        if run.admission.held or run.admission.queued:
+            run.faults.append("slots leaked")
+        context.faults.extend((seed, fault) for fault in run.faults)
+
+
+@then("slots, shares and the queue are never exceeded")
+def check_limits(context):
+    assert not context.excess, context.excess[:3]
+
+
+@then("waiting calls are admitted by share first and deadline second")
+def check_order(context):
+    assert not context.faults, context.faults[:3]
+
+
+@then("a free slot is never kept from a call that may have it")
+def check_conserving(context):
+    assert not context.faults
+
+
+@when("one customer sends ten times as much as another")
+def flood(context):
+    clock = FakeClock()
+    admission = Admission(clock=clock, slots=4)
+    context.lost_by_customer = {"loud": 0, "quiet": 0}
+    running = []
+    waiting = []
+    for turn in range(500):
+        for customer in ["loud"] * 10 + ["quiet"] * (turn % 2):
+            ticket = admission.offer(
+                customer=customer, share=1.0, deadline=clock.now + 2.0
+            )
+            if isinstance(ticket, Failure):
+                context.lost_by_customer[customer] += 1
+            else:
+                waiting.append(ticket)
+        clock.now += 0.01
+        for ticket in [t for t in running if clock.now - t.admitted_at > 0.015]:
+            running.remove(ticket)
+            admission.release(ticket)
+        for ticket in list(waiting):
+            if ticket.state is TicketState.QUEUED:
+                continue
+            waiting.remove(ticket)
+            if ticket.state is TicketState.HELD:
+                running.append(ticket)
+            else:
+                context.lost_by_customer[ticket.customer] += 1
+
+
+@then("the other customer loses no call")
+def check_quiet(context):
+    assert context.lost_by_customer["quiet"] == 0, context.lost_by_customer
+    assert context.lost_by_customer["loud"] > 1000, context.lost_by_customer
+
+
+def _call(idempotent, retried):
+    return Call(
+        service="s",
+        customer="c",
+        share=1.0,
+        method="POST",
+        target="/",
+        headers=(),
+        body=b"",
+        deadline=0.0,
+        idempotent=idempotent,
+        retried=retried,
+    )
+
+
+@when("attempts of every kind and outcome fail at random")
+def fail_attempts(context):
+    generator = random.Random(3)
+    budget = Budget()
+    context.decided = []
+    context.calls = 5000
+    for _ in range(context.calls):
+        budget.earn()
+        call = _call(generator.random() < 0.5, generator.random() < 0.1)
+        ran = generator.choice(list(Ran))
+        outcome = Outcome(failure=Failure(kind=generator.choice(list(Kind))), ran=ran)
+        for redirects in range(6):
+            decision = decide(
+                call, outcome, redirects=redirects, time_left_s=1.0, budget=budget
+            )
+            context.decided.append((call.idempotent, call.retried, ran, decision))
+            if decision is Decision.GIVE_UP:
+                break
+            call.retried = call.retried or decision is Decision.RETRY
+        else:
+            raise AssertionError("a call was tried without end")
+
+
+@then("what may have run is tried again only if idempotent")
+def check_proof(context):
+    for idempotent, retried, ran, decision in context.decided:
+        if decision is Decision.GIVE_UP:
+            continue
+        assert idempotent or ran is Ran.NO, (ran, decision)
+        assert not (retried and decision is Decision.RETRY)
+
+
+@then("retries stay within a tenth of the calls")
+def check_budget(context):
+    retries = sum(1 for *_, decision in context.decided if decision is Decision.RETRY)
+    assert 0 < retries <= context.calls * RETRY_SHARE + BUDGET_RESERVE, retries
--- /dev/null
+++ b/features/steps/calls_streams_steps.py
@@ -0,0 +1,292 @@
+import random
+
+import msgpack
+from behave import then, when
+from calls_rig import soak_seeds
+from hypothesis import given as given_data
+from hypothesis import strategies as st
+
+from comfreytray import frames
+from comfreytray.calls import Call
+from comfreytray.errors import Failure, Kind, Ran
+from comfreytray.ownerstreams import OwnerStreams
+from comfreytray.streams import CallStreams
+from comfreytray.testing import FakeClock
+
+
+def make_call(target):
+    return Call(
+        service="s",
+        customer="c",
+        share=1.0,
+        method="POST",
+        target=target,
+        headers=(("A", "b"),),
+        body=b"body of " + target.encode(),
+        deadline=2000.0,
+        idempotent=False,
+    )
+
+
+class Pair:
+    """Join both sides of a connection by two pipes of bytes."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.caller = CallStreams(caller_id="a", expected_id="b")
+        self.owner = OwnerStreams(node_id="b", clock=FakeClock())
+        self.pipe_by_side = {"caller": b"", "owner": b""}
+        self.streams = {}
+        self.taken = {}
+        self.seen = []
+        self.opened = []
+        self.cancelled = set()
+        self.faults = []
+
+    def open(self):
+        target = f"/{len(self.streams)}"
+        self.streams[target] = self.caller.open(make_call(target), left_s=5.0)
+        self.taken[target] = b""
+
+    def push(self, side, limit=None):
+        """Let the kernel take some of what one side wrote."""
+        outbox = (self.caller if side == "caller" else self.owner).outbox
+        block = outbox.take()
+        size = len(block) if limit is None else min(limit, len(block))
+        if not size:
+            return
+        self.pipe_by_side[side] += block[:size]
+        outbox.written(size)
+
+    def pull(self, side, limit=None):
+        """Deliver some of what one side's kernel took."""
+        pipe = self.pipe_by_side[side]
+        part = pipe if limit is None else pipe[:limit]
+        self.pipe_by_side[side] = pipe[len(part) :]
+        if not part:
+            return
+        if side == "caller":
+            opened = self.owner.receive(part)
+            if isinstance(opened, Failure):
+                self.faults.append(opened.detail)
+                return
+            self.opened.extend(opened)
+            self.seen.extend(stream.call.target for stream in opened)
+        else:
+            fault = self.caller.receive(part)
+            if fault is not None:
+                self.faults.append(fault.detail)
+
+    def answer(self):
+        if not self.opened:
+            return
+        stream = self.random.choice(self.opened)
+        body = expected(stream.call.target)
+        part = min(len(body), stream.credit, frames.CHUNK_BYTES)
+        done = getattr(self, "done", {}).get(stream.stream_id, None)
+        self.done = getattr(self, "done", {})
+        if done is None:
+            done = 0
+            self.owner.head(
+                stream,
+                status=200,
+                reason="OK",
+                headers=(("T", stream.call.target),),
+                body=body[:part],
+                last=part == len(body),
+                load=0.5,
+            )
+        else:
+            part = min(part, len(body) - done)
+            self.owner.data(
+                stream, body[done : done + part], last=done + part == len(body)
+            )
+        self.done[stream.stream_id] = done + part
+        if done + part == len(body):
+            self.opened.remove(stream)
+
+    def read(self):
+        for target, stream in self.streams.items():
+            while stream.chunks:
+                self.taken[target] += self.caller.take_chunk(stream)
+
+    def cancel(self):
+        live = [t for t, s in self.streams.items() if not s.ended]
+        if live:
+            target = self.random.choice(live)
+            self.cancelled.add(target)
+            self.caller.cancel(self.streams[target])
+
+    def step(self):
+        draw = self.random.random()
+        size = self.random.choice([1, 7, 100, 5000, None])
+        side = self.random.choice(["caller", "owner"])
+        if draw < 0.15:
+            self.open()
+        elif draw < 0.45:
+            self.push(side, size)
+        elif draw < 0.75:
+            self.pull(side, size)
+        elif draw < 0.9:
+            self.answer()
+        elif draw < 0.95:
+            self.read()
+        elif draw < 0.97:
+            self.cancel()
+
+    def cut(self):
+        """Lose the connection; what the kernels hold may still come or not."""
+        if self.random.random() < 0.5:
+            self.pull("caller")
+        if self.random.random() < 0.5:
+            self.pull("owner")
+        self.caller.lose()
+        self.owner.lose()
+        self.read()
+
+    def check(self):
+        """List what is untrue about each call."""
+        wrong = list(self.faults)
+        for target, stream in self.streams.items():
+            if target in self.cancelled:
+                continue
+            if not stream.ended:
+                wrong.append(f"{target} has no end")
+            elif stream.whole and self.taken[target] != expected(target):
+                wrong.append(f"{target} got another answer")
+            elif _said_not_run(stream) and target in self.seen:
+                wrong.append(f"{target} ran but is said not to have run")
+        if len(self.seen) != len(set(self.seen)):
+            wrong.append("a call was delivered twice")
+        return wrong
+
+
+def _said_not_run(stream):
+    return stream.outcome is not None and stream.outcome.ran is Ran.NO
+
+
+def expected(target):
+    number = int(target[1:])
+    return target.encode() * (1 if number % 3 else 60_000)
+
+
+@when("calls are opened, answered in any order, cancelled, and the connection is cut")
+def run_pairs(context):
+    context.wrong = []
+    context.seen = 0
+    for seed in soak_seeds(40):
+        pair = Pair(seed)
+        for _ in range(300):
+            pair.step()
+        pair.cut()
+        context.wrong.extend((seed, fault) for fault in pair.check())
+        context.seen += len(pair.seen)
+
+
+@then("each answer is whole and the call's own, or its outcome is true")
+def check_pairs(context):
+    assert not context.wrong, context.wrong[:3]
+
+
+@then("no call is delivered twice")
+def check_delivered(context):
+    assert context.seen > 100
+
+
+def _one_call(cut_caller, cut_owner):
+    pair = Pair(0)
+    for _ in range(2):
+        pair.open()
+    pair.push("caller", cut_caller)
+    pair.pull("caller")
+    while pair.opened:
+        pair.answer()
+    pair.push("owner", cut_owner)
+    pair.pull("owner")
+    size = (len(pair.caller.outbox.take()), len(pair.owner.outbox.take()))
+    pair.caller.lose()
+    pair.owner.lose()
+    pair.read()
+    return pair, size
+
+
+@when("one call's connection is cut after each byte in each direction")
+def cut_each(context):
+    context.wrong = []
+    context.not_run = context.unknown = 0
+    whole, _ = _one_call(None, None)
+    for size in range(whole.caller.outbox.sent + 1):
+        pair, _ = _one_call(size, 0)
+        context.wrong.extend(pair.check())
+        outcomes = [s.outcome.ran for s in pair.streams.values() if s.outcome]
+        context.not_run += outcomes.count(Ran.NO)
+        context.unknown += outcomes.count(Ran.UNKNOWN)
+    for size in range(
+        0, whole.owner.outbox.sent + 1, 1 + whole.owner.outbox.sent // 500
+    ):
+        pair, _ = _one_call(None, size)
+        context.wrong.extend(pair.check())
+
+
+@then('"did not run" is said only of calls that the owner never saw')
+def check_cuts(context):
+    assert not context.wrong, context.wrong[:3]
+    assert context.not_run > 50 and context.unknown > 50
+
+
+def _hostile():
+    ready = CallStreams(caller_id="a", expected_id="b").outbox.take()
+    call = frames.open_call(1, make_call("/1"), 1.0)
+    other = CallStreams(caller_id="a", expected_id="elsewhere").outbox.take()
+    yield "no hello", call, 0
+    yield "id used again", ready + call + call, 1
+    yield "id goes back", ready + frames.open_call(5, make_call("/5"), 1.0) + call, 1
+    yield "answer from a caller", ready + frames.data(1, b"", last=True), 0
+    yield "unknown tag", ready + msgpack.packb([59, 1]), 0
+    yield "wrong length", ready + msgpack.packb([41, 1]), 0
+    yield "map", ready + msgpack.packb({1: 2}), 0
+    yield "bad share", ready + _changed(call, 4, 7.0), 0
+    yield "bad headers", ready + _changed(call, 7, ((1, "x"),)), 0
+    yield "negative time", ready + _changed(call, 9, -1), 0
+    yield "credit overrun", ready + call + frames.credit(1, 100), 1
+    yield "huge", ready + b"\xc6\x7f\xff\xff\xff" + b"x" * 4_000_000, 0
+    yield "wrong node", other + call, 0
+
+
+def _changed(packed, index, value):
+    plain = list(msgpack.unpackb(packed, use_list=False))
+    plain[index] = value
+    return msgpack.packb(plain)
+
+
+@when("frames are broken, repeated, reordered or made up")
+def send_hostile(context):
+    context.verdicts = []
+    for name, data, may_run in _hostile():
+        owner = OwnerStreams(node_id="b", clock=FakeClock())
+        ran = 0
+        refused = None
+        for start in range(0, len(data), 65536):
+            taken = owner.receive(data[start : start + 65536])
+            if isinstance(taken, Failure):
+                refused = taken
+                break
+            ran += len(taken)
+        if refused is None and not owner.stream_by_id and owner.outbox.size:
+            refused = Failure(kind=Kind.WRONG_NODE)
+        context.verdicts.append((name, refused, ran <= may_run))
+
+
+@then("the connection is refused with a reason and nothing is run")
+def check_hostile(context):
+    for name, refused, fine in context.verdicts:
+        assert refused is not None and fine, name
+    call = frames.open_call(1, make_call("/1"), 1.0)
+
+    @given_data(st.binary(max_size=40), st.integers(0, len(call)))
+    def fuzz(noise, place):
+        decoder = frames.Decoder()
+        decoded = decoder.feed(call[:place] + noise + call[place + len(noise) :])
+        assert isinstance(decoded, Failure | list)
+
+    fuzz()
