--- /dev/null
+++ b/features/fleet.py
@@ -0,0 +1,274 @@
+"""Many nodes in one process: fake network, clock and store, and mixed faults."""
+
+import random
+
+import msgpack
+
+from comfreytray import testing
+from comfreytray.content import (
+    PAGE_COUNT,
+    Content,
+    Head,
+    VersionRecord,
+    encode_page,
+    encode_record,
+    page_of,
+)
+from comfreytray.distribution import Distributor
+from comfreytray.errors import Failure, Kind
+from comfreytray.metrics import Metrics
+from comfreytray.records import MembershipView, NodeRecord, NodeState
+from comfreytray.snapshots import Snapshot
+from comfreytray.status import StatusBoard
+from comfreytray.storewatch import HEAD_KEY, StoreWatcher, blob_key
+
+TICK_S = 0.1
+REGIONS = ("mien-bac", "mien-nam")
+BAD_KEY = "bad"
+
+
+def encode_head(head):
+    return msgpack.packb([head.version, head.digest])
+
+
+def decode_head(data):
+    version, digest = msgpack.unpackb(data)
+    return Head(version=version, digest=digest)
+
+
+class Author:
+    """Accept versions in the store as the operators' side does."""
+
+    def __init__(self, store, seed, items=40, item_bytes=600):
+        self.store = store
+        self.random = random.Random(seed)
+        self.body_by_key = {
+            f"customer/{number}": self.random.randbytes(item_bytes)
+            for number in range(items)
+        }
+        self.content = Content()
+        self.heads = []
+
+    def accept(self, changes=None, *, bad=False):
+        """Store a version whole, then its head; return the head and new blobs."""
+        key = self.random.choice(sorted(self.body_by_key))
+        body = bytearray(self.body_by_key[key])
+        body[self.random.randrange(len(body))] ^= 0xFF
+        self.body_by_key.update(changes or {key: bytes(body)})
+        self.body_by_key.pop(BAD_KEY, None)
+        if bad:
+            self.body_by_key[BAD_KEY] = b"does not compile"
+        pages = [{} for _ in range(PAGE_COUNT)]
+        blob_by_digest = {}
+        for name, value in self.body_by_key.items():
+            part = self.content.add(value)
+            blob_by_digest[part] = value
+            pages[page_of(name)][name] = (part,)
+        digests = []
+        for page in pages:
+            blob = encode_page(page)
+            digests.append(self.content.add(blob))
+            blob_by_digest[digests[-1]] = blob
+        record = encode_record(
+            VersionRecord(
+                version=len(self.heads) + 1,
+                parent=self.heads[-1].digest if self.heads else b"",
+                pages=tuple(digests),
+                change_id=f"change-{len(self.heads)}",
+                operator="an",
+                language="vi",
+                accepted_at_s=0.0,
+                summary="",
+                changed_keys=(key,),
+            )
+        )
+        head = Head(version=len(self.heads) + 1, digest=self.content.add(record))
+        blob_by_digest[head.digest] = record
+        for digest, blob in blob_by_digest.items():
+            if blob_key(digest) not in self.store.object_by_key:
+                self.store.put(blob_key(digest), blob, expected_version=0)
+        self.store.put(HEAD_KEY, encode_head(head), expected_version=None)
+        self.heads.append(head)
+        return head, blob_by_digest
+
+
+class Node:
+    """One node: distributor, status board and the loop around the store."""
+
+    def __init__(self, fleet, record, seed):
+        self.fleet = fleet
+        self.record = record
+        self.applied = []
+        self.frozen = False
+        self.cpu = 0.0
+        dice = random.Random(seed)
+        self.content = Content()
+        port = fleet.network.attach(record.control_address, self.receive)
+        shared = {
+            "node": lambda: self.record,
+            "members": lambda: fleet.view_of(self),
+            "clock": fleet.clock,
+            "random": dice,
+            "network": port,
+        }
+        self.distributor = Distributor(
+            **shared,
+            content=self.content,
+            compile_snapshot=compile_snapshot,
+            on_applied=self.on_applied,
+            store_region=REGIONS[0],
+        )
+        self.status = StatusBoard(**shared, distributor=self.distributor)
+        self.watcher = StoreWatcher(
+            store=fleet.store,
+            distributor=self.distributor,
+            decode_head=decode_head,
+            clock=fleet.clock,
+            random=dice,
+            metrics=Metrics(),
+        )
+        self.watch_at = self.fetch_at = fleet.clock.now + dice.uniform(0, 1)
+
+    def receive(self, sender, message, datagram):
+        self.distributor.receive(sender, message)
+        self.status.receive(sender, message)
+
+    def on_applied(self, snapshot):
+        """Check the promises at the moment of the switch."""
+        versions = [version for version, _ in self.applied]
+        assert not versions or snapshot.head.version > versions[-1], versions
+        assert snapshot.head in self.fleet.author.heads, "never accepted"
+        assert self.content.missing(snapshot.head) == [], "in part"
+        self.applied.append((snapshot.head.version, self.fleet.clock.now))
+
+    def tick(self):
+        now = self.fleet.clock.now
+        self.distributor.tick()
+        self.status.tick()
+        if now >= self.watch_at:
+            self.watch_at = now + max(self.watcher.watch_step(), TICK_S)
+        if now >= self.fetch_at:
+            self.fetch_at = now + max(self.watcher.fetch_step(), TICK_S)
+
+    @property
+    def version(self):
+        snapshot = self.distributor.snapshot
+        return snapshot.head.version if snapshot is not None else 0
+
+
+def compile_snapshot(head, content):
+    items = content.items(head)
+    if isinstance(items, Failure):
+        return items
+    if BAD_KEY in items:
+        return Failure(kind=Kind.INVALID_CONTENT, detail="bad item")
+    return Snapshot(head=head)
+
+
+class Fleet:
+    """A fleet of nodes whose views lag behind kills and cuts by a few seconds."""
+
+    view_lag_s = 2.0
+
+    def __init__(self, *, count, seed, items=40, item_bytes=600):
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.clock = testing.FakeClock()
+        self.network = testing.FakeNetwork(clock=self.clock, seed=seed)
+        self.store = testing.MemoryStore()
+        self.author = Author(self.store, seed, items, item_bytes)
+        self.node_by_id = {}
+        self.incarnation = 0
+        self.view_by_region = {}
+        self.next_view_s = 0.0
+        self.cut = False
+        self.count = count
+        for number in range(count):
+            self.start(number)
+
+    def start(self, number):
+        """Start a node, or start it anew with nothing kept."""
+        self.incarnation += 1
+        record = NodeRecord(
+            node_id=f"node-{number}",
+            incarnation=self.incarnation,
+            region=REGIONS[number % 2],
+            data_centre=f"dc-{number % 4}",
+            host=f"10.{number % 2}.{number // 250}.{number % 250}",
+            control_port=7000,
+            call_port=7001,
+        )
+        node = Node(self, record, self.seed * 100_003 + self.incarnation)
+        self.node_by_id[record.node_id] = node
+        return node
+
+    def kill(self, node):
+        self.network.detach(node.record.control_address)
+        del self.node_by_id[node.record.node_id]
+
+    def freeze(self, node, frozen):
+        node.frozen = frozen
+        frozen_addresses = self.network.frozen_addresses
+        change = frozen_addresses.add if frozen else frozen_addresses.discard
+        change(node.record.control_address)
+
+    def cut_regions(self, cut):
+        self.cut = cut
+        hosts = {node.record.host for node in self.node_by_id.values()}
+        pairs = {
+            (a, b) for a in hosts for b in hosts if a.split(".")[1] != b.split(".")[1]
+        }
+        self.network.faults.cut_pairs = pairs if cut else set()
+
+    def view_of(self, node):
+        return self.view_by_region.get(node.record.region) or MembershipView(
+            by_id={node.record.node_id: node.record}
+        )
+
+    def refresh_views(self):
+        """Give each region what membership would show it some seconds later."""
+        for region in REGIONS:
+            records = {
+                node.record.node_id: node.record
+                for node in self.node_by_id.values()
+                if not self.cut or node.record.region == region
+            }
+            self.view_by_region[region] = MembershipView(by_id=records)
+
+    def run(self, seconds):
+        end = self.clock.now + seconds
+        while self.clock.now < end:
+            self.network.run_until(self.clock.now + TICK_S)
+            if self.clock.now >= self.next_view_s:
+                self.next_view_s = self.clock.now + self.view_lag_s
+                self.refresh_views()
+            for node in list(self.node_by_id.values()):
+                if not node.frozen:
+                    node.tick()
+
+    def run_until_converged(self, limit_s):
+        """Run until all nodes have the newest version; return the seconds taken."""
+        start = self.clock.now
+        newest = self.author.heads[-1].version
+        while any(node.version < newest for node in self.node_by_id.values()):
+            assert self.clock.now - start < limit_s, self.lagging()
+            self.run(TICK_S)
+        return self.clock.now - start
+
+    def lagging(self):
+        newest = self.author.heads[-1].version
+        return {
+            node.record.node_id: (node.version, node.frozen, node.distributor.wanted)
+            for node in self.node_by_id.values()
+            if node.version < newest
+        }
+
+    def cross_region_bytes(self):
+        return sum(
+            size
+            for (a, b), size in self.network.bytes_by_pair.items()
+            if a.split(".")[1] != b.split(".")[1]
+        )
+
+
+__all__ = ["Fleet", "NodeState"]
--- /dev/null
+++ b/src/comfreytray/deltas.py
@@ -0,0 +1,155 @@
+"""Blobs on the wire: compressed, and as differences from blobs that both ends hold."""
+
+from collections.abc import Iterable
+
+import zstandard
+from attrs import frozen
+
+from comfreytray.content import (
+    MAX_BODY_BYTES,
+    PAGE_COUNT,
+    Content,
+    Head,
+    decode_page,
+    digest_of,
+)
+from comfreytray.errors import Failure, Kind
+
+COMPRESSION_LEVEL = 3
+MAX_BLOB_BYTES = 2 * MAX_BODY_BYTES
+READ_CHUNK_BYTES = 32 * 1024
+
+
+@frozen(kw_only=True)
+class Delta:
+    """Carry one blob, compressed against a base blob or alone."""
+
+    digest: bytes
+    base: bytes
+    """Digest of the base blob, empty for none."""
+    data: bytes
+
+
+def encode_blob(content: Content, digest: bytes, base: bytes) -> Delta | None:
+    """Compress a held blob, against the base where that is held too."""
+    blob = content.get(digest)
+    if blob is None:
+        return None
+    base_blob = content.get(base) if base else None
+    compressor = zstandard.ZstdCompressor(
+        dict_data=_dictionary(base_blob),
+        compression_params=zstandard.ZstdCompressionParameters.from_level(
+            COMPRESSION_LEVEL,
+            source_size=len(blob),
+            dict_size=len(base_blob or b""),
+            format=zstandard.FORMAT_ZSTD1_MAGICLESS,
+            write_content_size=1,
+            write_checksum=0,
+            write_dict_id=0,
+        ),
+    )
+    return Delta(
+        digest=digest,
+        base=base if base_blob else b"",
+        data=compressor.compress(blob),
+    )
+
+
+def decode_blob(delta: Delta, base_blob: bytes | None) -> bytes | Failure:
+    """Restore a blob and check it against its digest."""
+    if delta.base and base_blob is None:
+        return Failure(kind=Kind.INCOMPLETE_VERSION, detail="base blob is not held")
+    decompressor = zstandard.ZstdDecompressor(
+        dict_data=_dictionary(base_blob if delta.base else None),
+        max_window_size=MAX_BLOB_BYTES,
+        format=zstandard.FORMAT_ZSTD1_MAGICLESS,
+    )
+    try:
+        blob = _read_bounded(decompressor.stream_reader(delta.data))
+    except zstandard.ZstdError as error:
+        return Failure(kind=Kind.BAD_FRAME, detail=f"blob: {error}")
+    if len(blob) > MAX_BLOB_BYTES:
+        return Failure(kind=Kind.FRAME_TOO_LARGE, detail=f"blob of {len(blob)} bytes")
+    if digest_of(blob) != delta.digest:
+        return Failure(kind=Kind.DIGEST_MISMATCH, detail=delta.digest.hex())
+    return blob
+
+
+def _read_bounded(reader: zstandard.ZstdDecompressionReader) -> bytes:
+    """Read a blob in pieces, and no further than the limit."""
+    blob = bytearray()
+    while len(blob) <= MAX_BLOB_BYTES:
+        piece = reader.read(READ_CHUNK_BYTES)
+        if not piece:
+            break
+        blob += piece
+    return bytes(blob)
+
+
+def difference(content: Content, old: Head | None, new: Head) -> dict[bytes, bytes]:
+    """Map each blob that a new version adds to its best base in the old one.
+
+    The record comes first, pages next and bodies last; the base is empty for none.
+    """
+    record = content.record(new)
+    if isinstance(record, Failure):
+        return {}
+    old_record = content.record(old) if old is not None else None
+    held: set[bytes] = content.references(old) if old is not None else set()
+    base_by_digest = {new.digest: old.digest if old is not None else b""}
+    old_pages: tuple[bytes, ...] = ()
+    if old_record is not None and not isinstance(old_record, Failure):
+        old_pages = old_record.pages
+    bodies: dict[bytes, bytes] = {}
+    for number, page in enumerate(record.pages[:PAGE_COUNT]):
+        if page in held:
+            continue
+        old_page = old_pages[number] if number < len(old_pages) else b""
+        base_by_digest[page] = old_page
+        bodies.update(_body_bases(content, old_page, page, held))
+    return base_by_digest | bodies
+
+
+def _body_bases(
+    content: Content, old_page: bytes, page: bytes, held: set[bytes]
+) -> dict[bytes, bytes]:
+    """Map each new body part of a page to the part that it replaces."""
+    old_parts_by_key = _parts_by_key(content, old_page)
+    base_by_digest: dict[bytes, bytes] = {}
+    for key, parts in _parts_by_key(content, page).items():
+        old_parts = old_parts_by_key.get(key, ())
+        for number, part in enumerate(parts):
+            if part in held:
+                continue
+            base = old_parts[number] if number < len(old_parts) else b""
+            base_by_digest[part] = base
+    return base_by_digest
+
+
+def _parts_by_key(content: Content, page: bytes) -> dict[str, tuple[bytes, ...]]:
+    blob = content.get(page)
+    parts_by_key = decode_page(blob) if blob is not None else {}
+    return {} if isinstance(parts_by_key, Failure) else parts_by_key
+
+
+def bundle(
+    content: Content, base_by_digest: Iterable[tuple[bytes, bytes]], max_bytes: int
+) -> tuple[Delta, ...]:
+    """Encode blobs in order until a size is reached; at least one if there is any."""
+    deltas: list[Delta] = []
+    size = 0
+    for digest, base in base_by_digest:
+        delta = encode_blob(content, digest, base)
+        if delta is None:
+            continue
+        size += len(delta.data)
+        if deltas and size > max_bytes:
+            break
+        deltas.append(delta)
+    return tuple(deltas)
+
+
+def _dictionary(blob: bytes | None) -> zstandard.ZstdCompressionDict | None:
+    if not blob:
+        return None
+    return zstandard.ZstdCompressionDict(blob, dict_type=zstandard.DICT_TYPE_RAWCONTENT)
--- /dev/null
+++ b/src/comfreytray/fetching.py
@@ -0,0 +1,184 @@
+"""Track the versions that a node has heard of and does not hold yet."""
+
+import random
+
+from attrs import define, field, frozen
+
+from comfreytray.content import Head
+from comfreytray.interfaces import Address, Clock
+from comfreytray.records import NodeRecord
+
+MAX_CANDIDATES = 4
+MAX_HOLDERS = 8
+MAX_VERSION = 2**53
+PULL_TIMEOUT_S = 1.0
+PULL_JITTER_S = 0.5
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 4.0
+CROSS_REGION_GRACE_S = 1.0
+"""Time for a region's own copy to arrive before a node pulls across regions."""
+STALL_ATTEMPTS = 4
+STALL_S = 3.0
+FORGET_S = 30.0
+
+
+@define(kw_only=True)
+class Candidate:
+    """A version that was heard of and is not whole yet."""
+
+    head: Head
+    heard_at_s: float
+    progress_at_s: float
+    root: bool = False
+    """This node is to pass it on to its region."""
+    holders: list[Address] = field(factory=list)
+    missing: tuple[bytes, ...] = ()
+    """Blobs known to be missing; empty before the record is held."""
+    asked: Address | None = None
+    answer_due_s: float = 0.0
+    next_try_s: float = 0.0
+    attempts: int = 0
+
+
+@frozen(kw_only=True)
+class Request:
+    """A pull to send to a holder."""
+
+    to: Address
+    candidate: Candidate
+
+
+@define(kw_only=True)
+class Candidates:
+    """Hold the few versions that are being fetched, and say what to ask next."""
+
+    clock: Clock
+    random: random.Random
+    by_head: dict[Head, Candidate] = field(factory=dict)
+
+    def newest(self) -> Candidate | None:
+        """Return the candidate of the highest version."""
+        return max(
+            self.by_head.values(), key=lambda item: item.head.version, default=None
+        )
+
+    def hear(self, head: Head, holder: Address | None, *, root: bool = False) -> None:
+        """Note that a version exists and who holds it."""
+        if not 0 < head.version < MAX_VERSION:
+            return
+        candidate = self.by_head.get(head)
+        if candidate is None:
+            now = self.clock.monotonic()
+            candidate = Candidate(head=head, heard_at_s=now, progress_at_s=now)
+            self.by_head[head] = candidate
+            self._drop_excess()
+        candidate.root = candidate.root or root
+        if holder is not None and holder not in candidate.holders:
+            candidate.holders.append(holder)
+            del candidate.holders[:-MAX_HOLDERS]
+
+    def progress(self, candidate: Candidate, missing: list[bytes]) -> None:
+        """Note that blobs came in and which are still missing."""
+        candidate.missing = tuple(missing)
+        candidate.progress_at_s = self.clock.monotonic()
+        candidate.asked = None
+        candidate.attempts = 0
+        candidate.next_try_s = 0.0
+
+    def fail(
+        self, head: Head, holder: Address, *, held: bool, retry_after_s: float
+    ) -> None:
+        """Note that a holder did not serve."""
+        candidate = self.by_head.get(head)
+        if candidate is None or candidate.asked != holder:
+            return
+        if not held and holder in candidate.holders:
+            candidate.holders.remove(holder)
+        self._retry_later(candidate, retry_after_s)
+
+    def drop_through(self, version: int) -> None:
+        """Forget the candidates up to a version."""
+        for head in [head for head in self.by_head if head.version <= version]:
+            del self.by_head[head]
+
+    def reject(self, head: Head) -> None:
+        """Forget a candidate whose content cannot be right."""
+        self.by_head.pop(head, None)
+
+    def tick(self) -> None:
+        """Give up answers that are late and candidates that nobody can serve."""
+        now = self.clock.monotonic()
+        for candidate in list(self.by_head.values()):
+            if candidate.asked is not None and now >= candidate.answer_due_s:
+                self.fail(
+                    candidate.head, candidate.asked, held=False, retry_after_s=0.0
+                )
+            if now - candidate.progress_at_s > FORGET_S and not candidate.holders:
+                del self.by_head[candidate.head]
+
+    def next_request(
+        self, node: NodeRecord, region_by_address: dict[Address, str]
+    ) -> Request | None:
+        """Choose what to pull now and from whom; one pull is under way at a time."""
+        now = self.clock.monotonic()
+        if any(item.asked is not None for item in self.by_head.values()):
+            return None
+        order = sorted(
+            self.by_head.values(), key=lambda item: item.head.version, reverse=True
+        )
+        for candidate in order:
+            if now < candidate.next_try_s:
+                continue
+            holder = self._choose_holder(candidate, node, region_by_address)
+            if holder is None:
+                continue
+            candidate.asked = holder
+            jitter = self.random.uniform(0, PULL_JITTER_S)
+            candidate.answer_due_s = now + PULL_TIMEOUT_S + jitter
+            return Request(to=holder, candidate=candidate)
+        return None
+
+    def _choose_holder(
+        self,
+        candidate: Candidate,
+        node: NodeRecord,
+        region_by_address: dict[Address, str],
+    ) -> Address | None:
+        near = [
+            holder
+            for holder in candidate.holders
+            if region_by_address.get(holder) == node.region
+        ]
+        if near:
+            return self.random.choice(near)
+        age = self.clock.monotonic() - candidate.heard_at_s
+        if not candidate.holders:
+            return None
+        if not candidate.root and age < CROSS_REGION_GRACE_S:
+            return None
+        return self.random.choice(candidate.holders)
+
+    def _retry_later(self, candidate: Candidate, at_least_s: float) -> None:
+        candidate.asked = None
+        candidate.attempts += 1
+        longest = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**candidate.attempts)
+        if candidate.attempts % STALL_ATTEMPTS == 0:
+            # Others get their turn: the head may name a version that nobody has.
+            longest = max(longest, STALL_S)
+        delay = at_least_s + self.random.uniform(MIN_BACKOFF_S, longest)
+        candidate.next_try_s = self.clock.monotonic() + delay
+
+    def _drop_excess(self) -> None:
+        """Drop old candidates, but neither the newest nor one that is under way."""
+        while len(self.by_head) > MAX_CANDIDATES:
+            newest = max(head.version for head in self.by_head)
+            idle = [
+                item
+                for item in self.by_head.values()
+                if item.asked is None and item.head.version < newest
+            ]
+            if not idle:
+                del self.by_head[min(self.by_head, key=lambda head: head.version)]
+                continue
+            oldest = min(idle, key=lambda item: item.head.version)
+            del self.by_head[oldest.head]
--- /dev/null
+++ b/src/comfreytray/storewatch.py
@@ -0,0 +1,128 @@
+"""Ask the store for new versions, on the few nodes whose turn it is."""
+
+import random
+from collections.abc import Callable
+
+from comfreytray import logs
+from comfreytray.budgets import TokenBucket
+from comfreytray.content import Head
+from comfreytray.distribution import Distributor
+from comfreytray.errors import Failure
+from comfreytray.interfaces import Clock, ObjectStore, StoredObject
+from comfreytray.metrics import Metrics
+
+HEAD_KEY = "configuration/head"
+BLOB_PREFIX = "configuration/blobs/"
+WATCH_TIMEOUT_S = 30.0
+IDLE_S = 0.5
+EMPTY_WATCH_PAUSE_S = 1.0
+FETCH_CHECK_S = 0.2
+MIN_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 10.0
+MAX_BLOBS_PER_STEP = 32
+STORE_CALLS_PER_S = 100.0
+STORE_CALL_BURST = 200.0
+
+
+def blob_key(digest: bytes) -> str:
+    """Name the store's key of a blob."""
+    return BLOB_PREFIX + digest.hex()
+
+
+class StoreWatcher:
+    """Bring heads and blobs from the store to the distributor.
+
+    `watch_step` and `fetch_step` each make bounded calls and return the seconds to
+    wait before the next; a daemon runs each in a loop of its own.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        distributor: Distributor,
+        decode_head: Callable[[bytes], Head | Failure],
+        clock: Clock,
+        random: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._store = store
+        self._distributor = distributor
+        self._decode_head = decode_head
+        self._clock = clock
+        self._random = random
+        self._metrics = metrics
+        self._revision = 0
+        self._failures = 0
+        self._budget = TokenBucket(
+            rate_per_s=STORE_CALLS_PER_S,
+            capacity=STORE_CALL_BURST,
+            refilled_at_s=clock.monotonic(),
+        )
+
+    def watch_step(self) -> float:
+        """Wait for a newer head if it is this node's turn to ask."""
+        if not self._distributor.watches_store():
+            self._revision = 0
+            return IDLE_S
+        self._metrics.count("store-watch")
+        batch = self._store.watch(
+            HEAD_KEY, after_revision=self._revision, timeout_s=WATCH_TIMEOUT_S
+        )
+        if isinstance(batch, Failure):
+            # From the start again: the store may have lost its newest revisions.
+            self._revision = 0
+            return self._back_off(batch)
+        self._note_success()
+        self._revision = max(self._revision, batch.revision)
+        for stored in batch.objects:
+            self._take_head(stored)
+        return 0.0 if batch.objects else EMPTY_WATCH_PAUSE_S
+
+    def fetch_step(self) -> float:
+        """Read some of the blobs that no peer could give."""
+        wanted = self._distributor.wanted_from_store()
+        if wanted is None:
+            return FETCH_CHECK_S
+        head, digests = wanted
+        blob_by_digest: dict[bytes, bytes] = {}
+        failed: Failure | None = None
+        for digest in digests[:MAX_BLOBS_PER_STEP]:
+            now = self._clock.monotonic()
+            if not self._budget.is_open(now):
+                break
+            self._budget.spend(1, now)
+            self._metrics.count("store-get")
+            stored = self._store.get(blob_key(digest))
+            if isinstance(stored, Failure):
+                failed = stored
+                break
+            blob_by_digest[digest] = stored.value
+        if blob_by_digest:
+            self._distributor.offer(head, blob_by_digest)
+        if failed is not None:
+            return self._back_off(failed)
+        self._note_success()
+        return max(0.0, self._budget.wait_s(self._clock.monotonic()))
+
+    def _take_head(self, stored: StoredObject) -> None:
+        if stored.key != HEAD_KEY:
+            return
+        head = self._decode_head(stored.value)
+        if isinstance(head, Failure):
+            logs.warn(logs.Event.FRAME_REFUSED, key=stored.key, detail=head.detail)
+            return
+        self._distributor.hear(head)
+
+    def _back_off(self, failure: Failure) -> float:
+        """Give a jittered, capped wait that grows with each failure in a row."""
+        if self._failures == 0:
+            logs.warn(logs.Event.STORE_UNAVAILABLE, reason=failure.kind.value)
+        self._failures += 1
+        longest = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** min(self._failures, 10))
+        return self._random.uniform(MIN_BACKOFF_S, longest)
+
+    def _note_success(self) -> None:
+        if self._failures:
+            logs.log(logs.Event.STORE_BACK, failures=self._failures)
+        self._failures = 0
