Add membership, announcements, seeds and charts, thin

Cause: the daemon needs the public API to wire. Ruled out: rumours as nested attrs messages; they are packed once and forwarded as bytes, so that a copy costs one look-up.

--- /dev/null
+++ b/src/comfreytray/charts.py
@@ -0,0 +1,113 @@
+"""State charts in files, compiled into tables that the product interprets.
+
+The YAML files follow the format of the sismic library. A node reads the compiled
+form beside them, so that it needs no YAML parser; `python -m comfreytray.charts`
+writes it anew.
+"""
+
+import json
+from collections.abc import Mapping
+from functools import cache
+from pathlib import Path
+from typing import Any
+
+from attrs import frozen
+
+from comfreytray.exceptions import invariant
+
+CHART_DIRECTORY = Path(__file__).with_name("charts")
+
+
+@frozen(kw_only=True)
+class Chart:
+    """Hold the states and the transition table of one lifecycle."""
+
+    name: str
+    initial: str
+    states: frozenset[str]
+    target_by_step: Mapping[tuple[str, str], str]
+    """By state and event; an ignored event leads back to its state."""
+
+    def step(self, state: str, event: str) -> str:
+        """Return the state after an event; an unlisted event breaks an invariant."""
+        target = self.target_by_step.get((state, event))
+        invariant(
+            target is not None, f"{self.name}: {event} must not happen in {state}"
+        )
+        assert target is not None
+        return target
+
+    def allows(self, state: str, event: str) -> bool:
+        """Say whether a state lists an event."""
+        return (state, event) in self.target_by_step
+
+
+def parse_chart(plain: Mapping[str, Any]) -> Chart:
+    """Compile a chart with one level of states below its root."""
+    chart = plain["statechart"]
+    root = chart["root state"]
+    states = {state["name"]: state for state in root["states"]}
+    target_by_step: dict[tuple[str, str], str] = {}
+    for name, state in states.items():
+        if "states" in state or "parallel states" in state:
+            raise ValueError(f"{chart['name']}: nested states in {name}")
+        for transition in (*root.get("transitions", ()), *state.get("transitions", ())):
+            target = transition.get("target", name)
+            if target not in states or "guard" in transition:
+                raise ValueError(f"{chart['name']}: bad transition in {name}")
+            target_by_step[(name, transition["event"])] = target
+    if root["initial"] not in states:
+        raise ValueError(f"{chart['name']}: unknown initial state")
+    return Chart(
+        name=chart["name"],
+        initial=root["initial"],
+        states=frozenset(states),
+        target_by_step=target_by_step,
+    )
+
+
+def compile_chart(source: Path) -> str:
+    """Read a YAML chart and return its compiled form."""
+    from ruamel.yaml import YAML
+
+    plain = YAML(typ="safe", pure=True).load(source)
+    chart = parse_chart(plain)
+    return (
+        json.dumps(
+            {
+                "name": chart.name,
+                "initial": chart.initial,
+                "states": sorted(chart.states),
+                "steps": [
+                    [state, event, target]
+                    for (state, event), target in sorted(chart.target_by_step.items())
+                ],
+            },
+            indent=1,
+        )
+        + "\n"
+    )
+
+
+@cache
+def load_chart(name: str) -> Chart:
+    """Load the compiled form of a chart by its name."""
+    plain = json.loads((CHART_DIRECTORY / f"{name}.json").read_text("utf-8"))
+    return Chart(
+        name=plain["name"],
+        initial=plain["initial"],
+        states=frozenset(plain["states"]),
+        target_by_step={
+            (state, event): target for state, event, target in plain["steps"]
+        },
+    )
+
+
+def main() -> None:
+    """Write the compiled form beside each YAML chart."""
+    for source in sorted(CHART_DIRECTORY.glob("*.yaml")):
+        source.with_suffix(".json").write_text(compile_chart(source), "utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/comfreytray/detection.py
@@ -0,0 +1,242 @@
+"""Failure detection: probes, suspicion, and doubt of oneself."""
+
+import random
+from collections.abc import Callable
+
+from attrs import define, field
+
+from comfreytray import logs
+from comfreytray.dissemination import Disseminator
+from comfreytray.gossip import Ack, Nack, Ping, PingRequest
+from comfreytray.interfaces import Address, Clock, Network
+from comfreytray.members import Members
+from comfreytray.metrics import Metrics
+from comfreytray.peers import Peers
+from comfreytray.probes import (
+    GONE_PROBES_PER_S,
+    HELPERS,
+    PROBE_INTERVAL_S,
+    REGION_PROBES_PER_S,
+    Probe,
+    Probes,
+    Ring,
+)
+from comfreytray.records import NodeState
+from comfreytray.rumors import Accusation, pack_claim
+from comfreytray.selfdoubt import SelfDoubt
+from comfreytray.suspicions import HOLD_S, RECHECK_S, Suspicion, Suspicions
+
+MIN_PLACE_MEMBERS = 3
+"""Members below which a silent data centre or region is not taken for cut off."""
+
+Accuse = Callable[[str, NodeState], None]
+
+
+@define(kw_only=True)
+class Detector:
+    """Find out which members do not answer, and report them through `accuse`."""
+
+    members: Members
+    peers: Peers
+    data_centre: str
+    clock: Clock
+    random: random.Random
+    network: Network
+    metrics: Metrics
+    disseminator: Disseminator
+    accuse: Accuse
+    probes: Probes = field(factory=Probes)
+    suspicions: Suspicions = field(factory=Suspicions)
+    doubt: SelfDoubt = field(factory=SelfDoubt)
+    heard_at_by_place: dict[str, float] = field(factory=dict)
+    """When anyone of a data centre or region was last heard from."""
+    _heard_at: float = 0.0
+    _near_ring: Ring = field(init=False)
+    _far_ring: Ring = field(init=False)
+    _near_due_at: float = 0.0
+    _far_due_at: float = 0.0
+    _gone_due_at: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        """Make the rings from the source of chance."""
+        self._near_ring = Ring(random=self.random)
+        self._far_ring = Ring(random=self.random)
+
+    def heard(self, sender_id: str) -> None:
+        """Note that a member sent something."""
+        now = self.clock.monotonic()
+        self._heard_at = now
+        record = self.members.get(sender_id)
+        if record is None:
+            return
+        self.heard_at_by_place[record.data_centre] = now
+        self.heard_at_by_place[record.region] = now
+
+    def tick(self) -> float:
+        """Probe, time out and accuse; return the length of a pause just ended."""
+        now = self.clock.monotonic()
+        pause = self.doubt.tick(now)
+        if pause:
+            logs.warn(logs.Event.SELF_DOUBT, paused_s=pause, score=self.doubt.score)
+            self.metrics.count("membership.pauses")
+            self.probes.abandon()
+            self.suspicions.postpone(now)
+        self._ask_helpers(now)
+        self._fail_probes(now)
+        self._start_probes(now)
+        self._expire(now)
+        return pause
+
+    def answered(self, sequence: int, sender_id: str) -> str | None:
+        """Match an answer; return the member that another one answers for."""
+        relay = self.probes.relay_by_sequence.pop(sequence, None)
+        if relay is not None:
+            answer = Ack(sequence=relay.sequence, sender_id=sender_id, rumors=())
+            self.network.send_datagram(relay.requester, answer)
+            return None
+        probe = self.probes.by_sequence.pop(sequence, None)
+        if probe is None:
+            return None
+        self.doubt.improve()
+        if probe.target_id != sender_id:
+            return probe.target_id
+        record = self.members.get(sender_id)
+        if record is not None and record.state is NodeState.LEAVING:
+            self.suspicions.clear(sender_id)
+        return None
+
+    def not_answered(self, sequence: int) -> None:
+        """Note that a helper had no answer either."""
+        probe = self.probes.by_sequence.get(sequence)
+        if probe is not None:
+            probe.nacks += 1
+
+    def help_probe(self, sender: Address, request: PingRequest) -> None:
+        """Ping a member for another one."""
+        sequence = self.probes.relay(sender, request.sequence, self.clock.monotonic())
+        address = (request.host, request.port)
+        self._ping(request.target_id, address, sequence)
+
+    def suspect(self, node_id: str, accuser: str) -> bool:
+        """Start or shorten a suspicion; say whether to repeat the accusation."""
+        return self.suspicions.accuse(
+            node_id,
+            accuser,
+            now=self.clock.monotonic(),
+            stretch=self.doubt.stretch,
+        )
+
+    def _ping(self, target_id: str, address: Address, sequence: int) -> None:
+        record = self.members.get(target_id)
+        about = b""
+        if record is not None and record.state is not NodeState.ALIVE:
+            accusation = Accusation(
+                node_id=target_id,
+                incarnation=record.incarnation,
+                state=record.state,
+                accuser=self.peers.node_id,
+            )
+            about = pack_claim(accusation)
+        ping = Ping(
+            sequence=sequence,
+            sender_id=self.peers.node_id,
+            target_id=target_id,
+            about=about,
+            rumors=self.disseminator.piggyback(),
+        )
+        self.network.send_datagram(address, ping)
+
+    def _probe(self, target_id: str | None, now: float) -> None:
+        record = self.members.get(target_id) if target_id is not None else None
+        if record is None:
+            return
+        self.metrics.count("membership.probes")
+        sequence = self.probes.start(record.node_id, now, self.doubt.stretch)
+        self._ping(record.node_id, record.control_address, sequence)
+
+    def _start_probes(self, now: float) -> None:
+        jitter = self.random.uniform(0.9, 1.1)
+        if now >= self._near_due_at:
+            self._near_due_at = now + PROBE_INTERVAL_S * jitter
+            self._probe(self._near_ring.next(self.peers.near), now)
+        if now >= self._far_due_at:
+            share = (len(self.peers.near) + 1) / REGION_PROBES_PER_S
+            self._far_due_at = now + max(PROBE_INTERVAL_S, share) * jitter
+            self._probe(self._far_ring.next(self.peers.far), now)
+        if now >= self._gone_due_at:
+            share = self.members.present_count / GONE_PROBES_PER_S
+            self._gone_due_at = now + max(PROBE_INTERVAL_S, share) * jitter
+            self._probe(self._any_dead(), now)
+
+    def _any_dead(self) -> str | None:
+        dead = [
+            node_id
+            for node_id in self.members.gone_at_by_id
+            if self.members.record_by_id[node_id].state is NodeState.DEAD
+        ]
+        return self.random.choice(dead) if dead else None
+
+    def _ask_helpers(self, now: float) -> None:
+        for sequence, probe in self.probes.due_indirect(now):
+            record = self.members.get(probe.target_id)
+            if record is None or record.state is NodeState.DEAD:
+                continue
+            near = [r for r in self.peers.near_alive if r.node_id != probe.target_id]
+            helpers = self.random.sample(near, min(HELPERS, len(near)))
+            probe.helpers = tuple(helper.node_id for helper in helpers)
+            request = PingRequest(
+                sequence=sequence,
+                sender_id=self.peers.node_id,
+                target_id=record.node_id,
+                host=record.host,
+                port=record.control_port,
+            )
+            for helper in helpers:
+                self.network.send_datagram(helper.control_address, request)
+        for relay in self.probes.take_expired_relays(now):
+            nack = Nack(sequence=relay.sequence, sender_id=self.peers.node_id)
+            self.network.send_datagram(relay.requester, nack)
+
+    def _fail_probes(self, now: float) -> None:
+        for probe in self.probes.take_failed(now):
+            record = self.members.get(probe.target_id)
+            if record is None or record.state is NodeState.DEAD:
+                continue
+            self.metrics.count("membership.probes_failed")
+            if probe.helpers and probe.nacks == 0:
+                self.doubt.worsen()
+            if self._may_accuse(probe, now):
+                self.accuse(probe.target_id, NodeState.SUSPECT)
+
+    def _may_accuse(self, probe: Probe, now: float) -> bool:
+        if self.doubt.in_grace(now):
+            return False
+        alone = len(self.peers.near) + len(self.peers.far) <= 1
+        return alone or self._heard_at > probe.started_at
+
+    def _expire(self, now: float) -> None:
+        for node_id, suspicion in self.suspicions.expired(now):
+            if self.doubt.in_grace(now):
+                continue
+            held = now - suspicion.started_at < HOLD_S
+            if held and self._is_cut_off(node_id, suspicion):
+                suspicion.deadline = now + RECHECK_S
+                self.metrics.count("membership.cut_off_holds")
+                continue
+            self.suspicions.clear(node_id)
+            self.accuse(node_id, NodeState.DEAD)
+
+    def _is_cut_off(self, node_id: str, suspicion: Suspicion) -> bool:
+        record = self.members.get(node_id)
+        if record is None:
+            return False
+        if record.data_centre == self.data_centre:
+            return self._heard_at <= suspicion.started_at
+        if self.peers.count_in(record.data_centre) >= MIN_PLACE_MEMBERS:
+            return not self._heard_since(record.data_centre, suspicion.started_at)
+        if self.peers.count_in(record.region) >= MIN_PLACE_MEMBERS:
+            return not self._heard_since(record.region, suspicion.started_at)
+        return False
+
+    def _heard_since(self, place: str, since: float) -> bool:
+        return self.heard_at_by_place.get(place, 0.0) > since
--- /dev/null
+++ b/src/comfreytray/dissemination.py
@@ -0,0 +1,104 @@
+"""Spread rumours within a byte budget, rarely across regions."""
+
+import math
+import random
+
+from attrs import define, field
+
+from comfreytray.gossip import Gossip
+from comfreytray.interfaces import Clock, Network
+from comfreytray.peers import Peers
+from comfreytray.records import NodeRecord
+from comfreytray.rumors import Priority, RumorQueue
+from comfreytray.wire import MAX_DATAGRAM_BYTES
+
+FANOUT = 3
+SENDS_PER_DECADE = 3
+"""Sends of a rumour for each factor of ten in members."""
+CROSSINGS = 20
+"""Copies of a rumour that all members together send to other regions."""
+MAX_CROSSING_SHARE = 0.5
+BYTES_PER_S = 6000.0
+BURST_BYTES = 24_000.0
+DATAGRAM_OVERHEAD_BYTES = 28
+GOSSIP_HEAD_BYTES = 80
+PIGGYBACK_BYTES = 500
+SLOW_TICKS = 5
+"""Ticks between two rounds while nothing urgent waits."""
+
+
+@define(kw_only=True)
+class Disseminator:
+    """Choose what is told to whom."""
+
+    peers: Peers
+    clock: Clock
+    random: random.Random
+    network: Network
+    queue: RumorQueue = field(factory=RumorQueue)
+    _tokens: float = BURST_BYTES
+    _refilled_at: float | None = None
+    _ticks: int = 0
+
+    def spread(self, key: str, payload: bytes, priority: Priority) -> None:
+        """Queue a rumour; doubts are repeated half as often."""
+        members = len(self.peers.near) + len(self.peers.far) + 1
+        sends = math.ceil(SENDS_PER_DECADE * math.log10(members + 1)) + 1
+        if priority is Priority.DOUBTED:
+            sends = math.ceil(sends / 2)
+        self.queue.put(key, payload, sends=sends, priority=priority)
+
+    def piggyback(self) -> tuple[bytes, ...]:
+        """Choose rumours that travel with another message."""
+        return self.queue.take(PIGGYBACK_BYTES)
+
+    def tick(self) -> None:
+        """Send a round of rumours if any is due."""
+        self._refill()
+        self._ticks += 1
+        urgent = self.queue.most_urgent
+        if urgent is None:
+            return
+        if urgent is Priority.DOUBTED and self._ticks % SLOW_TICKS:
+            return
+        self.round()
+
+    def round(self) -> None:
+        """Send what waits to a few random members."""
+        targets = self._targets()
+        room = int(self._tokens) // max(1, len(targets))
+        budget = min(MAX_DATAGRAM_BYTES, room - DATAGRAM_OVERHEAD_BYTES)
+        if not targets or budget < GOSSIP_HEAD_BYTES * 2:
+            return
+        rumors = self.queue.take(budget - GOSSIP_HEAD_BYTES, copies=len(targets))
+        if not rumors:
+            return
+        size = sum(len(rumor) for rumor in rumors) + GOSSIP_HEAD_BYTES
+        message = Gossip(sender_id=self.peers.node_id, rumors=rumors)
+        for record in targets:
+            self._tokens -= size + DATAGRAM_OVERHEAD_BYTES
+            self.network.send_datagram(record.control_address, message)
+
+    def _refill(self) -> None:
+        now = self.clock.monotonic()
+        if self._refilled_at is not None:
+            gained = (now - self._refilled_at) * BYTES_PER_S
+            self._tokens = min(BURST_BYTES, self._tokens + gained)
+        self._refilled_at = now
+
+    def _targets(self) -> list[NodeRecord]:
+        near, far = self.peers.near_alive, self.peers.far_alive
+        share = self._crossing_share(len(near), len(far))
+        crossing = sum(self.random.random() < share for _ in range(FANOUT))
+        crossing = min(crossing, len(far))
+        chosen = self.random.sample(far, crossing)
+        staying = min(FANOUT - crossing, len(near))
+        return chosen + self.random.sample(near, staying)
+
+    def _crossing_share(self, near: int, far: int) -> float:
+        if far == 0:
+            return 0.0
+        if near == 0:
+            return 1.0
+        sends = SENDS_PER_DECADE * math.log10(near + far + 2)
+        return min(MAX_CROSSING_SHARE, CROSSINGS / ((near + 1) * sends))
--- /dev/null
+++ b/src/comfreytray/members.py
@@ -0,0 +1,164 @@
+"""The table of members and the rules by which claims about them merge."""
+
+from collections.abc import Iterable, Iterator
+
+import attrs
+from attrs import define, field
+from xxhash import xxh64_intdigest
+
+from comfreytray.charts import load_chart
+from comfreytray.exceptions import invariant
+from comfreytray.interfaces import Address
+from comfreytray.records import NodeRecord, NodeState
+
+BUCKET_COUNT = 64
+HASH_BYTES = 8
+
+CHART = load_chart("member")
+EVENT_BY_CLAIM = {
+    NodeState.ALIVE: "confirmed",
+    NodeState.SUSPECT: "accused",
+    NodeState.LEAVING: "leaving",
+    NodeState.DEAD: "died",
+    NodeState.LEFT: "left",
+}
+_GONE = (NodeState.DEAD, NodeState.LEFT)
+_RANK_BY_STATE = {state: rank for rank, state in enumerate(EVENT_BY_CLAIM)}
+
+
+def is_gone(record: NodeRecord) -> bool:
+    """Say whether a record is that of a member that is dead or has left."""
+    return record.state in _GONE
+
+
+def rank_of(state: NodeState) -> int:
+    """Give the order of states in which a later claim wins."""
+    return _RANK_BY_STATE[state]
+
+
+def merge_records(held: NodeRecord, claim: NodeRecord) -> NodeRecord:
+    """Join two records of a member; the order of merging does not matter."""
+    if claim.incarnation < held.incarnation:
+        return held
+    state = held.state.value
+    merged = held
+    if claim.incarnation > held.incarnation:
+        state = CHART.step(state, "renewed")
+        merged = claim
+    elif claim.endpoint_revision > held.endpoint_revision:
+        merged = claim
+    state = CHART.step(state, EVENT_BY_CLAIM[claim.state])
+    if merged.state.value == state:
+        return merged
+    return attrs.evolve(merged, state=NodeState(state))
+
+
+def bucket_of(node_id: str) -> int:
+    """Give the number of the hash bucket that holds a member."""
+    return xxh64_intdigest(node_id.encode()) % BUCKET_COUNT
+
+
+def _hash_of(record: NodeRecord) -> int:
+    text = (
+        f"{record.node_id}|{record.incarnation}|{record.state.value}"
+        f"|{record.endpoint_revision}"
+    )
+    return xxh64_intdigest(text.encode())
+
+
+@define(kw_only=True)
+class Members:
+    """Hold the newest record of each member, with hashes for comparing tables."""
+
+    record_by_id: dict[str, NodeRecord] = field(factory=dict)
+    """Gone members included, until they are forgotten."""
+    id_by_address: dict[Address, str] = field(factory=dict)
+    """Members that are not gone."""
+    gone_at_by_id: dict[str, float] = field(factory=dict)
+    generation: int = 0
+    """Grows with each change."""
+    _hashes: list[int] = field(factory=lambda: [0] * BUCKET_COUNT)
+
+    def get(self, node_id: str) -> NodeRecord | None:
+        """Return the record of a member."""
+        return self.record_by_id.get(node_id)
+
+    def present(self) -> Iterator[NodeRecord]:
+        """Iterate over the members that are not gone."""
+        gone = self.gone_at_by_id
+        return (r for node_id, r in self.record_by_id.items() if node_id not in gone)
+
+    @property
+    def present_count(self) -> int:
+        """Count the members that are not gone."""
+        return len(self.record_by_id) - len(self.gone_at_by_id)
+
+    def merge(self, claim: NodeRecord, now: float) -> NodeRecord | None:
+        """Take in a claim; return the new record if it changed anything."""
+        held = self.record_by_id.get(claim.node_id)
+        if held is None:
+            self._put(claim, now)
+            return claim
+        merged = merge_records(held, claim)
+        if merged == held:
+            return None
+        invariant(merged.incarnation >= held.incarnation, "incarnations never go back")
+        self._remove(held)
+        self._put(merged, now)
+        return merged
+
+    def forget(self, node_id: str) -> None:
+        """Drop a gone member."""
+        invariant(node_id in self.gone_at_by_id, "only gone members are forgotten")
+        self.generation += 1
+        del self.gone_at_by_id[node_id]
+        del self.record_by_id[node_id]
+
+    def hashes(self) -> bytes:
+        """Pack one hash for each bucket over the members that are not gone."""
+        return b"".join(value.to_bytes(HASH_BYTES, "big") for value in self._hashes)
+
+    def differing_buckets(self, hashes: bytes) -> list[int]:
+        """List the buckets whose hash is not the given one."""
+        return [
+            number
+            for number, value in enumerate(self._hashes)
+            if hashes[number * HASH_BYTES : (number + 1) * HASH_BYTES]
+            != value.to_bytes(HASH_BYTES, "big")
+        ]
+
+    def in_buckets(self, buckets: Iterable[int]) -> list[NodeRecord]:
+        """List the records, gone members included, of some buckets."""
+        wanted = set(buckets)
+        return [
+            record
+            for node_id, record in self.record_by_id.items()
+            if bucket_of(node_id) in wanted
+        ]
+
+    def _put(self, record: NodeRecord, now: float) -> None:
+        self.generation += 1
+        self.record_by_id[record.node_id] = record
+        if is_gone(record):
+            self.gone_at_by_id[record.node_id] = now
+            return
+        self._occupy(record)
+        self._hashes[bucket_of(record.node_id)] ^= _hash_of(record)
+
+    def _occupy(self, record: NodeRecord) -> None:
+        occupant_id = self.id_by_address.get(record.control_address)
+        occupant = self.record_by_id.get(occupant_id or "")
+        if occupant is not None and (occupant.incarnation, occupant.node_id) > (
+            record.incarnation,
+            record.node_id,
+        ):
+            return
+        self.id_by_address[record.control_address] = record.node_id
+
+    def _remove(self, record: NodeRecord) -> None:
+        if is_gone(record):
+            self.gone_at_by_id.pop(record.node_id, None)
+            return
+        if self.id_by_address.get(record.control_address) == record.node_id:
+            del self.id_by_address[record.control_address]
+        self._hashes[bucket_of(record.node_id)] ^= _hash_of(record)
--- /dev/null
+++ b/src/comfreytray/reconciliation.py
@@ -0,0 +1,233 @@
+"""Anti-entropy: two members compare their tables and send each other the difference."""
+
+import random
+from collections.abc import Iterable
+from typing import Protocol
+
+from comfreytray.gossip import Delta, Digest, Gossip, Summary
+from comfreytray.interfaces import Address, Clock, Network
+from comfreytray.members import BUCKET_COUNT, HASH_BYTES, Members, is_gone, rank_of
+from comfreytray.peers import Peers
+from comfreytray.records import NodeRecord
+from comfreytray.rumors import pack_claim, unpack_claim
+
+MAX_BUCKETS = 8
+"""Buckets compared at a time, so that one exchange stays small."""
+DELTA_RECORDS = 500
+EMPTY_HASH = bytes(HASH_BYTES)
+NEWCOMER_BUCKETS = 1
+"""Filled buckets of a member that knows only itself."""
+JOIN_INTERVAL_S = 1.0
+JOIN_FANOUT = 3
+SYNC_INTERVAL_S = 10.0
+SYNC_AGAIN_S = 1.0
+"""Wait before the next comparison after one that changed something."""
+CROSSING_SHARE = 0.1
+"""Share of comparisons with a member of another region."""
+MAX_WANTED = 32
+
+Key = tuple[int, int, int]
+
+
+class Apply(Protocol):
+    """Take in a record; return whether it changed anything."""
+
+    def __call__(self, claim: NodeRecord, *, spread: bool) -> bool:
+        """Take in a record."""
+        ...
+
+
+def key_of(record: NodeRecord) -> Key:
+    """Give what orders two records of one member."""
+    return (record.incarnation, rank_of(record.state), record.endpoint_revision)
+
+
+class Reconciler:
+    """Join through first peers, and compare tables with a random member at times."""
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        peers: Peers,
+        clock: Clock,
+        random: random.Random,
+        network: Network,
+        apply: Apply,
+    ) -> None:
+        self._members = members
+        self._peers = peers
+        self._clock = clock
+        self._random = random
+        self._network = network
+        self._apply = apply
+        self._seeds: list[Address] = []
+        self._wanted: dict[str, None] = {}
+        self._due_at = clock.monotonic()
+
+    def join(self, me: NodeRecord, seeds: Iterable[Address]) -> None:
+        """Ask some first peers for their tables, now and until one answers."""
+        known = {*self._seeds, me.control_address}
+        self._seeds.extend(seed for seed in seeds if seed not in known)
+        self._ask_seeds(me)
+
+    def hurry(self) -> None:
+        """Compare tables at the next tick."""
+        self._due_at = self._clock.monotonic()
+
+    def want(self, node_id: str) -> None:
+        """Ask for a record of which only a claim was heard."""
+        if len(self._wanted) < MAX_WANTED:
+            self._wanted[node_id] = None
+
+    def tick(self, me: NodeRecord) -> None:
+        """Compare tables if that is due."""
+        now = self._clock.monotonic()
+        partner = self._partner()
+        if partner is not None and self._wanted:
+            ask = Delta(sender_id=me.node_id, records=(), wanted=tuple(self._wanted))
+            self._wanted.clear()
+            self._network.send_datagram(partner.control_address, ask)
+        if now < self._due_at:
+            return
+        if partner is None:
+            self._due_at = now + JOIN_INTERVAL_S * self._random.uniform(0.5, 1.5)
+            self._ask_seeds(me)
+            return
+        self._due_at = now + SYNC_INTERVAL_S * self._random.uniform(0.5, 1.5)
+        self._network.send_datagram(partner.control_address, self._digest(me))
+
+    def greet(self, me: NodeRecord, node_id: str, sender: Address) -> None:
+        """Tell a sender what is held against it, or ask an unknown one who it is."""
+        held = self._members.get(node_id)
+        if held is None:
+            ask = Delta(sender_id=me.node_id, records=(), wanted=(node_id,))
+            self._network.send_datagram(sender, ask)
+            return
+        if is_gone(held) and node_id != me.node_id:
+            told = Gossip(sender_id=me.node_id, rumors=(pack_claim(held),))
+            self._network.send_datagram(sender, told)
+
+    def receive(
+        self, me: NodeRecord, sender: Address, message: Digest | Summary | Delta
+    ) -> None:
+        """Take in a step of a comparison."""
+        if isinstance(message, Digest):
+            self._receive_digest(me, sender, message)
+        elif isinstance(message, Summary):
+            self._receive_summary(me, sender, message)
+        else:
+            self._receive_delta(me, sender, message)
+
+    def _receive_digest(self, me: NodeRecord, sender: Address, digest: Digest) -> None:
+        newcomer = _is_newcomer(digest.hashes)
+        self._apply_payload(digest.record, spread=newcomer)
+        self.greet(me, digest.sender_id, sender)
+        if newcomer:
+            present = list(self._members.present())
+            self._send(me, sender, present, ())
+            return
+        summary = self._summarize(me, digest.hashes)
+        if summary is not None:
+            self._network.send_stream(sender, summary)
+
+    def _receive_summary(
+        self, me: NodeRecord, sender: Address, summary: Summary
+    ) -> None:
+        newer, wanted = compare(self._members, summary)
+        self._send(me, sender, newer, wanted)
+
+    def _receive_delta(self, me: NodeRecord, sender: Address, delta: Delta) -> None:
+        changed = False
+        for payload in delta.records:
+            changed |= self._apply_payload(payload, spread=False)
+        if changed:
+            soon = self._clock.monotonic() + SYNC_AGAIN_S
+            self._due_at = min(self._due_at, soon)
+        if not delta.wanted:
+            return
+        found = [self._members.get(node_id) for node_id in delta.wanted]
+        self._send(me, sender, [record for record in found if record], ())
+
+    def _apply_payload(self, payload: bytes, *, spread: bool) -> bool:
+        claim = unpack_claim(payload)
+        if not isinstance(claim, NodeRecord):
+            return False
+        return self._apply(claim, spread=spread)
+
+    def _send(
+        self,
+        me: NodeRecord,
+        to: Address,
+        records: Iterable[NodeRecord],
+        wanted: Iterable[str],
+    ) -> None:
+        payloads = [pack_claim(record) for record in records]
+        names = tuple(wanted)
+        for start in range(0, max(1, len(payloads)), DELTA_RECORDS):
+            chunk = tuple(payloads[start : start + DELTA_RECORDS])
+            if chunk or names:
+                delta = Delta(sender_id=me.node_id, records=chunk, wanted=names)
+                self._network.send_stream(to, delta)
+            names = ()
+
+    def _ask_seeds(self, me: NodeRecord) -> None:
+        count = min(JOIN_FANOUT, len(self._seeds))
+        for seed in self._random.sample(self._seeds, count):
+            self._network.send_datagram(seed, self._digest(me))
+
+    def _digest(self, me: NodeRecord) -> Digest:
+        return Digest(
+            sender_id=me.node_id,
+            record=pack_claim(me),
+            hashes=self._members.hashes(),
+        )
+
+    def _partner(self) -> NodeRecord | None:
+        near, far = self._peers.near_alive, self._peers.far_alive
+        crossing = far and self._random.random() < CROSSING_SHARE
+        candidates = far if crossing or not near else near
+        return self._random.choice(candidates) if candidates else None
+
+    def _summarize(self, me: NodeRecord, hashes: bytes) -> Summary | None:
+        if len(hashes) != BUCKET_COUNT * HASH_BYTES:
+            return None
+        buckets = self._members.differing_buckets(hashes)
+        if not buckets:
+            return None
+        chosen = self._random.sample(buckets, min(len(buckets), MAX_BUCKETS))
+        entries = tuple(
+            (record.node_id, *key_of(record))
+            for record in self._members.in_buckets(chosen)
+        )
+        return Summary(sender_id=me.node_id, buckets=tuple(chosen), entries=entries)
+
+
+def _is_newcomer(hashes: bytes) -> bool:
+    filled = sum(
+        hashes[start : start + HASH_BYTES] != EMPTY_HASH
+        for start in range(0, len(hashes), HASH_BYTES)
+    )
+    return filled <= NEWCOMER_BUCKETS
+
+
+def compare(members: Members, summary: Summary) -> tuple[list[NodeRecord], list[str]]:
+    """Return the records that the sender lacks and the ids that it knows better."""
+    theirs_by_id: dict[str, Key] = {
+        node_id: (incarnation, rank, revision)
+        for node_id, incarnation, rank, revision in summary.entries
+    }
+    newer: list[NodeRecord] = []
+    wanted: list[str] = []
+    for record in members.in_buckets(summary.buckets):
+        theirs = theirs_by_id.pop(record.node_id, None)
+        if theirs is None:
+            newer.append(record)
+            continue
+        ours = key_of(record)
+        if ours > theirs or ours[2] > theirs[2]:
+            newer.append(record)
+        if theirs > ours or theirs[2] > ours[2]:
+            wanted.append(record.node_id)
+    wanted.extend(theirs_by_id)
+    return newer, wanted
--- /dev/null
+++ b/src/comfreytray/rumors.py
@@ -0,0 +1,203 @@
+"""Rumours: claims about members, packed once and spread a bounded number of times."""
+
+import ipaddress
+from collections import OrderedDict
+from enum import IntEnum
+from typing import Any
+
+import msgpack
+from attrs import define, field, frozen
+
+from comfreytray.records import Endpoint, EndpointState, NodeRecord, NodeState
+
+BIN_HEADER_BYTES = 3
+MAX_NAME_LENGTH = 64
+MAX_INCARNATION = 2**62
+_STATES = tuple(NodeState)
+_ENDPOINT_STATES = tuple(EndpointState)
+_CODE_BY_STATE = {state: code for code, state in enumerate(_STATES)}
+_CODE_BY_ENDPOINT_STATE = {state: code for code, state in enumerate(_ENDPOINT_STATES)}
+
+
+@frozen(kw_only=True)
+class Accusation:
+    """Claim a state of one incarnation of a member, without the rest of its record."""
+
+    node_id: str
+    incarnation: int
+    state: NodeState
+    accuser: str
+
+
+Claim = NodeRecord | Accusation
+
+
+def pack_claim(claim: Claim) -> bytes:
+    """Pack a claim."""
+    if isinstance(claim, Accusation):
+        plain: list[object] = [
+            claim.node_id,
+            claim.incarnation,
+            _CODE_BY_STATE[claim.state],
+            claim.accuser,
+        ]
+    else:
+        plain = _plain_record(claim)
+    return msgpack.packb(plain)  # type: ignore[no-any-return]
+
+
+def _plain_record(record: NodeRecord) -> list[object]:
+    endpoint = record.endpoint
+    return [
+        record.node_id,
+        record.incarnation,
+        _CODE_BY_STATE[record.state],
+        record.region,
+        record.data_centre,
+        ipaddress.ip_address(record.host).packed,
+        record.control_port,
+        record.call_port,
+        record.endpoint_revision,
+        endpoint
+        and [
+            endpoint.service,
+            endpoint.instance_id,
+            endpoint.slots,
+            endpoint.connections,
+            _CODE_BY_ENDPOINT_STATE[endpoint.state],
+            round(endpoint.reported_load * 100),
+        ],
+    ]
+
+
+def unpack_claim(data: bytes) -> Claim | None:
+    """Unpack and check a claim; None if it is malformed."""
+    try:
+        plain = msgpack.unpackb(data)
+        if len(plain) == 4:
+            return _accusation(plain)
+        return _record(plain)
+    except Exception:
+        return None
+
+
+def _name(value: object) -> str:
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_LENGTH:
+        raise ValueError("name")
+    return value
+
+
+def _number(value: object, most: int) -> int:
+    if type(value) is not int or not 0 <= value <= most:
+        raise ValueError("number")
+    return value
+
+
+def _accusation(plain: list[Any]) -> Accusation:
+    node_id, incarnation, state, accuser = plain
+    return Accusation(
+        node_id=_name(node_id),
+        incarnation=_number(incarnation, MAX_INCARNATION),
+        state=_STATES[_number(state, len(_STATES) - 1)],
+        accuser=_name(accuser),
+    )
+
+
+def _record(plain: list[Any]) -> NodeRecord:
+    node_id, incarnation, state, region, data_centre, host, *rest = plain
+    control_port, call_port, revision, endpoint = rest
+    return NodeRecord(
+        node_id=_name(node_id),
+        incarnation=_number(incarnation, MAX_INCARNATION),
+        state=_STATES[_number(state, len(_STATES) - 1)],
+        region=_name(region),
+        data_centre=_name(data_centre),
+        host=str(ipaddress.ip_address(host)),
+        control_port=_number(control_port, 65_535),
+        call_port=_number(call_port, 65_535),
+        endpoint_revision=_number(revision, MAX_INCARNATION),
+        endpoint=None if endpoint is None else _endpoint(endpoint),
+    )
+
+
+def _endpoint(plain: list[Any]) -> Endpoint:
+    service, instance_id, slots, connections, state, load_percent = plain
+    return Endpoint(
+        service=_name(service),
+        instance_id=_name(instance_id),
+        slots=_number(slots, MAX_INCARNATION),
+        connections=_number(connections, MAX_INCARNATION),
+        state=_ENDPOINT_STATES[_number(state, len(_ENDPOINT_STATES) - 1)],
+        reported_load=_number(load_percent, 100_000) / 100,
+    )
+
+
+class Priority(IntEnum):
+    """Order rumours by how soon every member must hear them."""
+
+    LEAVING = 0
+    CHANGED = 1
+    DOUBTED = 2
+
+
+@define(kw_only=True)
+class _Rumor:
+    payload: bytes
+    sends_left: int
+
+
+@define(kw_only=True)
+class RumorQueue:
+    """Hold the rumours that this node still has to spread."""
+
+    _by_priority: tuple[OrderedDict[str, _Rumor], ...] = field(
+        factory=lambda: tuple(OrderedDict() for _ in Priority)
+    )
+
+    def __len__(self) -> int:
+        """Count the rumours."""
+        return sum(len(queue) for queue in self._by_priority)
+
+    @property
+    def most_urgent(self) -> Priority | None:
+        """Give the highest priority that waits."""
+        for priority in Priority:
+            if self._by_priority[priority]:
+                return priority
+        return None
+
+    def put(self, key: str, payload: bytes, *, sends: int, priority: Priority) -> None:
+        """Queue a rumour in place of an older one with the same key."""
+        self.drop(key)
+        self._by_priority[priority][key] = _Rumor(payload=payload, sends_left=sends)
+
+    def drop(self, key: str) -> None:
+        """Stop spreading a rumour."""
+        for queue in self._by_priority:
+            queue.pop(key, None)
+
+    def take(self, budget: int, *, copies: int = 1) -> tuple[bytes, ...]:
+        """Choose rumours up to a size in bytes, to be sent to some receivers."""
+        taken: list[bytes] = []
+        for queue in self._by_priority:
+            budget = _take_from(queue, budget, copies, taken)
+        return tuple(taken)
+
+
+def _take_from(
+    queue: OrderedDict[str, _Rumor], budget: int, copies: int, taken: list[bytes]
+) -> int:
+    for _ in range(len(queue)):
+        key = next(iter(queue))
+        rumor = queue[key]
+        size = len(rumor.payload) + BIN_HEADER_BYTES
+        if size > budget:
+            break
+        budget -= size
+        taken.append(rumor.payload)
+        rumor.sends_left -= copies
+        if rumor.sends_left <= 0:
+            del queue[key]
+        else:
+            queue.move_to_end(key)
+    return budget
--- a/src/comfreytray/wire.py
+++ b/src/comfreytray/wire.py
@@ -5,8 +5,8 @@
 
 import attrs
 import msgpack
-from cattrs import Converter, UnstructureStrategy
-from cattrs.preconf.msgpack import make_converter
+from cattrs import UnstructureStrategy
+from cattrs.preconf.msgpack import MsgpackConverter, configure_converter
 
 from comfreytray.errors import Failure, Kind
 
@@ -16,7 +16,47 @@
 _T = TypeVar("_T")
 _class_by_tag: dict[int, type] = {}
 _tag_by_class: dict[type, int] = {}
-_converter: Converter = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+
+
+class _StrictConverter(MsgpackConverter):
+    """Build keyword-only classes from arrays of exactly their length."""
+
+    def structure_attrs_fromtuple(self, obj: Any, cl: type[_T]) -> _T:
+        """Build a class from the array of its fields."""
+        fields = attrs.fields(cl)  # type: ignore[arg-type]
+        if not isinstance(obj, list) or len(obj) != len(fields):
+            raise ValueError(f"wrong length for {cl.__name__}")
+        return cl(
+            **{
+                item.alias: self._structure_attribute(item, value)
+                for item, value in zip(fields, obj, strict=True)
+            }
+        )
+
+
+def _exactly(*kinds: type) -> Callable[[Any, Any], Any]:
+    """Take values of the given types only: bytes(n) would allocate n bytes."""
+
+    def check(value: Any, target: Any) -> Any:
+        if type(value) not in kinds:
+            raise TypeError(f"{type(value).__name__} where {target} is expected")
+        return target(value)
+
+    return check
+
+
+def _make_converter() -> _StrictConverter:
+    converter = _StrictConverter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+    configure_converter(converter)
+    converter.register_structure_hook(bytes, _exactly(bytes))
+    converter.register_structure_hook(str, _exactly(str))
+    converter.register_structure_hook(int, _exactly(int))
+    converter.register_structure_hook(bool, _exactly(bool))
+    converter.register_structure_hook(float, _exactly(float, int))
+    return converter
+
+
+_converter = _make_converter()
 
 
 def message(tag: int) -> Callable[[type[_T]], type[_T]]:
