--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,250 @@
+"""A load generator: open loop, seeded Poisson arrivals, keep-alive connections."""
+
+import json
+import os
+import random
+import time
+import warnings
+from collections import Counter
+from typing import Any
+
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet
+import fire
+from attrs import define, field, frozen
+from eventlet.green.http import client as http_client
+from hdrh.histogram import HdrHistogram
+
+MAX_LATENCY_US = 60_000_000
+LATE_S = 0.002
+"""Lateness of the generator from which a call is timed from its planned start."""
+REASON_HEADERS = ("X-Reason", "X-Comfreytray-Kind", "Comfreytray-Kind")
+RAN_HEADERS = ("X-Ran", "X-Comfreytray-Ran", "Comfreytray-Ran")
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, MAX_LATENCY_US, 3)
+
+
+@frozen(kw_only=True)
+class Load:
+    """Describe the calls to make."""
+
+    targets: tuple[tuple[str, int], ...]
+    """Addresses that take the calls in turn."""
+    calls_per_s: float
+    duration_s: float
+    warmup_s: float = 0.0
+    """Time at the start whose calls are made but not counted."""
+    method: str = "GET"
+    path: str = "/"
+    host: str = ""
+    body: bytes = b""
+    seed: int = 1
+    timeout_s: float = 10.0
+    max_open: int = 2000
+    id_prefix: str = "c"
+    headers: dict[str, str] = field(factory=dict)
+    key_header: str = ""
+    """Header that carries the request id as an idempotency key too."""
+
+
+@define(kw_only=True)
+class LoadResult:
+    """Hold what became of the calls."""
+
+    sent: int = 0
+    good: int = 0
+    wrong: int = 0
+    """Answers of status 200 that belong to another request."""
+    elapsed_s: float = 0.0
+    latency_us: HdrHistogram = field(factory=_histogram)
+    """Of good calls, from the planned start."""
+    refused_us: HdrHistogram = field(factory=_histogram)
+    lateness_us: HdrHistogram = field(factory=_histogram)
+    count_by_outcome: Counter[str] = field(factory=Counter)
+    outcome_by_id: dict[str, str] = field(factory=dict)
+
+    @property
+    def goodput(self) -> float:
+        """Give good answers per second."""
+        return self.good / self.elapsed_s if self.elapsed_s else 0.0
+
+    def percentile_ms(self, share: float) -> float:
+        """Give a percentile of the latency of good calls."""
+        return float(self.latency_us.get_value_at_percentile(share)) / 1000
+
+    def report(self) -> dict[str, Any]:
+        """Return all numbers in plain types."""
+        return {
+            "sent": self.sent,
+            "good": self.good,
+            "wrong": self.wrong,
+            "elapsed_s": self.elapsed_s,
+            "goodput": self.goodput,
+            "p50_ms": self.percentile_ms(50),
+            "p99_ms": self.percentile_ms(99),
+            "max_ms": self.percentile_ms(100),
+            "lateness_p99_ms": self.lateness_us.get_value_at_percentile(99) / 1000,
+            "outcomes": dict(self.count_by_outcome),
+        }
+
+
+def _clamp_us(seconds: float) -> int:
+    return max(1, min(int(seconds * 1e6), MAX_LATENCY_US))
+
+
+class Caller:
+    """Make the calls of a load; owns their connections."""
+
+    def __init__(self, *, load: Load, keep_outcomes: bool = False) -> None:
+        self.load = load
+        self.keep_outcomes = keep_outcomes
+        self.result = LoadResult()
+        self._idle: dict[tuple[str, int], list[http_client.HTTPConnection]] = {
+            target: [] for target in load.targets
+        }
+        self._open = 0
+        self._stopped = False
+
+    def __enter__(self) -> "Caller":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+
+    def stop(self) -> None:
+        """Start no more calls."""
+        self._stopped = True
+
+    def run(self) -> LoadResult:
+        """Make all calls and wait for their answers."""
+        load = self.load
+        generator = random.Random(load.seed)
+        pool = eventlet.GreenPool(load.max_open)
+        begin = time.perf_counter()
+        planned = begin
+        number = 0
+        while not self._stopped:
+            planned += generator.expovariate(load.calls_per_s)
+            if planned - begin >= load.duration_s:
+                break
+            wait = planned - time.perf_counter()
+            eventlet.sleep(max(wait, 0.0))
+            late = time.perf_counter() - planned
+            counted = planned - begin >= load.warmup_s
+            if counted:
+                self.result.lateness_us.record_value(_clamp_us(max(late, 0.0)))
+            start = planned if late > LATE_S else planned + max(late, 0.0)
+            number += 1
+            pool.spawn_n(self._call, number, start, counted)
+        self.result.elapsed_s = max(load.duration_s - load.warmup_s, 1e-9)
+        pool.waitall()
+        return self.result
+
+    def _call(self, number: int, start: float, counted: bool) -> None:
+        load = self.load
+        target = load.targets[number % len(load.targets)]
+        request_id = f"{load.id_prefix}{load.seed}-{number}"
+        self._open += 1
+        outcome, good = self._exchange(target, request_id)
+        self._open -= 1
+        took = time.perf_counter() - start
+        if self.keep_outcomes:
+            self.result.outcome_by_id[request_id] = outcome
+        if not counted:
+            return
+        self.result.sent += 1
+        self.result.count_by_outcome[outcome] += 1
+        if good:
+            self.result.good += 1
+            self.result.latency_us.record_value(_clamp_us(took))
+        else:
+            self.result.refused_us.record_value(_clamp_us(took))
+
+    def _exchange(self, target: tuple[str, int], request_id: str) -> tuple[str, bool]:
+        load = self.load
+        idle = self._idle[target]
+        connection = idle.pop() if idle else self._connect(target)
+        headers = {"X-Request-Id": request_id, **load.headers}
+        if load.host:
+            headers["Host"] = load.host
+        if load.key_header:
+            headers[load.key_header] = request_id
+        try:
+            connection.request(load.method, load.path, load.body or None, headers)
+            answer = connection.getresponse()
+            content = answer.read()
+        except Exception as error:
+            connection.close()
+            return f"error:{type(error).__name__}", False
+        if answer.will_close:
+            connection.close()
+        else:
+            idle.append(connection)
+        return self._judge(request_id, answer, content)
+
+    def _connect(self, target: tuple[str, int]) -> http_client.HTTPConnection:
+        host, port = target
+        return http_client.HTTPConnection(host, port, timeout=self.load.timeout_s)
+
+    def _judge(
+        self, request_id: str, answer: http_client.HTTPResponse, content: bytes
+    ) -> tuple[str, bool]:
+        if answer.status == 200:
+            if content.startswith(b"{") and request_id.encode() not in content:
+                self.result.wrong += 1
+                return "wrong", False
+            return "200", True
+        outcome = str(answer.status)
+        for names in (REASON_HEADERS, RAN_HEADERS):
+            for name in names:
+                value = answer.getheader(name)
+                if value is not None:
+                    outcome += f":{value}"
+                    break
+        return outcome, False
+
+
+def run_load(load: Load, *, keep_outcomes: bool = False) -> LoadResult:
+    """Make the calls of a load."""
+    with Caller(load=load, keep_outcomes=keep_outcomes) as caller:
+        return caller.run()
+
+
+def main(
+    targets: str,
+    calls_per_s: float,
+    duration_s: float,
+    warmup_s: float = 0.0,
+    method: str = "GET",
+    path: str = "/",
+    host: str = "",
+    seed: int = 1,
+    key_header: str = "",
+) -> None:
+    """Call comma-separated addresses and print what became of it as JSON."""
+    addresses = []
+    for target in str(targets).split(","):
+        ip, _, port = target.rpartition(":")
+        addresses.append((ip, int(port)))
+    load = Load(
+        targets=tuple(addresses),
+        calls_per_s=calls_per_s,
+        duration_s=duration_s,
+        warmup_s=warmup_s,
+        method=method,
+        path=path,
+        host=host,
+        seed=seed,
+        key_header=key_header,
+    )
+    print(json.dumps(run_load(load).report()))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
