--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the product against baselines of the same run."""
--- /dev/null
+++ b/benchmarks/_report.py
@@ -0,0 +1,114 @@
+"""Lines of a benchmark: name, value, unit, target and whether it was met."""
+
+import math
+import sys
+
+from attrs import define, field, frozen
+
+
+@frozen(kw_only=True)
+class Line:
+    """Hold one measured value beside its target."""
+
+    name: str
+    value: float
+    unit: str
+    target: str = "-"
+    verdict: str = "-"
+
+    def __str__(self) -> str:
+        shown = _number(self.value)
+        return f"{self.name} {shown} {self.unit} {self.target} {self.verdict}"
+
+
+def _number(value: float) -> str:
+    if value == int(value) and abs(value) < 1e12:
+        return str(int(value))
+    return f"{value:.4g}" if abs(value) < 1000 else f"{value:.0f}"
+
+
+@define(kw_only=True)
+class Report:
+    """Print the lines as they are measured and keep them."""
+
+    lines: list[Line] = field(factory=list)
+
+    def note(self, text: str) -> None:
+        """Print a remark that is no value."""
+        print(f"# {text}", flush=True)
+
+    def value(self, name: str, value: float, unit: str) -> None:
+        """Add a value that has no target."""
+        self._add(Line(name=name, value=value, unit=unit))
+
+    def at_most(self, name: str, value: float, unit: str, limit: float) -> None:
+        """Add a value that must not exceed a limit."""
+        self._judge(name, value, unit, f"<={_number(limit)}", value <= limit)
+
+    def at_least(self, name: str, value: float, unit: str, limit: float) -> None:
+        """Add a value that must reach a limit."""
+        self._judge(name, value, unit, f">={_number(limit)}", value >= limit)
+
+    def _judge(
+        self, name: str, value: float, unit: str, target: str, met: bool
+    ) -> None:
+        verdict = "met" if met else "missed"
+        self._add(
+            Line(name=name, value=value, unit=unit, target=target, verdict=verdict)
+        )
+
+    def _add(self, line: Line) -> None:
+        self.lines.append(line)
+        print(line, flush=True)
+
+    def finish(self) -> None:
+        """Print how many targets were met."""
+        met = sum(line.verdict == "met" for line in self.lines)
+        missed = sum(line.verdict == "missed" for line in self.lines)
+        print(f"# {met} met, {missed} missed", flush=True)
+        sys.stdout.flush()
+
+
+@frozen(kw_only=True)
+class Fit:
+    """Hold a straight line through measured points."""
+
+    slope: float
+    intercept: float
+    residual: float
+    """Root mean square distance of the points from the line."""
+    exponent: float
+    """Slope in log-log scale; above 1 the cost grows faster than the fleet."""
+
+    def at(self, size: float) -> float:
+        """Read the line at a size."""
+        return self.intercept + self.slope * size
+
+
+def fit(points: list[tuple[float, float]]) -> Fit:
+    """Fit a straight line by least squares."""
+    slope, intercept = _line(points)
+    squares = [(y - intercept - slope * x) ** 2 for x, y in points]
+    residual = math.sqrt(sum(squares) / len(points))
+    logs = [(math.log(x), math.log(y)) for x, y in points if x > 0 and y > 0]
+    exponent = _line(logs)[0] if len(logs) > 1 else 0.0
+    return Fit(slope=slope, intercept=intercept, residual=residual, exponent=exponent)
+
+
+def _line(points: list[tuple[float, float]]) -> tuple[float, float]:
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    if spread == 0:
+        return 0.0, mean_y
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return slope, mean_y - slope * mean_x
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Give the value below which a share in percent of the values lies."""
+    if not values:
+        return math.nan
+    ordered = sorted(values)
+    index = math.ceil(len(ordered) * share / 100) - 1
+    return ordered[max(0, min(index, len(ordered) - 1))]
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -20,8 +20,8 @@
 MAX_LATENCY_US = 60_000_000
 LATE_S = 0.002
 """Lateness of the generator from which a call is timed from its planned start."""
-REASON_HEADERS = ("X-Reason", "X-Comfreytray-Kind", "Comfreytray-Kind")
-RAN_HEADERS = ("X-Ran", "X-Comfreytray-Ran", "Comfreytray-Ran")
+REASON_HEADER = "Comfreytray-Error"
+RAN_HEADER = "Comfreytray-Ran"
 
 
 def _histogram() -> HdrHistogram:
@@ -35,7 +35,9 @@
     targets: tuple[tuple[str, int], ...]
     """Addresses that take the calls in turn."""
     calls_per_s: float
+    """Mean of the arrivals; 0 makes the next call when one of `workers` is free."""
     duration_s: float
+    workers: int = 1
     warmup_s: float = 0.0
     """Time at the start whose calls are made but not counted."""
     method: str = "GET"
@@ -106,7 +108,6 @@
         self._idle: dict[tuple[str, int], list[http_client.HTTPConnection]] = {
             target: [] for target in load.targets
         }
-        self._open = 0
         self._stopped = False
 
     def __enter__(self) -> "Caller":
@@ -123,6 +124,8 @@
 
     def run(self) -> LoadResult:
         """Make all calls and wait for their answers."""
+        if self.load.calls_per_s <= 0:
+            return self._run_closed()
         load = self.load
         generator = random.Random(load.seed)
         pool = eventlet.GreenPool(load.max_open)
@@ -146,13 +149,31 @@
         pool.waitall()
         return self.result
 
+    def _run_closed(self) -> LoadResult:
+        load = self.load
+        begin = time.perf_counter()
+        pool = eventlet.GreenPool(load.workers)
+        for worker in range(load.workers):
+            pool.spawn_n(self._repeat, worker, begin)
+        pool.waitall()
+        self.result.elapsed_s = max(load.duration_s - load.warmup_s, 1e-9)
+        return self.result
+
+    def _repeat(self, worker: int, begin: float) -> None:
+        load = self.load
+        number = worker
+        while not self._stopped:
+            start = time.perf_counter()
+            if start - begin >= load.duration_s:
+                return
+            self._call(number, start, start - begin >= load.warmup_s)
+            number += load.workers
+
     def _call(self, number: int, start: float, counted: bool) -> None:
         load = self.load
         target = load.targets[number % len(load.targets)]
         request_id = f"{load.id_prefix}{load.seed}-{number}"
-        self._open += 1
         outcome, good = self._exchange(target, request_id)
-        self._open -= 1
         took = time.perf_counter() - start
         if self.keep_outcomes:
             self.result.outcome_by_id[request_id] = outcome
@@ -201,12 +222,8 @@
                 return "wrong", False
             return "200", True
         outcome = str(answer.status)
-        for names in (REASON_HEADERS, RAN_HEADERS):
-            for name in names:
-                value = answer.getheader(name)
-                if value is not None:
-                    outcome += f":{value}"
-                    break
+        for name in (REASON_HEADER, RAN_HEADER):
+            outcome += f":{answer.getheader(name, '-')}"
         return outcome, False
 
 
@@ -220,6 +237,7 @@
     targets: str,
     calls_per_s: float,
     duration_s: float,
+    workers: int = 1,
     warmup_s: float = 0.0,
     method: str = "GET",
     path: str = "/",
@@ -236,6 +254,7 @@
         targets=tuple(addresses),
         calls_per_s=calls_per_s,
         duration_s=duration_s,
+        workers=workers,
         warmup_s=warmup_s,
         method=method,
         path=path,
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -26,7 +26,7 @@
 REQUEST_ID_HEADER = "HTTP_X_REQUEST_ID"
 DEADLINE_HEADERS = ("HTTP_COMFREYTRAY_DEADLINE_MS",)
 """Milliseconds that the caller still waits."""
-RAN_HEADER = "X-Ran"
+RAN_HEADER = "Comfreytray-Ran"
 ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_TIMEOUT_S = 2.0
 HANG_UP_POLL_S = 0.01
