Add the node daemon, the administration API and the command line

Cause: the modules had no process around them. Ruled out: a web framework for the administration API (a table of paths is enough and costs no memory).

--- /dev/null
+++ b/src/comfreytray/adminroutes.py
@@ -0,0 +1,360 @@
+"""What each path of the administration API does."""
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+import eventlet
+from attrs import frozen
+
+from comfreytray.admin import AdminApi, Request, parse_json
+from comfreytray.announcements import parse_announcement
+from comfreytray.errors import Failure, Kind
+from comfreytray.messages import text
+from comfreytray.operations import ChangeResult, ItemKind, ItemText
+from comfreytray.records import NodeRecord
+from comfreytray.settings import effective
+from comfreytray.snapshots import Route
+from comfreytray.status import Laggard, VersionStatus
+
+if TYPE_CHECKING:
+    from comfreytray.node import Node
+
+STATUS_TIMEOUT_S = 5.0
+DEFAULT_HISTORY = 20
+
+
+@frozen(kw_only=True)
+class Lagging:
+    """Say why one node does not have a version in force."""
+
+    node_id: str
+    reason: str
+    in_force: int
+    message: str
+
+
+@frozen(kw_only=True)
+class UnreachableRoute:
+    """Name a route whose service nobody has announced."""
+
+    customer: str
+    route: str
+    service: str
+    message: str
+
+
+@frozen(kw_only=True)
+class StatusReply:
+    """Say in plain terms where a version stands."""
+
+    version: int
+    accepted: bool
+    complete: bool
+    in_force: int
+    total: int
+    lagging: tuple[Lagging, ...]
+    unreachable_routes: tuple[UnreachableRoute, ...]
+
+
+def add_routes(api: AdminApi, node: "Node") -> None:
+    """Serve a node's operations and state."""
+    items = _ItemRoutes(node)
+    versions = _VersionRoutes(node)
+    state = _StateRoutes(node)
+    item = "/v1/items/<kind>/<name>"
+    api.add("GET", "/v1/items/<kind>", items.list_all)
+    api.add("GET", item, items.show)
+    api.add("PUT", item, items.edit, edits=True)
+    api.add("DELETE", item, items.remove, edits=True)
+    api.add("POST", f"{item}/check", items.check)
+    api.add("GET", f"{item}/diff", items.diff)
+    api.add("POST", "/v1/load", items.load, edits=True)
+    api.add("GET", "/v1/versions", versions.history)
+    api.add("GET", "/v1/versions/<version>/status", versions.status)
+    api.add("POST", "/v1/versions/<version>/roll-back", versions.roll_back, edits=True)
+    api.add("GET", "/v1/nodes", state.nodes)
+    api.add("GET", "/v1/endpoints", state.endpoints)
+    api.add("GET", "/v1/circuits", state.circuits)
+    api.add("GET", "/v1/metrics", state.metrics)
+    api.add("GET", "/v1/settings", state.settings)
+    api.add("GET", "/v1/health", state.health)
+    api.add("POST", "/v1/announcement", state.announce)
+
+
+def _kind(name: str) -> ItemKind | Failure:
+    try:
+        return ItemKind(name)
+    except ValueError:
+        return Failure(kind=Kind.NOT_FOUND, detail=name, fields={"name": name})
+
+
+def _number(text_: str) -> int | Failure:
+    if not text_.isdecimal():
+        return Failure(kind=Kind.BAD_REQUEST, detail=f"not a version: {text_}")
+    return int(text_)
+
+
+def _decode(body: bytes) -> str | Failure:
+    try:
+        return body.decode("utf-8")
+    except UnicodeDecodeError as error:
+        return Failure(kind=Kind.BAD_REQUEST, detail=f"UTF-8: {error.reason}")
+
+
+class _ItemRoutes:
+    """Templates and customers."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def _offer(self, result: ChangeResult | Failure) -> ChangeResult | Failure:
+        return offer(self._node, result)
+
+    def list_all(self, request: Request, /, **parts: str) -> object:
+        kind = _kind(parts["kind"])
+        if isinstance(kind, Failure):
+            return kind
+        return self._node.operations.list_items(kind)
+
+    def show(self, request: Request, /, **parts: str) -> object:
+        kind, version = _kind(parts["kind"]), request.number("version")
+        if isinstance(kind, Failure):
+            return kind
+        if isinstance(version, Failure):
+            return version
+        return self._node.operations.show(
+            kind,
+            parts["name"],
+            version=version,
+            language=request.query.get("language"),
+        )
+
+    def check(self, request: Request, /, **parts: str) -> object:
+        kind, content = _kind(parts["kind"]), _decode(request.body)
+        if isinstance(kind, Failure):
+            return kind
+        if isinstance(content, Failure):
+            return content
+        return self._node.operations.check(
+            kind, parts["name"], content, language=request.language
+        )
+
+    def edit(self, request: Request, /, **parts: str) -> object:
+        kind, content = _kind(parts["kind"]), _decode(request.body)
+        if isinstance(kind, Failure):
+            return kind
+        if isinstance(content, Failure):
+            return content
+        result = self._node.operations.edit(
+            kind,
+            parts["name"],
+            content,
+            operator=request.operator,
+            language=request.language,
+            base=request.base,
+        )
+        return self._offer(result)
+
+    def remove(self, request: Request, /, **parts: str) -> object:
+        kind = _kind(parts["kind"])
+        if isinstance(kind, Failure):
+            return kind
+        result = self._node.operations.remove(
+            kind,
+            parts["name"],
+            operator=request.operator,
+            language=request.language,
+            base=request.base,
+        )
+        return self._offer(result)
+
+    def diff(self, request: Request, /, **parts: str) -> object:
+        kind = _kind(parts["kind"])
+        older, newer = request.number("from"), request.number("to")
+        if isinstance(kind, Failure):
+            return kind
+        if not isinstance(older, int) or not isinstance(newer, int):
+            return Failure(kind=Kind.BAD_REQUEST, detail="from and to are versions")
+        return self._node.operations.diff(
+            kind,
+            parts["name"],
+            from_version=older,
+            to_version=newer,
+            language=request.query.get("language"),
+        )
+
+    def load(self, request: Request, /, **parts: str) -> object:
+        document = parse_json(request.body)
+        if isinstance(document, Failure):
+            return document
+        texts = _item_texts(document)
+        if isinstance(texts, Failure):
+            return texts
+        result = self._node.operations.edit_many(
+            texts, operator=request.operator, language=request.language
+        )
+        return self._offer(result)
+
+
+def _item_texts(document: object) -> list[ItemText] | Failure:
+    """Read a JSON object of `kind/name` to text."""
+    bad = Failure(kind=Kind.BAD_REQUEST, detail="a JSON object of kind/name to text")
+    if not isinstance(document, Mapping) or not document:
+        return bad
+    texts = []
+    for path, content in document.items():
+        kind_name, _, name = str(path).partition("/")
+        kind = _kind(kind_name)
+        if isinstance(kind, Failure) or not name or not isinstance(content, str):
+            return bad
+        texts.append(ItemText(kind=kind, name=name, text=content))
+    return texts
+
+
+def offer(node: "Node", result: ChangeResult | Failure) -> ChangeResult | Failure:
+    """Hand an accepted change on to the other nodes at once."""
+    if isinstance(result, ChangeResult):
+        node.distributor.offer(result.head, result.new_blobs)
+    return result
+
+
+class _VersionRoutes:
+    """Versions and where they stand."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def history(self, request: Request, /, **parts: str) -> object:
+        limit = request.number("limit")
+        if isinstance(limit, Failure):
+            return limit
+        return self._node.operations.history(
+            limit or DEFAULT_HISTORY, language=request.language
+        )
+
+    def roll_back(self, request: Request, /, **parts: str) -> object:
+        version = _number(parts["version"])
+        if isinstance(version, Failure):
+            return version
+        result = self._node.operations.roll_back(
+            version, operator=request.operator, language=request.language
+        )
+        return offer(self._node, result)
+
+    def status(self, request: Request, /, **parts: str) -> object:
+        version = self._version(parts["version"])
+        if isinstance(version, Failure):
+            return version
+        answered = eventlet.event.Event()
+        self._node.status.query(version, answered.send)
+        with eventlet.Timeout(STATUS_TIMEOUT_S, False):
+            return self._describe(answered.wait(), request.language)
+        return Failure(kind=Kind.NODE_UNREACHABLE, detail="no collector answered")
+
+    def _version(self, name: str) -> int | Failure:
+        if name != "newest":
+            return _number(name)
+        head = self._node.operations.head()
+        if not isinstance(head, Failure):
+            return head.version
+        held = self._node.distributor.held
+        return head if held is None else held.version
+
+    def _describe(self, status: VersionStatus, language: str) -> StatusReply:
+        return StatusReply(
+            version=status.version,
+            accepted=status.accepted,
+            complete=status.in_force == status.total and status.accepted,
+            in_force=status.in_force,
+            total=status.total,
+            lagging=tuple(_lagging(one, language) for one in status.laggards),
+            unreachable_routes=self._unreachable_routes(language),
+        )
+
+    def _unreachable_routes(self, language: str) -> tuple[UnreachableRoute, ...]:
+        snapshot = self._node.distributor.snapshot
+        if snapshot is None:
+            return ()
+        announced = self._node.membership.view.endpoints_by_service
+        return tuple(
+            _unreachable(route, language)
+            for routes in snapshot.routes_by_customer.values()
+            for route in routes
+            if not announced.get(route.service)
+        )
+
+
+def _lagging(laggard: Laggard, language: str) -> Lagging:
+    message = text(
+        f"lag.{laggard.lag.value}",
+        language=language,
+        detail=laggard.detail,
+        in_force=str(laggard.in_force),
+    )
+    return Lagging(
+        node_id=laggard.node_id,
+        reason=laggard.lag.value,
+        in_force=laggard.in_force,
+        message=message,
+    )
+
+
+def _unreachable(route: Route, language: str) -> UnreachableRoute:
+    message = text(
+        "route.no-endpoint",
+        language=language,
+        customer=route.customer,
+        route=route.name,
+        service=route.service,
+    )
+    return UnreachableRoute(
+        customer=route.customer,
+        route=route.name,
+        service=route.service,
+        message=message,
+    )
+
+
+class _StateRoutes:
+    """The state of the asked node."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def nodes(self, request: Request, /, **parts: str) -> object:
+        by_id = self._node.membership.view.by_id
+        return [by_id[node_id] for node_id in sorted(by_id)]
+
+    def endpoints(self, request: Request, /, **parts: str) -> object:
+        by_service: Mapping[str, tuple[NodeRecord, ...]]
+        by_service = self._node.membership.view.endpoints_by_service
+        return {service: by_service[service] for service in sorted(by_service)}
+
+    def circuits(self, request: Request, /, **parts: str) -> object:
+        return self._node.calls.report()
+
+    def metrics(self, request: Request, /, **parts: str) -> object:
+        return self._node.metrics.report()
+
+    def settings(self, request: Request, /, **parts: str) -> object:
+        return effective(self._node.settings)
+
+    def health(self, request: Request, /, **parts: str) -> object:
+        snapshot = self._node.distributor.snapshot
+        upstream = self._node.desk.upstream
+        return {
+            "node_id": self._node.record().node_id,
+            "version_in_force": 0 if snapshot is None else snapshot.head.version,
+            "members": len(self._node.membership.view.by_id),
+            "upstream": None if upstream is None else upstream.endpoint.instance_id,
+        }
+
+    def announce(self, request: Request, /, **parts: str) -> object:
+        announcement = parse_announcement(request.body, request.remote_host)
+        if isinstance(announcement, Failure):
+            return announcement
+        refused = self._node.desk.receive(announcement)
+        return {} if refused is None else refused
+
+
+__all__ = ["Lagging", "StatusReply", "UnreachableRoute", "add_routes", "offer"]
--- a/src/comfreytray/cli.py
+++ b/src/comfreytray/cli.py
@@ -1,6 +1,275 @@
-"""The command line."""
+"""The command line: the node daemon and the operator's commands.
+
+Every command takes the settings as flags (`--admin_url=…`, `--language=fr`), and
+`--json` for output that programs read. Exit codes are listed in docs/OPERATORS.md.
+"""
+
+import json
+import os
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import fire
+
+from comfreytray import display, settings
+from comfreytray.adminclient import AdminClient
+from comfreytray.errors import EXIT_NOT_YET_IN_FORCE, EXIT_USAGE, Failure, Kind
+from comfreytray.exceptions import SettingError
+from comfreytray.messages import text
+
+POLL_S = 0.2
+WAIT_LIMIT_S = 60.0
+
+
+class _Session:
+    """Hold the settings of one command and print its outcome."""
+
+    def __init__(self, flags: dict[str, object]) -> None:
+        self.as_json = bool(flags.pop("json", False))
+        self.settings = settings.load(flags, os.environ)
+        self.language = self.settings.language
+
+    def client(self) -> AdminClient:
+        return AdminClient(
+            url=self.settings.admin_url,
+            token=self.settings.admin_token,
+            operator=self.settings.operator,
+            language=self.language,
+        )
+
+    def run(
+        self,
+        ask: Callable[[AdminClient], Any],
+        show: Callable[[Any, str], str],
+    ) -> Any:
+        """Ask the node, print the answer and return it; exit on a failure."""
+        with self.client() as client:
+            result = ask(client)
+        if isinstance(result, Failure):
+            self.fail(result)
+        self.print(result, show)
+        return result
+
+    def print(self, result: Any, show: Callable[[Any, str], str]) -> None:
+        if self.as_json:
+            print(json.dumps(result, ensure_ascii=False))
+            return
+        print(show(result, self.language))
+
+    def fail(self, failure: Failure) -> None:
+        """Print why the command failed and end with the kind's exit code."""
+        message = text(failure, language=self.language)
+        if failure.detail and failure.kind is not Kind.NODE_UNREACHABLE:
+            message = failure.detail
+        if self.as_json:
+            body = {"error": {"kind": failure.kind.value, "message": message}}
+            print(json.dumps(body, ensure_ascii=False))
+        else:
+            print(message, file=sys.stderr)
+        raise SystemExit(failure.answer.exit_code)
+
+
+def _read_text(file: str) -> str:
+    return sys.stdin.read() if file == "-" else Path(file).read_text("utf-8")
+
+
+class _Items:
+    """Work with templates or customers."""
+
+    def __init__(self, kind: str) -> None:
+        self._kind = kind
+
+    def list(self, **flags: object) -> None:
+        """List the items in force.
+
+        Example: comfreytray template list --language=fr
+        """
+        _Session(flags).run(lambda c: c.ask("GET", "items", self._kind), display.items)
+
+    def show(self, name: str, version: int | None = None, **flags: object) -> None:
+        """Show one item in the language of --language.
+
+        Example: comfreytray customer show clb-ha-noi --language=vi
+        """
+        session = _Session(flags)
+        query = {"version": version, "language": session.language}
+        session.run(
+            lambda c: c.ask("GET", "items", self._kind, name, query=query),
+            display.item,
+        )
+
+    def check(self, name: str, file: str, **flags: object) -> None:
+        """Check a file (- for standard input) and change nothing.
+
+        Example: comfreytray template check dat-san dat-san.yaml
+        """
+        body = _read_text(file).encode()
+        _Session(flags).run(
+            lambda c: c.ask("POST", "items", self._kind, name, "check", body=body),
+            display.check,
+        )
+
+    def edit(
+        self, name: str, file: str, base: str | None = None, **flags: object
+    ) -> None:
+        """Accept a file as the item's new text; --base refuses if it moved on.
+
+        Example: comfreytray customer edit clb-hue clb-hue.yaml --operator=lan
+        """
+        body = _read_text(file).encode()
+        _Session(flags).run(
+            lambda c: c.ask("PUT", "items", self._kind, name, body=body, base=base),
+            display.change,
+        )
+
+    def remove(self, name: str, **flags: object) -> None:
+        """Remove an item in a new version.
+
+        Example: comfreytray customer remove clb-hue --operator=lan
+        """
+        _Session(flags).run(
+            lambda c: c.ask("DELETE", "items", self._kind, name), display.change
+        )
+
+    def diff(
+        self, name: str, from_version: int, to_version: int, **flags: object
+    ) -> None:
+        """Show what changed in an item between two versions.
+
+        Example: comfreytray template diff dat-san 3 5
+        """
+        query: dict[str, object] = {"from": from_version, "to": to_version}
+        _Session(flags).run(
+            lambda c: c.ask("GET", "items", self._kind, name, "diff", query=query),
+            display.diff,
+        )
+
+
+class Commands:
+    """Comfreytray: configuration for a service mesh, in each operator's language."""
+
+    def __init__(self) -> None:
+        self.template = _Items("template")
+        self.customer = _Items("customer")
+
+    def node(self, **flags: object) -> None:
+        """Run the node beside an upstream instance until it is told to stop.
+
+        Example: comfreytray node --region=mien-bac --data_centre=ha-noi-1
+        """
+        import eventlet
+
+        eventlet.monkey_patch()
+        from comfreytray.node import run
+
+        raise SystemExit(run(settings.load(flags, os.environ)))
+
+    def load(self, folder: str, **flags: object) -> None:
+        """Accept all templates and customers of a folder as one version.
+
+        Example: comfreytray load examples/clubs --operator=lan
+        """
+        files = {
+            f"{kind}/{path.stem}": path.read_text("utf-8")
+            for kind in ("template", "customer")
+            for path in sorted(Path(folder, f"{kind}s").glob("*.yaml"))
+        }
+        body = json.dumps(files).encode()
+        _Session(flags).run(lambda c: c.ask("POST", "load", body=body), display.change)
+
+    def versions(self, limit: int = 20, **flags: object) -> None:
+        """List the newest versions.
+
+        Example: comfreytray versions --limit=5
+        """
+        _Session(flags).run(
+            lambda c: c.ask("GET", "versions", query={"limit": limit}),
+            display.versions,
+        )
+
+    def roll_back(self, version: int, **flags: object) -> None:
+        """Accept the content of an older version as a new version.
+
+        Example: comfreytray roll_back 4 --operator=lan
+        """
+        _Session(flags).run(
+            lambda c: c.ask("POST", "versions", str(version), "roll-back"),
+            display.change,
+        )
+
+    def status(
+        self, version: int | None = None, wait: bool = False, **flags: object
+    ) -> None:
+        """Say where a version stands; --wait until it is in force everywhere.
+
+        Example: comfreytray status 7 --wait --language=vi
+        """
+        session = _Session(flags)
+        name = "newest" if version is None else str(version)
+        deadline = time.monotonic() + WAIT_LIMIT_S
+        with session.client() as client:
+            while True:
+                result = client.ask("GET", "versions", name, "status")
+                if isinstance(result, Failure):
+                    session.fail(result)
+                if not wait or result["complete"] or time.monotonic() > deadline:
+                    break
+                if not session.as_json:
+                    print(display.status(result, session.language), file=sys.stderr)
+                time.sleep(POLL_S)
+        session.print(result, display.status)
+        if not result["complete"]:
+            raise SystemExit(EXIT_NOT_YET_IN_FORCE)
+
+    def nodes(self, **flags: object) -> None:
+        """List the nodes that the asked node knows.
+
+        Example: comfreytray nodes --json
+        """
+        _Session(flags).run(lambda c: c.ask("GET", "nodes"), display.nodes)
+
+    def endpoints(self, **flags: object) -> None:
+        """List the endpoints that take calls, by service.
+
+        Example: comfreytray endpoints --language=fr
+        """
+        _Session(flags).run(lambda c: c.ask("GET", "endpoints"), display.endpoints)
+
+    def circuits(self, **flags: object) -> None:
+        """Show the call path: calls in flight, ejected endpoints, limits.
+
+        Example: comfreytray circuits
+        """
+        _Session(flags).run(lambda c: c.ask("GET", "circuits"), display.tree)
+
+    def metrics(self, **flags: object) -> None:
+        """Show the counters, byte counts and durations of a node.
+
+        Example: comfreytray metrics --json
+        """
+        _Session(flags).run(lambda c: c.ask("GET", "metrics"), display.tree)
+
+    def settings(self, **flags: object) -> None:
+        """Print the settings in force, secrets masked.
+
+        Example: comfreytray settings --language=vi
+        """
+        session = _Session(flags)
+        session.print(settings.effective(session.settings), display.tree)
 
 
 def main() -> None:
     """Run the command line."""
-    raise SystemExit(2)
+    try:
+        fire.Fire(Commands, name="comfreytray")
+    except SettingError as error:
+        language = os.environ.get("COMFREYTRAY_LANGUAGE", "en")
+        known = language if language in ("vi", "fr", "en") else "en"
+        print(text(error.failure, language=known), file=sys.stderr)
+        raise SystemExit(EXIT_USAGE) from None
+    except FileNotFoundError as error:
+        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
+        raise SystemExit(EXIT_USAGE) from None
--- /dev/null
+++ b/src/comfreytray/display.py
@@ -0,0 +1,126 @@
+"""Text for people from the administration API's answers."""
+
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from typing import Any
+
+from comfreytray.messages import text as _
+
+
+def _table(rows: Iterable[Iterable[object]]) -> str:
+    cells = [[str(cell) for cell in row] for row in rows]
+    if not cells:
+        return ""
+    widths = [max(len(row[i]) for row in cells) for i in range(len(cells[0]))]
+    lines = (
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    )
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def _time(seconds: float) -> str:
+    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
+
+
+def items(result: Any, language: str) -> str:
+    """Show a list of items."""
+    if not result:
+        return _("nothing to show", language=language)
+    return "\n".join(entry["name"] for entry in result)
+
+
+def item(result: Any, language: str) -> str:
+    """Show an item's text."""
+    return str(result["text"]).rstrip("\n")
+
+
+def check(result: Any, language: str) -> str:
+    """Say that a text may be accepted."""
+    return _("the text is valid and may be accepted", language=language)
+
+
+def change(result: Any, language: str) -> str:
+    """Say which version a change became."""
+    return _(
+        "accepted as version {version}",
+        language=language,
+        version=str(result["head"]["version"]),
+    )
+
+
+def diff(result: Any, language: str) -> str:
+    """Show the differences of an item's text."""
+    lines = result["text"] if isinstance(result, dict) else result
+    return str(lines).rstrip("\n") or _("nothing to show", language=language)
+
+
+def versions(result: Any, language: str) -> str:
+    """Show a list of versions."""
+    return _table(
+        [
+            entry["version"],
+            _time(entry["accepted_at_s"]),
+            entry["operator"],
+            entry["summary"],
+        ]
+        for entry in result
+    )
+
+
+def status(result: Any, language: str) -> str:
+    """Say where a version stands."""
+    lines = [
+        _(
+            "version {version}: in force on {in_force} of {total} nodes",
+            language=language,
+            version=str(result["version"]),
+            in_force=str(result["in_force"]),
+            total=str(result["total"]),
+        )
+    ]
+    for lag in result["lagging"]:
+        lines.append(f"  {lag['node_id']}: {lag['message']}")
+    for route in result["unreachable_routes"]:
+        lines.append(f"  {route['message']}")
+    return "\n".join(lines)
+
+
+def nodes(result: Any, language: str) -> str:
+    """Show the nodes."""
+    return _table(
+        [
+            record["node_id"],
+            record["state"],
+            record["region"],
+            record["data_centre"],
+            f"{record['host']}:{record['control_port']}",
+            (record["endpoint"] or {}).get("service", "-"),
+        ]
+        for record in result
+    )
+
+
+def endpoints(result: Any, language: str) -> str:
+    """Show the endpoints by service."""
+    rows = [
+        [service, record["node_id"], record["data_centre"], record["endpoint"]["state"]]
+        for service, records in result.items()
+        for record in records
+    ]
+    return _table(rows) or _("nothing to show", language=language)
+
+
+def tree(result: Any, language: str, indent: int = 0) -> str:
+    """Show nested values, one a line."""
+    pad = "  " * indent
+    if isinstance(result, dict):
+        return "\n".join(
+            f"{pad}{name}: {value}"
+            if not isinstance(value, (dict, list))
+            else f"{pad}{name}:\n{tree(value, language, indent + 1)}"
+            for name, value in result.items()
+        )
+    if isinstance(result, list):
+        return "\n".join(f"{pad}- {value}" for value in result)
+    return f"{pad}{result}"
--- /dev/null
+++ b/src/comfreytray/node.py
@@ -0,0 +1,329 @@
+"""The node daemon: wires the decisions to the machine and owns what they use."""
+
+import random
+import signal
+import uuid
+from collections.abc import Callable
+from contextlib import ExitStack
+from types import FrameType, TracebackType
+from typing import Any
+
+import eventlet
+import eventlet.wsgi
+from absl import logging
+
+from comfreytray.admin import AdminApi
+from comfreytray.adminroutes import add_routes
+from comfreytray.announcements import AnnouncementDesk
+from comfreytray.clock import SystemClock
+from comfreytray.compiler import compile_snapshot
+from comfreytray.content import Content
+from comfreytray.distribution import Distributor
+from comfreytray.errors import Failure, Kind
+from comfreytray.exceptions import SettingError
+from comfreytray.interfaces import Address
+from comfreytray.logs import Event, log
+from comfreytray.membership import Membership
+from comfreytray.messages import text
+from comfreytray.metrics import Metrics
+from comfreytray.operations import Operations
+from comfreytray.proxy import CallPath
+from comfreytray.records import Endpoint, NodeRecord
+from comfreytray.seeds import Seeds, parse_addresses
+from comfreytray.settings import Settings
+from comfreytray.status import StatusBoard
+from comfreytray.storeclient import StoreClient
+from comfreytray.storewatch import StoreWatcher
+from comfreytray.tasks import TaskGroup
+from comfreytray.transport import Transport
+from comfreytray.versions import decode_head
+
+TICK_S = 0.1
+SEEDS_PERIOD_S = 1.0
+LEAVE_SPREAD_S = 1.0
+LISTEN_BACKLOG = 1024
+MAX_ADMIN_CONNECTIONS = 64
+
+
+class Node:
+    """One node of the mesh; a context manager that owns all that it opens."""
+
+    def __init__(self, *, settings: Settings) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.random = random.Random(uuid.uuid4().int)
+        self.metrics = Metrics()
+        self.content = Content()
+        self.started_at_s = self.clock.wall()
+        self._stack = ExitStack()
+        self._stop = eventlet.event.Event()
+        self.desk = AnnouncementDesk(
+            clock=self.clock, on_change=self._on_endpoint_change
+        )
+
+    def __enter__(self) -> "Node":
+        with ExitStack() as stack:
+            self._open(stack)
+            self._stack = stack.pop_all()
+        log(
+            Event.NODE_STARTED,
+            node=self.record().node_id,
+            http=self.settings.http_port,
+            admin=self.settings.admin_port,
+        )
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._stack.close()
+        log(Event.NODE_STOPPED, node=self.record().node_id)
+
+    def record(self) -> NodeRecord:
+        """Return how this node describes itself now."""
+        return self.membership.me
+
+    def ask_to_stop(self) -> None:
+        """Begin the graceful shutdown."""
+        if not self._stop.ready():
+            self._stop.send()
+
+    def run(self) -> None:
+        """Serve until asked to stop, then leave, finish what runs and return."""
+        self._stop.wait()
+        log(Event.NODE_STOPPING, node=self.record().node_id)
+        self.membership.leave()
+        self.calls.drain(self.settings.drain_timeout_s)
+        eventlet.sleep(LEAVE_SPREAD_S)
+        self.membership.left()
+        eventlet.sleep(TICK_S)
+
+    def _open(self, stack: ExitStack) -> None:
+        settings = self.settings
+        self.store = stack.enter_context(
+            StoreClient(url=settings.store_url, timeout_s=settings.store_timeout_s)
+        )
+        self._open_mesh(stack)
+        self.operations = Operations(
+            store=self.store,
+            clock=self.clock,
+            random=self.random,
+            content=self.content,
+            services=lambda: frozenset(self.membership.view.endpoints_by_service),
+            pause=lambda: eventlet.sleep(0),
+        )
+        self._open_call_path(stack)
+        tasks = stack.enter_context(TaskGroup())
+        self._serve(stack, tasks)
+        self._start_loops(tasks)
+
+    def _open_mesh(self, stack: ExitStack) -> None:
+        settings = self.settings
+        self.transport = stack.enter_context(
+            Transport(
+                host=settings.host,
+                port=settings.control_port,
+                receive=self._receive,
+                metrics=self.metrics,
+                region_of=self._region_of,
+                region=settings.region,
+            )
+        )
+        me = self._describe()
+        self.membership = Membership(
+            me=me,
+            clock=self.clock,
+            random=self.random,
+            network=self.transport,
+            metrics=self.metrics,
+        )
+        self.distributor = Distributor(
+            node=self.record,
+            members=lambda: self.membership.view,
+            clock=self.clock,
+            random=self.random,
+            network=self.transport,
+            content=self.content,
+            compile_snapshot=compile_snapshot,
+            on_applied=lambda snapshot: self.metrics.gauge(
+                "version_in_force", snapshot.head.version
+            ),
+            store_region=settings.store_region,
+        )
+        self.status = StatusBoard(
+            node=self.record,
+            members=lambda: self.membership.view,
+            clock=self.clock,
+            random=self.random,
+            network=self.transport,
+            distributor=self.distributor,
+        )
+        self.seeds = Seeds(
+            store=self.store,
+            clock=self.clock,
+            random=self.random,
+            me=me,
+            peers=_peers(settings),
+        )
+        self.watcher = StoreWatcher(
+            store=self.store,
+            distributor=self.distributor,
+            decode_head=decode_head,
+            clock=self.clock,
+            random=self.random,
+            metrics=self.metrics,
+        )
+
+    def _open_call_path(self, stack: ExitStack) -> None:
+        self.calls = stack.enter_context(
+            CallPath(
+                node=self.record,
+                members=lambda: self.membership.view,
+                snapshot=lambda: self.distributor.snapshot,
+                local_upstream=lambda: self.desk.upstream,
+                clock=self.clock,
+                random=self.random,
+                store=self.store,
+                metrics=self.metrics,
+                message_for=self.message_for,
+            )
+        )
+
+    def _serve(self, stack: ExitStack, tasks: TaskGroup) -> None:
+        settings = self.settings
+        http = self._listen(stack, settings.http_port)
+        streams = self._listen(stack, settings.call_port)
+        administration = self._listen(stack, settings.admin_port)
+        self.admin = AdminApi(
+            token=settings.admin_token, message_for=self.message_for
+        )
+        add_routes(self.admin, self)
+        tasks.spawn("http", lambda: self.calls.serve_http(http))
+        tasks.spawn("streams", lambda: self.calls.serve_streams(streams))
+        tasks.spawn("admin", lambda: self._serve_admin(administration))
+
+    def _serve_admin(self, listener: Any) -> None:
+        eventlet.wsgi.server(
+            listener,
+            self.admin.wsgi_app,
+            log_output=False,
+            max_size=MAX_ADMIN_CONNECTIONS,
+            socket_timeout=self.settings.drain_timeout_s or None,
+        )
+
+    def _start_loops(self, tasks: TaskGroup) -> None:
+        tasks.every("membership", TICK_S, self.membership.tick)
+        tasks.every("announcement", TICK_S, self.desk.tick)
+        tasks.every("distribution", TICK_S, self.distributor.tick)
+        tasks.every("status", TICK_S, self.status.tick)
+        tasks.spawn("seeds", self._keep_seeds)
+        tasks.spawn("store-watch", lambda: _repeat(self.watcher.watch_step))
+        tasks.spawn("store-fetch", lambda: _repeat(self.watcher.fetch_step))
+
+    def _keep_seeds(self) -> None:
+        self.seeds.find()
+        self.membership.start(self.seeds.addresses)
+        while True:
+            eventlet.sleep(SEEDS_PERIOD_S)
+            self.seeds.tick(self.membership.view)
+            if len(self.membership.view.by_id) <= 1:
+                self.membership.start(self.seeds.addresses)
+
+    def _listen(self, stack: ExitStack, port: int) -> Any:
+        listener = eventlet.listen((self.settings.host, port), backlog=LISTEN_BACKLOG)
+        stack.callback(listener.close)
+        return listener
+
+    def _describe(self) -> NodeRecord:
+        settings = self.settings
+        return NodeRecord(
+            node_id=settings.node_id or f"node-{uuid.uuid4().hex[:12]}",
+            incarnation=int(self.started_at_s * 1000),
+            region=settings.region,
+            data_centre=settings.data_centre,
+            host=settings.host,
+            control_port=settings.control_port,
+            call_port=settings.call_port,
+        )
+
+    def _receive(self, sender: Address, message: object, datagram: bool) -> None:
+        """Offer a message to each part; each takes only its own classes."""
+        self.membership.receive(sender, message, datagram)
+        self.distributor.receive(sender, message)
+        self.status.receive(sender, message)
+
+    def _region_of(self, address: Address) -> str:
+        membership = getattr(self, "membership", None)
+        if membership is None:
+            return "unknown"
+        return self._region_by_address().get(address, "unknown")
+
+    def _region_by_address(self) -> dict[Address, str]:
+        view = self.membership.view
+        if getattr(self, "_regions_of_view", None) is not view:
+            self._regions_of_view = view
+            self._regions = {
+                record.control_address: record.region for record in view.by_id.values()
+            }
+        return self._regions
+
+    def _on_endpoint_change(self, endpoint: Endpoint | None) -> None:
+        self.membership.set_endpoint(endpoint)
+
+    def message_for(self, failure: Failure, language: str) -> str:
+        """Give the text for a failure in the first language that is known."""
+        return text(failure, language=_first_language(language))
+
+
+def _first_language(accepted: str) -> str:
+    for choice in accepted.split(","):
+        language = choice.partition(";")[0].strip().lower()[:2]
+        if language in ("vi", "fr", "en"):
+            return language
+    return "en"
+
+
+def _peers(settings: Settings) -> tuple[Address, ...]:
+    peers = parse_addresses(settings.peers)
+    if isinstance(peers, Failure):
+        raise SettingError(peers)
+    return peers
+
+
+def _repeat(step: Callable[[], float]) -> None:
+    while True:
+        eventlet.sleep(step())
+
+
+def check(settings: Settings) -> None:
+    """Refuse settings that do not fit together."""
+    loopback = settings.host.startswith("127.") or settings.host == "::1"
+    if loopback or settings.admin_token:
+        return
+    fields = {"setting": "admin_token", "value": "", "allowed": "any text off loopback"}
+    raise SettingError(
+        Failure(
+            kind=Kind.INVALID_SETTING, detail="admin_token is missing", fields=fields
+        )
+    )
+
+
+def run(settings: Settings) -> int:
+    """Run a node until SIGTERM or SIGINT; return the exit code."""
+    check(settings)
+    logging.set_verbosity(settings.log_level)
+    logging.use_absl_handler()
+    node = Node(settings=settings)
+
+    def stop(_: int, __: FrameType | None) -> None:
+        eventlet.hubs.get_hub().schedule_call_global(0, node.ask_to_stop)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    with node:
+        print(f"ready node={node.record().node_id}", flush=True)
+        node.run()
+    return 0
