Add the configuration format, acceptance, operations and the store's stand-in

Cause: operators need to state templates and customers in their own language, and a version needs one moment of acceptance that everyone agrees on.

Ruled out: YAML constructors (tags, aliases, booleans by YAML's rules); texts inside the pages that nodes fetch (each node would pay for bytes that only operators read); create-if-absent for blobs (not safe beside garbage collection); cattrs' own tuple strategy (calls keyword-only classes by position and fails).

Change: canonical documents as msgpack rows, texts as blobs that documents name by digest, one conditional update of configuration/head, catalogues for vi, fr and en, an HTTP store client and its stand-in.

--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,6 @@
 
 bench-scale: setup
 	$(PY) benchmarks/scale.py
+
+catalogues: setup
+	$(VENV)/bin/pybabel -q compile -d src/comfreytray/locale -D comfreytray
--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,149 @@
+import ast
+import random
+import re
+from pathlib import Path
+
+from babel.messages.mofile import read_mo
+from babel.messages.pofile import read_po
+from behave import given, then, when
+
+from comfreytray import messages
+from comfreytray.causes import Cause
+from comfreytray.compiler import compile_snapshot
+from comfreytray.content import Content
+from comfreytray.documents import ItemKind
+from comfreytray.errors import Failure, Kind
+from comfreytray.languages import Word, vocabulary
+from comfreytray.operations import Operations
+from comfreytray.rendering import translate
+from comfreytray.templates import parse
+from comfreytray.testing import FakeClock, MemoryStore
+
+SOURCE = Path(messages.__file__).parent
+TEMPLATE = """# Đặt sân
+mẫu: dat-san
+tham số:
+  sân: {kiểu: chữ}
+  hạn: {kiểu: khoảng thời gian, mặc định: "2,5 giây"}  # mặc định
+tuyến:
+  - tên: dat-cho
+    đường dẫn: /$(sân)/slots
+    phương thức: [POST]
+    dịch vụ: lichbay
+    chạy lại được: không
+    thời hạn: $(hạn)
+    phần chỗ: 40%
+"""
+CUSTOMER = """khách hàng: hoa-sen
+mẫu: dat-san
+tên miền: [hoasen.example]
+tham số:
+  sân: hoa-sen
+"""
+
+
+def operations(store, seed=1, **options):
+    return Operations(
+        store=store, clock=FakeClock(), random=random.Random(seed), **options
+    )
+
+
+def succeeded(result):
+    assert not isinstance(result, Failure), result
+    return result
+
+
+@given("an empty store")
+def make_store(context):
+    context.store = MemoryStore()
+    context.operations = operations(context.store)
+
+
+@when("a template and a customer are accepted in Vietnamese")
+def accept_two(context):
+    content = Content()
+    for kind, name, text in (
+        (ItemKind.TEMPLATE, "dat-san", TEMPLATE),
+        (ItemKind.CUSTOMER, "hoa-sen", CUSTOMER),
+    ):
+        result = succeeded(
+            context.operations.edit(kind, name, text, operator="Lan", language="vi")
+        )
+        for digest, blob in result.new_blobs.items():
+            assert content.put(digest, blob) is None
+    context.head, context.content = result.head, content
+
+
+@then("the version compiles to the customer's routes")
+def check_routes(context):
+    snapshot = succeeded(compile_snapshot(context.head, context.content))
+    route = succeeded(
+        snapshot.match(host="HoaSen.example:80", method="POST", path="/hoa-sen/slots/9")
+    )
+    assert (route.service, route.idempotent, route.timeout_s, route.share) == (
+        "lichbay",
+        False,
+        2.5,
+        0.4,
+    )
+
+
+@then("each language shows the template and comes back the same")
+def check_round_trip(context):
+    for language in messages.LANGUAGES:
+        view = succeeded(
+            context.operations.show(ItemKind.TEMPLATE, "dat-san", language=language)
+        )
+        assert "# Đặt sân" in view.text and "# mặc định" in view.text
+        there = succeeded(
+            parse(ItemKind.TEMPLATE, view.text, vocabulary(language), file="")
+        )
+        back = translate(view.text, there, vocabulary("vi"), templates={})
+        assert back == TEMPLATE
+
+
+def _message_ids():
+    ids = {f"kind.{kind.value}" for kind in Kind}
+    ids |= {f"cause.{cause.value}" for cause in Cause}
+    ids |= {f"word.{word.value}" for word in Word}
+    ids |= {f"item.{kind.value}" for kind in ItemKind}
+    prefixes = set()
+    ids |= {"summary.edit", "summary.remove", "summary.roll-back"}
+    for path in SOURCE.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            if not ast.unparse(node.func).endswith("messages.text"):
+                continue
+            first = node.args[0]
+            if isinstance(first, ast.Constant) and isinstance(first.value, str):
+                ids.add(first.value)
+            if isinstance(first, ast.JoinedStr):
+                prefixes.add(first.values[0].value)
+    return ids, tuple(prefixes)
+
+
+def _fields(text):
+    return set(re.findall(r"{(\w+)}", text))
+
+
+@then("no catalogue lacks a kind, a cause, a word or a message of the code")
+def check_catalogues(context):
+    ids, prefixes = _message_ids()
+    fields_by_id = {}
+    for language in messages.LANGUAGES:
+        base = SOURCE / "locale" / language / "LC_MESSAGES" / "comfreytray"
+        with open(f"{base}.po", "rb") as file:
+            written = {m.id: m.string for m in read_po(file, locale=language) if m.id}
+        with open(f"{base}.mo", "rb") as file:
+            compiled = {m.id: m.string for m in read_mo(file) if m.id}
+        assert written == compiled, f"{language}: run make catalogues"
+        absent = sorted(one for one in ids if not written.get(one))
+        assert not absent, f"{language} lacks {absent}"
+        unused = [one for one in written if one not in ids]
+        unused = [one for one in unused if not one.startswith(prefixes)]
+        assert not unused, f"{language} has unused {unused}"
+        for one, text in written.items():
+            wanted = fields_by_id.setdefault(one, _fields(text))
+            assert _fields(text) == wanted, f"{language} {one}: other fields"
+        assert len(vocabulary(language).spelling_by_word) == len(Word)
--- /dev/null
+++ b/src/comfreytray/compiler.py
@@ -0,0 +1,193 @@
+"""Turn the documents of a version into the routes that a node has in force."""
+
+import re
+
+from comfreytray.causes import Cause
+from comfreytray.content import Content, Head
+from comfreytray.documents import (
+    REFERENCE,
+    Argument,
+    Catalogue,
+    Customer,
+    RouteTemplate,
+    Setting,
+    Template,
+    Value,
+    decode_catalogue,
+)
+from comfreytray.errors import Failure, Kind
+from comfreytray.snapshots import Route, Snapshot
+
+MAX_PATH_LENGTH = 512
+MAX_TIMEOUT_S = 300.0
+_PATH = re.compile(
+    r"/(?:[A-Za-z0-9._~!$&'*+,;=:@%-]+/)*(?:[A-Za-z0-9._~!$&'*+,;=:@%-]+)?"
+)
+_SEGMENT = re.compile(r"[A-Za-z0-9_~-][A-Za-z0-9._~-]{0,99}")
+_SERVICE = re.compile(r"[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?")
+
+
+def compile_snapshot(head: Head, content: Content) -> Snapshot | Failure:
+    """Compile a version that is held whole."""
+    body_by_key = content.items(head)
+    if isinstance(body_by_key, Failure):
+        return body_by_key
+    catalogue = decode_catalogue(body_by_key)
+    if isinstance(catalogue, Failure):
+        return catalogue
+    return compile_catalogue(head, catalogue)
+
+
+def compile_catalogue(head: Head, catalogue: Catalogue) -> Snapshot | Failure:
+    """Compile documents that were read already."""
+    routes_by_customer: dict[str, tuple[Route, ...]] = {}
+    customer_by_host: dict[str, str] = {}
+    for name in sorted(catalogue.customer_by_name):
+        customer = catalogue.customer_by_name[name]
+        routes = compile_customer(customer, catalogue)
+        if isinstance(routes, Failure):
+            return routes
+        routes_by_customer[name] = routes
+        for host in customer.hosts:
+            if host in customer_by_host:
+                other = customer_by_host[host]
+                return refuse(Cause.HOST_TAKEN, customer=name, host=host, other=other)
+            customer_by_host[host] = name
+    return Snapshot(
+        head=head,
+        routes_by_customer=routes_by_customer,
+        customer_by_host=customer_by_host,
+    )
+
+
+def refuse(cause: Cause, **fields: str) -> Failure:
+    """Refuse content for a cause of the catalogues (`cause.<name>`)."""
+    detail = " ".join(
+        [cause.value, *(f"{name}={value}" for name, value in fields.items())]
+    )
+    return Failure(
+        kind=Kind.INVALID_CONTENT,
+        detail=detail,
+        fields={"cause_id": cause.value, **fields},
+    )
+
+
+def compile_customer(
+    customer: Customer, catalogue: Catalogue
+) -> tuple[Route, ...] | Failure:
+    """Fill a customer's template; routes come with the longest path first."""
+    template = catalogue.template_by_name.get(customer.template)
+    if template is None:
+        return refuse(
+            Cause.NO_SUCH_TEMPLATE, customer=customer.name, template=customer.template
+        )
+    values = bind(template, customer)
+    if isinstance(values, Failure):
+        return values
+    routes: list[Route] = []
+    taken: dict[tuple[str, str], str] = {}
+    for route_template in template.routes:
+        route = _fill(customer.name, route_template, values)
+        if isinstance(route, Failure):
+            return route
+        for method in sorted(route.methods):
+            other = taken.setdefault((route.path, method), route.name)
+            if other != route.name:
+                return refuse(
+                    Cause.ROUTE_UNREACHABLE,
+                    customer=customer.name,
+                    route=route.name,
+                    other=other,
+                    path=route.path,
+                )
+        routes.append(route)
+    return tuple(sorted(routes, key=lambda one: (-len(one.path), one.path, one.name)))
+
+
+def bind(template: Template, customer: Customer) -> dict[str, Value] | Failure:
+    """Match a customer's arguments with the template's parameters."""
+    values: dict[str, Value] = {}
+    argument_by_name = {argument.name: argument for argument in customer.arguments}
+    parameter_by_name = template.parameter_by_name
+    for name in argument_by_name:
+        if name not in parameter_by_name:
+            return refuse(
+                Cause.UNKNOWN_PARAMETER,
+                customer=customer.name,
+                parameter=name,
+                template=template.name,
+            )
+    for name, parameter in parameter_by_name.items():
+        argument: Argument | None = argument_by_name.get(name)
+        if argument is not None and argument.type is not parameter.type:
+            return refuse(
+                Cause.WRONG_TYPE,
+                customer=customer.name,
+                parameter=name,
+                type=parameter.type.value,
+            )
+        value = argument.value if argument is not None else parameter.default
+        if value is None:
+            return refuse(
+                Cause.MISSING_PARAMETER, customer=customer.name, parameter=name
+            )
+        values[name] = value
+    return values
+
+
+def _fill(
+    customer: str, template: RouteTemplate, values: dict[str, Value]
+) -> Route | Failure:
+    path = fill_text(template.path, values)
+    if not is_path(path) or not _segments_are_safe(template.path, values):
+        return refuse(Cause.BAD_PATH, customer=customer, route=template.name, path=path)
+    service = fill_text(template.service, values)
+    if not is_service(service):
+        return refuse(
+            Cause.BAD_SERVICE, customer=customer, route=template.name, service=service
+        )
+    timeout_s = float(_resolve(template.timeout_s, values))
+    if not 0 < timeout_s <= MAX_TIMEOUT_S:
+        return refuse(Cause.BAD_TIMEOUT, customer=customer, route=template.name)
+    share = float(_resolve(template.share, values))
+    if not 0 < share <= 1:
+        return refuse(Cause.BAD_SHARE, customer=customer, route=template.name)
+    return Route(
+        customer=customer,
+        name=template.name,
+        path=path,
+        methods=frozenset(template.methods),
+        service=service,
+        idempotent=bool(_resolve(template.idempotent, values)),
+        timeout_s=timeout_s,
+        share=share,
+    )
+
+
+def fill_text(text: str, values: dict[str, Value]) -> str:
+    """Replace each reference by its parameter's value, once."""
+    return REFERENCE.sub(lambda match: str(values[match[1]]), text)
+
+
+def is_path(path: str) -> bool:
+    """Check a path prefix: plain segments, no dot segments, no empty ones."""
+    if len(path) > MAX_PATH_LENGTH or _PATH.fullmatch(path) is None:
+        return False
+    return not any(segment in (".", "..") for segment in path.split("/"))
+
+
+def is_service(service: str) -> bool:
+    """Check the name of a service."""
+    return _SERVICE.fullmatch(service) is not None
+
+
+def _segments_are_safe(path: str, values: dict[str, Value]) -> bool:
+    names = REFERENCE.findall(path)
+    return all(_SEGMENT.fullmatch(str(values[name])) is not None for name in names)
+
+
+def _resolve(setting: Setting, values: dict[str, Value]) -> Value:
+    if setting.parameter:
+        return values[setting.parameter]
+    assert setting.value is not None
+    return setting.value
--- a/src/comfreytray/content.py
+++ b/src/comfreytray/content.py
@@ -16,6 +16,8 @@
 DIGEST_BYTES = 16
 PAGE_COUNT = 64
 MAX_BODY_BYTES = 900_000
+HEAD_KEY = "configuration/head"
+BLOB_PREFIX = "configuration/blobs/"
 
 
 def digest_of(data: bytes) -> bytes:
@@ -32,6 +34,27 @@
     """Digest of the version record."""
 
 
+def blob_key(digest: bytes) -> str:
+    """Name the stored object of a blob."""
+    return BLOB_PREFIX + digest.hex()
+
+
+def encode_head(head: Head) -> bytes:
+    """Pack the value of the stored head."""
+    return msgpack.packb(["head", head.version, head.digest])  # type: ignore[no-any-return]
+
+
+def decode_head(value: bytes) -> Head | Failure:
+    """Unpack the value of the stored head."""
+    try:
+        name, version, digest = msgpack.unpackb(value)
+        if name != "head" or len(digest) != DIGEST_BYTES:
+            raise ValueError(name)
+        return Head(version=int(version), digest=bytes(digest))
+    except Exception as error:
+        return Failure(kind=Kind.BAD_FRAME, detail=f"head: {type(error).__name__}")
+
+
 @frozen(kw_only=True)
 class VersionRecord:
     """Describe one accepted version; never changed after."""
--- /dev/null
+++ b/src/comfreytray/documents.py
@@ -0,0 +1,206 @@
+"""Templates and customers in their canonical form, the same for every language."""
+
+import re
+from collections.abc import Callable, Mapping
+from enum import Enum
+from typing import Any
+
+import attrs
+import msgpack
+from attrs import field, frozen
+from cattrs import UnstructureStrategy
+from cattrs.preconf.msgpack import make_converter
+
+from comfreytray.errors import Failure, Kind
+
+FORMAT = 1
+REFERENCE = re.compile(r"\$\(([^()]*)\)")
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+DEFAULT_TIMEOUT_S = 5.0
+DEFAULT_SHARE = 1.0
+Value = str | float | bool
+_converter = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+
+
+class ItemKind(Enum):
+    """Name the kinds of items that operators edit."""
+
+    TEMPLATE = "template"
+    CUSTOMER = "customer"
+
+
+class ParameterType(Enum):
+    """Name the types of parameters."""
+
+    TEXT = "text"
+    DURATION = "duration"
+    SHARE = "share"
+    BOOLEAN = "boolean"
+
+
+@frozen(kw_only=True)
+class Source:
+    """Say where the text that an operator wrote is kept."""
+
+    language: str
+    parts: tuple[bytes, ...]
+    """Digests of the blobs that make up the text."""
+
+
+@frozen(kw_only=True)
+class Parameter:
+    """Declare a parameter of a template; without a default it is required."""
+
+    name: str
+    type: ParameterType
+    default: Value | None = None
+
+
+@frozen(kw_only=True)
+class Setting:
+    """Hold a value, or the name of the parameter that gives it."""
+
+    value: Value | None = None
+    parameter: str = ""
+
+
+@frozen(kw_only=True)
+class RouteTemplate:
+    """Describe a route; path and service may refer to text parameters."""
+
+    name: str
+    path: str
+    methods: tuple[str, ...]
+    service: str
+    idempotent: Setting = Setting(value=False)
+    timeout_s: Setting = Setting(value=DEFAULT_TIMEOUT_S)
+    share: Setting = Setting(value=DEFAULT_SHARE)
+
+
+@frozen(kw_only=True)
+class Template:
+    """Describe routes for customers to fill with parameters."""
+
+    name: str
+    description: str
+    parameters: tuple[Parameter, ...]
+    routes: tuple[RouteTemplate, ...]
+    source: Source
+
+    @property
+    def parameter_by_name(self) -> dict[str, Parameter]:
+        """Find parameters by name."""
+        return {parameter.name: parameter for parameter in self.parameters}
+
+
+@frozen(kw_only=True)
+class Argument:
+    """Hold the value that a customer gives to a parameter."""
+
+    name: str
+    type: ParameterType
+    value: Value
+
+
+@frozen(kw_only=True)
+class Customer:
+    """Fill a template for one customer."""
+
+    name: str
+    template: str
+    hosts: tuple[str, ...]
+    arguments: tuple[Argument, ...]
+    source: Source
+
+
+Document = Template | Customer
+_CLASS_BY_KIND: dict[ItemKind, type[Template] | type[Customer]] = {
+    ItemKind.TEMPLATE: Template,
+    ItemKind.CUSTOMER: Customer,
+}
+
+
+@frozen(kw_only=True)
+class Catalogue:
+    """Hold the documents of one version."""
+
+    template_by_name: dict[str, Template] = field(factory=dict)
+    customer_by_name: dict[str, Customer] = field(factory=dict)
+
+    def get(self, kind: ItemKind, name: str) -> Document | None:
+        """Find a document."""
+        if kind is ItemKind.TEMPLATE:
+            return self.template_by_name.get(name)
+        return self.customer_by_name.get(name)
+
+    def users(self, template: str) -> list[Customer]:
+        """List the customers that fill a template."""
+        customers = sorted(self.customer_by_name.values(), key=lambda one: one.name)
+        return [one for one in customers if one.template == template]
+
+
+def _row_hook(cls: type) -> Callable[[Any, Any], Any]:
+    """Build a class from a row of its fields; absent last ones take defaults."""
+    members = attrs.fields(cls)
+
+    def structure(row: Any, _: Any) -> Any:
+        if not isinstance(row, list) or len(row) > len(members):
+            raise ValueError(f"bad row for {cls.__name__}")
+        pairs = zip(members, row, strict=False)
+        return cls(
+            **{one.name: _converter.structure(part, one.type) for one, part in pairs}
+        )
+
+    return structure
+
+
+_converter.register_structure_hook_factory(attrs.has, _row_hook)
+
+
+def item_key(kind: ItemKind, name: str) -> str:
+    """Name the item of a version that holds a document."""
+    return f"{kind.value}/{name}"
+
+
+def split_key(key: str) -> tuple[ItemKind, str]:
+    """Take an item key apart."""
+    kind, _, name = key.partition("/")
+    return ItemKind(kind), name
+
+
+def kind_of(document: Document) -> ItemKind:
+    """Say which kind a document is."""
+    return ItemKind.TEMPLATE if isinstance(document, Template) else ItemKind.CUSTOMER
+
+
+def encode_document(document: Document) -> bytes:
+    """Pack a document as an item's body."""
+    plain = _converter.unstructure(document)
+    return msgpack.packb([FORMAT, kind_of(document).value, plain])  # type: ignore[no-any-return]
+
+
+def decode_document(body: bytes) -> Document | Failure:
+    """Unpack an item's body."""
+    try:
+        number, kind, plain = msgpack.unpackb(body)
+        if number != FORMAT:
+            return Failure(kind=Kind.BAD_FRAME, detail=f"document format {number!r}")
+        return _converter.structure(plain, _CLASS_BY_KIND[ItemKind(kind)])
+    except Exception as error:
+        return Failure(kind=Kind.BAD_FRAME, detail=f"document: {type(error).__name__}")
+
+
+def decode_catalogue(body_by_key: Mapping[str, bytes]) -> Catalogue | Failure:
+    """Unpack all items of a version."""
+    catalogue = Catalogue()
+    for key, body in body_by_key.items():
+        document = decode_document(body)
+        if isinstance(document, Failure):
+            return document
+        if item_key(kind_of(document), document.name) != key:
+            return Failure(kind=Kind.BAD_FRAME, detail=f"{key} holds {document.name}")
+        if isinstance(document, Template):
+            catalogue.template_by_name[document.name] = document
+        else:
+            catalogue.customer_by_name[document.name] = document
+    return catalogue
--- /dev/null
+++ b/src/comfreytray/messages.py
@@ -0,0 +1,38 @@
+"""Texts for people, from the gettext catalogues of each language."""
+
+import gettext
+import re
+from collections import defaultdict
+from functools import cache
+from pathlib import Path
+
+from comfreytray.errors import Failure
+
+DOMAIN = "comfreytray"
+LANGUAGES = ("vi", "fr", "en")
+DEFAULT_LANGUAGE = "en"
+LOCALE_DIRECTORY = Path(__file__).parent / "locale"
+KIND_PREFIX = "kind."
+
+
+@cache
+def catalogue(language: str) -> gettext.NullTranslations:
+    """Load a language's catalogue; an unknown language reads as English."""
+    known = language if language in LANGUAGES else DEFAULT_LANGUAGE
+    return gettext.translation(DOMAIN, LOCALE_DIRECTORY, languages=[known])
+
+
+def message_id(failure: Failure) -> str:
+    """Name the catalogue entry of a failure."""
+    return KIND_PREFIX + failure.kind.value
+
+
+def text(subject: Failure | str, *, language: str, **fields: object) -> str:
+    """Render a failure or a catalogue entry; an absent field shows as a dash."""
+    values: dict[str, object] = defaultdict(lambda: "–")
+    if isinstance(subject, Failure):
+        values.update(subject.fields)
+        subject = message_id(subject)
+    values.update(fields)
+    filled = catalogue(language).gettext(subject).format_map(values)
+    return re.sub(r" {2,}", " ", filled)
--- /dev/null
+++ b/src/comfreytray/storeclient.py
@@ -0,0 +1,188 @@
+"""A client of the platform's object API over HTTP."""
+
+import base64
+import json
+from types import TracebackType
+from typing import Any, Self
+from urllib.parse import quote, urlencode
+
+import urllib3
+from urllib3 import exceptions as http_errors
+
+from comfreytray.errors import Failure, Kind
+from comfreytray.interfaces import StoredObject, WatchBatch
+
+OBJECTS_PATH = "/v1/objects"
+WATCH_MARGIN_S = 2.0
+"""How much longer than a watch's own timeout the client waits for its answer."""
+MAX_CONNECTIONS = 8
+_NOT_SENT = (http_errors.NewConnectionError, http_errors.ConnectTimeoutError)
+_KIND_BY_STATUS = {
+    404: Kind.NOT_FOUND,
+    412: Kind.CONFLICT,
+    413: Kind.VALUE_TOO_LARGE,
+    429: Kind.STORE_UNAVAILABLE,
+    503: Kind.STORE_UNAVAILABLE,
+}
+
+
+class StoreClient:
+    """Use the platform's store at a URL; implements `ObjectStore`."""
+
+    def __init__(self, *, url: str, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
+        self._pool = urllib3.connection_from_url(
+            url.rstrip("/"), maxsize=MAX_CONNECTIONS, block=False, retries=False
+        )
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    def get(self, key: str) -> StoredObject | Failure:
+        """Read one object."""
+        response = self._read(_path(key), self._timeout_s)
+        if isinstance(response, Failure):
+            return response
+        version = _version(response)
+        if version is None:
+            return Failure(kind=Kind.STORE_UNAVAILABLE, detail="answer without ETag")
+        return StoredObject(key=key, value=response.data, version=version)
+
+    def list(self, prefix: str) -> tuple[StoredObject, ...] | Failure:
+        """Read all objects whose keys start with the prefix, in key order."""
+        batch = self._read_batch({"prefix": prefix}, self._timeout_s)
+        return batch if isinstance(batch, Failure) else batch.objects
+
+    def put(
+        self, key: str, value: bytes, *, expected_version: int | None
+    ) -> StoredObject | Failure:
+        """Write if the version is as expected; 0 expects no object, None any."""
+        headers = _condition(expected_version)
+        headers["Content-Type"] = "application/octet-stream"
+        response = self._write("PUT", key, headers, value)
+        if isinstance(response, Failure):
+            return response
+        version = _version(response)
+        if version is None:
+            return _unknown("answer without ETag")
+        return StoredObject(key=key, value=value, version=version)
+
+    def delete(self, key: str, *, expected_version: int | None) -> Failure | None:
+        """Delete if the version is as expected."""
+        response = self._write("DELETE", key, _condition(expected_version), None)
+        return response if isinstance(response, Failure) else None
+
+    def watch(
+        self, prefix: str, *, after_revision: int, timeout_s: float
+    ) -> WatchBatch | Failure:
+        """Wait until an object under the prefix changes after a revision."""
+        query = {
+            "prefix": prefix,
+            "watch": "1",
+            "after": str(after_revision),
+            "timeout": f"{timeout_s:g}",
+        }
+        return self._read_batch(query, timeout_s + WATCH_MARGIN_S)
+
+    def _read_batch(
+        self, query: dict[str, str], timeout_s: float
+    ) -> WatchBatch | Failure:
+        response = self._read(f"{OBJECTS_PATH}?{urlencode(query)}", timeout_s)
+        if isinstance(response, Failure):
+            return response
+        try:
+            return _parse_batch(response.data)
+        except (ValueError, KeyError, TypeError) as error:
+            detail = f"malformed answer: {type(error).__name__}"
+            return Failure(kind=Kind.STORE_UNAVAILABLE, detail=detail)
+
+    def _read(self, path: str, timeout_s: float) -> urllib3.BaseHTTPResponse | Failure:
+        try:
+            response = self._request("GET", path, {}, None, timeout_s)
+        except http_errors.HTTPError as error:
+            return Failure(kind=Kind.STORE_UNAVAILABLE, detail=type(error).__name__)
+        if response.status == 200:
+            return response
+        kind = _KIND_BY_STATUS.get(response.status, Kind.STORE_UNAVAILABLE)
+        return Failure(kind=kind, detail=f"status {response.status}")
+
+    def _write(
+        self, method: str, key: str, headers: dict[str, str], value: bytes | None
+    ) -> urllib3.BaseHTTPResponse | Failure:
+        try:
+            response = self._request(
+                method, _path(key), headers, value, self._timeout_s
+            )
+        except _NOT_SENT as error:
+            return Failure(kind=Kind.STORE_UNAVAILABLE, detail=type(error).__name__)
+        except http_errors.HTTPError as error:
+            return _unknown(type(error).__name__)
+        if response.status in (200, 201, 204):
+            return response
+        kind = _KIND_BY_STATUS.get(response.status)
+        if kind is None:
+            return _unknown(f"status {response.status}")
+        return Failure(kind=kind, detail=f"{key}: status {response.status}")
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout_s: float,
+    ) -> urllib3.BaseHTTPResponse:
+        return self._pool.urlopen(
+            method,
+            path,
+            body=body,
+            headers=headers,
+            redirect=False,
+            timeout=urllib3.Timeout(connect=self._timeout_s, read=timeout_s),
+        )
+
+
+def _path(key: str) -> str:
+    return f"{OBJECTS_PATH}/{quote(key, safe='/')}"
+
+
+def _condition(expected_version: int | None) -> dict[str, str]:
+    if expected_version is None:
+        return {}
+    if expected_version == 0:
+        return {"If-None-Match": "*"}
+    return {"If-Match": f'"{expected_version}"'}
+
+
+def _version(response: urllib3.BaseHTTPResponse) -> int | None:
+    tag = response.headers.get("ETag", "").strip('"')
+    return int(tag) if tag.isdecimal() else None
+
+
+def _unknown(detail: str) -> Failure:
+    return Failure(kind=Kind.STORE_OUTCOME_UNKNOWN, detail=detail)
+
+
+def _parse_batch(data: bytes) -> WatchBatch:
+    plain: dict[str, Any] = json.loads(data)
+    objects = tuple(
+        StoredObject(
+            key=str(row["key"]),
+            value=base64.b64decode(row["value"], validate=True),
+            version=int(row["version"]),
+        )
+        for row in plain["objects"]
+    )
+    return WatchBatch(revision=int(plain["revision"]), objects=objects)
