--- a/src/comfreytray/admin.py
+++ b/src/comfreytray/admin.py
@@ -10,7 +10,7 @@
 import re
 from collections.abc import Callable, Iterable, Mapping
 from enum import Enum
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 from urllib.parse import parse_qs, unquote
 
 import attrs
@@ -40,7 +40,7 @@
     """Digest of the text that the operator began to edit, from `If-Match`."""
     remote_host: str = ""
 
-    def number(self, name: str) -> int | None | Failure:
+    def number(self, name: str) -> int | Failure | None:
         """Read a whole number from the query."""
         value = self.query.get(name)
         if value is None:
@@ -75,7 +75,7 @@
     if attrs.has(type(value)):
         return {
             attribute.name.lstrip("_"): plain(getattr(value, attribute.name))
-            for attribute in attrs.fields(type(value))
+            for attribute in attrs.fields(cast(Any, type(value)))
         }
     if isinstance(value, Mapping):
         return {str(plain(key)): plain(item) for key, item in value.items()}
--- a/src/comfreytray/cli.py
+++ b/src/comfreytray/cli.py
@@ -8,6 +8,7 @@
 import os
 import sys
 import time
+import warnings
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -95,7 +96,7 @@
         Example: comfreytray customer show clb-ha-noi --language=vi
         """
         session = _Session(flags)
-        query = {"version": version, "language": session.language}
+        query: dict[str, object] = {"version": version, "language": session.language}
         session.run(
             lambda c: c.ask("GET", "items", self._kind, name, query=query),
             display.item,
@@ -160,6 +161,8 @@
 
         Example: comfreytray node --region=mien-bac --data_centre=ha-noi-1
         """
+        # Eventlet is the users' choice; its notice would only fill their logs.
+        warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
         import eventlet
 
         eventlet.monkey_patch()
--- a/src/comfreytray/display.py
+++ b/src/comfreytray/display.py
@@ -1,7 +1,6 @@
 """Text for people from the administration API's answers."""
 
 from collections.abc import Iterable
-from datetime import UTC, datetime
 from typing import Any
 
 from comfreytray.messages import text as _
@@ -19,14 +18,10 @@
     return "\n".join(line.rstrip() for line in lines)
 
 
-def _time(seconds: float) -> str:
-    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
-
-
 def items(result: Any, language: str) -> str:
     """Show a list of items."""
     if not result:
-        return _("nothing to show", language=language)
+        return _("display.nothing", language=language)
     return "\n".join(entry["name"] for entry in result)
 
 
@@ -37,13 +32,13 @@
 
 def check(result: Any, language: str) -> str:
     """Say that a text may be accepted."""
-    return _("the text is valid and may be accepted", language=language)
+    return _("display.valid", language=language)
 
 
 def change(result: Any, language: str) -> str:
     """Say which version a change became."""
     return _(
-        "accepted as version {version}",
+        "display.accepted",
         language=language,
         version=str(result["head"]["version"]),
     )
@@ -52,15 +47,17 @@
 def diff(result: Any, language: str) -> str:
     """Show the differences of an item's text."""
     lines = result["text"] if isinstance(result, dict) else result
-    return str(lines).rstrip("\n") or _("nothing to show", language=language)
+    return str(lines).rstrip("\n") or _("display.nothing", language=language)
 
 
 def versions(result: Any, language: str) -> str:
     """Show a list of versions."""
+    if not result:
+        return _("display.nothing", language=language)
     return _table(
         [
             entry["version"],
-            _time(entry["accepted_at_s"]),
+            entry["accepted_at"],
             entry["operator"],
             entry["summary"],
         ]
@@ -72,7 +69,7 @@
     """Say where a version stands."""
     lines = [
         _(
-            "version {version}: in force on {in_force} of {total} nodes",
+            "display.status",
             language=language,
             version=str(result["version"]),
             in_force=str(result["in_force"]),
@@ -108,7 +105,7 @@
         for service, records in result.items()
         for record in records
     ]
-    return _table(rows) or _("nothing to show", language=language)
+    return _table(rows) or _("display.nothing", language=language)
 
 
 def tree(result: Any, language: str, indent: int = 0) -> str:
--- a/src/comfreytray/logs.py
+++ b/src/comfreytray/logs.py
@@ -1,9 +1,11 @@
 """Log events: one line of key=value pairs each, from a closed list of names."""
 
 import json
+import logging as standard_logging
+from datetime import UTC, datetime
 from enum import Enum
 
-from absl import logging
+from absl import flags, logging
 
 
 class Event(Enum):
@@ -67,3 +69,24 @@
 def warn(event: Event, **fields: object) -> None:
     """Log an event that an operator should look at."""
     logging.warning("%s", format_event(event, fields))
+
+
+class _LineFormatter(standard_logging.Formatter):
+    """Put time and level before an event as pairs of their own."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        at = datetime.fromtimestamp(record.created, UTC)
+        stamp = at.isoformat(timespec="milliseconds")
+        text = record.getMessage()
+        if not text.startswith("event="):
+            text = f"message={json.dumps(text)}"
+        return f"time={stamp} level={record.levelname.lower()} {text}"
+
+
+def configure(level: str) -> None:
+    """Write events of a level and above to standard error."""
+    if not flags.FLAGS.is_parsed():
+        flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.get_absl_handler().setFormatter(_LineFormatter())
+    logging.set_verbosity(level)
--- a/src/comfreytray/node.py
+++ b/src/comfreytray/node.py
@@ -10,14 +10,14 @@
 
 import eventlet
 import eventlet.wsgi
-from absl import logging
 
+from comfreytray import logs
 from comfreytray.admin import AdminApi
 from comfreytray.adminroutes import add_routes
 from comfreytray.announcements import AnnouncementDesk
 from comfreytray.clock import SystemClock
 from comfreytray.compiler import compile_snapshot
-from comfreytray.content import Content
+from comfreytray.content import Content, decode_head
 from comfreytray.distribution import Distributor
 from comfreytray.errors import Failure, Kind
 from comfreytray.exceptions import SettingError
@@ -36,7 +36,6 @@
 from comfreytray.storewatch import StoreWatcher
 from comfreytray.tasks import TaskGroup
 from comfreytray.transport import Transport
-from comfreytray.versions import decode_head
 
 TICK_S = 0.1
 SEEDS_PERIOD_S = 1.0
@@ -197,9 +196,7 @@
         http = self._listen(stack, settings.http_port)
         streams = self._listen(stack, settings.call_port)
         administration = self._listen(stack, settings.admin_port)
-        self.admin = AdminApi(
-            token=settings.admin_token, message_for=self.message_for
-        )
+        self.admin = AdminApi(token=settings.admin_token, message_for=self.message_for)
         add_routes(self.admin, self)
         tasks.spawn("http", lambda: self.calls.serve_http(http))
         tasks.spawn("streams", lambda: self.calls.serve_streams(streams))
@@ -314,8 +311,7 @@
 def run(settings: Settings) -> int:
     """Run a node until SIGTERM or SIGINT; return the exit code."""
     check(settings)
-    logging.set_verbosity(settings.log_level)
-    logging.use_absl_handler()
+    logs.configure(settings.log_level)
     node = Node(settings=settings)
 
     def stop(_: int, __: FrameType | None) -> None:
--- a/src/comfreytray/settings.py
+++ b/src/comfreytray/settings.py
@@ -14,6 +14,7 @@
 PREFIX = "COMFREYTRAY"
 MAX_PORT = 65535
 MASK = "***"
+LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
 def _refuse(name: str, value: object, allowed: str) -> SettingError:
@@ -52,6 +53,12 @@
         raise _refuse(getattr(attribute, "name", "?"), value, "vi, fr or en")
 
 
+def _level(_: object, attribute: object, value: str) -> None:
+    if value not in LOG_LEVELS:
+        name = getattr(attribute, "name", "?")
+        raise _refuse(name, value, ", ".join(LOG_LEVELS))
+
+
 def _port(default: int) -> int:
     return environ.var(  # type: ignore[no-any-return]
         default=default, converter=int, validator=_number(0, MAX_PORT)
@@ -106,7 +113,7 @@
     trace_file: str = environ.var(
         default="", help="File or - for finished spans; empty turns tracing off"
     )
-    log_level: str = environ.var(default="info", help="debug, info, warning or error")
+    log_level: str = environ.var(default="info", validator=_level)
 
 
 SECRETS = frozenset({"admin_token"})
