Add the two example deployments and the reader of folders

Ruled out: parameter names without spaces; operators who write Vietnamese would have to invent spellings.

Change: places, templates and three customers for each deployment; a folder is read into one change.

Before: no example.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -7,3 +7,14 @@
 
   Scenario: Every message has a text in every language
     Then no catalogue lacks a kind, a cause, a word or a message of the code
+
+  Scenario Outline: The example deployment is accepted as one version
+    When the folder "<folder>" is accepted in "<language>"
+    Then its <customers> customers route only to the services of its places
+    And its places hold <endpoints> endpoints in 6 data centres
+    And every text comes back the same from each language
+
+    Examples:
+      | folder   | language | customers | endpoints |
+      | clubs    | vi       | 3         | 12        |
+      | le-bihan | fr       | 3         | 13        |
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -6,6 +6,7 @@
 from babel.messages.mofile import read_mo
 from babel.messages.pofile import read_po
 from behave import given, then, when
+from ruamel.yaml import YAML
 
 from comfreytray import messages
 from comfreytray.causes import Cause
@@ -13,12 +14,14 @@
 from comfreytray.content import Content
 from comfreytray.documents import ItemKind
 from comfreytray.errors import Failure, Kind
+from comfreytray.folders import read_folder
 from comfreytray.languages import Word, vocabulary
 from comfreytray.operations import Operations
 from comfreytray.rendering import translate
 from comfreytray.templates import parse
 from comfreytray.testing import FakeClock, MemoryStore
 
+EXAMPLES = Path(__file__).parents[2] / "examples"
 SOURCE = Path(messages.__file__).parent
 TEMPLATE = """# Đặt sân
 mẫu: dat-san
@@ -147,3 +150,58 @@
             wanted = fields_by_id.setdefault(one, _fields(text))
             assert _fields(text) == wanted, f"{language} {one}: other fields"
         assert len(vocabulary(language).spelling_by_word) == len(Word)
+
+
+@when('the folder "{folder}" is accepted in "{language}"')
+def accept_folder(context, folder, language):
+    context.folder, context.language = EXAMPLES / folder, language
+    context.operations = operations(MemoryStore())
+    context.items = succeeded(read_folder(context.folder, language=language))
+    context.result = succeeded(
+        context.operations.edit_many(context.items, operator="An", language=language)
+    )
+
+
+@then("its {count:d} customers route only to the services of its places")
+def check_services(context, count):
+    content = Content(blob_by_digest=dict(context.result.new_blobs))
+    snapshot = succeeded(compile_snapshot(context.result.head, content))
+    context.places = YAML(typ="safe").load(context.folder / "places.yaml")
+    assert len(snapshot.routes_by_customer) == count
+    assert snapshot.services == set(context.places["services"])
+
+
+@then("its places hold {count:d} endpoints in 6 data centres")
+def check_places(context, count):
+    centres = [one for each in context.places["regions"].values() for one in each]
+    services = context.places["services"].values()
+    assert len(centres) == len(set(centres)) == 6
+    assert all(set(one["endpoints"]) <= set(centres) for one in services)
+    assert sum(sum(one["endpoints"].values()) for one in services) == count
+
+
+@then("every text comes back the same from each language")
+def check_texts(context):
+    own = vocabulary(context.language)
+    templates = {}
+    for item in context.items:
+        parsed = succeeded(
+            parse(item.kind, item.text, own, file="", templates=templates)
+        )
+        if item.kind is ItemKind.TEMPLATE:
+            templates[item.name] = parsed.document
+        for language in messages.LANGUAGES:
+            view = succeeded(
+                context.operations.show(item.kind, item.name, language=language)
+            )
+            there = succeeded(
+                parse(
+                    item.kind,
+                    view.text,
+                    vocabulary(language),
+                    file="",
+                    templates=templates,
+                )
+            )
+            assert there.document == parsed.document
+            assert translate(view.text, there, own, templates=templates) == item.text
--- a/src/comfreytray/causes.py
+++ b/src/comfreytray/causes.py
@@ -48,3 +48,4 @@
     BAD_TIMEOUT = "bad-timeout"
     BAD_SHARE = "bad-share"
     OTHER_NAME = "other-name"
+    FOLDER_EMPTY = "folder-empty"
--- /dev/null
+++ b/src/comfreytray/folders.py
@@ -0,0 +1,42 @@
+"""Read a folder of templates and customers for one change."""
+
+from pathlib import Path
+
+from comfreytray.causes import Cause
+from comfreytray.drafts import ItemText
+from comfreytray.errors import Failure
+from comfreytray.languages import vocabulary
+from comfreytray.templates import identify, invalid
+from comfreytray.yamltext import MAX_TEXT_BYTES, Problem
+
+ITEM_PATTERNS = ("templates/*.yaml", "customers/*.yaml")
+
+
+def read_folder(directory: Path, *, language: str) -> list[ItemText] | Failure:
+    """Read the texts under `templates` and `customers`, in order of their names."""
+    items: list[ItemText] = []
+    for pattern in ITEM_PATTERNS:
+        for path in sorted(directory.glob(pattern)):
+            item = _read_file(path, language)
+            if isinstance(item, Failure):
+                return item
+            items.append(item)
+    if not items:
+        problem = Problem(cause=Cause.FOLDER_EMPTY)
+        return invalid(problem, ", ".join(ITEM_PATTERNS), language, str(directory))
+    return items
+
+
+def _read_file(path: Path, language: str) -> ItemText | Failure:
+    with path.open("rb") as file:
+        data = file.read(MAX_TEXT_BYTES + 1)
+    try:
+        text = data.decode()
+    except UnicodeDecodeError:
+        problem = Problem(cause=Cause.YAML_CHARACTER)
+        return invalid(problem, "", language, str(path))
+    found = identify(text, vocabulary(language))
+    if isinstance(found, Problem):
+        return invalid(found, "", language, str(path))
+    kind, name = found
+    return ItemText(kind=kind, name=name, text=text, language=language, file=str(path))
--- a/src/comfreytray/templates.py
+++ b/src/comfreytray/templates.py
@@ -45,6 +45,7 @@
 MAX_HOSTS = 100
 MAX_TEXT_VALUE = 2000
 _NAME = re.compile(r"[^\W_](?:[\w-]{0,62}[^\W_])?")
+_PARAMETER_NAME = re.compile(r"[^\W_](?:[\w -]{0,62}[^\W_])?")
 _HOST = re.compile(r"(?!-)[a-z0-9-]{1,63}(?<!-)(\.(?!-)[a-z0-9-]{1,63}(?<!-))*")
 _CONTROL = frozenset({"Cc", "Cs", "Zl", "Zp"})
 _SAMPLE = "x"
@@ -57,6 +58,10 @@
 WORD_BY_TYPE = {kind: word for word, kind in TYPE_BY_WORD.items()}
 TEMPLATE_WORDS = (Word.TEMPLATE, Word.DESCRIPTION, Word.PARAMETERS, Word.ROUTES)
 CUSTOMER_WORDS = (Word.CUSTOMER, Word.TEMPLATE, Word.HOSTS, Word.PARAMETERS)
+KIND_BY_WORD = {
+    Word.CUSTOMER: ItemKind.CUSTOMER,
+    Word.TEMPLATE: ItemKind.TEMPLATE,
+}
 PARAMETER_WORDS = (Word.TYPE, Word.DEFAULT)
 ROUTE_WORDS = (
     Word.NAME,
@@ -96,27 +101,30 @@
         self.instead = instead
 
 
-def identify(text: str, vocabulary: Vocabulary) -> tuple[ItemKind, str] | None:
-    """Tell which item a text describes; None if it can't be told."""
+def identify(text: str, words: Vocabulary) -> tuple[ItemKind, str] | Problem:
+    """Tell which item a text describes."""
     node = read(clean(text))
+    if isinstance(node, Problem):
+        return node
     if not isinstance(node, Mapping):
-        return None
-    scalar_by_word = {
-        vocabulary.word(key.value, CUSTOMER_WORDS): value.value.strip()
+        return Problem(cause=Cause.NEEDS_MAPPING, mark=node.mark)
+    name_by_word = {
+        words.word(key.value, CUSTOMER_WORDS): normalise(value.value.strip())
         for key, value in node.entries
         if isinstance(value, Scalar)
     }
-    if Word.CUSTOMER in scalar_by_word:
-        return ItemKind.CUSTOMER, scalar_by_word[Word.CUSTOMER]
-    if Word.TEMPLATE in scalar_by_word:
-        return ItemKind.TEMPLATE, scalar_by_word[Word.TEMPLATE]
-    return None
+    for word, kind in KIND_BY_WORD.items():
+        if word in name_by_word:
+            return kind, name_by_word[word]
+    spelling = words.spelling(Word.TEMPLATE)
+    fields = {"keyword": spelling}
+    return Problem(cause=Cause.KEYWORD_MISSING, mark=node.mark, fields=fields)
 
 
 def parse(
     kind: ItemKind,
     text: str,
-    vocabulary: Vocabulary,
+    words: Vocabulary,
     *,
     file: str,
     templates: dict[str, Template] | None = None,
@@ -125,8 +133,8 @@
     """Read a document; a customer's values are typed by its template."""
     node = read(clean(text), pause=pause)
     if isinstance(node, Problem):
-        return invalid(node, "", vocabulary.language, file)
-    reader = _Reader(vocabulary=vocabulary)
+        return invalid(node, "", words.language, file)
+    reader = _Reader(vocabulary=words)
     try:
         document = (
             reader.template(node)
@@ -134,7 +142,7 @@
             else reader.customer(node, templates or {})
         )
     except _Refusal as refusal:
-        return invalid(refusal.problem, refusal.instead, vocabulary.language, file)
+        return invalid(refusal.problem, refusal.instead, words.language, file)
     return Parsed(
         document=document,
         tokens=tuple(reader.tokens),
@@ -269,11 +277,11 @@
 
     def _name(self, by_word: dict[Word, Node], word: Word, mark: Mark) -> str:
         node = self._need(by_word, word, mark)
-        return self._checked_name(node)
+        return self._checked_name(node, _NAME)
 
-    def _checked_name(self, node: Node) -> str:
+    def _checked_name(self, node: Node, pattern: re.Pattern[str]) -> str:
         name = self._text(node)
-        if _NAME.fullmatch(name) is None:
+        if pattern.fullmatch(name) is None:
             self._refuse(Cause.BAD_NAME, node.mark, name=name)
         return name
 
@@ -311,7 +319,7 @@
             self._refuse(Cause.LIST_SIZE, node.mark, limit=str(MAX_PARAMETERS))
         named: dict[str, tuple[str, Scalar, Node]] = {}
         for key, value in node.entries:
-            name = self._checked_name(key)
+            name = self._checked_name(key, _PARAMETER_NAME)
             if name in named:
                 self._refuse(Cause.NAME_TWICE, key.mark, name=name)
             named[name] = (name, key, value)
