--- a/src/comfreytray/rendering.py
+++ b/src/comfreytray/rendering.py
@@ -5,7 +5,6 @@
 from comfreytray.documents import (
     Customer,
     Document,
-    ItemKind,
     ParameterType,
     RouteTemplate,
     Setting,
@@ -68,22 +67,6 @@
     return "\n".join(lines) + "\n"
 
 
-def same_meaning(
-    kind: ItemKind,
-    one: str,
-    other: str,
-    *,
-    vocabularies: tuple[Vocabulary, Vocabulary],
-    templates: dict[str, Template],
-) -> bool:
-    """Tell whether two texts in two languages have one canonical form."""
-    first = parse(kind, one, vocabularies[0], file="", templates=templates)
-    second = parse(kind, other, vocabularies[1], file="", templates=templates)
-    if not isinstance(first, Parsed) or not isinstance(second, Parsed):
-        return False
-    return first.document == second.document
-
-
 def _quote(text: str) -> str:
     return json.dumps(text, ensure_ascii=False)
 
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -10,7 +10,7 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
-warnings.filterwarnings("ignore", message=".*[Ee]ventlet is deprecated.*")
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
 import eventlet
@@ -47,6 +47,8 @@
     """Wait before each call is carried out."""
     lose_answers: int = 0
     """How many of the next writes take effect but have their connection cut."""
+    lose_prefix: str = ""
+    """Lose only answers about keys with this prefix."""
     stale_reads: int = 0
     """How many of the next reads answer with the value before the last write."""
     watch_delay_s: float = 0.0
@@ -118,7 +120,7 @@
         stored = self.store.put(key, value, expected_version=_expected(environ))
         if isinstance(stored, Failure):
             return _answer(start, STATUS_BY_KIND[stored.kind])
-        if self._loses_answer(environ):
+        if self._loses_answer(key, environ):
             return []
         return _answer(start, "200 OK", b"", stored.version)
 
@@ -128,12 +130,12 @@
         failed = self.store.delete(key, expected_version=_expected(environ))
         if failed is not None:
             return _answer(start, STATUS_BY_KIND[failed.kind])
-        if self._loses_answer(environ):
+        if self._loses_answer(key, environ):
             return []
         return _answer(start, "204 No Content")
 
-    def _loses_answer(self, environ: Environ) -> bool:
-        if self.faults.lose_answers <= 0:
+    def _loses_answer(self, key: str, environ: Environ) -> bool:
+        if self.faults.lose_answers <= 0 or not key.startswith(self.faults.lose_prefix):
             return False
         self.faults.lose_answers -= 1
         environ["wsgi.input"].get_socket().shutdown(socket.SHUT_RDWR)
