--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(VENV)/bin/mypy
 
 test: setup
-	$(PY) -m behave --format progress --no-capture --no-color features
+	$(PY) -m behave --format progress3 --no-color features
 
 demo: setup
 	$(PY) examples/demo.py
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -76,7 +76,7 @@
         template="equipe",
         booking=Booking(
             host="quimper.lebihan.example",
-            path="/devis/acomptes",
+            path="/secteurs/cornouaille/acomptes",
             service="devis",
             entry_region="morbihan",
         ),
@@ -389,7 +389,7 @@
             fetch_json(
                 f"http://127.0.0.1:{deployment.store_port}/faults",
                 method="PUT",
-                body={"down": True},
+                body={"outage": True},
             )
             return "the store answers no call"
 
--- a/src/comfreytray/adminroutes.py
+++ b/src/comfreytray/adminroutes.py
@@ -6,10 +6,10 @@
 import eventlet
 from attrs import frozen
 
+from comfreytray import messages
 from comfreytray.admin import AdminApi, Request, parse_json
 from comfreytray.announcements import parse_announcement
 from comfreytray.errors import Failure, Kind
-from comfreytray.messages import text
 from comfreytray.operations import ChangeResult, ItemKind, ItemText
 from comfreytray.records import NodeRecord
 from comfreytray.settings import effective
@@ -285,7 +285,7 @@
 
 
 def _lagging(laggard: Laggard, language: str) -> Lagging:
-    message = text(
+    message = messages.text(
         f"lag.{laggard.lag.value}",
         language=language,
         detail=laggard.detail,
@@ -300,7 +300,7 @@
 
 
 def _unreachable(route: Route, language: str) -> UnreachableRoute:
-    message = text(
+    message = messages.text(
         "route.no-endpoint",
         language=language,
         customer=route.customer,
--- a/src/comfreytray/cli.py
+++ b/src/comfreytray/cli.py
@@ -15,11 +15,10 @@
 
 import fire
 
-from comfreytray import display, settings
+from comfreytray import display, messages, settings
 from comfreytray.adminclient import AdminClient
 from comfreytray.errors import EXIT_NOT_YET_IN_FORCE, EXIT_USAGE, Failure, Kind
 from comfreytray.exceptions import SettingError
-from comfreytray.messages import text
 
 POLL_S = 0.2
 WAIT_LIMIT_S = 60.0
@@ -62,7 +61,7 @@
 
     def fail(self, failure: Failure) -> None:
         """Print why the command failed and end with the kind's exit code."""
-        message = text(failure, language=self.language)
+        message = messages.text(failure, language=self.language)
         if failure.detail and failure.kind is not Kind.NODE_UNREACHABLE:
             message = failure.detail
         if self.as_json:
@@ -271,7 +270,7 @@
     except SettingError as error:
         language = os.environ.get("COMFREYTRAY_LANGUAGE", "en")
         known = language if language in ("vi", "fr", "en") else "en"
-        print(text(error.failure, language=known), file=sys.stderr)
+        print(messages.text(error.failure, language=known), file=sys.stderr)
         raise SystemExit(EXIT_USAGE) from None
     except FileNotFoundError as error:
         print(f"{error.filename}: {error.strerror}", file=sys.stderr)
--- a/src/comfreytray/display.py
+++ b/src/comfreytray/display.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from comfreytray.messages import text as _
+from comfreytray import messages
 
 
 def _table(rows: Iterable[Iterable[object]]) -> str:
@@ -21,7 +21,7 @@
 def items(result: Any, language: str) -> str:
     """Show a list of items."""
     if not result:
-        return _("display.nothing", language=language)
+        return messages.text("display.nothing", language=language)
     return "\n".join(entry["name"] for entry in result)
 
 
@@ -32,12 +32,12 @@
 
 def check(result: Any, language: str) -> str:
     """Say that a text may be accepted."""
-    return _("display.valid", language=language)
+    return messages.text("display.valid", language=language)
 
 
 def change(result: Any, language: str) -> str:
     """Say which version a change became."""
-    return _(
+    return messages.text(
         "display.accepted",
         language=language,
         version=str(result["head"]["version"]),
@@ -47,13 +47,15 @@
 def diff(result: Any, language: str) -> str:
     """Show the differences of an item's text."""
     lines = result["text"] if isinstance(result, dict) else result
-    return str(lines).rstrip("\n") or _("display.nothing", language=language)
+    return str(lines).rstrip("\n") or messages.text(
+        "display.nothing", language=language
+    )
 
 
 def versions(result: Any, language: str) -> str:
     """Show a list of versions."""
     if not result:
-        return _("display.nothing", language=language)
+        return messages.text("display.nothing", language=language)
     return _table(
         [
             entry["version"],
@@ -68,7 +70,7 @@
 def status(result: Any, language: str) -> str:
     """Say where a version stands."""
     lines = [
-        _(
+        messages.text(
             "display.status",
             language=language,
             version=str(result["version"]),
@@ -105,7 +107,7 @@
         for service, records in result.items()
         for record in records
     ]
-    return _table(rows) or _("display.nothing", language=language)
+    return _table(rows) or messages.text("display.nothing", language=language)
 
 
 def tree(result: Any, language: str, indent: int = 0) -> str:
--- a/src/comfreytray/node.py
+++ b/src/comfreytray/node.py
@@ -11,7 +11,7 @@
 import eventlet
 import eventlet.wsgi
 
-from comfreytray import logs
+from comfreytray import logs, messages
 from comfreytray.admin import AdminApi
 from comfreytray.adminroutes import add_routes
 from comfreytray.announcements import AnnouncementDesk
@@ -24,7 +24,6 @@
 from comfreytray.interfaces import Address
 from comfreytray.logs import Event, log
 from comfreytray.membership import Membership
-from comfreytray.messages import text
 from comfreytray.metrics import Metrics
 from comfreytray.operations import Operations
 from comfreytray.proxy import CallPath
@@ -222,12 +221,15 @@
 
     def _keep_seeds(self) -> None:
         self.seeds.find()
-        self.membership.start(self.seeds.addresses)
+        asked = self.seeds.addresses
+        self.membership.start(asked)
         while True:
             eventlet.sleep(SEEDS_PERIOD_S)
             self.seeds.tick(self.membership.view)
-            if len(self.membership.view.by_id) <= 1:
-                self.membership.start(self.seeds.addresses)
+            strangers = self.seeds.strangers(self.membership.view)
+            if strangers and strangers != asked:
+                self.membership.start(strangers)
+            asked = strangers
 
     def _listen(self, stack: ExitStack, port: int) -> Any:
         listener = eventlet.listen((self.settings.host, port), backlog=LISTEN_BACKLOG)
@@ -272,7 +274,7 @@
 
     def message_for(self, failure: Failure, language: str) -> str:
         """Give the text for a failure in the first language that is known."""
-        return text(failure, language=_first_language(language))
+        return messages.text(failure, language=_first_language(language))
 
 
 def _first_language(accepted: str) -> str:
--- a/src/comfreytray/reconciliation.py
+++ b/src/comfreytray/reconciliation.py
@@ -19,6 +19,7 @@
 """Filled buckets of a member that knows only itself."""
 JOIN_INTERVAL_S = 1.0
 JOIN_FANOUT = 3
+MAX_SEEDS_ASKED = 16
 SYNC_INTERVAL_S = 10.0
 SYNC_AGAIN_S = 1.0
 """Wait before the next comparison after one that changed something."""
@@ -68,8 +69,10 @@
     def join(self, me: NodeRecord, seeds: Iterable[Address]) -> None:
         """Ask some first peers for their tables, now and until one answers."""
         known = {*self._seeds, me.control_address}
-        self._seeds.extend(seed for seed in seeds if seed not in known)
-        self._ask_seeds(me)
+        asked = [seed for seed in seeds if seed != me.control_address]
+        self._seeds.extend(seed for seed in asked if seed not in known)
+        for seed in self._random.sample(asked, min(MAX_SEEDS_ASKED, len(asked))):
+            self._network.send_datagram(seed, self._digest(me))
 
     def hurry(self) -> None:
         """Compare tables at the next tick."""
--- a/src/comfreytray/seeds.py
+++ b/src/comfreytray/seeds.py
@@ -19,6 +19,8 @@
 """Age at which a listed seed may be replaced by another member."""
 FIRST_WRITE_SPREAD_S = 2.0
 """Longest random wait before the first write into an empty list."""
+RELIST_MIN_S = 2.0
+RELIST_MAX_S = 60.0
 RETRY_MIN_S = 0.5
 RETRY_MAX_S = 30.0
 MAX_SEED_BYTES = 16_384
@@ -104,7 +106,8 @@
     _found: tuple[Address, ...] = ()
     _due_at: float = 0.0
     _retry_s: float = RETRY_MIN_S
-    _listed_before: bool = False
+    _relist_at: float = 0.0
+    _relist_s: float = RELIST_MIN_S
     _store_down: bool = field(default=False)
 
     @property
@@ -134,22 +137,38 @@
             (near if stored.key == self.key else far).extend(listed)
         self._found = (*near, *far)
         wait = RENEW_INTERVAL_S if near else FIRST_WRITE_SPREAD_S
-        self._due_at = self.clock.monotonic() + self.random.uniform(0.0, wait)
+        now = self.clock.monotonic()
+        self._due_at = now + self.random.uniform(0.0, wait)
+        self._relist_at = now + self._relist_s * self.random.uniform(0.8, 1.2)
+        self._relist_s = min(RELIST_MAX_S, self._relist_s * 2)
         return None
 
     def tick(self, view: MembershipView) -> None:
         """Find peers or renew this node's entry when that is due."""
         now = self.clock.monotonic()
-        if now < self._due_at:
+        if now < self._due_at and now < self._relist_at:
             return
         alone = len(view.by_id) <= 1
-        if alone and not self._listed_before:
-            self._listed_before = True
-            self.find()
-            return
-        self._due_at = now + RENEW_INTERVAL_S * self.random.uniform(0.8, 1.2)
-        if alone or self._is_elected(view):
-            self._renew(alone)
+        elected = alone or self._is_elected(view)
+        if now >= self._due_at:
+            self._due_at = now + RENEW_INTERVAL_S * self.random.uniform(0.8, 1.2)
+            if elected:
+                self._renew(alone)
+        if now >= self._relist_at:
+            self._relist_at = now + RELIST_MAX_S
+            if elected:
+                self._list_again()
+
+    def strangers(self, view: MembershipView) -> tuple[Address, ...]:
+        """List the first peers that are no members: groups that never met."""
+        met = {record.control_address for record in view.by_id.values()}
+        return tuple(address for address in self.addresses if address not in met)
+
+    def _list_again(self) -> None:
+        """Read the lists, so that groups that formed apart find each other."""
+        due_at = self._due_at
+        if self.find() is None:
+            self._due_at = due_at
 
     def _is_elected(self, view: MembershipView) -> bool:
         here = self.me.data_centre
