Add bench-config: convergence and control bytes on the pure decisions

Needed: convergence and bytes for the two deployments and growing fleets, calm, with a tenth killed, a region cut and the store down after acceptance, against a baseline in which each node fetches the full set.

The decisions run on the fake clock and a fake network that knows regions, delays and purposes; real processes for hundreds of nodes were ruled out for this part as the machine's own noise would hide the delays. Bytes include estimated IP, TCP and UDP headers.

--- /dev/null
+++ b/benchmarks/_places.py
@@ -0,0 +1,104 @@
+"""The places and sizes of the deployments that the benchmarks run."""
+
+from attrs import frozen
+
+DAY_S = 86_400.0
+
+
+@frozen(kw_only=True)
+class Deployment:
+    """Describe where a deployment's nodes are and how far apart."""
+
+    name: str
+    data_centres_by_region: dict[str, tuple[str, ...]]
+    endpoints_by_service: dict[str, int]
+    customers: int
+    data_centre_delay_s: float
+    region_delay_s: float
+    store_region: str
+    slots: int = 12
+    connections: int = 110
+    local_delay_s: float = 0.0003
+
+    @property
+    def nodes(self) -> int:
+        """Count the nodes: one beside each endpoint."""
+        return sum(self.endpoints_by_service.values())
+
+    def places(self) -> list[tuple[str, str]]:
+        """List region and data centre of each node, spread evenly."""
+        centres = [
+            (region, centre)
+            for region, names in self.data_centres_by_region.items()
+            for centre in names
+        ]
+        return [centres[number % len(centres)] for number in range(self.nodes)]
+
+    def services(self) -> list[str]:
+        """List the service beside each node."""
+        return [
+            service
+            for service, count in self.endpoints_by_service.items()
+            for _ in range(count)
+        ]
+
+    def delay_s(self, source: tuple[str, str], target: tuple[str, str]) -> float:
+        """Give the one-way delay between two places."""
+        if source[0] != target[0]:
+            return self.region_delay_s
+        if source[1] != target[1]:
+            return self.data_centre_delay_s
+        return self.local_delay_s
+
+
+def _centres(*regions: str, count: int = 2) -> dict[str, tuple[str, ...]]:
+    return {
+        region: tuple(f"{region}-{number + 1}" for number in range(count))
+        for region in regions
+    }
+
+
+CLUBS = Deployment(
+    name="clubs",
+    data_centres_by_region=_centres("mien-bac", "mien-trung", "mien-nam"),
+    endpoints_by_service={"lichbay": 6, "antoan": 6},
+    customers=200,
+    data_centre_delay_s=0.0015,
+    region_delay_s=0.030,
+    store_region="mien-bac",
+)
+LE_BIHAN = Deployment(
+    name="le-bihan",
+    data_centres_by_region=_centres("armor", "finistere", "morbihan"),
+    endpoints_by_service={"chantier": 7, "devis": 6},
+    customers=120,
+    data_centre_delay_s=0.001,
+    region_delay_s=0.030,
+    store_region="armor",
+    slots=6,
+    connections=130,
+)
+DESIGN_NODES = 760
+DESIGN_SERVICES = 67
+DESIGN_CALLS_PER_S = 53_000
+DESIGN_CHANGES_PER_DAY = 1300
+DESIGN_FAILURES_PER_DAY = 2
+DESIGN_REPLACEMENTS_PER_DAY = 110
+
+
+def grown(nodes: int, customers: int = 600) -> Deployment:
+    """Make a deployment of the design's shape with a number of nodes."""
+    services = min(DESIGN_SERVICES, nodes)
+    each, more = divmod(nodes, services)
+    endpoints_by_service = {
+        f"service-{number + 1:02}": each + (number < more) for number in range(services)
+    }
+    return Deployment(
+        name=f"design-{nodes}",
+        data_centres_by_region=_centres("region-1", "region-2"),
+        endpoints_by_service=endpoints_by_service,
+        customers=customers,
+        data_centre_delay_s=0.0015,
+        region_delay_s=0.030,
+        store_region="region-1",
+    )
--- /dev/null
+++ b/benchmarks/_simulation.py
@@ -0,0 +1,408 @@
+"""Many nodes' pure decisions in one process: members, versions and a fake network."""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+import msgpack
+from attrs import define, field
+from comfreytray.distribution import Distributor
+from comfreytray.membership import Membership
+from comfreytray.storewatch import HEAD_KEY, WATCH_TIMEOUT_S, StoreWatcher, blob_key
+
+from benchmarks._places import Deployment
+from comfreytray import wire
+from comfreytray.content import (
+    PAGE_COUNT,
+    Content,
+    Head,
+    VersionRecord,
+    encode_page,
+    encode_record,
+    page_of,
+)
+from comfreytray.errors import Failure
+from comfreytray.interfaces import Address
+from comfreytray.metrics import Metrics
+from comfreytray.records import Endpoint, NodeRecord
+from comfreytray.snapshots import Snapshot
+from comfreytray.testing import FakeClock, FakeNetwork, MemoryStore
+
+CONTROL_PORT = 8082
+TICK_S = 0.1
+STEP_S = 0.02
+DATAGRAM_HEAD_BYTES = 28
+"""IP and UDP headers."""
+STREAM_HEAD_BYTES = 56
+"""IP and TCP headers and the frame's own length."""
+JITTER = 0.1
+SEEDS = 4
+VERSION_BODY_BYTES = 700
+
+Place = tuple[str, str]
+
+
+def purpose_of(message: object) -> str:
+    """Name what a message is for: its module and class."""
+    kind = type(message)
+    return f"{kind.__module__.rpartition('.')[2]}.{kind.__name__.lower()}"
+
+
+class RegionalNetwork(FakeNetwork):
+    """Delay messages by place and count them by purpose and regions."""
+
+    def __init__(self, *, clock: FakeClock, seed: int, deployment: Deployment) -> None:
+        super().__init__(clock=clock, seed=seed)
+        self.deployment = deployment
+        self.place_by_host: dict[str, Place] = {}
+        self.cut_regions: set[frozenset[str]] = set()
+        self.bytes_by_flow: Counter[tuple[str, str, str]] = Counter()
+        self.messages_by_purpose: Counter[str] = Counter()
+        self.bytes_by_host: Counter[str] = Counter()
+
+    def send(
+        self, source: Address, to: Address, message: object, *, datagram: bool
+    ) -> None:
+        """Queue a message with the delay between the two places."""
+        data = wire.encode(message)
+        here, there = self.place_by_host[source[0]], self.place_by_host.get(to[0])
+        if there is None:
+            return
+        head = DATAGRAM_HEAD_BYTES if datagram else STREAM_HEAD_BYTES
+        purpose = purpose_of(message)
+        self.bytes_by_flow[purpose, here[0], there[0]] += len(data) + head
+        self.bytes_by_host[source[0]] += len(data) + head
+        self.bytes_by_host[to[0]] += len(data) + head
+        self.messages_by_purpose[purpose] += 1
+        self.messages_sent += 1
+        if frozenset((here[0], there[0])) in self.cut_regions:
+            return
+        delay = self.deployment.delay_s(here, there)
+        delay *= 1 + self.random.uniform(0, JITTER)
+        due = self.clock.now + delay
+        if not datagram:
+            due = max(due, self._stream_end_by_pair.get((source, to), 0.0))
+            self._stream_end_by_pair[source, to] = due
+        entry = (due, next(self._sequence), source, to, data, datagram)
+        heapq.heappush(self._queue, entry)
+
+    def cross_region_bytes(self, purposes: tuple[str, ...] = ()) -> int:
+        """Sum the bytes between regions, of some purposes or of all."""
+        return sum(
+            size
+            for (purpose, source, target), size in self.bytes_by_flow.items()
+            if source != target and (not purposes or purpose.startswith(purposes))
+        )
+
+    def reset_counts(self) -> None:
+        """Start counting anew."""
+        self.bytes_by_flow.clear()
+        self.messages_by_purpose.clear()
+        self.bytes_by_host.clear()
+
+
+@define(kw_only=True, eq=False)
+class SimulatedNode:
+    """Hold the decisions of one node."""
+
+    record: NodeRecord
+    membership: Membership
+    distributor: Distributor
+    watcher: StoreWatcher
+    metrics: Metrics
+    content: Content
+    alive: bool = True
+    watch_due_s: float = 0.0
+    watched_revision: int = 0
+    fetch_due_s: float = 0.0
+
+
+class Versions:
+    """Make versions of the configuration as an operator's edits do."""
+
+    def __init__(self, *, customers: int, seed: int) -> None:
+        self._random = random.Random(seed)
+        self.content = Content()
+        self.body_by_key = {
+            f"customer/{number:04}": self._body() for number in range(customers)
+        }
+        for number in range(8):
+            self.body_by_key[f"template/{number:02}"] = self._body()
+        self.head: Head | None = None
+
+    def _body(self) -> bytes:
+        words = [f"{self._random.getrandbits(40):x}" for _ in range(20)]
+        text = " ".join(f"parameter_{n}={word}" for n, word in enumerate(words))
+        return msgpack.packb(["item", text, "x" * (VERSION_BODY_BYTES - len(text))])
+
+    def change(self) -> tuple[Head, dict[bytes, bytes]]:
+        """Edit one customer and return the version with the blobs that are new."""
+        key = self._random.choice(sorted(self.body_by_key))
+        body = bytearray(self.body_by_key[key])
+        place = self._random.randrange(30, 200)
+        body[place : place + 12] = b"%012x" % self._random.getrandbits(48)
+        self.body_by_key[key] = bytes(body)
+        return self.build(key)
+
+    def build(self, changed: str = "") -> tuple[Head, dict[bytes, bytes]]:
+        """Make a version of the present bodies."""
+        known = set(self.content.blob_by_digest)
+        parts_by_page: list[dict[str, tuple[bytes, ...]]] = [
+            {} for _ in range(PAGE_COUNT)
+        ]
+        for key, body in self.body_by_key.items():
+            parts_by_page[page_of(key)][key] = (self.content.add(body),)
+        pages = tuple(self.content.add(encode_page(page)) for page in parts_by_page)
+        version = 1 if self.head is None else self.head.version + 1
+        record = VersionRecord(
+            version=version,
+            parent=b"" if self.head is None else self.head.digest,
+            pages=pages,
+            change_id=f"change-{version}",
+            operator="operator",
+            language="en",
+            accepted_at_s=0.0,
+            summary="edit",
+            changed_keys=(changed,) if changed else (),
+        )
+        digest = self.content.add(encode_record(record))
+        self.head = Head(version=version, digest=digest)
+        blobs = self.content.blob_by_digest
+        return self.head, {one: blobs[one] for one in blobs.keys() - known}
+
+    @property
+    def total_bytes(self) -> int:
+        """Sum the bodies, as a reader of the full set fetches them."""
+        return sum(len(key) + len(body) for key, body in self.body_by_key.items())
+
+
+def _encode_head(head: Head) -> bytes:
+    return msgpack.packb([head.version, head.digest])
+
+
+def _decode_head(data: bytes) -> Head | Failure:
+    version, digest = msgpack.unpackb(data)
+    return Head(version=version, digest=digest)
+
+
+def _compile(head: Head, content: Content) -> Snapshot | Failure:
+    return Snapshot(head=head)
+
+
+class Mesh:
+    """Run the nodes of a deployment on a fake clock."""
+
+    def __init__(self, *, deployment: Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.random = random.Random(seed)
+        self.clock = FakeClock()
+        self.network = RegionalNetwork(
+            clock=self.clock, seed=seed, deployment=deployment
+        )
+        self.store = MemoryStore()
+        self.versions = Versions(customers=deployment.customers, seed=seed)
+        self.by_id: dict[str, SimulatedNode] = {}
+        self.applied_at_by_version: dict[int, dict[str, float]] = {}
+        self.at_step: list[Callable[[], None]] = []
+        self._started = 0
+        self._step = 0
+        self._head_changed_s = 0.0
+
+    # Nodes
+
+    def start_all(self) -> None:
+        """Accept a first version and start all nodes."""
+        head, blobs = self.versions.build()
+        self.write(head, blobs)
+        places, services = self.deployment.places(), self.deployment.services()
+        for place, service in zip(places, services, strict=True):
+            self.start(place, service)
+
+    def start(self, place: Place, service: str) -> SimulatedNode:
+        """Start a node at a place."""
+        number = self._started
+        self._started += 1
+        host = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
+        self.network.place_by_host[host] = place
+        record = NodeRecord(
+            node_id=f"node-{number:05}",
+            incarnation=int(self.clock.now),
+            region=place[0],
+            data_centre=place[1],
+            host=host,
+            control_port=CONTROL_PORT,
+            call_port=CONTROL_PORT + 1,
+        )
+        node = self._make(record)
+        self.by_id[record.node_id] = node
+        node.membership.start(self._seeds(record))
+        endpoint = Endpoint(
+            service=service,
+            instance_id=f"{service}-{number}",
+            slots=self.deployment.slots,
+            connections=self.deployment.connections,
+        )
+        node.membership.set_endpoint(endpoint)
+        return node
+
+    def _make(self, record: NodeRecord) -> SimulatedNode:
+        seed = self.random.getrandbits(32)
+        metrics, content = Metrics(), Content()
+        node_id = record.node_id
+
+        def receive(sender: Address, message: object, datagram: bool) -> None:
+            membership.receive(sender, message, datagram)
+            distributor.receive(sender, message)
+
+        port = self.network.attach(record.control_address, receive)
+        membership = Membership(
+            me=record,
+            clock=self.clock,
+            random=random.Random(seed),
+            network=port,
+            metrics=metrics,
+        )
+
+        def note(snapshot: Snapshot) -> None:
+            at_by_id = self.applied_at_by_version.setdefault(snapshot.head.version, {})
+            at_by_id[node_id] = self.clock.now
+
+        distributor = Distributor(
+            node=lambda: membership.me,
+            members=lambda: membership.view,
+            clock=self.clock,
+            random=random.Random(seed + 1),
+            network=port,
+            content=content,
+            compile_snapshot=_compile,
+            on_applied=note,
+            store_region=self.deployment.store_region,
+        )
+        watcher = StoreWatcher(
+            store=self.store,
+            distributor=distributor,
+            decode_head=_decode_head,
+            clock=self.clock,
+            random=random.Random(seed + 2),
+            metrics=metrics,
+        )
+        return SimulatedNode(
+            record=record,
+            membership=membership,
+            distributor=distributor,
+            watcher=watcher,
+            metrics=metrics,
+            content=content,
+        )
+
+    def _seeds(self, record: NodeRecord) -> list[Address]:
+        others = [node.record.control_address for node in self.living()]
+        others = [address for address in others if address != record.control_address]
+        return self.random.sample(others, min(SEEDS, len(others)))
+
+    def living(self) -> list[SimulatedNode]:
+        """List the nodes that were not killed."""
+        return [node for node in self.by_id.values() if node.alive]
+
+    def kill(self, node: SimulatedNode) -> None:
+        """End a node with no goodbye."""
+        node.alive = False
+        self.network.detach(node.record.control_address)
+        del self.by_id[node.record.node_id]
+
+    # Store
+
+    def write(self, head: Head, blobs: dict[bytes, bytes]) -> None:
+        """Put a version into the store, its head last."""
+        for digest, blob in blobs.items():
+            self.store.put(blob_key(digest), blob, expected_version=None)
+        self.store.put(HEAD_KEY, _encode_head(head), expected_version=None)
+        self._head_changed_s = self.clock.now
+
+    def accept(self, entry: SimulatedNode | None = None) -> Head:
+        """Accept one change, through a node if one is given."""
+        head, blobs = self.versions.change()
+        self.write(head, blobs)
+        if entry is not None:
+            entry.distributor.offer(head, blobs)
+        return head
+
+    def _ask_store(self, node: SimulatedNode) -> None:
+        now = self.clock.now
+        place = (node.record.region, node.record.data_centre)
+        store_place = (self.deployment.store_region, "store")
+        delay = self.deployment.delay_s(store_place, place)
+        if frozenset((store_place[0], place[0])) in self.network.cut_regions:
+            return
+        revision = self.store.revision
+        seen = now >= self._head_changed_s + delay
+        news = seen and revision != node.watched_revision
+        if now >= node.watch_due_s or (news and node.distributor.watches_store()):
+            watching = node.distributor.watches_store()
+            pause = node.watcher.watch_step()
+            node.watched_revision = revision
+            node.watch_due_s = now + pause + (WATCH_TIMEOUT_S if watching else 0)
+            if self.store.down:
+                node.watch_due_s = now + pause
+        if now >= node.fetch_due_s:
+            node.fetch_due_s = now + node.watcher.fetch_step() + 2 * delay
+
+    # Time
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.clock.now + seconds
+        while self.clock.now < end - 1e-9:
+            self._advance()
+
+    def run_until(self, holds: Callable[[], bool], limit_s: float) -> float:
+        """Let time pass until a condition holds; return the time, or infinity."""
+        begin = self.clock.now
+        while not holds():
+            if self.clock.now - begin > limit_s:
+                return float("inf")
+            self._advance()
+        return self.clock.now - begin
+
+    def _advance(self) -> None:
+        self.network.run_until(self.clock.now + STEP_S)
+        self._step += 1
+        steps = round(TICK_S / STEP_S)
+        for number, node in enumerate(list(self.by_id.values())):
+            if (number + self._step) % steps or not node.alive:
+                continue
+            node.membership.tick()
+            node.distributor.tick()
+            self._ask_store(node)
+        for callback in self.at_step:
+            callback()
+
+    # Questions
+
+    def all_joined(self) -> bool:
+        """Tell whether each living node sees all living ones and nobody else."""
+        count = len(self.by_id)
+        return all(len(node.membership.view.by_id) == count for node in self.living())
+
+    def in_force(self, head: Head) -> bool:
+        """Tell whether a version or a newer one is in force everywhere."""
+        for node in self.living():
+            snapshot = node.distributor.snapshot
+            if snapshot is None or snapshot.head.version < head.version:
+                return False
+        return True
+
+    def convergence_s(self, head: Head, since: float) -> list[float]:
+        """List how long the version took on each node that has applied it."""
+        at_by_id = self.applied_at_by_version.get(head.version, {})
+        return [at - since for at in at_by_id.values()]
+
+
+def evolve_customers(deployment: Deployment, customers: int) -> Deployment:
+    """Change how many customers a deployment has."""
+    return attrs.evolve(deployment, customers=customers)
+
+
+__all__ = ["Mesh", "SimulatedNode", "Versions", "evolve_customers", "field"]
--- /dev/null
+++ b/benchmarks/config.py
@@ -0,0 +1,257 @@
+"""Measure convergence and control bytes of accepted changes against a baseline.
+
+The baseline is kept here: each node watches the store and, for each change, fetches
+the full set of bodies.
+"""
+
+import sys
+import warnings
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import fire
+from absl import logging
+from attrs import define, field
+
+from benchmarks._places import CLUBS, LE_BIHAN, Deployment, grown
+from benchmarks._report import Report, fit, percentile
+from benchmarks._simulation import Mesh
+
+CHANGES = 10
+SETTLE_S = 2.0
+WARM_UP_S = 15.0
+LIMIT_S = 120.0
+CUT_S = 20.0
+KILLED_SHARE = 0.1
+SIZES = (25, 50, 100, 200, 400)
+DESIGN_NODES = 760
+MAX_TODAY_S = 2.0
+MAX_DESIGN_S = 8.0
+MIN_BYTES_RATIO = 20.0
+RATIO_FROM_NODES = 100
+STORE_READS_PER_S = 2000
+HTTP_HEAD_BYTES = 300
+"""Request and answer heads of one call to the store, with their TCP/IP headers."""
+BODY_PURPOSES = ("exchange.", "fetching.", "status.")
+"""Modules whose messages carry versions and their digests."""
+
+
+@define(kw_only=True)
+class Outcome:
+    """Hold what some changes cost."""
+
+    times_s: list[float] = field(factory=list)
+    complete_s: list[float] = field(factory=list)
+    cross_bytes: list[float] = field(factory=list)
+    node_bytes: list[float] = field(factory=list)
+    store_calls: int = 0
+    elapsed_s: float = 0.0
+
+
+def start_mesh(deployment: Deployment, seed: int) -> Mesh:
+    """Start a mesh and wait until its first version is in force."""
+    mesh = Mesh(deployment=deployment, seed=seed)
+    mesh.start_all()
+    head = mesh.versions.head
+    assert head is not None
+    mesh.run_until(mesh.all_joined, LIMIT_S)
+    mesh.run_until(lambda: mesh.in_force(head), 10 * LIMIT_S)
+    mesh.run(WARM_UP_S)
+    return mesh
+
+
+def baseline_cross_bytes(mesh: Mesh) -> float:
+    """Count what one change costs when each node fetches the full set."""
+    far = sum(
+        node.record.region != mesh.deployment.store_region for node in mesh.living()
+    )
+    return far * (mesh.versions.total_bytes + 2 * HTTP_HEAD_BYTES)
+
+
+def baseline_node_bytes(mesh: Mesh) -> float:
+    """Count what one change costs a node that fetches the full set."""
+    return mesh.versions.total_bytes + 2 * HTTP_HEAD_BYTES
+
+
+def baseline_convergence_s(mesh: Mesh) -> float:
+    """Give the time until the last node of the baseline has the full set.
+
+    The watch's answer, the question and its answer each cross the link once; the
+    store serves its reads in turn.
+    """
+    return 3 * mesh.deployment.region_delay_s + len(mesh.by_id) / STORE_READS_PER_S
+
+
+def make_changes(mesh: Mesh, changes: int, *, outage: bool = False) -> Outcome:
+    """Accept changes through random nodes and see them come into force."""
+    outcome = Outcome()
+    calls_before = sum(mesh.store.calls_by_kind.values())
+    writes_before = mesh.store.calls_by_kind.get("put", 0)
+    begin = mesh.clock.now
+    for _ in range(changes):
+        mesh.network.reset_counts()
+        since = mesh.clock.now
+        head = mesh.accept(mesh.random.choice(mesh.living()))
+        mesh.store.down = outage
+        took = mesh.run_until(lambda head=head: mesh.in_force(head), LIMIT_S)  # type: ignore[misc]
+        mesh.run(SETTLE_S)
+        mesh.store.down = False
+        outcome.complete_s.append(took)
+        outcome.times_s.extend(mesh.convergence_s(head, since))
+        outcome.cross_bytes.append(mesh.network.cross_region_bytes(BODY_PURPOSES))
+        total = sum(
+            size
+            for (purpose, _, _), size in mesh.network.bytes_by_flow.items()
+            if purpose.startswith(BODY_PURPOSES)
+        )
+        outcome.node_bytes.append(2 * total / len(mesh.by_id))
+    writes = mesh.store.calls_by_kind.get("put", 0) - writes_before
+    outcome.store_calls = sum(mesh.store.calls_by_kind.values()) - calls_before
+    outcome.store_calls -= writes
+    outcome.elapsed_s = mesh.clock.now - begin
+    return outcome
+
+
+def report_times(report: Report, name: str, outcome: Outcome, limit_s: float) -> None:
+    """Print the convergence of some changes."""
+    report.value(f"{name}.convergence.p50", percentile(outcome.times_s, 50), "s")
+    report.value(f"{name}.convergence.p99", percentile(outcome.times_s, 99), "s")
+    report.at_most(
+        f"{name}.convergence.max", max(outcome.complete_s, default=0.0), "s", limit_s
+    )
+
+
+def report_bytes(report: Report, name: str, mesh: Mesh, outcome: Outcome) -> None:
+    """Print the bytes of some changes beside the baseline's."""
+    cross = sum(outcome.cross_bytes) / len(outcome.cross_bytes)
+    node = sum(outcome.node_bytes) / len(outcome.node_bytes)
+    ratio = baseline_cross_bytes(mesh) / max(cross, 1.0)
+    report.value(f"{name}.cross-region", cross, "B/change")
+    report.value(f"{name}.node", node, "B/change")
+    report.value(
+        f"{name}.baseline.cross-region", baseline_cross_bytes(mesh), "B/change"
+    )
+    report.value(f"{name}.baseline.node", baseline_node_bytes(mesh), "B/change")
+    report.value(f"{name}.baseline.convergence.max", baseline_convergence_s(mesh), "s")
+    if len(mesh.by_id) >= RATIO_FROM_NODES:
+        report.at_least(f"{name}.cross-region.ratio", ratio, "x-fewer", MIN_BYTES_RATIO)
+    else:
+        report.value(f"{name}.cross-region.ratio", ratio, "x-fewer")
+
+
+def kill_share(mesh: Mesh, share: float) -> None:
+    """Kill a share of the nodes at once."""
+    living = mesh.living()
+    for node in mesh.random.sample(living, max(1, round(len(living) * share))):
+        mesh.kill(node)
+
+
+def run_calm(report: Report, mesh: Mesh, changes: int, limit_s: float) -> Outcome:
+    """Measure changes while nothing fails."""
+    name = f"{mesh.deployment.name}.calm"
+    outcome = make_changes(mesh, changes)
+    report_times(report, name, outcome, limit_s)
+    report_bytes(report, name, mesh, outcome)
+    rate = outcome.store_calls / outcome.elapsed_s
+    report.value(f"{name}.store-reads", rate, "calls/s")
+    return outcome
+
+
+def run_outage(report: Report, mesh: Mesh, changes: int, limit_s: float) -> None:
+    """Measure changes whose store goes down right after they are accepted."""
+    outcome = make_changes(mesh, changes, outage=True)
+    report_times(report, f"{mesh.deployment.name}.store-down", outcome, limit_s)
+
+
+def run_kills(report: Report, mesh: Mesh, limit_s: float) -> None:
+    """Measure a change at the moment when a tenth of the nodes dies."""
+    kill_share(mesh, KILLED_SHARE)
+    outcome = make_changes(mesh, 1)
+    report_times(report, f"{mesh.deployment.name}.killed-10%", outcome, limit_s)
+    mesh.run(WARM_UP_S)
+
+
+def run_cut(report: Report, mesh: Mesh, limit_s: float) -> None:
+    """Measure a change while one region is cut off, and after it is back."""
+    name = f"{mesh.deployment.name}.region-cut"
+    regions = list(mesh.deployment.data_centres_by_region)
+    cut = regions[-1]
+    mesh.network.cut_regions = {
+        frozenset((cut, other)) for other in regions if other != cut
+    }
+    inside = [node for node in mesh.living() if node.record.region != cut]
+    since = mesh.clock.now
+    head = mesh.accept(mesh.random.choice(inside))
+    took = mesh.run_until(
+        lambda: all(
+            node.distributor.held is not None
+            and node.distributor.held.version >= head.version
+            for node in inside
+        ),
+        LIMIT_S,
+    )
+    report.at_most(f"{name}.others.max", took, "s", limit_s)
+    mesh.run(max(0.0, CUT_S - (mesh.clock.now - since)))
+    mesh.network.cut_regions = set()
+    took = mesh.run_until(lambda: mesh.in_force(head), LIMIT_S)
+    report.at_most(f"{name}.after-heal.max", took, "s", limit_s)
+    report.value(
+        f"{name}.after-heal.members", mesh.run_until(mesh.all_joined, LIMIT_S), "s"
+    )
+
+
+def run_deployment(
+    report: Report, deployment: Deployment, changes: int, seed: int, limit_s: float
+) -> Outcome:
+    """Measure one deployment calm and under its failures."""
+    mesh = start_mesh(deployment, seed)
+    calm = run_calm(report, mesh, changes, limit_s)
+    run_outage(report, mesh, max(1, changes // 2), MAX_DESIGN_S)
+    run_cut(report, mesh, MAX_DESIGN_S)
+    run_kills(report, mesh, MAX_DESIGN_S)
+    return calm
+
+
+def report_slopes(report: Report, calm_by_size: dict[int, Outcome]) -> None:
+    """Fit what grows with the fleet and read it at the design size."""
+    if len(calm_by_size) < 2:
+        return
+    slowest = fit([(n, max(o.complete_s)) for n, o in calm_by_size.items()])
+    report.at_most(
+        f"slope.convergence.max.at-{DESIGN_NODES}",
+        slowest.at(DESIGN_NODES),
+        "s",
+        MAX_DESIGN_S,
+    )
+    report.value("slope.convergence.max.residual", slowest.residual, "s")
+    reads = fit([(n, o.store_calls / o.elapsed_s) for n, o in calm_by_size.items()])
+    report.value("slope.store-reads.per-node", reads.slope, "calls/s/node")
+    report.at_most(
+        f"slope.store-reads.at-{DESIGN_NODES}", reads.at(DESIGN_NODES), "calls/s", 10.0
+    )
+    report.value("slope.store-reads.residual", reads.residual, "calls/s")
+
+
+def main(*, smoke: bool = False, seed: int = 1, sizes: str = "") -> None:
+    """Run the benchmark; `--smoke` runs a short part of it."""
+    logging.set_verbosity(logging.ERROR)
+    report = Report()
+    report.note("pure decisions on a fake clock and network; bytes include headers")
+    changes = 3 if smoke else CHANGES
+    chosen = (10, 20) if smoke else SIZES
+    if sizes:
+        chosen = tuple(int(size) for size in str(sizes).strip("()").split(","))
+    for deployment in (CLUBS, LE_BIHAN):
+        run_deployment(report, deployment, changes, seed, MAX_TODAY_S)
+    calm_by_size = {
+        size: run_deployment(report, grown(size), changes, seed, MAX_DESIGN_S)
+        for size in chosen
+    }
+    report_slopes(report, calm_by_size)
+    report.finish()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
