Add bench-calls: the call path against four baselines

Needed: added latency at a node's own rate and at saturation, calls per core, goodput under overload and with one bad endpoint, retries and memory, each beside baselines of the same run.

Ways take turns round by round, since one idle process woken costs more here than its work; each caller is its own process. Capacity is set by slots (60 ms of work) so that the processors are not the limit.

--- /dev/null
+++ b/benchmarks/_fleet.py
@@ -0,0 +1,375 @@
+"""A real fleet on this machine: the store's stand-in, upstreams and nodes."""
+
+import time
+from collections import Counter
+from contextlib import ExitStack
+from types import TracebackType
+from typing import Any
+from urllib.parse import quote
+
+import urllib3
+from attrs import define, field
+
+from benchmarks._places import Deployment
+from benchmarks._processes import (
+    Ports,
+    Process,
+    fetch_json,
+    try_fetch_json,
+    wait_until,
+)
+
+HOST = "127.0.0.1"
+READY_TIMEOUT_S = 60.0
+OPERATOR = {"Comfreytray-Operator": "bench", "Accept-Language": "en"}
+START_BATCH = 20
+"""Nodes started before the next wait for readiness, to bound the machine's load."""
+
+TEMPLATE = """template: {name}
+parameters:
+  place: {{type: text}}
+routes:
+  - name: read
+    path: /$(place)/read
+    methods: [GET]
+    service: {service}
+    timeout: {timeout}
+  - name: book
+    path: /$(place)/book
+    methods: [POST]
+    service: {service}
+    idempotent: {idempotent}
+    timeout: {timeout}
+"""
+CUSTOMER = """customer: {name}
+template: {template}
+hosts: [{host}]
+parameters:
+  place: {place}
+"""
+
+
+@define(kw_only=True, eq=False)
+class FleetNode:
+    """Own a node's process and know its ports."""
+
+    node_id: str
+    region: str
+    data_centre: str
+    http_port: int
+    admin_port: int
+    control_port: int
+    call_port: int
+    arguments: list[str]
+    process: Process
+    upstream: Process | None = None
+    upstream_port: int = 0
+    service: str = ""
+
+    @property
+    def admin_url(self) -> str:
+        """Give the URL of the administration API."""
+        return f"http://{HOST}:{self.admin_port}"
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Give the address that takes calls."""
+        return (HOST, self.http_port)
+
+    def ask(self, path: str, **options: Any) -> Any:
+        """Ask the administration API and return its result."""
+        return fetch_json(f"{self.admin_url}/v1/{path}", **options)["result"]
+
+    def try_ask(self, path: str) -> Any | None:
+        """Ask the administration API; None if it does not answer."""
+        answer = try_fetch_json(f"{self.admin_url}/v1/{path}")
+        return None if answer is None else answer["result"]
+
+    def version(self) -> int:
+        """Return the version in force, 0 if none or unreachable."""
+        health = self.try_ask("health")
+        return 0 if health is None else int(health["version_in_force"])
+
+    def upstream_url(self, path: str) -> str:
+        """Give a URL of the stand-in's own paths."""
+        return f"http://{HOST}:{self.upstream_port}/standin/{path}"
+
+    def upstream_log(self) -> list[dict[str, Any]]:
+        """Return the requests that the upstream ran."""
+        return fetch_json(self.upstream_url("log"))  # type: ignore[no-any-return]
+
+    def set_faults(self, **faults: object) -> None:
+        """Set faults of the upstream."""
+        fetch_json(self.upstream_url("faults"), method="POST", body=faults)
+
+
+class Fleet:
+    """Own the processes of a fleet; a context manager that ends them all."""
+
+    def __init__(self, *, store_region: str = "local") -> None:
+        self.ports = Ports()
+        self.nodes: list[FleetNode] = []
+        self.store_region = store_region
+        self.store_port = self.ports.take()
+        self.store: Process | None = None
+        self._stack = ExitStack()
+
+    def __enter__(self) -> "Fleet":
+        self.start_store()
+        return self
+
+    def __exit__(
+        self,
+        _: type[BaseException] | None,
+        __: BaseException | None,
+        ___: TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    def own(self, process: Process) -> Process:
+        """End a process with the fleet."""
+        return self._stack.enter_context(process)
+
+    def start_store(self) -> Process:
+        """Start the store's stand-in."""
+        arguments = ["standins/object_store.py", f"--port={self.store_port}"]
+        self.store = self.own(Process(arguments=arguments, name="store"))
+        self.store.wait_for_output("store ready")
+        return self.store
+
+    def start_node(
+        self,
+        *,
+        region: str = "local",
+        data_centre: str = "local-1",
+        peers: str = "",
+        settings: dict[str, object] | None = None,
+        wait: bool = True,
+    ) -> FleetNode:
+        """Start a node."""
+        ports = {
+            name: self.ports.take()
+            for name in ("http_port", "admin_port", "control_port", "call_port")
+        }
+        node_id = f"node-{len(self.nodes):03}"
+        values: dict[str, object] = {
+            "node_id": node_id,
+            "region": region,
+            "data_centre": data_centre,
+            "host": HOST,
+            **ports,
+            "store_url": f"http://{HOST}:{self.store_port}",
+            "store_region": self.store_region,
+            "log_level": "warning",
+            **(settings or {}),
+        }
+        if peers:
+            values["peers"] = peers
+        arguments = ["-m", "comfreytray", "node"]
+        arguments += [f"--{name}={value}" for name, value in values.items()]
+        node = FleetNode(
+            node_id=node_id,
+            region=region,
+            data_centre=data_centre,
+            arguments=arguments,
+            process=self.own(Process(arguments=arguments, name=node_id)),
+            http_port=ports["http_port"],
+            admin_port=ports["admin_port"],
+            control_port=ports["control_port"],
+            call_port=ports["call_port"],
+        )
+        self.nodes.append(node)
+        if wait:
+            node.process.wait_for_output("ready node=", READY_TIMEOUT_S)
+        return node
+
+    def restart_node(self, node: FleetNode) -> None:
+        """Start a node's process again with its settings."""
+        node.process.kill()
+        node.process = self.own(Process(arguments=node.arguments, name=node.node_id))
+        node.process.wait_for_output("ready node=", READY_TIMEOUT_S)
+
+    def start_upstream(
+        self,
+        node: FleetNode,
+        service: str,
+        *,
+        slots: int = 12,
+        connections: int = 110,
+        **options: object,
+    ) -> Process:
+        """Start an upstream instance beside a node."""
+        port = self.ports.take()
+        values = {
+            "service": service,
+            "port": port,
+            "announce_url": f"{node.admin_url}/v1/announcement",
+            "slots": slots,
+            "connections": connections,
+            **options,
+        }
+        arguments = ["standins/upstream.py"]
+        arguments += [f"--{name}={value}" for name, value in values.items()]
+        process = self.own(Process(arguments=arguments, name=f"{service}:{port}"))
+        process.wait_for_output("ready service=")
+        node.upstream, node.upstream_port, node.service = process, port, service
+        return process
+
+    def start_deployment(
+        self, deployment: Deployment, *, upstreams: bool = True, **options: object
+    ) -> None:
+        """Start a node for each place, with its upstream or without."""
+        places, services = deployment.places(), deployment.services()
+        for number, (region, centre) in enumerate(places):
+            self.start_node(region=region, data_centre=centre, wait=False)
+            if number % START_BATCH == START_BATCH - 1:
+                self.wait_ready()
+        self.wait_ready()
+        if not upstreams:
+            return
+        for node, service in zip(self.nodes, services, strict=True):
+            self.start_upstream(
+                node,
+                service,
+                slots=deployment.slots,
+                connections=deployment.connections,
+                **options,
+            )
+
+    def wait_ready(self) -> None:
+        """Wait until all nodes have printed that they are ready."""
+        for node in self.nodes:
+            if node.process.running:
+                node.process.wait_for_output("ready node=", READY_TIMEOUT_S)
+
+    def living(self) -> list[FleetNode]:
+        """List the nodes whose process runs."""
+        return [node for node in self.nodes if node.process.running]
+
+    def wait_joined(self, timeout_s: float = READY_TIMEOUT_S) -> float:
+        """Wait until every living node sees all living ones."""
+        count = len(self.living())
+
+        def joined() -> bool:
+            for node in self.living():
+                health = node.try_ask("health")
+                if health is None or health["members"] != count:
+                    return False
+            return True
+
+        return wait_until(joined, timeout_s, f"{count} members everywhere")
+
+    def wait_endpoints(self, service: str, count: int, timeout_s: float = 30.0) -> None:
+        """Wait until every living node sees the endpoints of a service."""
+
+        def seen() -> bool:
+            for node in self.living():
+                by_service = node.try_ask("endpoints") or {}
+                if len(by_service.get(service, ())) != count:
+                    return False
+            return True
+
+        wait_until(seen, timeout_s, f"{count} endpoints of {service}")
+
+    def load_items(self, text_by_path: dict[str, str]) -> int:
+        """Accept many texts as one version and return it."""
+        result = self.living()[0].ask(
+            "load", method="POST", body=text_by_path, headers=OPERATOR, timeout_s=60.0
+        )
+        return int(result["head"]["version"])
+
+    def edit(self, node: FleetNode, path: str, text: str) -> int:
+        """Accept one text through a node and return its version."""
+        kind, _, name = path.partition("/")
+        url = f"{node.admin_url}/v1/items/{kind}/{quote(name)}"
+        answer = _edits.request(
+            "PUT", url, body=text.encode(), headers=OPERATOR, timeout=30.0
+        )
+        if answer.status >= 400:
+            raise RuntimeError(f"{answer.status} {answer.data!r}")
+        return int(answer.json()["result"]["head"]["version"])
+
+    def wait_version(self, version: int, timeout_s: float = READY_TIMEOUT_S) -> float:
+        """Wait until a version is in force on every living node."""
+        waiting = self.living()
+
+        def in_force() -> bool:
+            waiting[:] = [node for node in waiting if node.version() < version]
+            return not waiting
+
+        return wait_until(in_force, timeout_s, f"version {version}", poll_s=0.01)
+
+    def store_calls(self) -> Counter[str]:
+        """Return how often the store was called, by kind."""
+        return Counter(fetch_json(f"http://{HOST}:{self.store_port}/calls"))
+
+    def set_store_faults(self, **faults: object) -> None:
+        """Set faults of the store's stand-in."""
+        url = f"http://{HOST}:{self.store_port}/faults"
+        fetch_json(url, method="PUT", body=faults)
+
+    def counters(self) -> Counter[str]:
+        """Sum the counters of all living nodes."""
+        total: Counter[str] = Counter()
+        for node in self.living():
+            total.update(node.ask("metrics")["counters"])
+        return total
+
+
+_edits = urllib3.PoolManager(maxsize=2, retries=False)
+
+
+@define(kw_only=True)
+class Usage:
+    """Measure what processes use between two moments."""
+
+    processes: list[Process]
+    begin_s: float = field(factory=time.monotonic)
+    cpu_before: list[float] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.cpu_before = [process.cpu_s() for process in self.processes]
+
+    def cpu_shares(self) -> list[float]:
+        """Give the share of a core that each process has used."""
+        elapsed = time.monotonic() - self.begin_s
+        return [
+            (process.cpu_s() - before) / elapsed
+            for process, before in zip(self.processes, self.cpu_before, strict=True)
+        ]
+
+    def cpu_s(self) -> float:
+        """Give the processor time of all together."""
+        return sum(process.cpu_s() for process in self.processes) - sum(self.cpu_before)
+
+
+def simple_items(
+    service: str,
+    *,
+    customers: int = 1,
+    timeout: str = "5 s",
+    idempotent: str = "no",
+) -> dict[str, str]:
+    """Make a template for a service and customers that use it."""
+    template = f"use-{service}"
+    items = {
+        f"template/{template}": TEMPLATE.format(
+            name=template, service=service, timeout=timeout, idempotent=idempotent
+        )
+    }
+    for number in range(customers):
+        name = f"{service}-customer-{number:04}"
+        items[f"customer/{name}"] = customer_text(name, template)
+    return items
+
+
+def customer_text(name: str, template: str, place: str = "field") -> str:
+    """Make a customer's text."""
+    return CUSTOMER.format(
+        name=name, template=template, host=host_of(name), place=place
+    )
+
+
+def host_of(customer: str) -> str:
+    """Name the host whose calls belong to a customer."""
+    return f"{customer}.example"
--- a/benchmarks/_simulation.py
+++ b/benchmarks/_simulation.py
@@ -5,29 +5,32 @@
 from collections import Counter
 from collections.abc import Callable
 
-import attrs
 import msgpack
-from attrs import define, field
-from comfreytray.distribution import Distributor
-from comfreytray.membership import Membership
-from comfreytray.storewatch import HEAD_KEY, WATCH_TIMEOUT_S, StoreWatcher, blob_key
+from attrs import define
 
 from benchmarks._places import Deployment
 from comfreytray import wire
 from comfreytray.content import (
+    HEAD_KEY,
     PAGE_COUNT,
     Content,
     Head,
     VersionRecord,
+    blob_key,
+    decode_head,
+    encode_head,
     encode_page,
     encode_record,
     page_of,
 )
+from comfreytray.distribution import Distributor
 from comfreytray.errors import Failure
 from comfreytray.interfaces import Address
+from comfreytray.membership import Membership
 from comfreytray.metrics import Metrics
 from comfreytray.records import Endpoint, NodeRecord
 from comfreytray.snapshots import Snapshot
+from comfreytray.storewatch import WATCH_TIMEOUT_S, StoreWatcher
 from comfreytray.testing import FakeClock, FakeNetwork, MemoryStore
 
 CONTROL_PORT = 8082
@@ -135,7 +138,8 @@
     def _body(self) -> bytes:
         words = [f"{self._random.getrandbits(40):x}" for _ in range(20)]
         text = " ".join(f"parameter_{n}={word}" for n, word in enumerate(words))
-        return msgpack.packb(["item", text, "x" * (VERSION_BODY_BYTES - len(text))])
+        filler = "x" * (VERSION_BODY_BYTES - len(text))
+        return bytes(msgpack.packb(["item", text, filler]))
 
     def change(self) -> tuple[Head, dict[bytes, bytes]]:
         """Edit one customer and return the version with the blobs that are new."""
@@ -178,15 +182,6 @@
         return sum(len(key) + len(body) for key, body in self.body_by_key.items())
 
 
-def _encode_head(head: Head) -> bytes:
-    return msgpack.packb([head.version, head.digest])
-
-
-def _decode_head(data: bytes) -> Head | Failure:
-    version, digest = msgpack.unpackb(data)
-    return Head(version=version, digest=digest)
-
-
 def _compile(head: Head, content: Content) -> Snapshot | Failure:
     return Snapshot(head=head)
 
@@ -283,7 +278,7 @@
         watcher = StoreWatcher(
             store=self.store,
             distributor=distributor,
-            decode_head=_decode_head,
+            decode_head=decode_head,
             clock=self.clock,
             random=random.Random(seed + 2),
             metrics=metrics,
@@ -318,7 +313,7 @@
         """Put a version into the store, its head last."""
         for digest, blob in blobs.items():
             self.store.put(blob_key(digest), blob, expected_version=None)
-        self.store.put(HEAD_KEY, _encode_head(head), expected_version=None)
+        self.store.put(HEAD_KEY, encode_head(head), expected_version=None)
         self._head_changed_s = self.clock.now
 
     def accept(self, entry: SimulatedNode | None = None) -> Head:
@@ -398,11 +393,3 @@
         """List how long the version took on each node that has applied it."""
         at_by_id = self.applied_at_by_version.get(head.version, {})
         return [at - since for at in at_by_id.values()]
-
-
-def evolve_customers(deployment: Deployment, customers: int) -> Deployment:
-    """Change how many customers a deployment has."""
-    return attrs.evolve(deployment, customers=customers)
-
-
-__all__ = ["Mesh", "SimulatedNode", "Versions", "evolve_customers", "field"]
--- /dev/null
+++ b/benchmarks/calls.py
@@ -0,0 +1,460 @@
+"""Measure calls through nodes against baselines of the same run.
+
+Baselines: the upstream called directly, a bare byte relay (what one more process
+costs here whatever it does), the plain eventlet.wsgi + urllib3 pool proxy, and
+round robin with no limits.
+"""
+
+import json
+import sys
+import time
+import warnings
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import fire
+from attrs import define, field, frozen
+
+from benchmarks._fleet import Fleet, FleetNode, host_of, simple_items
+from benchmarks._processes import Process
+from benchmarks._report import Report, percentile
+
+CALLS_PER_S = 70.0
+MAX_ADDED_P99_MS = 0.52
+MAX_NODE_MB = 64.0
+ROUNDS = 4
+ROUND_S = 8.0
+WARM_UP_S = 1.0
+SATURATION_S = 5.0
+SATURATION_WORKERS = 16
+ENDPOINTS = 6
+SLOTS = 12
+WORK_MS = 60.0
+"""Long enough that capacity is set by slots and not by this machine's processors."""
+GOODPUT_S = 8.0
+DEADLINE_MS = 1000
+SERVICE = "lichbay"
+REMOTE_DELAY_MS = 60.0
+SLOW_FACTOR = 10.0
+LOAD_PROCESSES = 2
+
+
+@frozen(kw_only=True)
+class Way:
+    """Name a way to the upstream and the processes on it."""
+
+    name: str
+    address: tuple[str, int]
+    processes: tuple[Process, ...]
+
+
+@define(kw_only=True)
+class Samples:
+    """Hold what the calls of one way took, over all rounds."""
+
+    p50_ms: list[float] = field(factory=list)
+    p99_ms: list[float] = field(factory=list)
+    sent: int = 0
+    good: int = 0
+
+    def add(self, result: dict[str, Any]) -> None:
+        """Take in one round."""
+        self.p50_ms.append(result["p50_ms"])
+        self.p99_ms.append(result["p99_ms"])
+        self.sent += result["sent"]
+        self.good += result["good"]
+
+
+def start_caller(
+    targets: list[tuple[str, int]], **options: object
+) -> tuple[Process, Any]:
+    """Start a caller's process and return it with a function for its result."""
+    joined = ",".join(f"{host}:{port}" for host, port in targets)
+    arguments = ["standins/caller.py", f"--targets={joined}"]
+    arguments += [f"--{name}={value}" for name, value in options.items()]
+    process = Process(arguments=arguments, name="caller")
+
+    def result(timeout_s: float = 120.0) -> dict[str, Any]:
+        end = time.monotonic() + timeout_s
+        while process.running and time.monotonic() < end:
+            time.sleep(0.05)
+        text = process.output().strip().splitlines()
+        process.kill()
+        return json.loads(text[-1])  # type: ignore[no-any-return]
+
+    return process, result
+
+
+def call(targets: list[tuple[str, int]], **options: object) -> dict[str, Any]:
+    """Run one caller to its end."""
+    process, result = start_caller(targets, **options)
+    with process:
+        return result()  # type: ignore[no-any-return]
+
+
+def sum_results(results: list[dict[str, Any]]) -> dict[str, Any]:
+    """Join the results of callers that ran side by side."""
+    outcomes: dict[str, int] = {}
+    for result in results:
+        for name, count in result["outcomes"].items():
+            outcomes[name] = outcomes.get(name, 0) + count
+    return {
+        "sent": sum(result["sent"] for result in results),
+        "good": sum(result["good"] for result in results),
+        "wrong": sum(result["wrong"] for result in results),
+        "goodput": sum(result["goodput"] for result in results),
+        "p50_ms": percentile([result["p50_ms"] for result in results], 50),
+        "p99_ms": max(result["p99_ms"] for result in results),
+        "outcomes": outcomes,
+    }
+
+
+def call_side_by_side(
+    targets: list[tuple[str, int]], calls_per_s: float, **options: object
+) -> dict[str, Any]:
+    """Share a load among several callers."""
+    with ExitStack() as stack:
+        waits = []
+        for number in range(LOAD_PROCESSES):
+            process, result = start_caller(
+                targets,
+                calls_per_s=calls_per_s / LOAD_PROCESSES,
+                seed=number + 1,
+                **options,
+            )
+            stack.enter_context(process)
+            waits.append(result)
+        return sum_results([wait() for wait in waits])
+
+
+# Latency
+
+
+def start_baseline(fleet: Fleet, kind: str, ports: list[int]) -> tuple[Process, int]:
+    """Start a relay or proxy in front of ports."""
+    port = fleet.ports.take()
+    backends = ",".join(f"127.0.0.1:{one}" for one in ports)
+    arguments = [
+        "benchmarks/_baselines.py",
+        kind,
+        f"--port={port}",
+        f"--backends={backends}",
+    ]
+    process = fleet.own(Process(arguments=arguments, name=kind))
+    process.wait_for_output(f"ready {kind}")
+    return process, port
+
+
+def make_paths(fleet: Fleet) -> list[Way]:
+    """Start one upstream with its node, a second node and the baselines."""
+    entry = fleet.start_node()
+    owner = fleet.start_node()
+    fleet.wait_joined()
+    upstream = fleet.start_upstream(
+        owner, SERVICE, work_ms=0, slots=1000, connections=1000
+    )
+    fleet.wait_endpoints(SERVICE, 1)
+    fleet.wait_version(fleet.load_items(simple_items(SERVICE)))
+    relay, relay_port = start_baseline(fleet, "relay", [owner.upstream_port])
+    proxy, proxy_port = start_baseline(fleet, "proxy", [owner.upstream_port])
+    return [
+        Way(
+            name="direct",
+            address=("127.0.0.1", owner.upstream_port),
+            processes=(upstream,),
+        ),
+        Way(name="relay", address=("127.0.0.1", relay_port), processes=(relay,)),
+        Way(name="proxy", address=("127.0.0.1", proxy_port), processes=(proxy,)),
+        Way(name="one-node", address=owner.address, processes=(owner.process,)),
+        Way(
+            name="two-nodes",
+            address=entry.address,
+            processes=(entry.process, owner.process),
+        ),
+    ]
+
+
+def caller_options(path: str = "/field/read") -> dict[str, object]:
+    """Give the options of calls of the benchmark's customer."""
+    return {"path": path, "host": host_of(f"{SERVICE}-customer-0000")}
+
+
+def measure_latency(
+    report: Report, paths: list[Way], rounds: int, round_s: float
+) -> None:
+    """Compare the ways at a node's own rate, in turn so that noise hits all."""
+    samples_by_name = {path.name: Samples() for path in paths}
+    for number in range(rounds):
+        for path in paths:
+            result = call(
+                [path.address],
+                calls_per_s=CALLS_PER_S,
+                duration_s=round_s,
+                warmup_s=WARM_UP_S,
+                seed=number + 1,
+                **caller_options(),
+            )
+            samples_by_name[path.name].add(result)
+    direct = samples_by_name["direct"]
+    for path in paths:
+        samples = samples_by_name[path.name]
+        name = f"latency-70/s.{path.name}"
+        report.value(f"{name}.p50", percentile(samples.p50_ms, 50), "ms")
+        report.value(f"{name}.p99", percentile(samples.p99_ms, 50), "ms")
+        report.value(f"{name}.lost", samples.sent - samples.good, "calls")
+        if path.name == "direct":
+            continue
+        for share, ours, base in (
+            ("p50", samples.p50_ms, direct.p50_ms),
+            ("p99", samples.p99_ms, direct.p99_ms),
+        ):
+            added = percentile([a - b for a, b in zip(ours, base, strict=True)], 50)
+            if share == "p99" and path.name.endswith(("node", "nodes")):
+                report.at_most(f"{name}.added.p99", added, "ms", MAX_ADDED_P99_MS)
+            else:
+                report.value(f"{name}.added.{share}", added, "ms")
+
+
+def measure_saturation(report: Report, paths: list[Way], seconds: float) -> None:
+    """Find calls per second and per core when callers never pause."""
+    for path in paths:
+        before = [process.cpu_s() for process in path.processes]
+        result = call(
+            [path.address],
+            calls_per_s=0,
+            workers=SATURATION_WORKERS,
+            duration_s=seconds,
+            **caller_options(),
+        )
+        used = sum(
+            process.cpu_s() - start
+            for process, start in zip(path.processes, before, strict=True)
+        )
+        name = f"saturation.{path.name}"
+        report.value(f"{name}.calls", result["goodput"], "calls/s")
+        report.value(f"{name}.p50", result["p50_ms"], "ms")
+        report.value(f"{name}.p99", result["p99_ms"], "ms")
+        if used > 0 and result["sent"]:
+            report.value(f"{name}.cpu", used / result["sent"] * 1e3, "ms/call")
+            report.value(f"{name}.per-core", result["sent"] / used, "calls/s/core")
+
+
+def measure_memory(report: Report, fleet: Fleet, when: str) -> None:
+    """Report the largest node."""
+    largest = max(node.process.rss_mb() for node in fleet.living())
+    report.at_most(f"memory.node.{when}", largest, "MB", MAX_NODE_MB)
+
+
+def measure_ways(report: Report, *, smoke: bool) -> None:
+    """Measure latency, saturation and memory on one upstream."""
+    with Fleet() as fleet:
+        paths = make_paths(fleet)
+        measure_memory(report, fleet, "idle")
+        measure_latency(report, paths, 1 if smoke else ROUNDS, 2 if smoke else ROUND_S)
+        measure_saturation(report, paths, 1 if smoke else SATURATION_S)
+        measure_memory(report, fleet, "after-load")
+
+
+# Goodput
+
+
+def start_mesh(fleet: Fleet, work_ms: float = WORK_MS) -> list[FleetNode]:
+    """Start six endpoints of a service with their nodes."""
+    for number in range(ENDPOINTS):
+        centre = f"near-{number % 2 + 1}"
+        fleet.start_node(region="near", data_centre=centre, wait=False)
+    fleet.wait_ready()
+    fleet.wait_joined()
+    for node in fleet.nodes:
+        fleet.start_upstream(node, SERVICE, slots=SLOTS, work_ms=work_ms)
+    fleet.wait_endpoints(SERVICE, ENDPOINTS)
+    fleet.wait_version(fleet.load_items(simple_items(SERVICE)))
+    return list(fleet.nodes)
+
+
+def report_goodput(
+    report: Report, name: str, result: dict[str, Any], offered: float, capacity: float
+) -> None:
+    """Print what became of an offered load."""
+    ideal = min(offered, capacity)
+    report.value(f"{name}.goodput", result["goodput"], "calls/s")
+    report.value(f"{name}.goodput.share", result["goodput"] / ideal, "of-ideal")
+    report.value(f"{name}.p50", result["p50_ms"], "ms")
+    report.value(f"{name}.p99", result["p99_ms"], "ms")
+    report.value(f"{name}.wrong", result["wrong"], "answers")
+    unknown = sum(
+        count
+        for outcome, count in result["outcomes"].items()
+        if outcome.startswith("error") or outcome.endswith(":unknown")
+    )
+    report.value(f"{name}.not-whole-or-unknown", unknown, "calls")
+    shown = sorted(result["outcomes"].items(), key=lambda pair: -pair[1])[:4]
+    report.note(f"{name} outcomes {dict(shown)}")
+
+
+def retries(fleet: Fleet) -> int:
+    """Count the retries that the nodes made."""
+    return sum(
+        count for name, count in fleet.counters().items() if "retr" in name.lower()
+    )
+
+
+def measure_overload(
+    report: Report,
+    fleet: Fleet,
+    nodes: list[FleetNode],
+    seconds: float,
+    capacity: float,
+) -> None:
+    """Offer 1, 2 and 4 times the capacity to nodes and to round robin."""
+    proxy, port = start_baseline(fleet, "proxy", [node.upstream_port for node in nodes])
+    ways = {
+        "nodes": [node.address for node in nodes],
+        "round-robin": [("127.0.0.1", port)],
+    }
+    for times in (1, 2, 4):
+        for way, targets in ways.items():
+            before = retries(fleet)
+            result = call_side_by_side(
+                targets,
+                calls_per_s=times * capacity,
+                duration_s=seconds,
+                warmup_s=WARM_UP_S,
+                deadline_ms=DEADLINE_MS,
+                **caller_options(),
+            )
+            name = f"overload-x{times}.{way}"
+            report_goodput(report, name, result, times * capacity, capacity)
+            if way == "nodes":
+                spent = (retries(fleet) - before) / max(result["sent"], 1)
+                report.value(f"{name}.retries", spent, "per-call")
+    proxy.kill()
+
+
+def measure_faults(
+    report: Report,
+    fleet: Fleet,
+    nodes: list[FleetNode],
+    seconds: float,
+    capacity: float,
+) -> None:
+    """Offer half of the capacity while one endpoint of six misbehaves."""
+    proxy, port = start_baseline(fleet, "proxy", [node.upstream_port for node in nodes])
+    ways = {
+        "nodes": [node.address for node in nodes],
+        "round-robin": [("127.0.0.1", port)],
+    }
+    faults_by_name: dict[str, dict[str, object]] = {
+        "calm": {},
+        "one-slow": {"slow_factor": SLOW_FACTOR},
+        "one-lying": {"refuse": True, "lying_load": 0.0, "lying_state": "ready"},
+        "one-failing": {"fail_share": 1.0, "lying_load": 0.0, "lying_state": "ready"},
+        "one-cold": {"slow_factor": 4.0, "cold_s": 3600.0},
+    }
+    healthy = {
+        "slow_factor": 1.0,
+        "refuse": False,
+        "fail_share": 0.0,
+        "lying_load": None,
+        "lying_state": None,
+        "cold_s": 0.0,
+    }
+    victim = nodes[-1]
+    for fault, faults in faults_by_name.items():
+        for way, targets in ways.items():
+            victim.set_faults(**healthy)
+            time.sleep(2.0)
+            victim.set_faults(**faults)
+            time.sleep(1.5)
+            before, ran_before = retries(fleet), len(victim.upstream_log())
+            result = call_side_by_side(
+                targets,
+                calls_per_s=capacity / 2,
+                duration_s=seconds,
+                warmup_s=WARM_UP_S,
+                deadline_ms=DEADLINE_MS,
+                **caller_options(),
+            )
+            name = f"{fault}.{way}"
+            report_goodput(report, name, result, capacity / 2, capacity)
+            ran = len(victim.upstream_log()) - ran_before
+            report.value(f"{name}.to-the-one", ran / max(result["sent"], 1), "of-calls")
+            if way == "nodes":
+                spent = (retries(fleet) - before) / max(result["sent"], 1)
+                report.value(f"{name}.retries", spent, "per-call")
+    victim.set_faults(**healthy)
+    proxy.kill()
+
+
+def measure_far_region(report: Report, seconds: float) -> None:
+    """Put one endpoint of six a region away, its delay emulated at its upstream."""
+    with Fleet() as fleet:
+        for number in range(ENDPOINTS):
+            region = "far" if number == ENDPOINTS - 1 else "near"
+            fleet.start_node(region=region, data_centre=f"{region}-1", wait=False)
+        fleet.wait_ready()
+        fleet.wait_joined()
+        for node in fleet.nodes:
+            delay_ms = REMOTE_DELAY_MS if node.region == "far" else 0.0
+            fleet.start_upstream(
+                node, SERVICE, slots=SLOTS, work_ms=WORK_MS, delay_ms=delay_ms
+            )
+        fleet.wait_endpoints(SERVICE, ENDPOINTS)
+        fleet.wait_version(fleet.load_items(simple_items(SERVICE)))
+        near = [node for node in fleet.nodes if node.region == "near"]
+        far = fleet.nodes[-1]
+        proxy, port = start_baseline(
+            fleet, "proxy", [node.upstream_port for node in fleet.nodes]
+        )
+        capacity = ENDPOINTS * SLOTS / (WORK_MS / 1000)
+        ways = {
+            "nodes": [node.address for node in near],
+            "round-robin": [("127.0.0.1", port)],
+        }
+        for way, targets in ways.items():
+            ran_before = len(far.upstream_log())
+            result = call_side_by_side(
+                targets,
+                calls_per_s=capacity / 2,
+                duration_s=seconds,
+                warmup_s=WARM_UP_S,
+                deadline_ms=DEADLINE_MS,
+                **caller_options(),
+            )
+            name = f"one-far.{way}"
+            report_goodput(report, name, result, capacity / 2, capacity)
+            ran = len(far.upstream_log()) - ran_before
+            report.value(f"{name}.to-the-one", ran / max(result["sent"], 1), "of-calls")
+        proxy.kill()
+
+
+def measure_goodput(report: Report, *, smoke: bool) -> None:
+    """Measure goodput under overload and with one bad endpoint."""
+    seconds = 3.0 if smoke else GOODPUT_S
+    capacity = ENDPOINTS * SLOTS / (WORK_MS / 1000)
+    with Fleet() as fleet:
+        nodes = start_mesh(fleet)
+        if smoke:
+            return
+        measure_overload(report, fleet, nodes, seconds, capacity)
+        measure_faults(report, fleet, nodes, seconds, capacity)
+        measure_memory(report, fleet, "after-overload")
+    measure_far_region(report, seconds)
+
+
+def main(*, smoke: bool = False, part: str = "all") -> None:
+    """Run the benchmark; `--smoke` runs a short part of it."""
+    report = Report()
+    if part in ("all", "ways"):
+        measure_ways(report, smoke=smoke)
+    if part in ("all", "goodput"):
+        measure_goodput(report, smoke=smoke)
+    report.finish()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/benchmarks/config.py
+++ b/benchmarks/config.py
@@ -240,7 +240,7 @@
     report = Report()
     report.note("pure decisions on a fake clock and network; bytes include headers")
     changes = 3 if smoke else CHANGES
-    chosen = (10, 20) if smoke else SIZES
+    chosen: tuple[int, ...] = (10, 20) if smoke else SIZES
     if sizes:
         chosen = tuple(int(size) for size in str(sizes).strip("()").split(","))
     for deployment in (CLUBS, LE_BIHAN):
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -21,6 +21,7 @@
 LATE_S = 0.002
 """Lateness of the generator from which a call is timed from its planned start."""
 REASON_HEADER = "Comfreytray-Error"
+DEADLINE_HEADER = "Comfreytray-Deadline-Ms"
 RAN_HEADER = "Comfreytray-Ran"
 
 
@@ -244,6 +245,7 @@
     host: str = "",
     seed: int = 1,
     key_header: str = "",
+    deadline_ms: int = 0,
 ) -> None:
     """Call comma-separated addresses and print what became of it as JSON."""
     addresses = []
@@ -261,6 +263,7 @@
         host=host,
         seed=seed,
         key_header=key_header,
+        headers={DEADLINE_HEADER: str(deadline_ms)} if deadline_ms else {},
     )
     print(json.dumps(run_load(load).report()))
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -86,6 +86,8 @@
     work_s: float
     cold_until_s: float
     min_drain_s: float
+    delay_s: float
+    """Time on the way to and from the instance, spent without a slot."""
     faults: Faults = field(factory=Faults)
     started_s: float = field(factory=time.monotonic)
     in_use: int = 0
@@ -134,6 +136,8 @@
         """Answer one request."""
         if environ["PATH_INFO"].startswith("/standin/"):
             return self._control(environ, start_response)
+        if self.delay_s:
+            eventlet.sleep(self.delay_s)
         deadline_s = _deadline(environ)
         if deadline_s is not None and deadline_s <= 0:
             return _refuse(start_response, "504 Gateway Timeout", "deadline")
@@ -376,6 +380,7 @@
     slots: int = 12,
     connections: int = 110,
     work_ms: float = 1.0,
+    delay_ms: float = 0.0,
     cold_start_s: float = 0.0,
     min_drain_s: float = 4.0,
 ) -> None:
@@ -391,6 +396,7 @@
         work_s=work_ms / 1000,
         cold_until_s=time.monotonic() + cold_start_s,
         min_drain_s=min_drain_s,
+        delay_s=delay_ms / 1000,
     )
     signal.signal(signal.SIGTERM, lambda *_: upstream.drain())
     eventlet.spawn(_stop_when_drained, upstream, listener)
