Prove acceptance under faults and races; collect garbage safely

Cause: accepted changes must stand and refused ones never show, whatever the store and other operators do.

Ruled out: looking for a repeated change on every edit. Deleting garbage by age: a paused change could lose a blob; the head is touched between tracing and deleting instead.

Change: a hypothesis state machine over three operators on one faulty store (lost, unsent and late writes, stale reads, outages, crashes, races inside an operation, garbage collection), and pointed scenarios.

Before: untested.

--- /dev/null
+++ b/features/configuration_faults.feature
@@ -0,0 +1,18 @@
+Feature: Acceptance under faults and racing operators
+  @soak
+  Scenario: Accepted changes stand, refused ones never show
+    Then operators race through faults of the store and every promise holds
+
+  Scenario: An answer that was lost is recognised after others went on
+    Given a version that is accepted
+    When a change's answer is lost and two others accept theirs before it reads back
+    Then all three changes are accepted once, in one order
+
+  Scenario: The loser of a race reads who changed what and keeps its text
+    Given a version that is accepted
+    When two operators edit the same customer in French and in Vietnamese
+    Then the loser is told in Vietnamese and its text comes back
+
+  Scenario: Store calls for a change
+    Given a version that is accepted
+    Then an edit costs 1 read and 5 writes, a body over a megabyte is split
--- /dev/null
+++ b/features/steps/configuration_faults_steps.py
@@ -0,0 +1,571 @@
+import itertools
+import os
+import random
+import time
+from collections import deque
+
+import hypothesis
+from attrs import define, field, frozen
+from behave import given, then, when
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from comfreytray import messages, versions
+from comfreytray.compiler import compile_snapshot
+from comfreytray.content import (
+    BLOB_PREFIX,
+    HEAD_KEY,
+    MAX_BODY_BYTES,
+    Content,
+    decode_head,
+    digest_of,
+)
+from comfreytray.documents import (
+    Argument,
+    Customer,
+    ItemKind,
+    Parameter,
+    ParameterType,
+    RouteTemplate,
+    Setting,
+    Source,
+    Template,
+    decode_document,
+    item_key,
+)
+from comfreytray.errors import Failure, Kind
+from comfreytray.languages import vocabulary
+from comfreytray.operations import ItemText, Operations
+from comfreytray.rendering import render
+from comfreytray.testing import FakeClock, MemoryStore
+from comfreytray.versions import Edited, Versions
+
+SOAK_SECONDS = float(os.environ.get("COMFREYTRAY_SOAK_SECONDS", "0"))
+SOAK_SEED = int(os.environ.get("COMFREYTRAY_SOAK_SEED", "1"))
+EXAMPLES = 40
+STEPS = 20
+REPEAT_DEPTH = 3
+OPERATORS = (("Lan", "vi"), ("Anne", "fr"), ("Sam", "en"))
+FAULTS = (
+    *("ok",) * 6,
+    *("down", "lost", "unsent", "late", "flush", "stale"),
+    *("crash-before", "crash-after", "interrupt", "interrupt"),
+)
+NO_SOURCE = Source(language="", parts=())
+DID_NOT_RUN = {
+    Kind.CONFLICT,
+    Kind.INVALID_CONTENT,
+    Kind.NOTHING_CHANGED,
+    Kind.NOT_FOUND,
+    Kind.STORE_UNAVAILABLE,
+    Kind.OVERLOADED,
+    Kind.INCOMPLETE_VERSION,
+}
+
+
+class CrashError(Exception):
+    """The operator's process died."""
+
+
+@define(kw_only=True)
+class FaultyStore(MemoryStore):
+    """Play a script of faults, one for each call; check each head that it takes."""
+
+    script: deque = field(factory=deque)
+    late: list = field(factory=list)
+    on_interrupt: object = None
+    on_head: object = None
+
+    def _next(self):
+        fault = self.script.popleft() if self.script else "ok"
+        if fault == "interrupt" and self.on_interrupt is not None:
+            self.on_interrupt()
+        if fault == "flush":
+            self.flush()
+        if fault == "crash-before":
+            raise CrashError
+        return fault
+
+    def _read(self, call):
+        fault = self._next()
+        if fault in ("down", "lost", "unsent", "late"):
+            return Failure(kind=Kind.STORE_UNAVAILABLE)
+        self.stale_reads = 1 if fault == "stale" else 0
+        answer = call()
+        self.stale_reads = 0
+        if fault == "crash-after":
+            raise CrashError
+        return answer
+
+    def _write(self, call):
+        fault = self._next()
+        if fault == "down":
+            return Failure(kind=Kind.STORE_UNAVAILABLE)
+        unknown = Failure(kind=Kind.STORE_OUTCOME_UNKNOWN)
+        if fault == "unsent":
+            return unknown
+        if fault == "late":
+            self.late.append(call)
+            return unknown
+        answer = call()
+        if fault == "crash-after":
+            raise CrashError
+        return unknown if fault == "lost" else answer
+
+    def flush(self):
+        late, self.late = self.late, []
+        for call in late:
+            call()
+
+    def get(self, key):
+        return self._read(lambda: MemoryStore.get(self, key))
+
+    def list(self, prefix):
+        return self._read(lambda: MemoryStore.list(self, prefix))
+
+    def put(self, key, value, *, expected_version):
+        return self._write(
+            lambda: MemoryStore.put(self, key, value, expected_version=expected_version)
+        )
+
+    def delete(self, key, *, expected_version):
+        return self._write(
+            lambda: MemoryStore.delete(self, key, expected_version=expected_version)
+        )
+
+    def _answer(self, stored):
+        if stored.key == HEAD_KEY and self.on_head is not None:
+            self.on_head(decode_head(stored.value))
+        return stored
+
+
+@frozen(kw_only=True)
+class Attempt:
+    """What one operator asked for under one change id."""
+
+    operator: str
+    items: tuple = ()
+    roll_back: int | None = None
+
+
+@frozen(kw_only=True)
+class Step:
+    """One accepted version as the store took it."""
+
+    head: object
+    record: object
+    text_by_key: dict
+    digest_by_key: dict
+
+
+def raw_content(store):
+    content = Content()
+    for key, stored in store.object_by_key.items():
+        if key.startswith(BLOB_PREFIX):
+            content.put(bytes.fromhex(key.removeprefix(BLOB_PREFIX)), stored.value)
+    return content
+
+
+def raw_texts(content, items):
+    texts = {}
+    for key, body in items.items():
+        parts = decode_document(body).source.parts
+        assert all(part in content.blob_by_digest for part in parts), "text is whole"
+        texts[key] = b"".join(content.get(part) for part in parts).decode()
+    return texts
+
+
+def make_template(name, number):
+    limit = Parameter(name="limit", type=ParameterType.DURATION, default=1.0)
+    route = RouteTemplate(
+        name="r",
+        path=f"/{name}/{number}",
+        methods=("GET",),
+        service="chantier",
+        timeout_s=Setting(parameter="limit"),
+    )
+    return Template(
+        name=name,
+        description="",
+        parameters=(limit,),
+        routes=(route,),
+        source=NO_SOURCE,
+    )
+
+
+def make_customer(name, template, number):
+    limit = Argument(name="limit", type=ParameterType.DURATION, value=number + 1.5)
+    return Customer(
+        name=name,
+        template=template,
+        hosts=(f"{name}.example",),
+        arguments=(limit,),
+        source=NO_SOURCE,
+    )
+
+
+def text_of(document, language):
+    return render(document, vocabulary(language))
+
+
+class Acceptance(RuleBasedStateMachine):
+    """Several operators on one store; the store's own heads are the truth."""
+
+    def __init__(self):
+        super().__init__()
+        versions.REPEAT_DEPTH = REPEAT_DEPTH
+        self.store = FaultyStore(on_head=self.take_head, on_interrupt=self.interrupt)
+        self.numbers = itertools.count(1)
+        self.operations = [self.start(n) for n in range(len(OPERATORS))]
+        self.steps = []
+        self.attempt_by_id = {}
+        self.version_by_id = {}
+        self.refused_ids = set()
+        self.open_ids = []
+        self.pending = []
+        self.base_by_key = {}
+        self.submit(0, [("template", "t0", "t0"), ("template", "t1", "t1")], None)
+
+    def teardown(self):
+        self.store.script.clear()
+        self.store.flush()
+        self.check()
+        versions.REPEAT_DEPTH = 64
+
+    def start(self, number):
+        return Operations(
+            store=self.store,
+            clock=FakeClock(),
+            random=random.Random(next(self.numbers)),
+        )
+
+    def take_head(self, head):
+        """Check a head at the moment it takes effect."""
+        if self.steps and head == self.steps[-1].head:
+            return
+        content = raw_content(self.store)
+        items = content.items(head)
+        assert not isinstance(items, Failure), "an accepted version is complete"
+        snapshot = compile_snapshot(head, content)
+        assert not isinstance(snapshot, Failure), "an accepted version compiles"
+        record = content.record(head)
+        previous = self.steps[-1] if self.steps else None
+        assert head.version == (previous.head.version if previous else 0) + 1
+        assert record.parent == (previous.head.digest if previous else b"")
+        assert record.change_id not in self.version_by_id, "accepted once"
+        self.version_by_id[record.change_id] = head.version
+        step = Step(
+            head=head,
+            record=record,
+            text_by_key=raw_texts(content, items),
+            digest_by_key={key: digest_of(one).hex() for key, one in items.items()},
+        )
+        self.check_fold(previous, step)
+        self.steps.append(step)
+
+    def check_fold(self, previous, step):
+        """A version is the one before with exactly its own change."""
+        attempt = self.attempt_by_id[step.record.change_id]
+        expected = dict(previous.text_by_key) if previous else {}
+        before = previous.digest_by_key if previous else {}
+        if attempt.roll_back is not None:
+            expected = self.steps[attempt.roll_back - 1].text_by_key
+        for item in attempt.items:
+            key = item_key(item.kind, item.name)
+            assert item.base is None or before.get(key, "") == item.base
+            if item.text is None:
+                expected.pop(key)
+            else:
+                expected[key] = item.text
+        assert step.text_by_key == expected, "no accepted change is lost"
+
+    def interrupt(self):
+        if self.pending:
+            number, chosen, base = self.pending.pop()
+            script, self.store.script = self.store.script, deque()
+            self.submit(number, chosen, base)
+            self.store.script = script
+
+    def submit(self, number, chosen, base):
+        operator, language = OPERATORS[number]
+        items = []
+        for kind, name, template in chosen:
+            fresh = next(self.numbers)
+            kind = ItemKind(kind)
+            key = item_key(kind, name)
+            document = (
+                make_template(name, fresh)
+                if kind is ItemKind.TEMPLATE
+                else make_customer(name, template, fresh % 200)
+            )
+            text = None if template == "gone" else text_of(document, language)
+            known = self.base_by_key.get((number, key)) if base else None
+            items.append(ItemText(kind=kind, name=name, text=text, base=known))
+        change_id = f"c{next(self.numbers)}"
+        self.attempt_by_id[change_id] = Attempt(operator=operator, items=tuple(items))
+        self.run(number, change_id)
+
+    def run(self, number, change_id):
+        attempt = self.attempt_by_id[change_id]
+        operator, language = OPERATORS[number]
+        names = {"operator": operator, "language": language, "change_id": change_id}
+        operations = self.operations[number]
+        try:
+            if attempt.roll_back is not None:
+                result = operations.roll_back(attempt.roll_back, **names)
+            else:
+                result = operations.edit_many(attempt.items, **names)
+        except CrashError:
+            self.operations[number] = self.start(number)
+            self.open_ids.append((number, change_id))
+            return
+        self.note(number, change_id, attempt, result)
+
+    def note(self, number, change_id, attempt, result):
+        if not isinstance(result, Failure):
+            assert self.version_by_id[change_id] == result.head.version
+            return
+        if result.kind is Kind.STORE_OUTCOME_UNKNOWN:
+            self.open_ids.append((number, change_id))
+            return
+        assert result.kind in DID_NOT_RUN, result
+        repeated = any(open_id == change_id for _, open_id in self.open_ids)
+        if not repeated:
+            self.refused_ids.add(change_id)
+        if result.kind is Kind.CONFLICT and attempt.items:
+            self.check_conflict(attempt, result)
+
+    def check_conflict(self, attempt, result):
+        fields = result.fields
+        assert fields["text"] in {item.text or "" for item in attempt.items}
+        if "version" in fields:
+            record = self.steps[int(fields["version"]) - 1].record
+            assert fields["key"] in record.changed_keys
+            assert fields["operator"] == record.operator
+
+    items = st.sampled_from(
+        [
+            ("template", "t0", "t0"),
+            ("template", "t1", "t1"),
+            ("customer", "c0", "t0"),
+            ("customer", "c0", "t1"),
+            ("customer", "c1", "t0"),
+            ("customer", "c2", "t1"),
+            ("customer", "c2", "gone"),
+            ("template", "t1", "gone"),
+        ]
+    )
+    several = st.lists(items, min_size=1, max_size=3, unique_by=lambda one: one[:2])
+    scripts = st.lists(st.sampled_from(FAULTS), max_size=24)
+    numbers_ = st.integers(0, len(OPERATORS) - 1)
+    others = st.lists(st.tuples(numbers_, several, st.booleans()), max_size=3)
+
+    @rule(
+        number=numbers_,
+        chosen=several,
+        base=st.booleans(),
+        script=scripts,
+        others=others,
+    )
+    def edit(self, number, chosen, base, script, others):
+        self.store.script, self.pending = deque(script), list(others)
+        self.submit(number, chosen, base)
+
+    @rule(number=numbers_, back=st.integers(1, 5), script=scripts, others=others)
+    def roll_back(self, number, back, script, others):
+        if not self.steps:
+            return
+        version = max(1, len(self.steps) - back)
+        change_id = f"c{next(self.numbers)}"
+        self.attempt_by_id[change_id] = Attempt(
+            operator=OPERATORS[number][0], roll_back=version
+        )
+        self.store.script, self.pending = deque(script), list(others)
+        self.run(number, change_id)
+
+    @rule(script=scripts)
+    def repeat(self, script):
+        """Try a change again whose outcome is not known."""
+        if not self.open_ids:
+            return
+        number, change_id = self.open_ids[-1]
+        began = self.version_by_id.get(change_id, len(self.steps))
+        if len(self.steps) - began >= REPEAT_DEPTH or len(self.steps) == 0:
+            return
+        self.store.script, self.pending = deque(script), []
+        self.run(number, change_id)
+
+    @rule(number=numbers_, name=st.sampled_from(["t0", "t1", "c0", "c2"]))
+    def look(self, number, name):
+        """Begin from what an item is now."""
+        kind = ItemKind.TEMPLATE if name.startswith("t") else ItemKind.CUSTOMER
+        self.store.script, self.pending = deque(), []
+        view = self.operations[number].show(kind, name)
+        present = item_key(kind, name) in self.steps[-1].text_by_key
+        digest = "" if isinstance(view, Failure) else view.digest
+        assert bool(digest) is present
+        self.base_by_key[(number, item_key(kind, name))] = digest
+
+    @rule(number=numbers_, script=scripts, others=others)
+    def collect(self, number, script, others):
+        self.store.script, self.pending = deque(script), list(others)
+        try:
+            self.operations[number].collect_garbage(keep_versions=REPEAT_DEPTH + 1)
+        except CrashError:
+            self.operations[number] = self.start(number)
+
+    @rule()
+    def flush(self):
+        self.store.flush()
+
+    @invariant()
+    def check(self):
+        if not self.steps:
+            return
+        content = raw_content(self.store)
+        head = decode_head(self.store.object_by_key[HEAD_KEY].value)
+        assert head == self.steps[-1].head, "versions never move back"
+        items = content.items(head)
+        assert not isinstance(items, Failure), "an accepted version stays complete"
+        assert raw_texts(content, items) == self.steps[-1].text_by_key
+        shown = self.refused_ids & set(self.version_by_id)
+        assert not shown, f"refused changes were accepted: {shown}"
+
+
+@then("operators race through faults of the store and every promise holds")
+def run_machine(context):
+    begin = time.monotonic()
+    for seed in itertools.count(SOAK_SEED):
+        chosen = hypothesis.settings(max_examples=EXAMPLES, stateful_step_count=STEPS)
+        run_state_machine_as_test(hypothesis.seed(seed)(Acceptance), settings=chosen)
+        if time.monotonic() - begin >= SOAK_SECONDS:
+            break
+
+
+@given("a version that is accepted")
+def accept_first(context):
+    context.store = FaultyStore()
+    context.first, context.second, context.third = (
+        Operations(store=context.store, clock=FakeClock(), random=random.Random(n))
+        for n in range(3)
+    )
+    items = [
+        ItemText(
+            kind=ItemKind.TEMPLATE, name="t", text=text_of(make_template("t", 1), "fr")
+        ),
+        *(
+            ItemText(
+                kind=ItemKind.CUSTOMER,
+                name=name,
+                text=text_of(make_customer(name, "t", 1), "fr"),
+            )
+            for name in ("a", "b", "c")
+        ),
+    ]
+    result = context.first.edit_many(items, operator="Anne", language="fr")
+    assert not isinstance(result, Failure), result
+
+
+def edit(operations, name, number, operator="Anne", language="fr", **options):
+    return operations.edit(
+        ItemKind.CUSTOMER,
+        name,
+        text_of(make_customer(name, "t", number), language),
+        operator=operator,
+        language=language,
+        **options,
+    )
+
+
+@when("a change's answer is lost and two others accept theirs before it reads back")
+def lose_answer(context):
+    calls = context.store.calls_by_kind
+    before = dict(calls)
+    edit(context.first, "c", 2)
+    writes = calls["put"] - before["put"]
+    others = [
+        lambda: edit(context.third, "c", 9, operator="Sam", language="en"),
+        lambda: edit(context.second, "b", 9, operator="Lan", language="vi"),
+    ]
+    context.outcomes = []
+
+    def interrupt():
+        script, context.store.script = context.store.script, deque()
+        context.outcomes.extend(other() for other in others)
+        context.store.script = script
+
+    context.store.on_interrupt = interrupt
+    context.store.script = deque(["ok"] * writes + ["lost", "interrupt"])
+    context.outcomes.append(edit(context.first, "a", 9))
+
+
+@then("all three changes are accepted once, in one order")
+def check_order(context):
+    assert [one.head.version for one in context.outcomes] == [4, 5, 3], context.outcomes
+    history = context.second.history(10)
+    assert [one.version for one in history] == [5, 4, 3, 2, 1]
+    assert [one.changed_keys for one in history[:3]] == [
+        ("customer/b",),
+        ("customer/c",),
+        ("customer/a",),
+    ]
+
+
+@when("two operators edit the same customer in French and in Vietnamese")
+def race(context):
+    base = context.second.show(ItemKind.CUSTOMER, "a").digest
+    context.mine = text_of(make_customer("a", "t", 8), "vi")
+    won = edit(context.first, "a", 9, base=base)
+    assert not isinstance(won, Failure)
+    context.lost = context.second.edit(
+        ItemKind.CUSTOMER,
+        "a",
+        context.mine,
+        operator="Lan",
+        language="vi",
+        base=base,
+    )
+
+
+@then("the loser is told in Vietnamese and its text comes back")
+def check_loser(context):
+    assert context.lost.kind is Kind.CONFLICT
+    assert context.lost.fields["text"] == context.mine
+    told = messages.text(context.lost, language="vi")
+    assert told.startswith("Anne đã thay đổi khách hàng “a”"), told
+    assert "phiên bản 2" in told
+    head = context.first.head()
+    assert head.version == 2
+
+
+@then("an edit costs 1 read and 5 writes, a body over a megabyte is split")
+def check_calls(context):
+    before = dict(context.store.calls_by_kind)
+    edit(context.first, "a", 5)
+    after = context.store.calls_by_kind
+    assert {kind: after[kind] - before[kind] for kind in after} == {"get": 1, "put": 5}
+    content = Content()
+    reader = Versions(
+        store=context.store,
+        clock=FakeClock(),
+        random=random.Random(1),
+        content=content,
+    )
+    body = random.Random(1).randbytes(2 * MAX_BODY_BYTES + 1)
+    for summary in ("first", "again"):
+        accepted = reader.accept(
+            lambda head, items, summary=summary: Edited(
+                body_by_key={"large": body}, summary=summary
+            ),
+            operator="Sam",
+            language="en",
+            change_id=summary,
+        )
+        assert not isinstance(accepted, Failure), accepted
+    assert reader.items(accepted.head)["large"] == body
+    assert len(accepted.new_blobs) == 1, "what did not change is not stored again"
--- /dev/null
+++ b/src/comfreytray/garbage.py
@@ -0,0 +1,142 @@
+"""Delete the store's blobs that no retained version uses.
+
+Safe beside changes under way: a change writes again each blob that its base
+version does not use, and the head is touched between tracing and deleting. A
+change that began before the touch loses its conditional update; what a later one
+writes has a newer revision than the one that the delete expects.
+"""
+
+from attrs import frozen
+
+from comfreytray import versions
+from comfreytray.content import (
+    BLOB_PREFIX,
+    HEAD_KEY,
+    Content,
+    Head,
+    decode_page,
+    encode_head,
+)
+from comfreytray.documents import decode_document
+from comfreytray.errors import Failure, Kind
+from comfreytray.interfaces import ObjectStore, StoredObject
+from comfreytray.versions import Versions
+
+DEFAULT_KEEP_VERSIONS = 1000
+SHARDS = "0123456789abcdef"
+
+
+@frozen(kw_only=True)
+class Collected:
+    """Count what a collection did."""
+
+    kept: int
+    deleted: int
+
+
+def collect_garbage(
+    *, store: ObjectStore, reader: Versions, content: Content, keep_versions: int
+) -> Collected | Failure:
+    """Keep the newest versions whole and delete all blobs that only others use."""
+    if keep_versions <= versions.REPEAT_DEPTH:
+        detail = f"keep more than {versions.REPEAT_DEPTH} versions"
+        return Failure(kind=Kind.BAD_REQUEST, detail=detail)
+    revision_by_digest = _list_blobs(store, content)
+    if isinstance(revision_by_digest, Failure):
+        return revision_by_digest
+    held = reader.held()
+    if isinstance(held, Failure):
+        return held
+    used = _trace(reader, held.head, keep_versions)
+    if isinstance(used, Failure):
+        return used
+    touched = store.put(
+        HEAD_KEY, encode_head(held.head), expected_version=held.revision
+    )
+    if isinstance(touched, Failure):
+        return touched
+    unused = sorted(set(revision_by_digest) - used)
+    return _delete(store, unused, revision_by_digest, len(used))
+
+
+def _list_blobs(store: ObjectStore, content: Content) -> dict[bytes, int] | Failure:
+    """Read all blobs by parts of the key space; give the revision of each."""
+    revision_by_digest: dict[bytes, int] = {}
+    for shard in SHARDS:
+        listed = store.list(BLOB_PREFIX + shard)
+        if isinstance(listed, Failure):
+            return listed
+        for stored in listed:
+            digest = _digest(stored)
+            if digest is not None and content.put(digest, stored.value) is None:
+                revision_by_digest[digest] = stored.version
+    return revision_by_digest
+
+
+def _digest(stored: StoredObject) -> bytes | None:
+    try:
+        return bytes.fromhex(stored.key.removeprefix(BLOB_PREFIX))
+    except ValueError:
+        return None
+
+
+def _trace(reader: Versions, head: Head, keep_versions: int) -> set[bytes] | Failure:
+    """Collect the blobs of the newest versions, texts included."""
+    used: set[bytes] = set()
+    for number, step in enumerate(reader.walk(head)):
+        if number >= keep_versions:
+            break
+        if isinstance(step, Failure):
+            return used if _is_horizon(step, number) else step
+        found, record = step
+        used.add(found.digest)
+        for page in set(record.pages) - used:
+            failed = _trace_page(reader, page, used)
+            if failed is not None:
+                return failed
+    return used
+
+
+def _is_horizon(failure: Failure, number: int) -> bool:
+    """Tell whether an earlier collection, with fewer versions kept, ended here."""
+    return failure.kind is Kind.INCOMPLETE_VERSION and number > versions.REPEAT_DEPTH
+
+
+def _trace_page(reader: Versions, page: bytes, used: set[bytes]) -> Failure | None:
+    blob = reader.blob(page)
+    parts_by_key = blob if isinstance(blob, Failure) else decode_page(blob)
+    if isinstance(parts_by_key, Failure):
+        return parts_by_key
+    used.add(page)
+    for parts in parts_by_key.values():
+        body = b""
+        for part in parts:
+            blob = reader.blob(part)
+            if isinstance(blob, Failure):
+                return blob
+            body += blob
+        used.update(parts)
+        document = decode_document(body)
+        if isinstance(document, Failure):
+            return document
+        used.update(document.source.parts)
+    return None
+
+
+def _delete(
+    store: ObjectStore,
+    unused: list[bytes],
+    revision_by_digest: dict[bytes, int],
+    kept: int,
+) -> Collected | Failure:
+    """Delete under the revision that was listed; what was written since stays."""
+    deleted = 0
+    for digest in unused:
+        failed = store.delete(
+            BLOB_PREFIX + digest.hex(), expected_version=revision_by_digest[digest]
+        )
+        if failed is None:
+            deleted += 1
+        elif failed.kind is Kind.STORE_UNAVAILABLE:
+            return failed
+    return Collected(kept=kept, deleted=deleted)
--- a/src/comfreytray/operations.py
+++ b/src/comfreytray/operations.py
@@ -22,6 +22,11 @@
 )
 from comfreytray.drafts import Draft, ItemText, Pause, prepare
 from comfreytray.errors import Failure, Kind
+from comfreytray.garbage import (
+    DEFAULT_KEEP_VERSIONS,
+    Collected,
+    collect_garbage,
+)
 from comfreytray.interfaces import Clock, ObjectStore
 from comfreytray.languages import nearest, vocabulary
 from comfreytray.rendering import render, translate
@@ -127,6 +132,9 @@
 
         `services` gives those with an endpoint now; `pause` lets other work run.
         """
+        self._store = store
+        self._clock = clock
+        self._random = random
         self._own_content = content is None
         self._content = Content() if content is None else content
         self._versions = Versions(
@@ -149,10 +157,10 @@
             return head
         entries: list[HistoryEntry] = []
         for step in self._versions.walk(head):
+            if len(entries) >= limit or _is_horizon(step):
+                break
             if isinstance(step, Failure):
                 return step
-            if len(entries) >= limit:
-                break
             entries.append(_entry(step[1], language))
         return tuple(entries)
 
@@ -370,6 +378,24 @@
 
         return self._accept(build, [], operator, language, change_id)
 
+    def collect_garbage(
+        self, *, keep_versions: int = DEFAULT_KEEP_VERSIONS
+    ) -> Collected | Failure:
+        """Delete what only versions older than the newest ones use."""
+        content = Content()
+        reader = Versions(
+            store=self._store,
+            clock=self._clock,
+            random=self._random,
+            content=content,
+        )
+        return collect_garbage(
+            store=self._store,
+            reader=reader,
+            content=content,
+            keep_versions=keep_versions,
+        )
+
     def _accept(
         self,
         build: Callable[[Head, dict[str, bytes]], Edited | Failure],
@@ -384,7 +410,7 @@
             build,
             operator=operator,
             language=language,
-            change_id=change_id or self._versions.new_change_id(),
+            change_id=change_id,
         )
         if isinstance(accepted, Failure):
             return accepted
@@ -456,7 +482,7 @@
 
     def _conflict(self, head: Head, key: str, text: str, language: str) -> Failure:
         """Tell who changed an item last; an empty key stands for any item."""
-        fields = {"text": text, "item": key, "operator": "", "at": "", "version": ""}
+        fields = {"text": text, "key": key}
         for step in self._versions.walk(head):
             if isinstance(step, Failure):
                 break
@@ -467,7 +493,7 @@
                     operator=entry.operator,
                     at=entry.accepted_at,
                     version=str(entry.version),
-                    item=key or ", ".join(entry.changed_keys),
+                    item=_items_text([key] if key else record.changed_keys, language),
                     summary=entry.summary,
                 )
                 break
@@ -507,6 +533,11 @@
     return list(touched.values())
 
 
+def _is_horizon(step: object) -> bool:
+    """Tell whether a walk came to versions that were collected."""
+    return isinstance(step, Failure) and step.kind is Kind.INCOMPLETE_VERSION
+
+
 def _digest_hex(body: bytes | None) -> str:
     return "" if body is None else digest_of(body).hex()
 
@@ -541,11 +572,15 @@
         f"summary.{action}",
         language=language,
         operator=record.operator,
-        items=", ".join(item_text(key, language) for key in record.changed_keys),
+        items=_items_text(record.changed_keys, language),
         version=older,
     )
 
 
+def _items_text(keys: Sequence[str], language: str) -> str:
+    return ", ".join(item_text(key, language) for key in keys)
+
+
 def item_text(key: str, language: str) -> str:
     """Name an item in a language."""
     kind, name = split_key(key)
--- a/src/comfreytray/versions.py
+++ b/src/comfreytray/versions.py
@@ -18,6 +18,7 @@
 REPEAT_DEPTH = 64
 """How many versions back a repeated change is recognised."""
 CHANGE_ID_BITS = 64
+RECORDS_REMEMBERED = 128
 NO_VERSION = Head(version=0, digest=b"")
 
 
@@ -80,6 +81,7 @@
         self._random = random
         self._content = content
         self._held = Held()
+        self._record_by_digest: dict[bytes, VersionRecord] = {}
 
     def new_change_id(self) -> str:
         """Make up an identifier for a change."""
@@ -125,9 +127,21 @@
         return failed if failed is not None else stored.value
 
     def record(self, head: Head) -> VersionRecord | Failure:
-        """Read the record of a version."""
+        """Read the record of a version; the newest ones read are remembered."""
+        known = self._record_by_digest.get(head.digest)
+        if known is not None:
+            return known
         blob = self.blob(head.digest)
-        return blob if isinstance(blob, Failure) else blobs.decode_record(blob)
+        record = blob if isinstance(blob, Failure) else blobs.decode_record(blob)
+        if not isinstance(record, Failure):
+            self._remember(head, record)
+        return record
+
+    def _remember(self, head: Head, record: VersionRecord) -> None:
+        invariant(record.version == head.version, "a record is of its own version")
+        self._record_by_digest[head.digest] = record
+        if len(self._record_by_digest) > RECORDS_REMEMBERED:
+            del self._record_by_digest[next(iter(self._record_by_digest))]
 
     def walk(self, head: Head) -> Iterator[tuple[Head, VersionRecord] | Failure]:
         """Go back from a version to its parents; ends after the first or a failure."""
@@ -180,18 +194,25 @@
                     return blob
 
     def accept(
-        self, build: Build, *, operator: str, language: str, change_id: str
+        self, build: Build, *, operator: str, language: str, change_id: str | None
     ) -> Accepted | Failure:
-        """Make a change the next version, on top of whatever is newest."""
+        """Make a change the next version, on top of whatever is newest.
+
+        A change id that the caller gives is looked for among the newest versions,
+        so that a repeated change is accepted once.
+        """
+        repeatable = change_id is not None
+        change_id = change_id or self.new_change_id()
         floor = 0
         for _ in range(MAX_RACES):
             held = self.held()
             if isinstance(held, Failure):
                 return held
-            repeated = self._find_change(held.head, change_id, floor)
-            if repeated is not None:
-                return repeated
-            floor = held.head.version
+            if repeatable:
+                repeated = self._find_change(held.head, change_id, floor)
+                if repeated is not None:
+                    return repeated
+                floor = held.head.version
             items = self.items(held.head)
             if isinstance(items, Failure):
                 return items
