Split distribution, follow the version chart, prove it under mixed faults

Change: holdings (whole or nothing, never older), spreading (trees), lifecycles (the chart file), and a fleet of nodes in one process with kills, herds, cut regions, freezes, delay, loss, duplicates, store outages, stale reads and operators' changes. A busy holder no longer makes the asker wait: it asks another one.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,8 @@
 """Prepare the tests: one seed, no wall clock, hypothesis derandomized."""
 
+import sys
+from pathlib import Path
+
 from hypothesis import HealthCheck, settings
 
 settings.register_profile(
@@ -11,3 +14,6 @@
     suppress_health_check=list(HealthCheck),
 )
 settings.load_profile("ci")
+
+# Helpers that several step files share.
+sys.path.insert(0, str(Path(__file__).parent))
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import msgpack
 
 from comfreytray import testing
@@ -182,6 +183,7 @@
         self.view_by_region = {}
         self.next_view_s = 0.0
         self.cut = False
+        self.bad_versions = set()
         self.count = count
         for number in range(count):
             self.start(number)
@@ -229,7 +231,10 @@
         """Give each region what membership would show it some seconds later."""
         for region in REGIONS:
             records = {
-                node.record.node_id: node.record
+                node.record.node_id: attrs.evolve(
+                    node.record,
+                    state=NodeState.SUSPECT if node.frozen else NodeState.ALIVE,
+                )
                 for node in self.node_by_id.values()
                 if not self.cut or node.record.region == region
             }
@@ -249,7 +254,11 @@
     def run_until_converged(self, limit_s):
         """Run until all nodes have the newest version; return the seconds taken."""
         start = self.clock.now
-        newest = self.author.heads[-1].version
+        newest = max(
+            head.version
+            for head in self.author.heads
+            if head.version not in self.bad_versions
+        )
         while any(node.version < newest for node in self.node_by_id.values()):
             assert self.clock.now - start < limit_s, self.lagging()
             self.run(TICK_S)
@@ -257,11 +266,13 @@
 
     def lagging(self):
         newest = self.author.heads[-1].version
-        return {
-            node.record.node_id: (node.version, node.frozen, node.distributor.wanted)
-            for node in self.node_by_id.values()
-            if node.version < newest
-        }
+        lines = []
+        for node in self.node_by_id.values():
+            if node.version < newest:
+                wanted = node.distributor.wanted
+                seen = (wanted.head.version, len(wanted.holders)) if wanted else None
+                lines.append(f"{node.record.node_id} {node.version} {seen}")
+        return f"newest {newest}: " + "; ".join(lines[:8])
 
     def cross_region_bytes(self):
         return sum(
@@ -270,5 +281,114 @@
             if a.split(".")[1] != b.split(".")[1]
         )
 
+    def bytes_sent(self, node):
+        host = node.record.host
+        sent = self.network.bytes_by_pair.items()
+        return sum(size for (source, _), size in sent if source == host)
+
+    def accept(self, *, at=None, bad=False):
+        """Accept a version at a node, or in the store only."""
+        head, blobs = self.author.accept(bad=bad)
+        if bad:
+            self.bad_versions.add(head.version)
+        if at is not None and not at.frozen:
+            at.distributor.offer(head, blobs)
+        return head
+
+
+class Chaos:
+    """Mix faults at random, then end them all."""
 
-__all__ = ["Fleet", "NodeState"]
+    def __init__(self, fleet, seed):
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.dead = []
+
+    def step(self, fault):
+        """Bring about one fault, or one step of the operators' work."""
+        getattr(self, f"_{fault}")()
+        self.fleet.run(self.random.uniform(0.0, 2.0))
+
+    def _any(self):
+        nodes = self.fleet.node_by_id
+        return nodes[self.random.choice(sorted(nodes))]
+
+    def _accept(self):
+        if not self.fleet.store.down:
+            self.fleet.accept(at=self.random.choice([None, self._any()]))
+
+    def _accept_bad(self):
+        if not self.fleet.store.down:
+            self.fleet.accept(at=self._any(), bad=True)
+
+    def _accept_burst(self):
+        for _ in range(0 if self.fleet.store.down else 4):
+            self.fleet.accept(at=self._any())
+
+    def _kill(self):
+        if len(self.fleet.node_by_id) > 2:
+            node = self._any()
+            self.fleet.kill(node)
+            self.dead.append(int(node.record.node_id.removeprefix("node-")))
+
+    def _herd(self):
+        for _ in range(self.fleet.count // 2):
+            self._kill()
+
+    def _restart(self):
+        while self.dead:
+            self.fleet.start(self.dead.pop())
+
+    def _restart_all(self):
+        self._restart()
+        for node in list(self.fleet.node_by_id.values()):
+            self.fleet.kill(node)
+            self.fleet.start(int(node.record.node_id.removeprefix("node-")))
+
+    def _freeze(self):
+        self.fleet.freeze(self._any(), True)
+
+    def _thaw(self):
+        for node in self.fleet.node_by_id.values():
+            self.fleet.freeze(node, False)
+
+    def _cut(self):
+        self.fleet.cut_regions(True)
+
+    def _heal(self):
+        self.fleet.cut_regions(False)
+
+    def _noise(self):
+        faults = self.fleet.network.faults
+        faults.loss = self.random.uniform(0, 0.5)
+        faults.duplicate = self.random.uniform(0, 0.5)
+        faults.max_delay_s = self.random.uniform(0.03, 3.0)
+
+    def _quiet(self):
+        faults = self.fleet.network.faults
+        faults.loss = faults.duplicate = 0.0
+        faults.max_delay_s = 0.03
+
+    def _store_down(self):
+        self.fleet.store.down = True
+
+    def _store_up(self):
+        self.fleet.store.down = False
+
+    def _stale(self):
+        self.fleet.store.stale_reads += 5
+
+    def end(self):
+        """End all faults; operators then accept one more version."""
+        self.fleet.store.stale_reads = 0
+        for step in ("thaw", "heal", "quiet", "store_up", "restart"):
+            getattr(self, f"_{step}")()
+        self.fleet.accept()
+
+
+FAULTS = sorted(
+    name.removeprefix("_")
+    for name in vars(Chaos)
+    if name.startswith("_") and name not in ("__init__", "_any")
+    if not name.startswith("__")
+)
--- /dev/null
+++ b/features/steps/distribution_steps.py
@@ -0,0 +1,347 @@
+import os
+import random
+import time
+
+from behave import given, then, when
+from fleet import FAULTS, REGIONS, Chaos, Fleet
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from comfreytray import relays, wire
+from comfreytray.content import Head
+from comfreytray.deltas import Delta, encode_blob
+from comfreytray.distribution import SEND_BURST_BYTES
+from comfreytray.exchange import Blobs, Digest, Pull, Push, Unserved
+from comfreytray.status import Lag, Report, StatusQuestion
+
+CONVERGENCE_LIMIT_S = 60
+CONTROL_BYTES_PER_S = 23_000
+
+
+def run_chaos(count, seed, faults):
+    fleet = Fleet(count=count, seed=seed)
+    fleet.accept()
+    chaos = Chaos(fleet, seed)
+    for fault in faults:
+        chaos.step(fault)
+    chaos.end()
+    fleet.run_until_converged(CONVERGENCE_LIMIT_S)
+    fleet.run(5)
+    return fleet
+
+
+@given("fleets under any sequence of faults")
+def fleets_under_faults(context):
+    context.fleets = 0
+
+    @settings(max_examples=40)
+    @for_any(st.integers(0, 999), st.lists(st.sampled_from(FAULTS), max_size=25))
+    def check(seed, faults):
+        run_chaos(8, seed, faults)
+        context.fleets += 1
+
+    check()
+
+
+@given("a fleet under a long random run of faults")
+def long_run(context):
+    context.fleets = 0
+    end = time.monotonic() + float(os.environ.get("COMFREYTRAY_SOAK_SECONDS", "0"))
+    seed = int(os.environ.get("COMFREYTRAY_SOAK_SEED", "1"))
+    while True:
+        dice = random.Random(seed)
+        run_chaos(dice.choice([12, 24, 40]), seed, dice.choices(FAULTS, k=60))
+        context.fleets += 1
+        seed += 1
+        if time.monotonic() >= end:
+            break
+    print(f"distribution soak: {context.fleets} runs, last seed {seed - 1}")
+
+
+@then("each node's versions only rise, and all end at the newest")
+def rising_and_equal(context):
+    # Rising, wholeness and the end state are asserted while the fleets run.
+    assert context.fleets > 0
+
+
+def calm_fleet(context, count, **size):
+    context.fleet = Fleet(count=count, seed=count, **size)
+    context.fleet.accept()
+    context.fleet.run_until_converged(60)
+    context.fleet.run(30)
+    context.calls_before = dict(context.fleet.store.calls_by_kind)
+
+
+@given("a calm fleet of {count:d} nodes")
+def given_calm_fleet(context, count):
+    calm_fleet(context, count)
+
+
+@given("a calm fleet of {count:d} nodes with a set of {size:d} kilobytes")
+def given_large_fleet(context, count, size):
+    calm_fleet(context, count, items=100, item_bytes=size * 10)
+
+
+@when("{count:d} small changes are accepted, each at some node")
+def accept_changes(context, count):
+    fleet = context.fleet
+    before = fleet.cross_region_bytes()
+    context.convergence = []
+    for number in range(count):
+        fleet.accept(at=fleet.node_by_id[f"node-{number}"])
+        context.convergence.append(fleet.run_until_converged(8))
+        fleet.run(5)
+    context.bytes_for_change = (fleet.cross_region_bytes() - before) / count
+
+
+@then("the bytes across regions are at least {times:d} times under full sets")
+def compare_bytes(context, times):
+    fleet = context.fleet
+    blobs = [
+        len(stored.value)
+        for key, stored in fleet.store.object_by_key.items()
+        if key.startswith("configuration/blobs/")
+    ]
+    # The store is in one region: every node of the other one fetches the set.
+    baseline = sum(blobs[:70]) * fleet.count // 2
+    ratio = baseline / context.bytes_for_change
+    print(
+        f"cross-region bytes: {context.bytes_for_change:.0f}, {ratio:.0f} times under"
+    )
+    assert ratio >= times, ratio
+
+
+@then("no change took more than {limit:d} seconds")
+def check_convergence(context, limit):
+    print(f"convergence: {[round(taken, 1) for taken in context.convergence]}")
+    assert max(context.convergence) <= limit, context.convergence
+
+
+@when("a change is accepted and the nodes that would relay it die at once")
+def kill_relays(context):
+    fleet = context.fleet
+    view = fleet.view_by_region[REGIONS[0]]
+    origin = fleet.node_by_id["node-0"]
+    head, blobs = fleet.author.accept()
+    relaying = set()
+    for region in REGIONS:
+        root = relays.ranked_in_region(head.digest, view, region)[0]
+        relaying.add(root.node_id)
+        children = relays.root_children(head.digest, view, root)
+        relaying.update(child.node_id for child in children)
+        watchers = relays.ranked_in_region(relays.WATCH_SALT, view, region)
+        relaying.update(node.node_id for node in watchers[:2])
+    for node_id in relaying - {"node-0"}:
+        fleet.kill(fleet.node_by_id[node_id])
+    origin.distributor.offer(head, blobs)
+
+
+@when("the store goes down and {count:d} nodes are replaced")
+def replace_nodes(context, count):
+    fleet = context.fleet
+    fleet.store.down = True
+    for number in range(count):
+        fleet.kill(fleet.node_by_id[f"node-{number}"])
+        fleet.start(number)
+    context.outage_from = fleet.clock.now
+
+
+@when("all nodes restart at once")
+def restart_all(context):
+    restart(context, 0)
+
+
+@when("all nodes but {count:d} restart at once")
+def restart(context, count):
+    fleet = context.fleet
+    for number in range(count, fleet.count):
+        fleet.kill(fleet.node_by_id[f"node-{number}"])
+        fleet.start(number)
+    context.restarted_at = fleet.clock.now
+    context.sent_before = {
+        name: fleet.bytes_sent(node) for name, node in fleet.node_by_id.items()
+    }
+
+
+@then("all nodes have it within {limit:d} seconds")
+def all_have_it(context, limit):
+    taken = context.fleet.run_until_converged(limit)
+    print(f"converged after {taken:.1f} s")
+
+
+@then("the store was asked at most {rate:d} times a second for each watcher")
+def check_store_rate(context, rate):
+    fleet = context.fleet
+    fleet.run(60)
+    taken = fleet.clock.now - context.outage_from
+    calls = sum(fleet.store.calls_by_kind.values()) - sum(context.calls_before.values())
+    watchers = relays.WATCHERS_PER_REGION * len(REGIONS)
+    # Nodes that have just started may take turns before their views agree.
+    assert calls <= rate * watchers * (taken + 8), (calls, taken)
+
+
+@then("at most {count:d} nodes read blobs from the store")
+def check_readers(context, count):
+    fleet = context.fleet
+    gets = fleet.store.calls_by_kind["get"] - context.calls_before["get"]
+    # A set is a record, 64 pages and 40 items.
+    assert gets <= count * 105, gets
+
+
+@then("no node sent more than its burst and 23 kilobytes a second")
+def check_budget(context):
+    fleet = context.fleet
+    taken = fleet.clock.now - context.restarted_at
+    for name, node in fleet.node_by_id.items():
+        sent = fleet.bytes_sent(node) - context.sent_before[name]
+        limit = SEND_BURST_BYTES * 1.6 + CONTROL_BYTES_PER_S * taken
+        assert sent <= limit, (name, sent, limit)
+
+
+def heads(fleet):
+    real = st.sampled_from([*fleet.author.heads, fleet.author.heads[-1]])
+    forged = st.builds(
+        Head, version=st.integers(-1, 2**60), digest=st.binary(max_size=20)
+    )
+    return st.one_of(real, forged)
+
+
+def messages(fleet):
+    """Well-formed messages with contents of any kind, true and false."""
+    content = fleet.author.content
+    digests = st.sampled_from(sorted(content.blob_by_digest)) | st.binary(max_size=16)
+    true_deltas = digests.map(lambda d: encode_blob(content, d, b"")).filter(bool)
+    any_deltas = st.builds(Delta, digest=digests, base=digests, data=st.binary())
+    some_deltas = st.lists(true_deltas | any_deltas, max_size=4).map(tuple)
+    some_digests = st.lists(digests, max_size=4).map(tuple)
+    head, flag = heads(fleet), st.booleans()
+    numbers = st.integers(-(2**40), 2**40)
+    return st.one_of(
+        st.builds(
+            Digest, head=st.none() | head, answer=st.booleans(), root=st.booleans()
+        ),
+        st.builds(Push, head=head, root=flag, deltas=some_deltas),
+        st.builds(Blobs, head=head, deltas=some_deltas),
+        st.builds(Pull, head=head, have=st.none() | head, digests=some_digests),
+        st.builds(Unserved, head=head, held=st.booleans(), retry_after_ms=numbers),
+        st.builds(StatusQuestion, query=numbers, version=numbers),
+        st.builds(
+            Report,
+            node_id=st.sampled_from(["node-1", "node-2", "nobody"]),
+            incarnation=numbers,
+            sequence=numbers,
+            held=st.none() | head,
+            in_force=numbers,
+            refusal=st.text(max_size=5),
+            refusal_detail=st.text(max_size=5),
+            wanted=numbers,
+            missing=numbers,
+        ),
+    )
+
+
+@when("any messages are sent to a node")
+def send_messages(context):
+    fleet = context.fleet
+    target = fleet.node_by_id["node-1"]
+    newest = fleet.author.heads[-1]
+    peers = [node.record.control_address for node in fleet.node_by_id.values()]
+
+    @for_any(st.lists(messages(fleet), max_size=6), st.sampled_from(peers), st.data())
+    def check(some, sender, data):
+        for message in some:
+            frame = bytearray(wire.encode(message))
+            if frame and data.draw(st.booleans()):
+                frame[data.draw(st.integers(0, len(frame) - 1))] ^= 1 + data.draw(
+                    st.integers(0, 254)
+                )
+            if data.draw(st.booleans()):
+                frame = frame[: data.draw(st.integers(0, len(frame)))]
+            decoded = wire.decode(bytes(frame))
+            target.receive(sender, decoded, True)
+            fleet.run(0.1)
+            assert target.distributor.held == newest
+            assert target.distributor.snapshot.head == newest
+        assert len(target.content.blob_by_digest) <= 150
+
+    check()
+
+
+@then("it holds what it held, and the next version reaches it")
+def next_version_reaches(context):
+    context.fleet.accept()
+    context.fleet.run_until_converged(40)
+
+
+@when("a version that does not compile is accepted")
+def accept_bad(context):
+    context.head = context.fleet.accept(at=context.fleet.node_by_id["node-2"], bad=True)
+    context.fleet.run(5)
+
+
+@then("all nodes keep the version before it")
+def keep_old(context):
+    for node in context.fleet.node_by_id.values():
+        assert node.version == context.head.version - 1
+        assert node.distributor.held == context.head
+
+
+def status_of(context, version):
+    found = []
+    context.fleet.node_by_id["node-5"].status.query(version, found.append)
+    context.fleet.run(4)
+    (status,) = found
+    return status
+
+
+@then("the status names every node as refused with the reason")
+def status_refused(context):
+    status = status_of(context, context.head.version)
+    assert status.accepted and status.total == 12 and status.in_force == 0
+    assert {laggard.lag for laggard in status.laggards} == {Lag.REFUSED}
+    assert all("bad item" in laggard.detail for laggard in status.laggards)
+
+
+@when("a node freezes, a node never hears, and a change is accepted")
+def lag_two(context):
+    fleet = context.fleet
+    fleet.freeze(fleet.node_by_id["node-6"], True)
+    deaf = fleet.node_by_id["node-9"].distributor
+    deaf.receive = lambda sender, message: None
+    deaf.hear = lambda head: None
+    fleet.run(3)
+    context.writes_before = fleet.store.calls_by_kind["put"]
+    context.head = fleet.accept(at=fleet.node_by_id["node-2"])
+    context.own_writes = fleet.store.calls_by_kind["put"] - context.writes_before
+    fleet.run(5)
+
+
+@then("the status of the change counts 10 of 12 and names both and why")
+def status_counts(context):
+    status = status_of(context, context.head.version)
+    assert status.accepted
+    assert (status.in_force, status.total) == (10, 12), status
+    lag_by_id = {laggard.node_id: laggard.lag for laggard in status.laggards}
+    assert lag_by_id == {"node-6": Lag.SUSPECT, "node-9": Lag.NOT_HEARD}, lag_by_id
+
+
+@then("nothing was written to the store for the status")
+def no_writes(context):
+    writes = context.fleet.store.calls_by_kind["put"] - context.writes_before
+    assert writes == context.own_writes
+
+
+@when("a change is accepted and overtaken")
+def overtake(context):
+    for _ in range(3):
+        context.fleet.accept(at=context.fleet.node_by_id["node-0"])
+        context.fleet.run(2)
+
+
+@then("only the newest version has a state, and it is in force")
+def check_states(context):
+    newest = context.fleet.author.heads[-1]
+    for node in context.fleet.node_by_id.values():
+        states = node.distributor.state_by_head
+        assert states == {newest: "in-force"}, states
--- a/src/comfreytray/budgets.py
+++ b/src/comfreytray/budgets.py
@@ -1,4 +1,6 @@
-"""Token buckets that bound what a node spends on control."""
+"""Bound what a node spends on control and how often it tries again."""
+
+import random
 
 from attrs import define, field
 
@@ -37,4 +39,25 @@
     def _refill(self, now_s: float) -> None:
         passed = max(0.0, now_s - self.refilled_at_s)
         self.tokens = min(self.capacity, self.tokens + passed * self.rate_per_s)
-        self.refilled_at_s = now_s
+        self.refilled_at_s = max(self.refilled_at_s, now_s)
+
+
+@define(kw_only=True)
+class Backoff:
+    """Give jittered waits that double with each failure in a row, up to a cap."""
+
+    random: random.Random
+    min_s: float
+    max_s: float
+    failures: int = 0
+
+    def next_s(self) -> float:
+        """Note a failure and return the seconds to wait."""
+        self.failures += 1
+        # The exponent is capped so that a long outage can't overflow the float.
+        longest = min(self.max_s, self.min_s * 2.0 ** min(self.failures, 32))
+        return self.random.uniform(self.min_s, longest)
+
+    def reset(self) -> None:
+        """Note a success."""
+        self.failures = 0
--- a/src/comfreytray/fetching.py
+++ b/src/comfreytray/fetching.py
@@ -6,7 +6,7 @@
 
 from comfreytray.content import Head
 from comfreytray.interfaces import Address, Clock
-from comfreytray.records import NodeRecord
+from comfreytray.lifecycles import Lifecycles
 
 MAX_CANDIDATES = 4
 MAX_HOLDERS = 8
@@ -31,7 +31,12 @@
     progress_at_s: float
     root: bool = False
     """This node is to pass it on to its region."""
+    from_store: bool = False
+    """The store told of it before any node did."""
+    reading_store: bool = False
+    """No peer gave it in time, so this node reads it from the store."""
     holders: list[Address] = field(factory=list)
+    busy_until_by_holder: dict[Address, float] = field(factory=dict)
     missing: tuple[bytes, ...] = ()
     """Blobs known to be missing; empty before the record is held."""
     asked: Address | None = None
@@ -54,6 +59,7 @@
 
     clock: Clock
     random: random.Random
+    lifecycles: Lifecycles
     by_head: dict[Head, Candidate] = field(factory=dict)
 
     def newest(self) -> Candidate | None:
@@ -62,20 +68,35 @@
             self.by_head.values(), key=lambda item: item.head.version, default=None
         )
 
-    def hear(self, head: Head, holder: Address | None, *, root: bool = False) -> None:
-        """Note that a version exists and who holds it."""
+    def hear(
+        self,
+        head: Head,
+        holder: Address | None,
+        *,
+        root: bool = False,
+        from_store: bool = False,
+    ) -> Candidate | None:
+        """Note that a version exists and who holds it; None if it is not followed."""
         if not 0 < head.version < MAX_VERSION:
-            return
+            return None
         candidate = self.by_head.get(head)
         if candidate is None:
             now = self.clock.monotonic()
-            candidate = Candidate(head=head, heard_at_s=now, progress_at_s=now)
+            candidate = Candidate(
+                head=head, heard_at_s=now, progress_at_s=now, from_store=from_store
+            )
             self.by_head[head] = candidate
             self._drop_excess()
+        if head not in self.by_head:
+            return None
+        self.lifecycles.announce(head)
         candidate.root = candidate.root or root
         if holder is not None and holder not in candidate.holders:
             candidate.holders.append(holder)
-            del candidate.holders[:-MAX_HOLDERS]
+            for dropped in candidate.holders[:-MAX_HOLDERS]:
+                candidate.holders.remove(dropped)
+                candidate.busy_until_by_holder.pop(dropped, None)
+        return candidate
 
     def progress(self, candidate: Candidate, missing: list[bytes]) -> None:
         """Note that blobs came in and which are still missing."""
@@ -92,18 +113,26 @@
         candidate = self.by_head.get(head)
         if candidate is None or candidate.asked != holder:
             return
-        if not held and holder in candidate.holders:
+        if held:
+            # Another holder may have budget left now.
+            busy_until = self.clock.monotonic() + retry_after_s
+            candidate.busy_until_by_holder[holder] = busy_until
+        elif holder in candidate.holders:
             candidate.holders.remove(holder)
-        self._retry_later(candidate, retry_after_s)
+        self._retry_later(candidate)
 
     def drop_through(self, version: int) -> None:
         """Forget the candidates up to a version."""
         for head in [head for head in self.by_head if head.version <= version]:
             del self.by_head[head]
 
+    def take(self, head: Head) -> None:
+        """Hand over a candidate that is whole."""
+        del self.by_head[head]
+
     def reject(self, head: Head) -> None:
         """Forget a candidate whose content cannot be right."""
-        self.by_head.pop(head, None)
+        self._forget(head, "malformed")
 
     def tick(self) -> None:
         """Give up answers that are late and candidates that nobody can serve."""
@@ -114,10 +143,10 @@
                     candidate.head, candidate.asked, held=False, retry_after_s=0.0
                 )
             if now - candidate.progress_at_s > FORGET_S and not candidate.holders:
-                del self.by_head[candidate.head]
+                self._forget(candidate.head, "unavailable")
 
     def next_request(
-        self, node: NodeRecord, region_by_address: dict[Address, str]
+        self, region: str, region_by_address: dict[Address, str]
     ) -> Request | None:
         """Choose what to pull now and from whom; one pull is under way at a time."""
         now = self.clock.monotonic()
@@ -129,7 +158,7 @@
         for candidate in order:
             if now < candidate.next_try_s:
                 continue
-            holder = self._choose_holder(candidate, node, region_by_address)
+            holder = self._choose_holder(candidate, region, region_by_address)
             if holder is None:
                 continue
             candidate.asked = holder
@@ -139,33 +168,32 @@
         return None
 
     def _choose_holder(
-        self,
-        candidate: Candidate,
-        node: NodeRecord,
-        region_by_address: dict[Address, str],
+        self, candidate: Candidate, region: str, region_by_address: dict[Address, str]
     ) -> Address | None:
+        now = self.clock.monotonic()
         near = [
             holder
             for holder in candidate.holders
-            if region_by_address.get(holder) == node.region
+            if region_by_address.get(holder) == region
         ]
-        if near:
-            return self.random.choice(near)
-        age = self.clock.monotonic() - candidate.heard_at_s
-        if not candidate.holders:
-            return None
-        if not candidate.root and age < CROSS_REGION_GRACE_S:
+        age = now - candidate.heard_at_s
+        if not near and not candidate.root and age < CROSS_REGION_GRACE_S:
             return None
-        return self.random.choice(candidate.holders)
+        idle = [
+            holder
+            for holder in near or candidate.holders
+            if candidate.busy_until_by_holder.get(holder, 0.0) <= now
+        ]
+        return self.random.choice(idle) if idle else None
 
-    def _retry_later(self, candidate: Candidate, at_least_s: float) -> None:
+    def _retry_later(self, candidate: Candidate) -> None:
         candidate.asked = None
         candidate.attempts += 1
-        longest = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**candidate.attempts)
+        longest = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** min(candidate.attempts, 16))
         if candidate.attempts % STALL_ATTEMPTS == 0:
             # Others get their turn: the head may name a version that nobody has.
             longest = max(longest, STALL_S)
-        delay = at_least_s + self.random.uniform(MIN_BACKOFF_S, longest)
+        delay = self.random.uniform(MIN_BACKOFF_S, longest)
         candidate.next_try_s = self.clock.monotonic() + delay
 
     def _drop_excess(self) -> None:
@@ -178,7 +206,11 @@
                 if item.asked is None and item.head.version < newest
             ]
             if not idle:
-                del self.by_head[min(self.by_head, key=lambda head: head.version)]
-                continue
+                idle = list(self.by_head.values())
             oldest = min(idle, key=lambda item: item.head.version)
-            del self.by_head[oldest.head]
+            self._forget(oldest.head, "unavailable")
+
+    def _forget(self, head: Head, event: str) -> None:
+        del self.by_head[head]
+        if head in self.lifecycles.state_by_head:
+            self.lifecycles.step(head, event)
--- a/src/comfreytray/storewatch.py
+++ b/src/comfreytray/storewatch.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 
 from comfreytray import logs
-from comfreytray.budgets import TokenBucket
-from comfreytray.content import Head
+from comfreytray.budgets import Backoff, TokenBucket
+from comfreytray.content import Head, digest_of
 from comfreytray.distribution import Distributor
-from comfreytray.errors import Failure
+from comfreytray.errors import Failure, Kind
 from comfreytray.interfaces import Clock, ObjectStore, StoredObject
 from comfreytray.metrics import Metrics
 
@@ -50,10 +50,10 @@
         self._distributor = distributor
         self._decode_head = decode_head
         self._clock = clock
-        self._random = random
         self._metrics = metrics
         self._revision = 0
-        self._failures = 0
+        self._watch_backoff = _backoff(random)
+        self._fetch_backoff = _backoff(random)
         self._budget = TokenBucket(
             rate_per_s=STORE_CALLS_PER_S,
             capacity=STORE_CALL_BURST,
@@ -72,12 +72,13 @@
         if isinstance(batch, Failure):
             # From the start again: the store may have lost its newest revisions.
             self._revision = 0
-            return self._back_off(batch)
-        self._note_success()
+            return _failed(self._watch_backoff, batch)
+        _succeeded(self._watch_backoff)
+        is_newer = batch.revision > self._revision
         self._revision = max(self._revision, batch.revision)
         for stored in batch.objects:
             self._take_head(stored)
-        return 0.0 if batch.objects else EMPTY_WATCH_PAUSE_S
+        return 0.0 if batch.objects and is_newer else EMPTY_WATCH_PAUSE_S
 
     def fetch_step(self) -> float:
         """Read some of the blobs that no peer could give."""
@@ -85,9 +86,18 @@
         if wanted is None:
             return FETCH_CHECK_S
         head, digests = wanted
+        blob_by_digest, failed = self._read(digests[:MAX_BLOBS_PER_STEP])
+        if blob_by_digest:
+            self._distributor.offer(head, blob_by_digest)
+        if failed is not None:
+            return _failed(self._fetch_backoff, failed)
+        _succeeded(self._fetch_backoff)
+        return self._budget.wait_s(self._clock.monotonic())
+
+    def _read(self, digests: list[bytes]) -> tuple[dict[bytes, bytes], Failure | None]:
+        """Read blobs until the budget is spent or one fails."""
         blob_by_digest: dict[bytes, bytes] = {}
-        failed: Failure | None = None
-        for digest in digests[:MAX_BLOBS_PER_STEP]:
+        for digest in digests:
             now = self._clock.monotonic()
             if not self._budget.is_open(now):
                 break
@@ -95,15 +105,13 @@
             self._metrics.count("store-get")
             stored = self._store.get(blob_key(digest))
             if isinstance(stored, Failure):
-                failed = stored
-                break
+                return blob_by_digest, stored
+            if digest_of(stored.value) != digest:
+                detail = f"stored blob {digest.hex()}"
+                failed = Failure(kind=Kind.DIGEST_MISMATCH, detail=detail)
+                return blob_by_digest, failed
             blob_by_digest[digest] = stored.value
-        if blob_by_digest:
-            self._distributor.offer(head, blob_by_digest)
-        if failed is not None:
-            return self._back_off(failed)
-        self._note_success()
-        return max(0.0, self._budget.wait_s(self._clock.monotonic()))
+        return blob_by_digest, None
 
     def _take_head(self, stored: StoredObject) -> None:
         if stored.key != HEAD_KEY:
@@ -114,15 +122,19 @@
             return
         self._distributor.hear(head)
 
-    def _back_off(self, failure: Failure) -> float:
-        """Give a jittered, capped wait that grows with each failure in a row."""
-        if self._failures == 0:
-            logs.warn(logs.Event.STORE_UNAVAILABLE, reason=failure.kind.value)
-        self._failures += 1
-        longest = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** min(self._failures, 10))
-        return self._random.uniform(MIN_BACKOFF_S, longest)
-
-    def _note_success(self) -> None:
-        if self._failures:
-            logs.log(logs.Event.STORE_BACK, failures=self._failures)
-        self._failures = 0
+
+def _backoff(random: random.Random) -> Backoff:
+    return Backoff(random=random, min_s=MIN_BACKOFF_S, max_s=MAX_BACKOFF_S)
+
+
+def _failed(backoff: Backoff, failure: Failure) -> float:
+    """Note a failed call and return the seconds to wait."""
+    if backoff.failures == 0:
+        logs.warn(logs.Event.STORE_UNAVAILABLE, reason=failure.kind.value)
+    return backoff.next_s()
+
+
+def _succeeded(backoff: Backoff) -> None:
+    if backoff.failures:
+        logs.log(logs.Event.STORE_BACK, failures=backoff.failures)
+    backoff.reset()
