--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(VENV)/bin/mypy
 
 test: setup
-	$(PY) -m behave --format progress --no-capture --no-color features
+	$(PY) -m behave --format progress3 --no-color features
 
 demo: setup
 	$(PY) examples/demo.py
@@ -45,3 +45,6 @@
 
 bench-scale: setup
 	$(PY) benchmarks/scale.py
+
+catalogues: setup
+	$(VENV)/bin/pybabel -q compile -d src/comfreytray/locale -D comfreytray
