Cut no caller's call at a planned stop of its entry node

Cause: eventlet's server, when ended, shuts both directions of connections that it takes for idle; a request already in the buffer still ran and its answer was lost. Ruled out: waiting for idle connections (callers keep them busy); closing only the listener (its end shuts the idle ones the same way). Change: Callers follows each connection and shuts only the reading side of idle ones; Listener refuses new callers and ends the server after the last answer; the first drain waits for the upstream's calls only, since callers are still served elsewhere. Test seen to fail first: with both directions shut the answer is cut off.

--- /dev/null
+++ b/features/steps/planned_stop_steps.py
@@ -0,0 +1,106 @@
+import eventlet
+from behave import given, then, when
+from eventlet.green import socket
+
+from comfreytray import httpserver
+from comfreytray.callers import Callers, Listener
+from comfreytray.clock import SystemClock
+
+REQUEST = b"GET /%s HTTP/1.1\r\nHost: a.example\r\n\r\n"
+ANSWER = b"x" * 100_000
+
+
+class _Heads:
+    def __init__(self):
+        self.clock = SystemClock()
+        self.callers = Callers()
+        self.head_started_by_socket = {}
+
+    def refusal(self, failure, accept_language):
+        return b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
+
+
+def _read_answer(sock):
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = sock.recv(65536)
+        assert part, "cut off"
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    while len(body) < len(ANSWER):
+        part = sock.recv(65536)
+        assert part, f"cut off after {len(body)} bytes"
+        body += part
+    assert head.startswith(b"HTTP/1.1 200"), head
+    assert body == ANSWER
+
+
+@given("an HTTP side with a connection that has had one answer")
+def start_side(context):
+    context.ran = []
+
+    def application(environ, start_response):
+        path = environ["PATH_INFO"]
+        context.ran.append(path)
+        if path == "/slow":
+            context.entered.send()
+            context.go.wait()
+        start_response("200 OK", [("Content-Length", str(len(ANSWER)))])
+        return [ANSWER]
+
+    context.entered, context.go = eventlet.event.Event(), eventlet.event.Event()
+    context.heads = _Heads()
+    sock = eventlet.listen(("127.0.0.1", 0))
+    context.address = sock.getsockname()
+    context.listener = Listener(sock)
+    context.server = eventlet.spawn(
+        httpserver.serve, context.listener, application, context.heads
+    )
+    context.connection = socket.create_connection(context.address)
+    context.connection.sendall(REQUEST % b"first")
+    _read_answer(context.connection)
+    while not context.heads.callers.idle_sockets:
+        eventlet.sleep(0)
+
+
+def _begin_stop(context):
+    context.listener.refuse_more()
+    return eventlet.spawn(context.heads.callers.stop, 30.0)
+
+
+@when("its next request arrives and the stop begins before it is read")
+def stop_before_read(context):
+    context.path = "/next"
+    # The kernel has the bytes; no other green thread runs before the stop begins.
+    context.connection.fd.sendall(REQUEST % b"next")
+    context.stop = _begin_stop(context)
+
+
+@when("the stop begins while a slow request runs")
+def stop_while_running(context):
+    context.path = "/slow"
+    context.connection.sendall(REQUEST % b"slow")
+    context.entered.wait()
+    context.stop = _begin_stop(context)
+    eventlet.sleep(0)
+    context.go.send()
+
+
+@then("the request runs once and its whole answer arrives")
+def check_answer(context):
+    _read_answer(context.connection)
+    assert context.ran.count(context.path) == 1
+
+
+@then("the connection ends and a new caller is refused")
+def check_end(context):
+    assert context.stop.wait() is True
+    assert context.connection.recv(1) == b""
+    try:
+        socket.create_connection(context.address)
+    except ConnectionRefusedError:
+        pass
+    else:
+        raise AssertionError("a new caller was taken in")
+    context.listener.end()
+    context.server.wait()
--- /dev/null
+++ b/src/comfreytray/callers.py
@@ -0,0 +1,90 @@
+"""Callers' connections: taken in, followed, and let go at a planned stop."""
+
+import contextlib
+import socket as plain_socket
+from typing import Any
+
+import eventlet
+from eventlet.event import Event
+
+POLL_S = 0.02
+
+
+class Callers:
+    """Follow which connections of callers wait for a request and which carry one."""
+
+    def __init__(self) -> None:
+        self.idle_sockets: set[Any] = set()
+        self.busy_sockets: set[Any] = set()
+        self.stopping = False
+
+    def wait_for_request(self, sock: Any) -> None:
+        """Note that a connection waits for its next request."""
+        self.busy_sockets.discard(sock)
+        self.idle_sockets.add(sock)
+        if self.stopping:
+            _end_reading(sock)
+
+    def take_request(self, sock: Any) -> None:
+        """Note that a connection carries a request."""
+        self.idle_sockets.discard(sock)
+        self.busy_sockets.add(sock)
+
+    def close(self, sock: Any) -> None:
+        """Forget a connection."""
+        self.idle_sockets.discard(sock)
+        self.busy_sockets.discard(sock)
+
+    def stop(self, timeout_s: float) -> bool:
+        """End idle connections, let busy ones finish; false if some did not.
+
+        Only the reading side of an idle connection is shut: a request that is
+        already under way in its buffer still runs and gets its answer.
+        """
+        self.stopping = True
+        for sock in list(self.idle_sockets):
+            _end_reading(sock)
+        with eventlet.Timeout(timeout_s, False):
+            while self.idle_sockets or self.busy_sockets:
+                eventlet.sleep(POLL_S)
+            return True
+        return False
+
+
+class Listener:
+    """Hand out connections until stopped; then refuse callers and wait for the end."""
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+        self._stopping = False
+        self._end = Event()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+    def accept(self) -> Any:
+        """Return the next connection; end the server once all is over."""
+        while not self._stopping:
+            try:
+                return self._sock.accept()
+            except OSError:
+                if not self._stopping:
+                    raise
+        self._end.wait()
+        raise SystemExit
+
+    def refuse_more(self) -> None:
+        """Refuse new connections from now on."""
+        self._stopping = True
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(plain_socket.SHUT_RDWR)
+
+    def end(self) -> None:
+        """Let the server that waits in `accept` return."""
+        if not self._end.ready():
+            self._end.send()
+
+
+def _end_reading(sock: Any) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(plain_socket.SHUT_RD)
--- a/src/comfreytray/httpserver.py
+++ b/src/comfreytray/httpserver.py
@@ -8,6 +8,7 @@
 import eventlet
 from eventlet import wsgi
 
+from comfreytray.callers import Callers
 from comfreytray.errors import Failure, Kind
 from comfreytray.heads import (
     MAX_LINE_BYTES,
@@ -33,6 +34,7 @@
     """Answer and follow what happens before a call reaches the application."""
 
     clock: Clock
+    callers: Callers
     head_started_by_socket: dict[Any, float]
 
     def refusal(self, failure: Failure, accept_language: str) -> bytes:
@@ -55,9 +57,20 @@
             if len(line) >= MAX_LINE_BYTES:
                 self._refuse(Failure(kind=Kind.HEAD_TOO_LARGE, detail="request line"))
                 return b""
+            heads.callers.take_request(self.connection)
             heads.head_started_by_socket[self.connection] = heads.clock.monotonic()
             return line
 
+        def handle(self) -> None:
+            try:
+                super().handle()
+            finally:
+                heads.callers.close(self.connection)
+
+        def handle_one_request(self) -> None:
+            heads.callers.wait_for_request(self.connection)
+            super().handle_one_request()
+
         def parse_request(self) -> bool:
             self.close_connection = True
             self.headers = None
--- a/src/comfreytray/node.py
+++ b/src/comfreytray/node.py
@@ -96,17 +96,11 @@
         self.membership.leave()
         self.calls.drain(self.settings.drain_timeout_s)
         eventlet.sleep(LEAVE_SPREAD_S)
-        self._stop_http()
+        self.calls.stop_http(self.settings.drain_timeout_s)
         self.calls.drain(self.settings.drain_timeout_s)
         self.membership.left()
         eventlet.sleep(TICK_S)
 
-    def _stop_http(self) -> None:
-        """Take no more connections, close the idle ones, let the busy ones finish."""
-        with eventlet.Timeout(self.settings.drain_timeout_s, False):
-            self._http.kill()
-            self._http.wait()
-
     def _open(self, stack: ExitStack) -> None:
         settings = self.settings
         self.store = stack.enter_context(
@@ -205,7 +199,7 @@
         administration = self._listen(stack, settings.admin_port)
         self.admin = AdminApi(token=settings.admin_token, message_for=self.message_for)
         add_routes(self.admin, self)
-        self._http = tasks.spawn("http", lambda: self.calls.serve_http(http))
+        tasks.spawn("http", lambda: self.calls.serve_http(http))
         tasks.spawn("streams", lambda: self.calls.serve_streams(streams))
         tasks.spawn("admin", lambda: self._serve_admin(administration))
 
--- a/src/comfreytray/proxy.py
+++ b/src/comfreytray/proxy.py
@@ -10,6 +10,7 @@
 from attrs import define
 
 from comfreytray import httpserver, logs, requests
+from comfreytray.callers import Callers, Listener
 from comfreytray.calls import (
     ERROR_HEADER,
     RAN_HEADER,
@@ -124,6 +125,8 @@
         )
         self.head_started_by_socket = self.sweeper.head_started_by_socket
         self._sweep: Any = None
+        self.callers = Callers()
+        self._listener: Listener | None = None
 
     def __enter__(self) -> "CallPath":
         self._sweep = eventlet.spawn(self.sweeper.run)
@@ -140,26 +143,44 @@
             part.__exit__(kind, error, trace)
 
     def serve_http(self, listener: Any) -> None:
-        """Serve callers until the listener is closed."""
-        httpserver.serve(listener, self.wsgi_app, self)
+        """Serve callers until stopped or the listener is closed."""
+        self._listener = Listener(listener)
+        httpserver.serve(self._listener, self.wsgi_app, self)
+
+    def stop_http(self, timeout_s: float) -> bool:
+        """Refuse new callers and finish the calls that run; false if some did not."""
+        if self._listener is None:
+            return True
+        self._listener.refuse_more()
+        finished = self.callers.stop(timeout_s)
+        self._listener.end()
+        return finished
 
     def serve_streams(self, listener: Any) -> None:
         """Serve the call streams of other nodes until the listener is closed."""
         self.server.serve(listener)
 
     def drain(self, timeout_s: float) -> bool:
-        """Refuse new work for the upstream and wait for all calls in flight."""
+        """Refuse new work for the upstream and wait for its calls in flight.
+
+        Callers are still served through other nodes; once they are stopped, their
+        calls are waited for too.
+        """
         self.leaving = True
         self.router.leaving = True
         self.keyed.leave()
         self.owner.leave()
         end = self.clock.monotonic() + timeout_s
-        while self.in_flight or self.owner.in_flight or not self.keyed.settled:
+        while self._busy():
             if self.clock.monotonic() >= end:
                 return False
             eventlet.sleep(DRAIN_POLL_S)
         return True
 
+    def _busy(self) -> bool:
+        entering = self.in_flight if self.callers.stopping else 0
+        return bool(entering or self.owner.in_flight or not self.keyed.settled)
+
     def report(self) -> dict[str, object]:
         """Return the state of the call path in plain types."""
         return {
