--- a/features/steps/calls_streams_steps.py
+++ b/features/steps/calls_streams_steps.py
@@ -6,7 +6,7 @@
 from hypothesis import given as given_data
 from hypothesis import strategies as st
 
-from comfreytray import frames
+from comfreytray import callframes
 from comfreytray.calls import Call
 from comfreytray.errors import Failure, Kind, Ran
 from comfreytray.ownerstreams import OwnerStreams
@@ -82,7 +82,7 @@
             return
         stream = self.random.choice(self.opened)
         body = expected(stream.call.target)
-        part = min(len(body), stream.credit, frames.CHUNK_BYTES)
+        part = min(len(body), stream.credit, callframes.CHUNK_BYTES)
         done = getattr(self, "done", {}).get(stream.stream_id, None)
         self.done = getattr(self, "done", {})
         if done is None:
@@ -236,19 +236,23 @@
 
 def _hostile():
     ready = CallStreams(caller_id="a", expected_id="b").outbox.take()
-    call = frames.open_call(1, make_call("/1"), 1.0)
+    call = callframes.open_call(1, make_call("/1"), 1.0)
     other = CallStreams(caller_id="a", expected_id="elsewhere").outbox.take()
     yield "no hello", call, 0
     yield "id used again", ready + call + call, 1
-    yield "id goes back", ready + frames.open_call(5, make_call("/5"), 1.0) + call, 1
-    yield "answer from a caller", ready + frames.data(1, b"", last=True), 0
+    yield (
+        "id goes back",
+        ready + callframes.open_call(5, make_call("/5"), 1.0) + call,
+        1,
+    )
+    yield "answer from a caller", ready + callframes.data(1, b"", last=True), 0
     yield "unknown tag", ready + msgpack.packb([59, 1]), 0
     yield "wrong length", ready + msgpack.packb([41, 1]), 0
     yield "map", ready + msgpack.packb({1: 2}), 0
     yield "bad share", ready + _changed(call, 4, 7.0), 0
     yield "bad headers", ready + _changed(call, 7, ((1, "x"),)), 0
     yield "negative time", ready + _changed(call, 9, -1), 0
-    yield "credit overrun", ready + call + frames.credit(1, 100), 1
+    yield "credit overrun", ready + call + callframes.credit(1, 100), 1
     yield "huge", ready + b"\xc6\x7f\xff\xff\xff" + b"x" * 4_000_000, 0
     yield "wrong node", other + call, 0
 
@@ -281,11 +285,11 @@
 def check_hostile(context):
     for name, refused, fine in context.verdicts:
         assert refused is not None and fine, name
-    call = frames.open_call(1, make_call("/1"), 1.0)
+    call = callframes.open_call(1, make_call("/1"), 1.0)
 
     @given_data(st.binary(max_size=40), st.integers(0, len(call)))
     def fuzz(noise, place):
-        decoder = frames.Decoder()
+        decoder = callframes.Decoder()
         decoded = decoder.feed(call[:place] + noise + call[place + len(noise) :])
         assert isinstance(decoded, Failure | list)
 
