Prove the transport, split it and the reports, close gaps that mutants showed

Cause: trial mutants of the code survived: gossip across regions, settling, coerced frames, forged hellos and late reports had no test that failed without them.

--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -13,6 +13,7 @@
     Given a calm fleet of 100 nodes
     When 5 small changes are accepted, each at some node
     Then the bytes across regions are at least 20 times under full sets
+    And at most 1000 bytes cross for each change
     And no change took more than 2 seconds
 
   Scenario: A change is in force within 8 seconds though every relay for it dies
@@ -20,6 +21,17 @@
     When a change is accepted and the nodes that would relay it die at once
     Then all nodes have it within 8 seconds
 
+  Scenario: Others stand in at once for a region's root that dies
+    Given a calm fleet of 100 nodes
+    When a change is accepted and the roots of both regions die at once
+    Then all nodes have it within 2 seconds
+
+  Scenario: A region that was cut off catches up with the store down
+    Given a calm fleet of 30 nodes
+    When the regions part, a change is accepted, the store goes down and they meet
+    Then all nodes have it within 8 seconds
+    And at most 4000 bytes crossed between the regions
+
   Scenario: New nodes start while the store is down
     Given a calm fleet of 20 nodes
     When the store goes down and 15 nodes are replaced
@@ -31,6 +43,7 @@
     When all nodes restart at once
     Then all nodes have it within 8 seconds
     And at most 8 nodes read blobs from the store
+    And at most 4 nodes watched the store
 
   Scenario: No node sends more than its budget when a whole fleet fetches a large set
     Given a calm fleet of 40 nodes with a set of 400 kilobytes
@@ -53,9 +66,15 @@
     Given a calm fleet of 12 nodes
     When a node freezes, a node never hears, and a change is accepted
     Then the status of the change counts 10 of 12 and names both and why
+    And reports that arrive late change nothing of it
     And nothing was written to the store for the status
 
   Scenario: The lifecycle of a version follows its chart file
     Given a calm fleet of 2 nodes
     When a change is accepted and overtaken
     Then only the newest version has a state, and it is in force
+
+  Scenario: Blobs that no version needs any more are dropped
+    Given a calm fleet of 6 nodes
+    When 20 small changes are accepted, each at some node
+    Then each node holds the blobs of the newest version only, some minutes later
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -1,5 +1,6 @@
 """Many nodes in one process: fake network, clock and store, and mixed faults."""
 
+import collections
 import random
 
 import attrs
@@ -100,6 +101,7 @@
         self.fleet = fleet
         self.record = record
         self.applied = []
+        self.started_at_s = fleet.clock.now
         self.frozen = False
         self.cpu = 0.0
         dice = random.Random(seed)
@@ -131,6 +133,7 @@
         self.watch_at = self.fetch_at = fleet.clock.now + dice.uniform(0, 1)
 
     def receive(self, sender, message, datagram):
+        self.fleet.history.append((sender, message))
         self.distributor.receive(sender, message)
         self.status.receive(sender, message)
 
@@ -147,6 +150,8 @@
         self.distributor.tick()
         self.status.tick()
         if now >= self.watch_at:
+            if self.distributor.watches_store():
+                self.fleet.watched_ids.add(self.record.node_id)
             self.watch_at = now + max(self.watcher.watch_step(), TICK_S)
         if now >= self.fetch_at:
             self.fetch_at = now + max(self.watcher.fetch_step(), TICK_S)
@@ -170,6 +175,7 @@
     """A fleet of nodes whose views lag behind kills and cuts by a few seconds."""
 
     view_lag_s = 2.0
+    join_s = 0.5
 
     def __init__(self, *, count, seed, items=40, item_bytes=600):
         self.seed = seed
@@ -184,6 +190,8 @@
         self.next_view_s = 0.0
         self.cut = False
         self.bad_versions = set()
+        self.watched_ids = set()
+        self.history = collections.deque(maxlen=500)
         self.count = count
         for number in range(count):
             self.start(number)
@@ -223,9 +231,11 @@
         self.network.faults.cut_pairs = pairs if cut else set()
 
     def view_of(self, node):
-        return self.view_by_region.get(node.record.region) or MembershipView(
-            by_id={node.record.node_id: node.record}
-        )
+        """Give a node its region's view; one that has just started is alone."""
+        view = self.view_by_region.get(node.record.region)
+        if view is None or self.clock.now < node.started_at_s + self.join_s:
+            return MembershipView(by_id={node.record.node_id: node.record})
+        return view
 
     def refresh_views(self):
         """Give each region what membership would show it some seconds later."""
@@ -378,6 +388,22 @@
     def _stale(self):
         self.fleet.store.stale_reads += 5
 
+    def _replay(self):
+        """Deliver old messages again, to any node."""
+        for sender, message in self.random.choices(
+            list(self.fleet.history) or [(("10.0.0.0", 7000), None)], k=30
+        ):
+            self._any().receive(sender, message, True)
+
+    def _late_store_answer(self):
+        """Let a read of the store that began long ago end now."""
+        head = self.random.choice(self.fleet.author.heads)
+        content = self.fleet.author.content
+        blobs = {digest: content.get(digest) for digest in content.references(head)}
+        distributor = self._any().distributor
+        distributor.hear(head)
+        distributor.offer(head, blobs)
+
     def end(self):
         """End all faults; operators then accept one more version."""
         self.fleet.store.stale_reads = 0
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -89,7 +89,7 @@
     before = fleet.cross_region_bytes()
     context.convergence = []
     for number in range(count):
-        fleet.accept(at=fleet.node_by_id[f"node-{number}"])
+        fleet.accept(at=fleet.node_by_id[f"node-{number % fleet.count}"])
         context.convergence.append(fleet.run_until_converged(8))
         fleet.run(5)
     context.bytes_for_change = (fleet.cross_region_bytes() - before) / count
@@ -112,6 +112,12 @@
     assert ratio >= times, ratio
 
 
+@then("at most {limit:d} bytes cross for each change")
+def check_crossing(context, limit):
+    # A push of one small change is about 260 bytes; the rest is digests.
+    assert context.bytes_for_change <= limit, context.bytes_for_change
+
+
 @then("no change took more than {limit:d} seconds")
 def check_convergence(context, limit):
     print(f"convergence: {[round(taken, 1) for taken in context.convergence]}")
@@ -120,21 +126,54 @@
 
 @when("a change is accepted and the nodes that would relay it die at once")
 def kill_relays(context):
+    def relaying(head, view, region):
+        root = relays.ranked_in_region(head.digest, view, region)[0]
+        watchers = relays.ranked_in_region(relays.WATCH_SALT, view, region)[:2]
+        return [root, *relays.root_children(head.digest, view, root), *watchers]
+
+    accept_and_kill(context, relaying)
+
+
+@when("a change is accepted and the roots of both regions die at once")
+def kill_roots(context):
+    accept_and_kill(
+        context,
+        lambda head, view, region: relays.ranked_in_region(head.digest, view, region)[
+            :1
+        ],
+    )
+
+
+def accept_and_kill(context, choose):
     fleet = context.fleet
     view = fleet.view_by_region[REGIONS[0]]
-    origin = fleet.node_by_id["node-0"]
     head, blobs = fleet.author.accept()
-    relaying = set()
-    for region in REGIONS:
-        root = relays.ranked_in_region(head.digest, view, region)[0]
-        relaying.add(root.node_id)
-        children = relays.root_children(head.digest, view, root)
-        relaying.update(child.node_id for child in children)
-        watchers = relays.ranked_in_region(relays.WATCH_SALT, view, region)
-        relaying.update(node.node_id for node in watchers[:2])
-    for node_id in relaying - {"node-0"}:
+    dying = {node.node_id for region in REGIONS for node in choose(head, view, region)}
+    for node_id in dying - {"node-0"}:
         fleet.kill(fleet.node_by_id[node_id])
-    origin.distributor.offer(head, blobs)
+    fleet.node_by_id["node-0"].distributor.offer(head, blobs)
+
+
+@when("the regions part, a change is accepted, the store goes down and they meet")
+def part_and_meet(context):
+    fleet = context.fleet
+    fleet.cut_regions(True)
+    fleet.run(5)
+    head, blobs = fleet.author.accept()
+    fleet.store.down = True
+    fleet.node_by_id["node-0"].distributor.offer(head, blobs)
+    fleet.run(10)
+    lagging = [node for node in fleet.node_by_id.values() if node.version == 1]
+    assert len(lagging) == fleet.count // 2, len(lagging)
+    fleet.cut_regions(False)
+    context.crossed_before = fleet.cross_region_bytes()
+
+
+@then("at most {limit:d} bytes crossed between the regions")
+def check_crossed(context, limit):
+    crossed = context.fleet.cross_region_bytes() - context.crossed_before
+    print(f"crossed: {crossed} bytes")
+    assert crossed <= limit, crossed
 
 
 @when("the store goes down and {count:d} nodes are replaced")
@@ -155,6 +194,7 @@
 @when("all nodes but {count:d} restart at once")
 def restart(context, count):
     fleet = context.fleet
+    fleet.watched_ids.clear()
     for number in range(count, fleet.count):
         fleet.kill(fleet.node_by_id[f"node-{number}"])
         fleet.start(number)
@@ -189,6 +229,12 @@
     assert gets <= count * 105, gets
 
 
+@then("at most {count:d} nodes watched the store")
+def check_watchers(context, count):
+    context.fleet.run(10)
+    assert len(context.fleet.watched_ids) <= count, context.fleet.watched_ids
+
+
 @then("no node sent more than its burst and 23 kilobytes a second")
 def check_budget(context):
     fleet = context.fleet
@@ -311,6 +357,8 @@
     deaf.receive = lambda sender, message: None
     deaf.hear = lambda head: None
     fleet.run(3)
+    history = [message for _, message in fleet.history]
+    context.old_reports = [item for item in history if isinstance(item, Report)]
     context.writes_before = fleet.store.calls_by_kind["put"]
     context.head = fleet.accept(at=fleet.node_by_id["node-2"])
     context.own_writes = fleet.store.calls_by_kind["put"] - context.writes_before
@@ -326,6 +374,16 @@
     assert lag_by_id == {"node-6": Lag.SUSPECT, "node-9": Lag.NOT_HEARD}, lag_by_id
 
 
+@then("reports that arrive late change nothing of it")
+def late_reports(context):
+    before = status_of(context, context.head.version)
+    for node in context.fleet.node_by_id.values():
+        for message in context.old_reports:
+            node.status.receive(("10.0.0.1", 7000), message)
+    assert context.old_reports
+    assert status_of(context, context.head.version) == before
+
+
 @then("nothing was written to the store for the status")
 def no_writes(context):
     writes = context.fleet.store.calls_by_kind["put"] - context.writes_before
@@ -345,3 +403,12 @@
     for node in context.fleet.node_by_id.values():
         states = node.distributor.state_by_head
         assert states == {newest: "in-force"}, states
+
+
+@then("each node holds the blobs of the newest version only, some minutes later")
+def check_blobs(context):
+    fleet = context.fleet
+    fleet.run(150)
+    wanted = fleet.author.content.references(fleet.author.heads[-1])
+    for node in fleet.node_by_id.values():
+        assert set(node.content.blob_by_digest) == wanted
--- /dev/null
+++ b/features/steps/transport_steps.py
@@ -0,0 +1,293 @@
+import random
+import socket as plain_socket
+
+import eventlet
+import msgpack
+from behave import given, then, when
+from eventlet.green import socket
+from hypothesis import given as for_any
+from hypothesis import strategies as st
+
+from comfreytray import frames, outbound, wire
+from comfreytray.content import Head
+from comfreytray.deltas import Delta
+from comfreytray.exchange import Digest, Push
+from comfreytray.metrics import Metrics
+from comfreytray.transport import Transport
+
+HOST_A, HOST_B, HOST_RELAY = "127.0.0.1", "127.0.0.2", "127.0.0.3"
+REGION_BY_HOST = {HOST_A: "armor", HOST_B: "finistere", HOST_RELAY: "finistere"}
+POLL_S = 0.01
+POLL_LIMIT = 3000
+
+
+class Peer:
+    def __init__(self, context, host, port=0):
+        self.metrics = Metrics()
+        self.received = []
+        self.transport = Transport(
+            host=host,
+            port=port,
+            receive=lambda sender, message, datagram: self.received.append(
+                (sender, message, datagram)
+            ),
+            metrics=self.metrics,
+            region_of=lambda address: REGION_BY_HOST.get(address[0], "?"),
+            region=REGION_BY_HOST[host],
+            jitter=random.Random(1),
+        )
+        self.transport.__enter__()
+        context.add_cleanup(self.close)
+
+    def close(self):
+        if self.transport is not None:
+            self.transport.__exit__(None, None, None)
+            self.transport = None
+
+    def count(self, prefix):
+        counters = self.metrics.count_by_name.items()
+        return sum(value for name, value in counters if name.startswith(prefix))
+
+    def versions(self):
+        return [message.head.version for _, message, _ in self.received]
+
+
+def wait_for(condition):
+    for _ in range(POLL_LIMIT):
+        if condition():
+            return
+        eventlet.sleep(POLL_S)
+    raise AssertionError("the condition was never met")
+
+
+def push(version, size=0):
+    delta = Delta(digest=b"d", base=b"", data=bytes(size))
+    head = Head(version=version, digest=b"d" * 16)
+    return Push(head=head, root=False, deltas=(delta,))
+
+
+def digest(version):
+    return Digest(head=Head(version=version, digest=b"d" * 16))
+
+
+@given("two transports")
+def two_transports(context):
+    context.a = Peer(context, HOST_A)
+    context.b = Peer(context, HOST_B)
+
+
+@when("each sends {count:d} messages of many sizes by stream and by datagram")
+def send_many(context, count):
+    dice = random.Random(1)
+    for number in range(1, count + 1):
+        for source, target in ((context.a, context.b), (context.b, context.a)):
+            to = target.transport.address
+            source.transport.send_stream(to, push(number, dice.randrange(50_000)))
+            source.transport.send_datagram(to, digest(number))
+    wait_for(lambda: len(context.a.received) + len(context.b.received) == 4 * count)
+    context.count = count
+
+
+@then("each stream arrives whole and in order, and datagrams name their sender")
+def check_order(context):
+    for peer, other in ((context.a, context.b), (context.b, context.a)):
+        assert {sender for sender, _, _ in peer.received} == {other.transport.address}
+        pushes = [m.head.version for _, m, datagram in peer.received if not datagram]
+        assert pushes == list(range(1, context.count + 1))
+
+
+@then("the bytes of both are counted by purpose and pair of regions")
+def check_bytes(context):
+    sent, received = context.a.metrics.bytes_by_flow, context.b.metrics.bytes_by_flow
+    for purpose in ("push", "digest"):
+        size = sent[(purpose, "armor", "finistere")]
+        assert size == received[(f"{purpose}-received", "armor", "finistere")] > 0
+
+
+def framed(data):
+    return frames.HEADER.pack(len(data)) + data
+
+
+HELLO = framed(wire.encode(frames.Hello(address=(HOST_A, 9))))
+FORGED_HELLO = framed(wire.encode(frames.Hello(address=("10.9.9.9", 9))))
+RIGHT = framed(wire.encode(digest(3)))
+GARBAGE = b"\xc1"
+# A number where bytes belong: bytes(n) would allocate n bytes.
+COERCED = framed(msgpack.packb([21, [5, 3], False, False]))
+TOO_LARGE = frames.HEADER.pack(wire.MAX_MESSAGE_BYTES + 1)
+
+
+def wrong_frames():
+    """Frames that break a rule: never one whole message of the product."""
+    right = wire.encode(push(7, 40))
+    flipped = st.integers(0, len(right) - 1).map(
+        lambda place: right[:place] + b"\xc1" + right[place + 1 :]
+    )
+    garbage = st.binary(max_size=60) | flipped
+    refused = garbage.filter(
+        lambda data: not isinstance(wire.decode(data), (Push, Digest, frames.Hello))
+    )
+    cut = st.integers(1, len(right) + 3).map(lambda end: framed(right)[:end])
+    return st.one_of(
+        refused.map(framed), cut, st.just(TOO_LARGE + b"x" * 9), st.just(COERCED)
+    )
+
+
+@when("any bytes arrive on streams and as datagrams")
+def send_any_bytes(context):
+    context.tried = 0
+    address = context.b.transport.address
+    datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.add_cleanup(datagrams.close)
+
+    openings = st.sampled_from([HELLO, FORGED_HELLO, b""])
+    first_wrong = st.tuples(st.sampled_from([FORGED_HELLO, b""]), st.just(RIGHT))
+    any_wrong = st.tuples(openings, wrong_frames()) | first_wrong
+
+    @for_any(any_wrong)
+    def check(pair):
+        opening, frame = pair
+        before = context.b.count("frame-refused")
+        stream = eventlet.connect(address, bind=(HOST_A, 0))
+        stream.sendall(opening + frame)
+        stream.shutdown(plain_socket.SHUT_WR)
+        assert stream.recv(1) == b"", "the stream was not closed"
+        stream.close()
+        wait_for(lambda: context.b.count("frame-refused") > before)
+        datagrams.sendto(GARBAGE if frame == RIGHT else frame, address)
+        wait_for(lambda: context.b.count("frame-refused") >= before + 2)
+        context.tried += 1
+
+    check()
+
+
+@then("none is handed on, each is counted, and a right message still arrives")
+def check_refused(context):
+    assert context.b.received == [], context.b.received
+    assert context.b.count("frame-refused") >= 2 * context.tried > 0
+    assert context.b.count("frame-refused-frame-too-large") > 0
+    context.a.transport.send_stream(context.b.transport.address, push(9))
+    wait_for(lambda: context.b.versions() == [9])
+
+
+@given("two transports with a relay between them that cuts streams")
+def cutting_relay(context):
+    two_transports(context)
+    listener = eventlet.listen((HOST_A, 0))
+    context.relay = listener.getsockname()
+    dice = random.Random(2)
+    context.cutting = True
+    context.cuts = 0
+
+    def carry(source):
+        target = eventlet.connect(context.b.transport.address, bind=(HOST_A, 0))
+        left = dice.randrange(1, 4000)
+        while piece := source.recv(512):
+            if context.cutting and len(piece) >= left:
+                target.sendall(piece[:left])
+                context.cuts += 1
+                break
+            target.sendall(piece)
+            left -= len(piece)
+        source.close()
+        target.close()
+
+    def accept():
+        while True:
+            connection, _ = listener.accept()
+            eventlet.spawn(carry, connection)
+
+    loop = eventlet.spawn(accept)
+    context.add_cleanup(loop.kill)
+    context.add_cleanup(listener.close)
+
+
+@when("messages are sent while streams are cut at random bytes")
+def send_through_cuts(context):
+    send = context.a.transport.send_stream
+    version = 0
+    while context.cuts < 20:
+        version += 1
+        send(context.relay, push(version, 300))
+        eventlet.sleep(POLL_S)
+    context.cutting = False
+
+    def last_arrives():
+        nonlocal version
+        version += 1
+        send(context.relay, push(version, 300))
+        return version - 5 in context.b.versions()
+
+    wait_for(last_arrives)
+
+
+@then("only whole messages arrive, in order, and the last one does")
+def check_after_cuts(context):
+    versions = context.b.versions()
+    assert versions == sorted(set(versions)), versions
+    assert all(len(m.deltas[0].data) == 300 for _, m, _ in context.b.received)
+    assert context.b.count("frame-refused-bad-frame") > 0
+
+
+@given("two transports and a peer that accepts and never reads")
+def deaf_peer(context):
+    two_transports(context)
+    listener = eventlet.listen((HOST_RELAY, 0))
+    context.listener = listener
+    context.deaf = listener.getsockname()
+    context.add_cleanup(listener.close)
+
+
+@when("{count:d} messages of {size:d} kilobytes are sent to that peer")
+def send_to_deaf(context, count, size):
+    for number in range(count):
+        context.a.transport.send_stream(context.deaf, push(number + 1, size * 1000))
+        if number % 20 == 0:
+            eventlet.sleep(POLL_S)
+    context.a.transport.send_stream(context.b.transport.address, push(1))
+
+
+@then("what is queued stays under the bound, and the other peer still gets its message")
+def check_bound(context):
+    assert context.a.transport.queued_bytes <= outbound.MAX_PEER_QUEUE_BYTES
+    assert context.a.count("stream-dropped-full") > 0
+    wait_for(lambda: context.b.versions() == [1])
+
+
+@when("one is gone, {count:d} messages are sent to it, and it comes back")
+def gone_and_back(context, count):
+    address = context.b.transport.address
+    context.b.close()
+    for number in range(count):
+        context.a.transport.send_stream(address, push(number + 1))
+        eventlet.sleep(0)
+    wait_for(lambda: context.a.count("stream-dropped-b") == count)
+    context.tries = context.a.count("stream-connect-failed")
+    context.b = Peer(context, *address)
+
+    def arrives():
+        context.a.transport.send_stream(address, push(5000))
+        return 5000 in context.b.versions()
+
+    wait_for(arrives)
+
+
+@then("few connections were tried, and it gets a new message")
+def check_tries(context):
+    assert 1 <= context.tries <= 20, context.tries
+    assert context.b.versions()[0] == 5000
+
+
+@when("one starts anew while a stream to it is open and idle")
+def start_anew(context):
+    address = context.b.transport.address
+    context.a.transport.send_stream(address, push(1))
+    wait_for(lambda: context.b.versions() == [1])
+    context.b.close()
+    context.b = Peer(context, *address)
+
+
+@then("the first message that is sent to it after arrives")
+def first_arrives(context):
+    context.a.transport.send_stream(context.b.transport.address, push(2))
+    wait_for(lambda: context.b.versions() == [2])
--- a/src/comfreytray/adminroutes.py
+++ b/src/comfreytray/adminroutes.py
@@ -12,9 +12,9 @@
 from comfreytray.errors import Failure, Kind
 from comfreytray.operations import ChangeResult, ItemKind, ItemText
 from comfreytray.records import NodeRecord
+from comfreytray.reports import Laggard, VersionStatus
 from comfreytray.settings import effective
 from comfreytray.snapshots import Route
-from comfreytray.status import Laggard, VersionStatus
 
 if TYPE_CHECKING:
     from comfreytray.node import Node
--- a/src/comfreytray/fetching.py
+++ b/src/comfreytray/fetching.py
@@ -15,8 +15,6 @@
 PULL_JITTER_S = 0.5
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 4.0
-CROSS_REGION_GRACE_S = 1.0
-"""Time for a region's own copy to arrive before a node pulls across regions."""
 STALL_ATTEMPTS = 4
 STALL_S = 3.0
 FORGET_S = 30.0
@@ -27,7 +25,6 @@
     """A version that was heard of and is not whole yet."""
 
     head: Head
-    heard_at_s: float
     progress_at_s: float
     root: bool = False
     """This node is to pass it on to its region."""
@@ -82,9 +79,7 @@
         candidate = self.by_head.get(head)
         if candidate is None:
             now = self.clock.monotonic()
-            candidate = Candidate(
-                head=head, heard_at_s=now, progress_at_s=now, from_store=from_store
-            )
+            candidate = Candidate(head=head, progress_at_s=now, from_store=from_store)
             self.by_head[head] = candidate
             self._drop_excess()
         if head not in self.by_head:
@@ -176,9 +171,6 @@
             for holder in candidate.holders
             if region_by_address.get(holder) == region
         ]
-        age = now - candidate.heard_at_s
-        if not near and not candidate.root and age < CROSS_REGION_GRACE_S:
-            return None
         idle = [
             holder
             for holder in near or candidate.holders
--- a/src/comfreytray/transport.py
+++ b/src/comfreytray/transport.py
@@ -1,32 +1,24 @@
 """Datagrams and control streams between nodes on one port number."""
 
-import errno
 import random
-import time
-from collections import deque
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Self
 
 import eventlet
-from attrs import define, field
 from eventlet.green import socket
 
 from comfreytray import frames, logs, wire
 from comfreytray.errors import Failure, Kind
 from comfreytray.interfaces import Address
 from comfreytray.metrics import Metrics
+from comfreytray.outbound import OutboundStream, Quota, address_text, error_name
 
-CONNECT_TIMEOUT_S = 2.0
-SEND_TIMEOUT_S = 10.0
 HELLO_TIMEOUT_S = 5.0
-IDLE_CLOSE_S = 30.0
 IDLE_READ_S = 90.0
-MIN_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 5.0
-MAX_PEER_QUEUE_BYTES = 2 * wire.MAX_MESSAGE_BYTES
-MAX_TOTAL_QUEUE_BYTES = 8 * 1024 * 1024
+ACCEPT_PAUSE_S = 0.1
 MAX_INBOUND_STREAMS = 1024
+MAX_FORGETTABLE_STREAMS = 64
 READ_CHUNK_BYTES = 64 * 1024
 UDP_HEADER_BYTES = 28
 """An IP and a UDP header, counted with each datagram."""
@@ -36,19 +28,6 @@
 """Called with the sender's address, the message and whether it is a datagram."""
 
 
-@define(kw_only=True)
-class _Outbound:
-    """Queue of frames to one peer and the state of the connection to it."""
-
-    to: Address
-    queue: deque[tuple[str, bytes]] = field(factory=deque)
-    queued_bytes: int = 0
-    sender: Any = None
-    wake: Any = None
-    failures: int = 0
-    retry_at_s: float = 0.0
-
-
 class Transport:
     """Carry messages between this node and others; sending never blocks."""
 
@@ -69,9 +48,9 @@
         self._region_of = region_of
         self._region = region
         self._random = jitter or random.Random()
-        self._outbound_by_address: dict[Address, _Outbound] = {}
+        self._outbound_by_address: dict[Address, OutboundStream] = {}
+        self._quota = Quota()
         self._inbound: dict[Any, Any] = {}
-        self._queued_bytes = 0
         self._closed = False
         self._listener: Any = None
         self._datagrams: Any = None
@@ -95,13 +74,17 @@
         for loop in self._loops:
             loop.kill()
         for outbound in list(self._outbound_by_address.values()):
-            if outbound.sender is not None:
-                outbound.sender.kill()
+            outbound.close()
         for reader in list(self._inbound.values()):
             reader.kill()
         self._listener.close()
         self._datagrams.close()
 
+    @property
+    def queued_bytes(self) -> int:
+        """Count the bytes that wait to be sent."""
+        return self._quota.queued_bytes
+
     def send_datagram(self, to: Address, message: object) -> None:
         """Send a small message that may be lost; a large one goes by stream."""
         data = wire.encode(message)
@@ -113,7 +96,7 @@
             # The raw socket: a full buffer drops the datagram instead of waiting.
             self._datagrams.fd.sendto(data, to)
         except OSError as error:
-            self._metrics.count(f"datagram-lost-{_name_of(error)}")
+            self._metrics.count(f"datagram-lost-{error_name(error)}")
             return
         self._count_sent(to, message_purpose(message), len(data) + UDP_HEADER_BYTES)
 
@@ -126,107 +109,37 @@
             logs.warn(logs.Event.FRAME_REFUSED, to=to, reason=frame.kind.value)
             self._metrics.count("stream-frame-too-large")
             return
+        self._outbound(to).send(message_purpose(message), frame)
+
+    def _outbound(self, to: Address) -> OutboundStream:
         outbound = self._outbound_by_address.get(to)
         if outbound is None:
-            outbound = self._outbound_by_address[to] = _Outbound(to=to)
-        if time.monotonic() < outbound.retry_at_s:
-            self._metrics.count("stream-dropped-backoff")
-            return
-        if self._is_full(outbound, len(frame)):
-            self._metrics.count("stream-dropped-full")
-            return
-        outbound.queue.append((message_purpose(message), frame))
-        outbound.queued_bytes += len(frame)
-        self._queued_bytes += len(frame)
-        self._wake(outbound)
-
-    def _is_full(self, outbound: _Outbound, size: int) -> bool:
-        if outbound.queued_bytes + size > MAX_PEER_QUEUE_BYTES:
-            return True
-        return self._queued_bytes + size > MAX_TOTAL_QUEUE_BYTES
-
-    def _wake(self, outbound: _Outbound) -> None:
-        if outbound.sender is None:
-            outbound.sender = eventlet.spawn(self._drain_to_peer, outbound)
-        elif outbound.wake is not None and not outbound.wake.ready():
-            outbound.wake.send()
-
-    def _drain_to_peer(self, outbound: _Outbound) -> None:
-        """Connect, send what is queued, and close when nothing more comes."""
-        connection: Any = None
-        try:
-            connection = self._connect(outbound.to)
-            outbound.failures = 0
-            logs.log(logs.Event.STREAM_OPENED, to=_text(outbound.to))
-            self._send_queued(connection, outbound)
-        except (OSError, eventlet.Timeout) as error:
-            self._back_off(outbound, error)
-        finally:
-            if connection is not None:
-                connection.close()
-            outbound.sender = None
-            outbound.wake = None
-            self._forget_if_idle(outbound)
-
-    def _connect(self, to: Address) -> Any:
-        with eventlet.Timeout(CONNECT_TIMEOUT_S):
-            connection = eventlet.connect(to, bind=(self.address[0], 0))
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            hello = frames.pack(frames.Hello(address=self.address))
-            assert isinstance(hello, bytes)
-            connection.sendall(hello)
-        return connection
-
-    def _send_queued(self, connection: Any, outbound: _Outbound) -> None:
-        while True:
-            while outbound.queue:
-                purpose, frame = outbound.queue[0]
-                with eventlet.Timeout(SEND_TIMEOUT_S):
-                    connection.sendall(frame)
-                self._unqueue(outbound)
-                self._count_sent(outbound.to, purpose, len(frame))
-            if not self._wait_for_more(outbound):
-                return
-
-    def _wait_for_more(self, outbound: _Outbound) -> bool:
-        """Wait for a message to send; false when the stream has been idle."""
-        outbound.wake = eventlet.Event()
-        with eventlet.Timeout(IDLE_CLOSE_S, False):
-            outbound.wake.wait()
-        outbound.wake = None
-        return bool(outbound.queue)
-
-    def _unqueue(self, outbound: _Outbound) -> None:
-        _, frame = outbound.queue.popleft()
-        outbound.queued_bytes -= len(frame)
-        self._queued_bytes -= len(frame)
-
-    def _back_off(self, outbound: _Outbound, error: BaseException) -> None:
-        """Drop what is queued and refuse more for a jittered, capped time."""
-        self._metrics.count("stream-dropped-broken", len(outbound.queue))
-        while outbound.queue:
-            self._unqueue(outbound)
-        outbound.failures += 1
-        longest = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**outbound.failures)
-        delay = self._random.uniform(MIN_BACKOFF_S, longest)
-        outbound.retry_at_s = time.monotonic() + delay
-        logs.log(
-            logs.Event.STREAM_CLOSED, to=_text(outbound.to), reason=_name_of(error)
-        )
+            self._forget_idle()
+            outbound = self._outbound_by_address[to] = OutboundStream(
+                to=to,
+                source=self.address,
+                quota=self._quota,
+                metrics=self._metrics,
+                jitter=self._random,
+                on_sent=self._count_sent,
+            )
+        return outbound
 
-    def _forget_if_idle(self, outbound: _Outbound) -> None:
-        if outbound.queue:
-            self._wake(outbound)
-        elif not outbound.failures:
-            self._outbound_by_address.pop(outbound.to, None)
+    def _forget_idle(self) -> None:
+        """Drop the state of peers that nothing was sent to of late."""
+        if len(self._outbound_by_address) < MAX_FORGETTABLE_STREAMS:
+            return
+        for address, outbound in list(self._outbound_by_address.items()):
+            if outbound.is_forgettable:
+                del self._outbound_by_address[address]
 
     def _accept_streams(self) -> None:
         while True:
             try:
                 connection, source = self._listener.accept()
             except OSError as error:
-                self._metrics.count(f"accept-failed-{_name_of(error)}")
-                eventlet.sleep(MIN_BACKOFF_S)
+                self._metrics.count(f"accept-failed-{error_name(error)}")
+                eventlet.sleep(ACCEPT_PAUSE_S)
                 continue
             if len(self._inbound) >= MAX_INBOUND_STREAMS:
                 self._metrics.count("stream-refused-full")
@@ -247,7 +160,7 @@
             while self._read_message(connection, sender):
                 pass
         except OSError as error:
-            self._metrics.count(f"stream-read-{_name_of(error)}")
+            self._metrics.count(f"stream-read-{error_name(error)}")
         finally:
             self._inbound.pop(connection, None)
             connection.close()
@@ -283,7 +196,7 @@
             try:
                 data, source = self._datagrams.recvfrom(READ_CHUNK_BYTES)
             except OSError as error:
-                self._metrics.count(f"datagram-read-{_name_of(error)}")
+                self._metrics.count(f"datagram-read-{error_name(error)}")
                 eventlet.sleep(0)
                 continue
             message = wire.decode(data)
@@ -311,7 +224,7 @@
         self._metrics.count(f"frame-refused-{failure.kind.value}")
         logs.warn(
             logs.Event.FRAME_REFUSED,
-            sender=_text(sender),
+            sender=address_text(sender),
             reason=failure.kind.value,
             detail=failure.detail,
         )
@@ -346,14 +259,3 @@
 def message_purpose(message: object) -> str:
     """Name the purpose under which a message's bytes are counted."""
     return type(message).__name__.lower()
-
-
-def _name_of(error: BaseException) -> str:
-    if isinstance(error, eventlet.Timeout | TimeoutError):
-        return "timeout"
-    number = getattr(error, "errno", None)
-    return errno.errorcode.get(number or 0, type(error).__name__).lower()
-
-
-def _text(address: Address) -> str:
-    return f"{address[0]}:{address[1]}"
