--- a/src/comfreytray/adminclient.py
+++ b/src/comfreytray/adminclient.py
@@ -62,7 +62,7 @@
             return Failure(
                 kind=Kind.NODE_UNREACHABLE,
                 detail=type(error).__name__,
-                fields={"url": self._url},
+                fields={"node": self._url},
             )
         return _parse(answer.data)
 
--- a/src/comfreytray/adminroutes.py
+++ b/src/comfreytray/adminroutes.py
@@ -5,6 +5,7 @@
 
 import eventlet
 from attrs import frozen
+from cattrs.preconf.json import make_converter
 
 from comfreytray import messages
 from comfreytray.admin import AdminApi, Request, parse_json
@@ -20,6 +21,7 @@
     from comfreytray.node import Node
 
 STATUS_TIMEOUT_S = 5.0
+_converter = make_converter(forbid_extra_keys=True)
 DEFAULT_HISTORY = 20
 
 
@@ -197,18 +199,11 @@
 
 
 def _item_texts(document: object) -> list[ItemText] | Failure:
-    """Read a JSON object of `kind/name` to text."""
-    bad = Failure(kind=Kind.BAD_REQUEST, detail="a JSON object of kind/name to text")
-    if not isinstance(document, Mapping) or not document:
-        return bad
-    texts = []
-    for path, content in document.items():
-        kind_name, _, name = str(path).partition("/")
-        kind = _kind(kind_name)
-        if isinstance(kind, Failure) or not name or not isinstance(content, str):
-            return bad
-        texts.append(ItemText(kind=kind, name=name, text=content))
-    return texts
+    """Read a JSON array of items with kind, name and text."""
+    try:
+        return _converter.structure(document, list[ItemText])
+    except Exception as error:
+        return Failure(kind=Kind.BAD_REQUEST, detail=f"items: {type(error).__name__}")
 
 
 def offer(node: "Node", result: ChangeResult | Failure) -> ChangeResult | Failure:
--- a/src/comfreytray/cli.py
+++ b/src/comfreytray/cli.py
@@ -11,11 +11,12 @@
 import warnings
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 import fire
 
 from comfreytray import display, messages, settings
+from comfreytray.admin import plain
 from comfreytray.adminclient import AdminClient
 from comfreytray.errors import EXIT_NOT_YET_IN_FORCE, EXIT_USAGE, Failure, Kind
 from comfreytray.exceptions import SettingError
@@ -59,7 +60,7 @@
             return
         print(show(result, self.language))
 
-    def fail(self, failure: Failure) -> None:
+    def fail(self, failure: Failure) -> NoReturn:
         """Print why the command failed and end with the kind's exit code."""
         message = messages.text(failure, language=self.language)
         if failure.detail and failure.kind is not Kind.NODE_UNREACHABLE:
@@ -174,13 +175,14 @@
 
         Example: comfreytray load examples/clubs --operator=lan
         """
-        files = {
-            f"{kind}/{path.stem}": path.read_text("utf-8")
-            for kind in ("template", "customer")
-            for path in sorted(Path(folder, f"{kind}s").glob("*.yaml"))
-        }
-        body = json.dumps(files).encode()
-        _Session(flags).run(lambda c: c.ask("POST", "load", body=body), display.change)
+        from comfreytray.folders import read_folder
+
+        session = _Session(flags)
+        items = read_folder(Path(folder), language=session.language)
+        if isinstance(items, Failure):
+            session.fail(items)
+        body = json.dumps(plain(items)).encode()
+        session.run(lambda c: c.ask("POST", "load", body=body), display.change)
 
     def versions(self, limit: int = 20, **flags: object) -> None:
         """List the newest versions.
