--- a/features/commands.feature
+++ b/features/commands.feature
@@ -6,10 +6,10 @@
   Scenario: A change from the first edit to its roll-back
     When the folder "examples/clubs" is loaded by "Lan" in "vi"
     Then the command ends with 0 and says "phiên bản 1"
-    And the status in "vi" waits for version 1 and names the service "lichbay"
-    And the status in "fr" waits for version 1 and names the service "lichbay"
+    And the status in "vi" waits for version 1 and names "lichbay"
+    And the status in "fr" waits for version 1 and names "lichbay"
     And a booking is refused as "no-endpoint" and "no" run, in "vi"
-    When customer "song-han" is shown in "fr" and accepted back by "Yann" in "fr"
+    When customer "song-han" is shown in "fr" and accepted back by "Yann"
     Then the command ends with 0 and says "version 2"
     When version 1 is rolled back to by "Lan" in "en"
     Then the command ends with 0 and says "version 3"
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -70,10 +70,8 @@
     _run(context, "load", folder, operator=operator, language=language)
 
 
-@when(
-    'customer "{name}" is shown in "{language}" and accepted back by "{operator}" in "{again}"'
-)  # noqa: E501
-def edit_back(context, name, language, operator, again):
+@when('customer "{name}" is shown in "{language}" and accepted back by "{operator}"')
+def edit_back(context, name, language, operator):
     text = _run(context, "customer", "show", name, language=language)
     assert context.code == 0, context.said
     with tempfile.NamedTemporaryFile("w", suffix=".yaml", encoding="utf-8") as file:
@@ -98,9 +96,7 @@
     assert part.lower() in context.said.lower(), context.said
 
 
-@then(
-    'the status in "{language}" waits for version {version:d} and names the service "{service}"'
-)  # noqa: E501
+@then('the status in "{language}" waits for version {version:d} and names "{service}"')
 def check_status(context, language, version, service):
     _run(context, "status", str(version), "--wait", language=language)
     assert context.code == 0, context.said
