--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -257,7 +257,13 @@
                     return False
             return True
 
-        return wait_until(joined, timeout_s, f"{count} members everywhere")
+        try:
+            return wait_until(joined, timeout_s, f"{count} members everywhere")
+        except TimeoutError as error:
+            seen = [
+                (node.try_ask("health") or {}).get("members") for node in self.nodes
+            ]
+            raise TimeoutError(f"{error}; seen {seen} of {len(self.nodes)}") from error
 
     def wait_endpoints(self, service: str, count: int, timeout_s: float = 30.0) -> None:
         """Wait until every living node sees the endpoints of a service."""
--- a/benchmarks/_simulation.py
+++ b/benchmarks/_simulation.py
@@ -29,7 +29,9 @@
 from comfreytray.membership import Membership
 from comfreytray.metrics import Metrics
 from comfreytray.records import Endpoint, NodeRecord
+from comfreytray.seeds import Seeds
 from comfreytray.snapshots import Snapshot
+from comfreytray.status import StatusBoard
 from comfreytray.storewatch import WATCH_TIMEOUT_S, StoreWatcher
 from comfreytray.testing import FakeClock, FakeNetwork, MemoryStore
 
@@ -41,7 +43,7 @@
 STREAM_HEAD_BYTES = 56
 """IP and TCP headers and the frame's own length."""
 JITTER = 0.1
-SEEDS = 4
+SEEDS_PERIOD_S = 1.0
 VERSION_BODY_BYTES = 700
 
 Place = tuple[str, str]
@@ -114,12 +116,15 @@
     membership: Membership
     distributor: Distributor
     watcher: StoreWatcher
+    status: StatusBoard
+    seeds: Seeds
     metrics: Metrics
     content: Content
     alive: bool = True
     watch_due_s: float = 0.0
     watched_revision: int = 0
     fetch_due_s: float = 0.0
+    seeds_due_s: float = 0.0
 
 
 class Versions:
@@ -189,9 +194,13 @@
 class Mesh:
     """Run the nodes of a deployment on a fake clock."""
 
-    def __init__(self, *, deployment: Deployment, seed: int) -> None:
+    def __init__(
+        self, *, deployment: Deployment, seed: int, preloaded: bool = False
+    ) -> None:
+        """Start nodes that hold the blobs of the first version if `preloaded`."""
         self.deployment = deployment
         self.random = random.Random(seed)
+        self.preloaded = preloaded
         self.clock = FakeClock()
         self.network = RegionalNetwork(
             clock=self.clock, seed=seed, deployment=deployment
@@ -223,7 +232,7 @@
         self.network.place_by_host[host] = place
         record = NodeRecord(
             node_id=f"node-{number:05}",
-            incarnation=int(self.clock.now),
+            incarnation=int(self.clock.now * 1000),
             region=place[0],
             data_centre=place[1],
             host=host,
@@ -232,7 +241,8 @@
         )
         node = self._make(record)
         self.by_id[record.node_id] = node
-        node.membership.start(self._seeds(record))
+        node.seeds.find()
+        node.membership.start(node.seeds.addresses)
         endpoint = Endpoint(
             service=service,
             instance_id=f"{service}-{number}",
@@ -245,11 +255,14 @@
     def _make(self, record: NodeRecord) -> SimulatedNode:
         seed = self.random.getrandbits(32)
         metrics, content = Metrics(), Content()
+        if self.preloaded:
+            content.blob_by_digest.update(self.versions.content.blob_by_digest)
         node_id = record.node_id
 
         def receive(sender: Address, message: object, datagram: bool) -> None:
             membership.receive(sender, message, datagram)
             distributor.receive(sender, message)
+            status.receive(sender, message)
 
         port = self.network.attach(record.control_address, receive)
         membership = Membership(
@@ -283,20 +296,31 @@
             random=random.Random(seed + 2),
             metrics=metrics,
         )
+        status = StatusBoard(
+            node=lambda: membership.me,
+            members=lambda: membership.view,
+            clock=self.clock,
+            random=random.Random(seed + 3),
+            network=port,
+            distributor=distributor,
+        )
+        seeds = Seeds(
+            store=self.store,
+            clock=self.clock,
+            random=random.Random(seed + 4),
+            me=record,
+        )
         return SimulatedNode(
             record=record,
             membership=membership,
             distributor=distributor,
             watcher=watcher,
+            status=status,
+            seeds=seeds,
             metrics=metrics,
             content=content,
         )
 
-    def _seeds(self, record: NodeRecord) -> list[Address]:
-        others = [node.record.control_address for node in self.living()]
-        others = [address for address in others if address != record.control_address]
-        return self.random.sample(others, min(SEEDS, len(others)))
-
     def living(self) -> list[SimulatedNode]:
         """List the nodes that were not killed."""
         return [node for node in self.by_id.values() if node.alive]
@@ -324,12 +348,16 @@
             entry.distributor.offer(head, blobs)
         return head
 
+    def _is_cut_off(self, node: SimulatedNode) -> bool:
+        pair = frozenset((self.deployment.store_region, node.record.region))
+        return pair in self.network.cut_regions
+
     def _ask_store(self, node: SimulatedNode) -> None:
         now = self.clock.now
         place = (node.record.region, node.record.data_centre)
         store_place = (self.deployment.store_region, "store")
         delay = self.deployment.delay_s(store_place, place)
-        if frozenset((store_place[0], place[0])) in self.network.cut_regions:
+        if self._is_cut_off(node):
             return
         revision = self.store.revision
         seen = now >= self._head_changed_s + delay
@@ -370,10 +398,20 @@
                 continue
             node.membership.tick()
             node.distributor.tick()
+            node.status.tick()
+            self._keep_seeds(node)
             self._ask_store(node)
         for callback in self.at_step:
             callback()
 
+    def _keep_seeds(self, node: SimulatedNode) -> None:
+        if self.clock.now < node.seeds_due_s or self._is_cut_off(node):
+            return
+        node.seeds_due_s = self.clock.now + SEEDS_PERIOD_S
+        node.seeds.tick(node.membership.view)
+        if len(node.membership.view.by_id) <= 1:
+            node.membership.start(node.seeds.addresses)
+
     # Questions
 
     def all_joined(self) -> bool:
--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -33,11 +33,12 @@
 SATURATION_WORKERS = 16
 ENDPOINTS = 6
 SLOTS = 12
-WORK_MS = 60.0
+WORK_MS = 150.0
 """Long enough that capacity is set by slots and not by this machine's processors."""
 GOODPUT_S = 8.0
 DEADLINE_MS = 1000
 SERVICE = "lichbay"
+CUSTOMERS = 8
 REMOTE_DELAY_MS = 60.0
 SLOW_FACTOR = 10.0
 LOAD_PROCESSES = 2
@@ -158,7 +159,7 @@
         owner, SERVICE, work_ms=0, slots=1000, connections=1000
     )
     fleet.wait_endpoints(SERVICE, 1)
-    fleet.wait_version(fleet.load_items(simple_items(SERVICE)))
+    fleet.wait_version(fleet.load_items(simple_items(SERVICE, customers=CUSTOMERS)))
     relay, relay_port = start_baseline(fleet, "relay", [owner.upstream_port])
     proxy, proxy_port = start_baseline(fleet, "proxy", [owner.upstream_port])
     return [
@@ -179,8 +180,9 @@
 
 
 def caller_options(path: str = "/field/read") -> dict[str, object]:
-    """Give the options of calls of the benchmark's customer."""
-    return {"path": path, "host": host_of(f"{SERVICE}-customer-0000")}
+    """Give the options of calls of the benchmark's customers."""
+    hosts = [host_of(f"{SERVICE}-customer-{n:04}") for n in range(CUSTOMERS)]
+    return {"path": path, "host": ",".join(hosts)}
 
 
 def measure_latency(
@@ -272,7 +274,7 @@
     for node in fleet.nodes:
         fleet.start_upstream(node, SERVICE, slots=SLOTS, work_ms=work_ms)
     fleet.wait_endpoints(SERVICE, ENDPOINTS)
-    fleet.wait_version(fleet.load_items(simple_items(SERVICE)))
+    fleet.wait_version(fleet.load_items(simple_items(SERVICE, customers=CUSTOMERS)))
     return list(fleet.nodes)
 
 
@@ -404,7 +406,7 @@
                 node, SERVICE, slots=SLOTS, work_ms=WORK_MS, delay_ms=delay_ms
             )
         fleet.wait_endpoints(SERVICE, ENDPOINTS)
-        fleet.wait_version(fleet.load_items(simple_items(SERVICE)))
+        fleet.wait_version(fleet.load_items(simple_items(SERVICE, customers=CUSTOMERS)))
         near = [node for node in fleet.nodes if node.region == "near"]
         far = fleet.nodes[-1]
         proxy, port = start_baseline(
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -43,7 +43,8 @@
     """Time at the start whose calls are made but not counted."""
     method: str = "GET"
     path: str = "/"
-    host: str = ""
+    hosts: tuple[str, ...] = ()
+    """Names of the customers' hosts, taken in turn; none for the address."""
     body: bytes = b""
     seed: int = 1
     timeout_s: float = 10.0
@@ -174,7 +175,7 @@
         load = self.load
         target = load.targets[number % len(load.targets)]
         request_id = f"{load.id_prefix}{load.seed}-{number}"
-        outcome, good = self._exchange(target, request_id)
+        outcome, good = self._exchange(target, request_id, number)
         took = time.perf_counter() - start
         if self.keep_outcomes:
             self.result.outcome_by_id[request_id] = outcome
@@ -188,13 +189,15 @@
         else:
             self.result.refused_us.record_value(_clamp_us(took))
 
-    def _exchange(self, target: tuple[str, int], request_id: str) -> tuple[str, bool]:
+    def _exchange(
+        self, target: tuple[str, int], request_id: str, number: int
+    ) -> tuple[str, bool]:
         load = self.load
         idle = self._idle[target]
         connection = idle.pop() if idle else self._connect(target)
         headers = {"X-Request-Id": request_id, **load.headers}
-        if load.host:
-            headers["Host"] = load.host
+        if load.hosts:
+            headers["Host"] = load.hosts[number % len(load.hosts)]
         if load.key_header:
             headers[load.key_header] = request_id
         try:
@@ -235,23 +238,27 @@
 
 
 def main(
-    targets: str,
+    targets: str | tuple[str, ...],
     calls_per_s: float,
     duration_s: float,
     workers: int = 1,
     warmup_s: float = 0.0,
     method: str = "GET",
     path: str = "/",
-    host: str = "",
+    host: str | tuple[str, ...] = "",
     seed: int = 1,
     key_header: str = "",
     deadline_ms: int = 0,
 ) -> None:
-    """Call comma-separated addresses and print what became of it as JSON."""
+    """Call comma-separated addresses and print what became of it as JSON.
+
+    Several hosts are comma-separated too, and taken in turn.
+    """
     addresses = []
-    for target in str(targets).split(","):
+    for target in targets.split(",") if isinstance(targets, str) else targets:
         ip, _, port = target.rpartition(":")
         addresses.append((ip, int(port)))
+    hosts = host.split(",") if isinstance(host, str) else host
     load = Load(
         targets=tuple(addresses),
         calls_per_s=calls_per_s,
@@ -260,7 +267,7 @@
         warmup_s=warmup_s,
         method=method,
         path=path,
-        host=host,
+        hosts=tuple(filter(None, hosts)),
         seed=seed,
         key_header=key_header,
         headers={DEADLINE_HEADER: str(deadline_ms)} if deadline_ms else {},
