Add an experiment: a real fleet under random faults, judged from the outside

Cause: each module is proved alone; nothing drove all of them as processes under mixed faults (kill, herd, freeze, planned stop, store outage, slow, lost answers, upstream leaving and resetting) with bookings, edits and version watches at once. Change: make experiment; the upstream stand-in prints its log when it has drained.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: all setup format lint test demo soak bench-calls bench-config bench-scale catalogues
+.PHONY: all setup format lint test demo soak bench-calls bench-config bench-scale experiment catalogues
 
 all: test
 
@@ -46,5 +46,8 @@
 bench-scale: setup
 	$(PY) benchmarks/scale.py
 
+experiment: setup
+	$(PY) benchmarks/experiment.py --seconds=$(SECONDS) --seed=$(SEED)
+
 catalogues: setup
 	$(VENV)/bin/pybabel -q compile -d src/comfreytray/locale -D comfreytray
--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -113,6 +113,7 @@
         self.store_port = self.ports.take()
         self.store: Process | None = None
         self._stack = ExitStack()
+        self._owned: list[Process] = []
 
     def __enter__(self) -> "Fleet":
         self.start_store()
@@ -128,8 +129,13 @@
 
     def own(self, process: Process) -> Process:
         """End a process with the fleet."""
+        self._owned.append(process)
         return self._stack.enter_context(process)
 
+    def processes(self) -> list[Process]:
+        """List all processes that were started, ended ones too."""
+        return list(self._owned)
+
     def start_store(self) -> Process:
         """Start the store's stand-in."""
         arguments = ["standins/object_store.py", f"--port={self.store_port}"]
@@ -279,8 +285,12 @@
 
     def load_items(self, text_by_path: dict[str, str]) -> int:
         """Accept many texts as one version and return it."""
+        items = [
+            dict(zip(("kind", "name"), path.split("/"), strict=True), text=text)
+            for path, text in text_by_path.items()
+        ]
         result = self.living()[0].ask(
-            "load", method="POST", body=text_by_path, headers=OPERATOR, timeout_s=60.0
+            "load", method="POST", body=items, headers=OPERATOR, timeout_s=60.0
         )
         return int(result["head"]["version"])
 
--- /dev/null
+++ b/benchmarks/experiment.py
@@ -0,0 +1,452 @@
+"""Run a real fleet under random faults and judge the promises from the outside.
+
+`make experiment SECONDS=60 SEED=1`. The seed fixes which faults come in which order;
+processes and threads make the rest differ from run to run, so this is no CI test.
+"""
+
+import contextlib
+import json
+import random
+import signal
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+import fire
+import urllib3
+from attrs import define, field, frozen
+
+from benchmarks._fleet import OPERATOR, Fleet, FleetNode, customer_text, simple_items
+from benchmarks._processes import fetch_json, wait_until
+
+REGIONS = {"north": ("n1", "n2"), "middle": ("m1", "m2"), "south": ("s1", "s2")}
+NODES_PER_DATA_CENTRE = 2
+SERVICE = "bookings"
+HOST = "bookings-customer-0000.example"
+CALLERS = 6
+CALL_PAUSE_S = 0.02
+CALL_TIMEOUT_S = 12.0
+EDIT_PAUSE_S = 0.7
+WATCH_PAUSE_S = 0.1
+MAX_ATTEMPTS = 6
+RETRY_PAUSE_S = 0.3
+FAULT_PAUSE_S = (0.3, 2.0)
+FAULT_LENGTH_S = (0.5, 6.0)
+HERD_SHARE = 0.3
+CONVERGE_TIMEOUT_S = 60.0
+
+
+@frozen(kw_only=True)
+class Attempt:
+    """Hold the outcome of one try of a booking."""
+
+    status: int
+    """0 if no whole answer came."""
+    ran: str
+    kind: str
+
+
+@define(kw_only=True)
+class Booking:
+    """Hold a caller's booking and what came of it."""
+
+    name: str
+    keyed: bool
+    attempts: list[Attempt] = field(factory=list)
+
+    @property
+    def answered(self) -> bool:
+        """Tell whether a whole answer of the upstream arrived."""
+        return any(attempt.status == 200 for attempt in self.attempts)
+
+    @property
+    def surely_not_run(self) -> bool:
+        """Tell whether every answer said that the request did not run."""
+        return all(attempt.ran == "no" for attempt in self.attempts)
+
+
+@define(kw_only=True)
+class Findings:
+    """Collect broken promises."""
+
+    broken: list[str] = field(factory=list)
+
+    def expect(self, holds: bool, promise: str) -> None:
+        """Note a promise unless it holds."""
+        if not holds:
+            self.broken.append(promise)
+            print(f"BROKEN: {promise}", flush=True)
+
+
+class Callers:
+    """Book through random nodes from several threads."""
+
+    def __init__(self, *, fleet: Fleet, seed: int) -> None:
+        self.fleet = fleet
+        self.seed = seed
+        self.bookings: list[Booking] = []
+        self.foreign_answers: list[str] = []
+        self.stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,), daemon=True)
+            for number in range(CALLERS)
+        ]
+
+    def start(self) -> None:
+        """Start all callers."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Let each caller finish its booking."""
+        self.stopped.set()
+        for thread in self._threads:
+            thread.join(MAX_ATTEMPTS * CALL_TIMEOUT_S)
+
+    def _run(self, number: int) -> None:
+        choice = random.Random(f"{self.seed}/{number}")
+        http = urllib3.PoolManager(retries=False, maxsize=4)
+        count = 0
+        while not self.stopped.is_set():
+            count += 1
+            keyed = choice.random() < 0.3
+            booking = Booking(name=f"b-{number}-{count}", keyed=keyed)
+            self.bookings.append(booking)
+            for _ in range(MAX_ATTEMPTS if keyed else 1):
+                node = choice.choice(self.fleet.nodes)
+                booking.attempts.append(self._attempt(http, node, booking))
+                if booking.answered:
+                    break
+                time.sleep(RETRY_PAUSE_S)
+            time.sleep(CALL_PAUSE_S)
+
+    def _attempt(
+        self, http: urllib3.PoolManager, node: FleetNode, booking: Booking
+    ) -> Attempt:
+        headers = {"Host": HOST, "X-Request-Id": booking.name}
+        if booking.keyed:
+            headers["Idempotency-Key"] = booking.name
+        url = f"http://{node.address[0]}:{node.address[1]}/field/book"
+        try:
+            answer = http.request(
+                "POST",
+                url,
+                body=json.dumps({"name": booking.name}).encode(),
+                headers=headers,
+                timeout=urllib3.Timeout(connect=1.0, read=CALL_TIMEOUT_S),
+            )
+        except urllib3.exceptions.NewConnectionError:
+            return Attempt(status=0, ran="no", kind="refused-connection")
+        except urllib3.exceptions.HTTPError as error:
+            return Attempt(status=0, ran="unknown", kind=type(error).__name__)
+        if answer.status == 200 and booking.name.encode() not in answer.data:
+            self.foreign_answers.append(booking.name)
+        return Attempt(
+            status=answer.status,
+            ran=answer.headers.get("Comfreytray-Ran", "yes"),
+            kind=answer.headers.get("Comfreytray-Error", ""),
+        )
+
+
+class Operator:
+    """Edit through random nodes and keep what was accepted."""
+
+    def __init__(self, *, fleet: Fleet, seed: int) -> None:
+        self.fleet = fleet
+        self.accepted: list[int] = []
+        self.refused: Counter[str] = Counter()
+        self.stopped = threading.Event()
+        self._random = random.Random(f"{seed}/operator")
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Start editing."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End after the edit under way."""
+        self.stopped.set()
+        self._thread.join(60)
+
+    def _run(self) -> None:
+        number = 0
+        while not self.stopped.is_set():
+            number += 1
+            name = f"bookings-customer-{1 + number % 3:04}"
+            text = customer_text(name, f"use-{SERVICE}", place=f"field-{number}")
+            node = self._random.choice(self.fleet.nodes)
+            try:
+                self.accepted.append(self.fleet.edit(node, f"customer/{name}", text))
+            except (RuntimeError, urllib3.exceptions.HTTPError) as error:
+                self.refused[type(error).__name__] += 1
+            time.sleep(EDIT_PAUSE_S)
+
+
+class Watch:
+    """Look at each node's version and note when one goes back."""
+
+    def __init__(self, *, fleet: Fleet, findings: Findings) -> None:
+        self.fleet = fleet
+        self.findings = findings
+        self.stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Start looking."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End looking."""
+        self.stopped.set()
+        self._thread.join(30)
+
+    def _run(self) -> None:
+        seen: dict[int, int] = {}
+        while not self.stopped.is_set():
+            for node in self.fleet.living():
+                pid = node.process.pid
+                version = node.version()
+                if version == 0 or node.process.pid != pid:
+                    continue
+                before = seen.get(pid, 0)
+                self.findings.expect(
+                    version >= before,
+                    f"{node.node_id} went from version {before} to {version}",
+                )
+                seen[pid] = max(before, version)
+            time.sleep(WATCH_PAUSE_S)
+
+
+class Faults:
+    """Cause faults one after the other, several at a time, and heal them."""
+
+    def __init__(self, *, fleet: Fleet, seed: int) -> None:
+        self.fleet = fleet
+        self.random = random.Random(f"{seed}/faults")
+        self.count_by_name: Counter[str] = Counter()
+        self._heal_at: list[tuple[float, Callable[[], None]]] = []
+        self._hurt: set[str] = set()
+
+    def run(self, seconds: float) -> None:
+        """Cause faults for a time, then heal all."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self._heal(time.monotonic())
+            fault = self.random.choice(
+                (
+                    self._kill,
+                    self._freeze,
+                    self._stop_planned,
+                    self._herd,
+                    self._store_outage,
+                    self._store_slow,
+                    self._store_loses_answers,
+                    self._upstream_leaves,
+                    self._upstream_resets,
+                )
+            )
+            fault()
+            time.sleep(self.random.uniform(*FAULT_PAUSE_S))
+        self._heal(float("inf"))
+
+    def _heal(self, now: float) -> None:
+        due = [entry for entry in self._heal_at if entry[0] <= now]
+        self._heal_at = [entry for entry in self._heal_at if entry[0] > now]
+        for _, heal in due:
+            heal()
+
+    def _later(self, heal: Callable[[], None]) -> None:
+        length = self.random.uniform(*FAULT_LENGTH_S)
+        self._heal_at.append((time.monotonic() + length, heal))
+
+    def _victim(self) -> FleetNode | None:
+        whole = [node for node in self.fleet.nodes if node.node_id not in self._hurt]
+        if len(whole) <= len(self.fleet.nodes) // 2:
+            return None
+        node = self.random.choice(whole)
+        self._hurt.add(node.node_id)
+        return node
+
+    def _mend(self, node: FleetNode) -> None:
+        self.fleet.restart_node(node)
+        self._hurt.discard(node.node_id)
+
+    def _note(self, name: str) -> None:
+        self.count_by_name[name] += 1
+
+    def _kill(self) -> None:
+        node = self._victim()
+        if node is None:
+            return
+        self._note("kill")
+        node.process.kill()
+        self._later(lambda: self._mend(node))
+
+    def _herd(self) -> None:
+        for _ in range(int(len(self.fleet.nodes) * HERD_SHARE)):
+            self._kill()
+
+    def _freeze(self) -> None:
+        node = self._victim()
+        if node is None:
+            return
+        self._note("freeze")
+        node.process.send(signal.SIGSTOP)
+
+        def thaw() -> None:
+            node.process.send(signal.SIGCONT)
+            self._hurt.discard(node.node_id)
+
+        self._later(thaw)
+
+    def _stop_planned(self) -> None:
+        node = self._victim()
+        if node is None:
+            return
+        self._note("planned stop")
+        node.process.send(signal.SIGTERM)
+        self._later(lambda: self._mend(node))
+
+    def _store_outage(self) -> None:
+        self._note("store outage")
+        self.fleet.set_store_faults(outage=True)
+        self._later(lambda: self.fleet.set_store_faults(outage=False))
+
+    def _store_slow(self) -> None:
+        self._note("store slow")
+        self.fleet.set_store_faults(delay_s=1.0)
+        self._later(lambda: self.fleet.set_store_faults(delay_s=0.0))
+
+    def _store_loses_answers(self) -> None:
+        self._note("store loses answers")
+        self.fleet.set_store_faults(lose_answers=3)
+
+    def _upstream_leaves(self) -> None:
+        node = self._victim()
+        if node is None or node.upstream is None:
+            return
+        self._note("upstream leaves")
+        leaving = node.upstream
+        leaving.send(signal.SIGTERM)
+
+        def replace() -> None:
+            wait_until(lambda: not leaving.running, 60.0, "the upstream to drain")
+            self.fleet.start_upstream(node, SERVICE, work_ms=4)
+            self._hurt.discard(node.node_id)
+
+        self._later(replace)
+
+    def _upstream_resets(self) -> None:
+        serving = [node for node in self.fleet.nodes if node.upstream is not None]
+        node = self.random.choice(serving)
+        self._note("upstream resets")
+        with contextlib.suppress(urllib3.exceptions.HTTPError, RuntimeError):
+            node.set_faults(reset_after_run=1)
+
+
+def _runs_by_name(fleet: Fleet, gone: list[Any]) -> Counter[str]:
+    """Count in all upstreams' logs how often each booking ran."""
+    runs: Counter[str] = Counter()
+    for node in fleet.nodes:
+        if node.upstream is not None and node.upstream.running:
+            runs.update(entry["id"] for entry in node.upstream_log())
+    for process in gone:
+        for line in process.output().splitlines():
+            if line.startswith("log="):
+                runs.update(entry["id"] for entry in json.loads(line[4:]))
+    return runs
+
+
+def _judge_bookings(
+    bookings: list[Booking], runs: Counter[str], findings: Findings
+) -> None:
+    for booking in bookings:
+        ran = runs[booking.name]
+        findings.expect(ran <= 1, f"{booking.name} ran {ran} times {booking.attempts}")
+        findings.expect(
+            not (booking.surely_not_run and ran),
+            f"{booking.name} ran though told not: {booking.attempts}",
+        )
+        findings.expect(
+            not (booking.answered and not ran),
+            f"{booking.name} was answered and never ran",
+        )
+
+
+def _judge_versions(fleet: Fleet, operator: Operator, findings: Findings) -> None:
+    newest = fleet.nodes[0].ask("versions", headers=OPERATOR)[0]["version"]
+    seconds = fleet.wait_version(newest, CONVERGE_TIMEOUT_S)
+    print(f"version {newest} everywhere {seconds:.1f} s after the last fault")
+    findings.expect(
+        len(set(operator.accepted)) == len(operator.accepted),
+        "two edits were accepted as the same version",
+    )
+    findings.expect(
+        all(version <= newest for version in operator.accepted),
+        "an accepted version is missing from the history",
+    )
+
+
+def main(seconds: float = 30.0, seed: int = 1) -> None:
+    """Run the experiment and exit non-zero when a promise was broken."""
+    findings = Findings()
+    with Fleet(store_region="north") as fleet:
+        for region, centres in REGIONS.items():
+            for centre in centres * NODES_PER_DATA_CENTRE:
+                fleet.start_node(region=region, data_centre=centre, wait=False)
+        fleet.wait_ready()
+        upstreams = [
+            fleet.start_upstream(node, SERVICE, work_ms=4) for node in fleet.nodes[::2]
+        ]
+        fleet.wait_joined()
+        fleet.wait_endpoints(SERVICE, len(upstreams))
+        items = simple_items(SERVICE, customers=4)
+        fleet.wait_version(fleet.load_items(items))
+        callers = Callers(fleet=fleet, seed=seed)
+        operator = Operator(fleet=fleet, seed=seed)
+        watch = Watch(fleet=fleet, findings=findings)
+        faults = Faults(fleet=fleet, seed=seed)
+        for part in (callers, operator, watch):
+            part.start()
+        faults.run(seconds)
+        for part in (operator, callers, watch):
+            part.stop()
+        fetch_json(f"http://127.0.0.1:{fleet.store_port}/faults")
+        _judge_versions(fleet, operator, findings)
+        fleet.wait_joined()
+        fleet.wait_endpoints(SERVICE, len(upstreams))
+        runs = _runs_by_name(fleet, fleet.processes())
+        _judge_bookings(callers.bookings, runs, findings)
+        findings.expect(
+            not callers.foreign_answers, f"foreign answers {callers.foreign_answers}"
+        )
+        _report(callers, operator, faults, runs)
+    print(f"{len(findings.broken)} promises broken, seed {seed}")
+    sys.exit(1 if findings.broken else 0)
+
+
+def _report(
+    callers: Callers, operator: Operator, faults: Faults, runs: Counter[str]
+) -> None:
+    bookings = callers.bookings
+    kinds = Counter(
+        attempt.kind or str(attempt.status)
+        for booking in bookings
+        for attempt in booking.attempts
+    )
+    answered = sum(booking.answered for booking in bookings)
+    keyed = sum(booking.keyed for booking in bookings)
+    print(f"faults {dict(faults.count_by_name)}")
+    print(f"bookings {len(bookings)}, {keyed} keyed, {answered} answered")
+    print(f"runs {sum(runs.values())}, attempts by outcome {dict(kinds)}")
+    print(f"edits accepted {len(operator.accepted)}, refused {dict(operator.refused)}")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -238,11 +238,12 @@
                     setattr(self.faults, name, value)
         elif path == "drain":
             self.drain()
-        content = json.dumps(self._log() if path == "log" else self._totals()).encode()
+        content = json.dumps(self.log() if path == "log" else self._totals()).encode()
         start_response("200 OK", _headers("application/json", len(content)))
         return [content]
 
-    def _log(self) -> list[dict[str, object]]:
+    def log(self) -> list[dict[str, object]]:
+        """List the requests that ran."""
         return [
             {
                 "id": record.request_id,
@@ -367,6 +368,7 @@
     while not upstream.drained:
         eventlet.sleep(STATE_POLL_S)
     listener.close()
+    print(f"log={json.dumps(upstream.log())}", flush=True)
     print(f"drained service={upstream.service}", flush=True)
     os._exit(0)
 
