--- a/src/comfreytray/ownerstreams.py
+++ b/src/comfreytray/ownerstreams.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from comfreytray import frames
+from comfreytray import callframes
 from comfreytray.calls import Call, Headers, Outcome, fail
 from comfreytray.errors import Failure, Kind
 from comfreytray.exceptions import invariant
@@ -20,7 +20,7 @@
 
     stream_id: int
     call: Call
-    credit: int = frames.WINDOW_BYTES
+    credit: int = callframes.WINDOW_BYTES
     cancelled: bool = False
     notify: Callable[[], None] = ignore
     """Called when credit came in or the call was cancelled."""
@@ -33,11 +33,11 @@
         self.node_id = node_id
         self.clock = clock
         self.outbox = Outbox()
-        self.hello: frames.Hello | None = None
+        self.hello: callframes.Hello | None = None
         self.stream_by_id: dict[int, OwnerStream] = {}
         self.closed = False
         self._last_id = 0
-        self._decoder = frames.Decoder()
+        self._decoder = callframes.Decoder()
 
     def receive(self, received: bytes) -> list[OwnerStream] | Failure:
         """Take bytes of the caller and return the calls that it opened."""
@@ -57,7 +57,7 @@
         """Answer a call with a failure."""
         if self._finish(stream):
             self.outbox.push(
-                frames.refuse(stream.stream_id, outcome.failure, outcome.ran, load)
+                callframes.refuse(stream.stream_id, outcome.failure, outcome.ran, load)
             )
 
     def head(
@@ -77,7 +77,7 @@
         live = self._finish(stream) if last else self._is_live(stream)
         if live:
             self.outbox.push(
-                frames.head(
+                callframes.head(
                     stream.stream_id,
                     status=status,
                     reason=reason,
@@ -94,12 +94,12 @@
         stream.credit -= len(chunk)
         live = self._finish(stream) if last else self._is_live(stream)
         if live:
-            self.outbox.push(frames.data(stream.stream_id, chunk, last=last))
+            self.outbox.push(callframes.data(stream.stream_id, chunk, last=last))
 
     def cut(self, stream: OwnerStream, failure: Failure) -> None:
         """Say that an answer broke off."""
         if self._finish(stream):
-            self.outbox.push(frames.cut(stream.stream_id, failure))
+            self.outbox.push(callframes.cut(stream.stream_id, failure))
 
     def lose(self) -> None:
         """Cancel each call of a connection that is gone."""
@@ -121,35 +121,35 @@
         stream.cancelled = True
         stream.notify()
 
-    def _take(self, frame: frames.Frame) -> OwnerStream | Failure | None:
+    def _take(self, frame: callframes.Frame) -> OwnerStream | Failure | None:
         tag = frame[0]
         if self.hello is None:
             return self._take_hello(frame)
-        if tag == frames.OPEN:
+        if tag == callframes.OPEN:
             return self._take_open(frame)
-        if tag not in (frames.CREDIT, frames.CANCEL):
+        if tag not in (callframes.CREDIT, callframes.CANCEL):
             return Failure(kind=Kind.BAD_FRAME, detail=f"tag {tag} from a caller")
         stream = self.stream_by_id.get(frame[1])
         if stream is None:
             return None
-        if tag == frames.CANCEL:
+        if tag == callframes.CANCEL:
             self._cancel(stream)
             return None
         stream.credit += frame[2]
-        if stream.credit > frames.WINDOW_BYTES:
+        if stream.credit > callframes.WINDOW_BYTES:
             return Failure(kind=Kind.BAD_FRAME, detail="credit over the window")
         stream.notify()
         return None
 
-    def _take_hello(self, frame: frames.Frame) -> Failure | None:
-        if frame[0] != frames.HELLO or frame[1] != frames.PROTOCOL_VERSION:
+    def _take_hello(self, frame: callframes.Frame) -> Failure | None:
+        if frame[0] != callframes.HELLO or frame[1] != callframes.PROTOCOL_VERSION:
             return Failure(kind=Kind.BAD_FRAME, detail="no hello of this version")
-        self.hello = frames.Hello(
+        self.hello = callframes.Hello(
             version=frame[1], caller_id=frame[2], expected_id=frame[3]
         )
         return None
 
-    def _take_open(self, frame: frames.Frame) -> OwnerStream | Failure | None:
+    def _take_open(self, frame: callframes.Frame) -> OwnerStream | Failure | None:
         stream_id = frame[1]
         if stream_id <= self._last_id:
             return Failure(kind=Kind.BAD_FRAME, detail="stream id used again")
@@ -164,8 +164,8 @@
             return None
         return stream
 
-    def _call_of(self, frame: frames.Frame) -> Call:
-        left_s = frame[9] / frames.MICROSECONDS_PER_S
+    def _call_of(self, frame: callframes.Frame) -> Call:
+        left_s = frame[9] / callframes.MICROSECONDS_PER_S
         return Call(
             service=frame[2],
             customer=frame[3],
@@ -186,5 +186,5 @@
 def chunks_of(body: bytes) -> Iterator[bytes]:
     """Cut a body into parts that each fit into one frame."""
     view = memoryview(body)
-    for start in range(0, len(body), frames.CHUNK_BYTES):
-        yield bytes(view[start : start + frames.CHUNK_BYTES])
+    for start in range(0, len(body), callframes.CHUNK_BYTES):
+        yield bytes(view[start : start + callframes.CHUNK_BYTES])
--- a/src/comfreytray/streams.py
+++ b/src/comfreytray/streams.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from comfreytray import frames
+from comfreytray import callframes
 from comfreytray.calls import Call, Headers, Outcome, fail
 from comfreytray.errors import Failure, Kind
 from comfreytray.exceptions import invariant
@@ -86,14 +86,14 @@
         self.closed = False
         self.late_frames = 0
         self._last_id = 0
-        self._decoder = frames.Decoder()
-        self.outbox.push(frames.hello(caller_id=caller_id, expected_id=expected_id))
+        self._decoder = callframes.Decoder()
+        self.outbox.push(callframes.hello(caller_id=caller_id, expected_id=expected_id))
 
     def open(self, call: Call, *, left_s: float) -> CallStream:
         """Queue a call and return its stream."""
         invariant(not self.closed, "no call is opened on a closed connection")
         self._last_id += 1
-        packed = frames.open_call(self._last_id, call, left_s)
+        packed = callframes.open_call(self._last_id, call, left_s)
         stream = CallStream(
             stream_id=self._last_id, end_offset=self.outbox.push(packed)
         )
@@ -105,7 +105,7 @@
         chunk = stream.chunks.popleft()
         stream.buffered -= len(chunk)
         if not stream.ended and chunk and not self.closed:
-            self.outbox.push(frames.credit(stream.stream_id, len(chunk)))
+            self.outbox.push(callframes.credit(stream.stream_id, len(chunk)))
         return chunk
 
     def cancel(self, stream: CallStream) -> None:
@@ -113,7 +113,7 @@
         if self.stream_by_id.pop(stream.stream_id, None) is None:
             return
         if not self.closed:
-            self.outbox.push(frames.cancel(stream.stream_id))
+            self.outbox.push(callframes.cancel(stream.stream_id))
 
     def receive(self, received: bytes) -> Failure | None:
         """Take bytes of the owner; a Failure means that the connection must close."""
@@ -138,7 +138,7 @@
                 outcome = fail(Kind.LOST_AFTER_SEND, "connection lost")
             self._end(stream, outcome)
 
-    def _take(self, frame: frames.Frame) -> Failure | None:
+    def _take(self, frame: callframes.Frame) -> Failure | None:
         tag = frame[0]
         if tag not in _FROM_OWNER:
             return Failure(kind=Kind.BAD_FRAME, detail=f"tag {tag} from an owner")
@@ -151,14 +151,14 @@
         invariant(stream.stream_id == frame[1], "an answer matches its own call only")
         return _FROM_OWNER[tag](self, stream, frame)
 
-    def _take_head(self, stream: CallStream, frame: frames.Frame) -> Failure | None:
+    def _take_head(self, stream: CallStream, frame: callframes.Frame) -> Failure | None:
         if stream.status:
             return Failure(kind=Kind.BAD_FRAME, detail="second head")
         stream.status, stream.reason, stream.headers = frame[2:5]
         stream.load = frame[7]
         return self._add(stream, frame[5], last=frame[6])
 
-    def _take_data(self, stream: CallStream, frame: frames.Frame) -> Failure | None:
+    def _take_data(self, stream: CallStream, frame: callframes.Frame) -> Failure | None:
         if not stream.status:
             return Failure(kind=Kind.BAD_FRAME, detail="body before head")
         return self._add(stream, frame[2], last=frame[3])
@@ -167,7 +167,7 @@
         if chunk:
             stream.chunks.append(chunk)
             stream.buffered += len(chunk)
-        if stream.buffered > frames.WINDOW_BYTES:
+        if stream.buffered > callframes.WINDOW_BYTES:
             return Failure(kind=Kind.FRAME_TOO_LARGE, detail="window overrun")
         if last:
             stream.whole = True
@@ -175,20 +175,22 @@
         stream.notify()
         return None
 
-    def _take_refuse(self, stream: CallStream, frame: frames.Frame) -> Failure | None:
+    def _take_refuse(
+        self, stream: CallStream, frame: callframes.Frame
+    ) -> Failure | None:
         if stream.status:
             return Failure(kind=Kind.BAD_FRAME, detail="refusal after head")
-        kind, ran = frames.kind_of(frame[2]), frames.ran_of(frame[3])
+        kind, ran = callframes.kind_of(frame[2]), callframes.ran_of(frame[3])
         if kind is None or ran is None:
             return Failure(kind=Kind.BAD_FRAME, detail="refusal")
         failure = Failure(kind=kind, detail=frame[4], retry_after_s=frame[5] or None)
         self._end(stream, Outcome(failure=failure, ran=ran, load=frame[6]))
         return None
 
-    def _take_cut(self, stream: CallStream, frame: frames.Frame) -> Failure | None:
+    def _take_cut(self, stream: CallStream, frame: callframes.Frame) -> Failure | None:
         if not stream.status:
             return Failure(kind=Kind.BAD_FRAME, detail="cut before head")
-        kind = frames.kind_of(frame[2]) or Kind.ANSWER_CUT
+        kind = callframes.kind_of(frame[2]) or Kind.ANSWER_CUT
         self._end(stream, fail(kind, frame[3]))
         return None
 
@@ -199,8 +201,8 @@
 
 
 _FROM_OWNER = {
-    frames.HEAD: CallStreams._take_head,
-    frames.DATA: CallStreams._take_data,
-    frames.REFUSE: CallStreams._take_refuse,
-    frames.CUT: CallStreams._take_cut,
+    callframes.HEAD: CallStreams._take_head,
+    callframes.DATA: CallStreams._take_data,
+    callframes.REFUSE: CallStreams._take_refuse,
+    callframes.CUT: CallStreams._take_cut,
 }
--- a/src/comfreytray/streamserver.py
+++ b/src/comfreytray/streamserver.py
@@ -7,7 +7,7 @@
 import eventlet
 from eventlet.green import socket
 
-from comfreytray import frames, logs
+from comfreytray import callframes, logs
 from comfreytray.calls import Call, CallCutError, Outcome, Reply, fail
 from comfreytray.connections import MAX_OUTBOX_BYTES, READ_BYTES, Writer, hang_up
 from comfreytray.errors import Failure, Kind
@@ -145,7 +145,9 @@
             self.writer.flush()
 
     def _answer(self, reply: Reply) -> None:
-        parts = chunks_of(reply.body) if len(reply.body) > frames.CHUNK_BYTES else None
+        parts = (
+            chunks_of(reply.body) if len(reply.body) > callframes.CHUNK_BYTES else None
+        )
         first = next(parts) if parts is not None else reply.body
         self.streams.head(
             self.stream,
