--- a/features/steps/calls_http_steps.py
+++ b/features/steps/calls_http_steps.py
@@ -8,8 +8,8 @@
 from eventlet.green import socket
 
 from comfreytray import requests
+from comfreytray.callframes import WINDOW_BYTES
 from comfreytray.connections import hang_up
-from comfreytray.frames import WINDOW_BYTES
 from comfreytray.records import EndpointState
 
 HEAD = b"POST /%s HTTP/1.1\r\nHost: canhdieu.test\r\n"
