Compile a version with what the node kept of the one before

Cause: a node compiled all customers anew for each version and blocked its one loop for it: 125-168 ms at 2,000 customers, 17 ms at 200 (one process, single runs). Change: Compiler keeps documents by their bodies and a customer's routes by the bodies of customer and template.

--- a/src/comfreytray/compiler.py
+++ b/src/comfreytray/compiler.py
@@ -1,6 +1,8 @@
 """Turn the documents of a version into the routes that a node has in force."""
 
 import re
+from collections.abc import Mapping
+from types import MappingProxyType
 
 from comfreytray.causes import Cause
 from comfreytray.content import Content, Head
@@ -9,6 +11,7 @@
     Argument,
     Catalogue,
     Customer,
+    Document,
     RouteTemplate,
     Setting,
     Template,
@@ -27,24 +30,79 @@
 _SERVICE = re.compile(r"[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?")
 
 
+class Compiler:
+    """Compile versions, reusing what a version has in common with the one before."""
+
+    def __init__(self) -> None:
+        self._document_by_body: dict[bytes, Document] = {}
+        self._routes_by_bodies: dict[tuple[bytes, bytes], tuple[Route, ...]] = {}
+
+    def compile(self, head: Head, content: Content) -> Snapshot | Failure:
+        """Compile a version that is held whole."""
+        body_by_key = content.items(head)
+        if isinstance(body_by_key, Failure):
+            return body_by_key
+        catalogue = decode_catalogue(body_by_key, self._document_by_body)
+        if isinstance(catalogue, Failure):
+            return catalogue
+        snapshot = compile_catalogue(head, catalogue, self._known_routes(body_by_key))
+        if not isinstance(snapshot, Failure):
+            self._remember(body_by_key, catalogue, snapshot)
+        return snapshot
+
+    def _known_routes(
+        self, body_by_key: Mapping[str, bytes]
+    ) -> dict[str, tuple[Route, ...]]:
+        """Find the customers whose text and template are as they were."""
+        template_by_body = {
+            body: document.template
+            for body, document in self._document_by_body.items()
+            if isinstance(document, Customer)
+        }
+        known: dict[str, tuple[Route, ...]] = {}
+        for key, body in body_by_key.items():
+            template = template_by_body.get(body)
+            if template is None:
+                continue
+            bodies = (body, body_by_key.get(f"template/{template}", b""))
+            routes = self._routes_by_bodies.get(bodies)
+            if routes is not None:
+                known[key.removeprefix("customer/")] = routes
+        return known
+
+    def _remember(
+        self,
+        body_by_key: Mapping[str, bytes],
+        catalogue: Catalogue,
+        snapshot: Snapshot,
+    ) -> None:
+        self._document_by_body = {}
+        self._routes_by_bodies = {}
+        for name, template in catalogue.template_by_name.items():
+            self._document_by_body[body_by_key[f"template/{name}"]] = template
+        for name, customer in catalogue.customer_by_name.items():
+            body = body_by_key[f"customer/{name}"]
+            bodies = (body, body_by_key[f"template/{customer.template}"])
+            self._document_by_body[body] = customer
+            self._routes_by_bodies[bodies] = snapshot.routes_by_customer[name]
+
+
 def compile_snapshot(head: Head, content: Content) -> Snapshot | Failure:
-    """Compile a version that is held whole."""
-    body_by_key = content.items(head)
-    if isinstance(body_by_key, Failure):
-        return body_by_key
-    catalogue = decode_catalogue(body_by_key)
-    if isinstance(catalogue, Failure):
-        return catalogue
-    return compile_catalogue(head, catalogue)
-
-
-def compile_catalogue(head: Head, catalogue: Catalogue) -> Snapshot | Failure:
-    """Compile documents that were read already."""
+    """Compile a version that is held whole, from nothing."""
+    return Compiler().compile(head, content)
+
+
+def compile_catalogue(
+    head: Head,
+    catalogue: Catalogue,
+    known_routes: Mapping[str, tuple[Route, ...]] = MappingProxyType({}),
+) -> Snapshot | Failure:
+    """Compile documents that were read already; known customers are taken over."""
     routes_by_customer: dict[str, tuple[Route, ...]] = {}
     customer_by_host: dict[str, str] = {}
     for name in sorted(catalogue.customer_by_name):
         customer = catalogue.customer_by_name[name]
-        routes = compile_customer(customer, catalogue)
+        routes = known_routes.get(name) or compile_customer(customer, catalogue)
         if isinstance(routes, Failure):
             return routes
         routes_by_customer[name] = routes
--- a/src/comfreytray/documents.py
+++ b/src/comfreytray/documents.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Callable, Mapping
 from enum import Enum
+from types import MappingProxyType
 from typing import Any
 
 import attrs
@@ -190,11 +191,14 @@
         return Failure(kind=Kind.BAD_FRAME, detail=f"document: {type(error).__name__}")
 
 
-def decode_catalogue(body_by_key: Mapping[str, bytes]) -> Catalogue | Failure:
-    """Unpack all items of a version."""
+def decode_catalogue(
+    body_by_key: Mapping[str, bytes],
+    document_by_body: Mapping[bytes, Document] = MappingProxyType({}),
+) -> Catalogue | Failure:
+    """Unpack all items of a version; documents that are known are taken over."""
     catalogue = Catalogue()
     for key, body in body_by_key.items():
-        document = decode_document(body)
+        document = document_by_body.get(body) or decode_document(body)
         if isinstance(document, Failure):
             return document
         if item_key(kind_of(document), document.name) != key:
--- a/src/comfreytray/node.py
+++ b/src/comfreytray/node.py
@@ -16,7 +16,7 @@
 from comfreytray.adminroutes import add_routes
 from comfreytray.announcements import AnnouncementDesk
 from comfreytray.clock import SystemClock
-from comfreytray.compiler import compile_snapshot
+from comfreytray.compiler import Compiler
 from comfreytray.content import Content, decode_head
 from comfreytray.distribution import Distributor
 from comfreytray.errors import Failure, Kind
@@ -147,7 +147,7 @@
             random=self.random,
             network=self.transport,
             content=self.content,
-            compile_snapshot=compile_snapshot,
+            compile_snapshot=Compiler().compile,
             on_applied=lambda snapshot: self.metrics.gauge(
                 "version_in_force", snapshot.head.version
             ),
