--- a/src/comfreytray/node.py
+++ b/src/comfreytray/node.py
@@ -96,6 +96,8 @@
         self.membership.leave()
         self.calls.drain(self.settings.drain_timeout_s)
         eventlet.sleep(LEAVE_SPREAD_S)
+        self.calls.stop_http(self.settings.drain_timeout_s)
+        self.calls.drain(self.settings.drain_timeout_s)
         self.membership.left()
         eventlet.sleep(TICK_S)
 
@@ -211,10 +213,15 @@
         )
 
     def _start_loops(self, tasks: TaskGroup) -> None:
-        tasks.every("membership", TICK_S, self.membership.tick)
-        tasks.every("announcement", TICK_S, self.desk.tick)
-        tasks.every("distribution", TICK_S, self.distributor.tick)
-        tasks.every("status", TICK_S, self.status.tick)
+        tasks.every(
+            TICK_S,
+            {
+                "membership": self.membership.tick,
+                "announcement": self.desk.tick,
+                "distribution": self.distributor.tick,
+                "status": self.status.tick,
+            },
+        )
         tasks.spawn("seeds", self._keep_seeds)
         tasks.spawn("store-watch", lambda: _repeat(self.watcher.watch_step))
         tasks.spawn("store-fetch", lambda: _repeat(self.watcher.fetch_step))
