--- a/src/comfreytray/detection.py
+++ b/src/comfreytray/detection.py
@@ -17,17 +17,18 @@
     HELPERS,
     PROBE_INTERVAL_S,
     REGION_PROBES_PER_S,
+    VERDICT_PROBES,
     Probe,
     Probes,
     Ring,
 )
-from comfreytray.records import NodeState
+from comfreytray.records import NodeRecord, NodeState
 from comfreytray.rumors import Accusation, pack_claim
 from comfreytray.selfdoubt import SelfDoubt
-from comfreytray.suspicions import HOLD_S, RECHECK_S, Suspicion, Suspicions
+from comfreytray.suspicions import Suspicions
 
-MIN_PLACE_MEMBERS = 3
-"""Members below which a silent data centre or region is not taken for cut off."""
+MIN_PLACE_MEMBERS = 2
+"""Members below which a data centre says nothing about one of them."""
 
 Accuse = Callable[[str, NodeState], None]
 
@@ -80,8 +81,8 @@
             logs.warn(logs.Event.SELF_DOUBT, paused_s=pause, score=self.doubt.score)
             self.metrics.count("membership.pauses")
             self.probes.abandon()
-            self.suspicions.postpone(now)
-        self._ask_helpers(now)
+            self.suspicions.restart(now)
+        self._ask_again(now)
         self._fail_probes(now)
         self._start_probes(now)
         self._expire(now)
@@ -124,8 +125,13 @@
             accuser,
             now=self.clock.monotonic(),
             stretch=self.doubt.stretch,
+            is_far=self._is_far(node_id),
         )
 
+    def _is_far(self, node_id: str) -> bool:
+        record = self.members.get(node_id)
+        return record is not None and record.region != self.peers.region
+
     def _ping(self, target_id: str, address: Address, sequence: int) -> None:
         record = self.members.get(target_id)
         about = b""
@@ -146,12 +152,12 @@
         )
         self.network.send_datagram(address, ping)
 
-    def _probe(self, target_id: str | None, now: float) -> None:
+    def _probe(self, target_id: str | None, now: float, verdicts_left: int = 0) -> None:
         record = self.members.get(target_id) if target_id is not None else None
         if record is None:
             return
         self.metrics.count("membership.probes")
-        sequence = self.probes.start(record.node_id, now, self.doubt.stretch)
+        sequence = self.probes.start(record, now, self.doubt.stretch, verdicts_left)
         self._ping(record.node_id, record.control_address, sequence)
 
     def _start_probes(self, now: float) -> None:
@@ -176,14 +182,15 @@
         ]
         return self.random.choice(dead) if dead else None
 
-    def _ask_helpers(self, now: float) -> None:
-        for sequence, probe in self.probes.due_indirect(now):
+    def _ask_again(self, now: float) -> None:
+        for sequence, probe in self.probes.take_late(now):
             record = self.members.get(probe.target_id)
             if record is None or record.state is NodeState.DEAD:
                 continue
+            self._ping(record.node_id, record.control_address, sequence)
             near = [r for r in self.peers.near_alive if r.node_id != probe.target_id]
             helpers = self.random.sample(near, min(HELPERS, len(near)))
-            probe.helpers = tuple(helper.node_id for helper in helpers)
+            probe.helpers = len(helpers)
             request = PingRequest(
                 sequence=sequence,
                 sender_id=self.peers.node_id,
@@ -206,7 +213,18 @@
             if probe.helpers and probe.nacks == 0:
                 self.doubt.worsen()
             if self._may_accuse(probe, now):
-                self.accuse(probe.target_id, NodeState.SUSPECT)
+                self._judge(probe, record, now)
+
+    def _judge(self, probe: Probe, record: NodeRecord, now: float) -> None:
+        if probe.verdicts_left == 0:
+            self.accuse(probe.target_id, NodeState.SUSPECT)
+            return
+        if record.incarnation != probe.incarnation:
+            return
+        if probe.verdicts_left == 1:
+            self.accuse(probe.target_id, NodeState.DEAD)
+            return
+        self._probe(probe.target_id, now, probe.verdicts_left - 1)
 
     def _may_accuse(self, probe: Probe, now: float) -> bool:
         if self.doubt.in_grace(now):
@@ -215,28 +233,19 @@
         return alone or self._heard_at > probe.started_at
 
     def _expire(self, now: float) -> None:
-        for node_id, suspicion in self.suspicions.expired(now):
-            if self.doubt.in_grace(now):
-                continue
-            held = now - suspicion.started_at < HOLD_S
-            if held and self._is_cut_off(node_id, suspicion):
-                suspicion.deadline = now + RECHECK_S
-                self.metrics.count("membership.cut_off_holds")
-                continue
-            self.suspicions.clear(node_id)
-            self.accuse(node_id, NodeState.DEAD)
+        if self.doubt.in_grace(now):
+            return
+        for node_id in self.suspicions.take_due(now, self._is_place_heard_since):
+            self._probe(node_id, now, VERDICT_PROBES)
 
-    def _is_cut_off(self, node_id: str, suspicion: Suspicion) -> bool:
+    def _is_place_heard_since(self, node_id: str, since: float) -> bool:
+        """Say whether a member's silence cannot be that of its place."""
         record = self.members.get(node_id)
         if record is None:
-            return False
+            return True
         if record.data_centre == self.data_centre:
-            return self._heard_at <= suspicion.started_at
-        if self.peers.count_in(record.data_centre) >= MIN_PLACE_MEMBERS:
-            return not self._heard_since(record.data_centre, suspicion.started_at)
-        if self.peers.count_in(record.region) >= MIN_PLACE_MEMBERS:
-            return not self._heard_since(record.region, suspicion.started_at)
-        return False
-
-    def _heard_since(self, place: str, since: float) -> bool:
+            return self._heard_at > since
+        place = record.data_centre
+        if self.peers.count_in(place) < MIN_PLACE_MEMBERS:
+            place = record.region
         return self.heard_at_by_place.get(place, 0.0) > since
--- a/src/comfreytray/dissemination.py
+++ b/src/comfreytray/dissemination.py
@@ -13,8 +13,13 @@
 from comfreytray.wire import MAX_DATAGRAM_BYTES
 
 FANOUT = 3
-SENDS_PER_DECADE = 3
+SENDS_PER_DECADE = 4
 """Sends of a rumour for each factor of ten in members."""
+WEIGHT_BY_PRIORITY = {
+    Priority.LEAVING: 2.0,
+    Priority.CHANGED: 1.0,
+    Priority.DOUBTED: 0.5,
+}
 CROSSINGS = 20
 """Copies of a rumour that all members together send to other regions."""
 MAX_CROSSING_SHARE = 0.5
@@ -41,11 +46,10 @@
     _ticks: int = 0
 
     def spread(self, key: str, payload: bytes, priority: Priority) -> None:
-        """Queue a rumour; doubts are repeated half as often."""
+        """Queue a rumour, to be repeated as its priority asks for."""
         members = len(self.peers.near) + len(self.peers.far) + 1
-        sends = math.ceil(SENDS_PER_DECADE * math.log10(members + 1)) + 1
-        if priority is Priority.DOUBTED:
-            sends = math.ceil(sends / 2)
+        sends = SENDS_PER_DECADE * math.log10(members + 1) + 1
+        sends = math.ceil(sends * WEIGHT_BY_PRIORITY[priority])
         self.queue.put(key, payload, sends=sends, priority=priority)
 
     def piggyback(self) -> tuple[bytes, ...]:
--- a/src/comfreytray/membership.py
+++ b/src/comfreytray/membership.py
@@ -94,6 +94,7 @@
         self._remembered: dict[bytes, None] = {}
         self._displacements = 0
         self._fault: Failure | None = None
+        self._yielded = False
         self._dirty = False
         self._urgent = False
         self._view = build_view(self._members.present())
@@ -268,6 +269,8 @@
         if not self._merge(claim):
             return False
         merged = self._members.record_by_id[claim.node_id]
+        if not spread and merged.state in (NodeState.SUSPECT, NodeState.DEAD):
+            self._warn(merged)
         if spread:
             before = held.endpoint if held is not None else None
             priority = min(
@@ -277,6 +280,11 @@
             self._disseminator.spread(merged.node_id, pack_claim(merged), priority)
         return True
 
+    def _warn(self, record: NodeRecord) -> None:
+        """Tell a member what is said against it, so that it can refute."""
+        warning = Gossip(sender_id=self._me.node_id, rumors=(pack_claim(record),))
+        self._network.send_datagram(record.control_address, warning)
+
     def _merge(self, claim: NodeRecord) -> bool:
         held = self._members.get(claim.node_id)
         occupant_id = self._members.id_by_address.get(claim.control_address)
@@ -353,9 +361,12 @@
         if is_gone(claim) or claim.control_address == self._me.control_address:
             return
         self._displacements += 1
+        if self._me.state is NodeState.LEAVING:
+            self._yielded = True
         if self._displacements < MAX_DISPLACEMENTS or self._fault is not None:
             return
         if claim.control_address < self._me.control_address:
+            self._yielded = True
             self._fault = Failure(
                 kind=Kind.CONFLICT,
                 detail=f"node id {claim.node_id} is in use at {claim.host}",
@@ -368,7 +379,8 @@
         self._replace_me(renewed, Priority.LEAVING if leaving else Priority.CHANGED)
 
     def _replace_me(self, record: NodeRecord, priority: Priority) -> None:
-        if self._fault is not None:
+        if self._yielded:
+            self._me = record
             return
         invariant(
             record.incarnation >= self._me.incarnation,
--- a/src/comfreytray/probes.py
+++ b/src/comfreytray/probes.py
@@ -5,12 +5,15 @@
 from attrs import define, field
 
 from comfreytray.interfaces import Address
+from comfreytray.records import NodeRecord
 
 PROBE_INTERVAL_S = 1.0
 DIRECT_TIMEOUT_S = 0.4
 PROBE_TIMEOUT_S = 0.9
 HELPER_TIMEOUT_S = 0.35
 HELPERS = 3
+VERDICT_PROBES = 2
+"""Probes in a row that must fail before a suspect is taken for dead."""
 REGION_PROBES_PER_S = 10.0
 """Probes to other regions by all members of a region together."""
 GONE_PROBES_PER_S = 2.0
@@ -22,10 +25,14 @@
     """Follow one probe until it is answered or fails."""
 
     target_id: str
+    incarnation: int
     started_at: float
     indirect_at: float
     fails_at: float
-    helpers: tuple[str, ...] = ()
+    verdicts_left: int = 0
+    """Last probes, this one included, before the target is taken for dead."""
+    asked_again: bool = False
+    helpers: int = 0
     nacks: int = 0
 
 
@@ -68,14 +75,18 @@
     relay_by_sequence: dict[int, Relay] = field(factory=dict)
     _sequence: int = 0
 
-    def start(self, target_id: str, now: float, stretch: float) -> int:
+    def start(
+        self, target: NodeRecord, now: float, stretch: float, verdicts_left: int = 0
+    ) -> int:
         """Begin a probe and return its sequence number."""
         self._sequence += 1
         self.by_sequence[self._sequence] = Probe(
-            target_id=target_id,
+            target_id=target.node_id,
+            incarnation=target.incarnation,
             started_at=now,
             indirect_at=now + DIRECT_TIMEOUT_S * stretch,
             fails_at=now + PROBE_TIMEOUT_S * stretch,
+            verdicts_left=verdicts_left,
         )
         return self._sequence
 
@@ -89,13 +100,16 @@
         )
         return self._sequence
 
-    def due_indirect(self, now: float) -> list[tuple[int, Probe]]:
-        """List the probes whose direct answer is late."""
-        return [
+    def take_late(self, now: float) -> list[tuple[int, Probe]]:
+        """Return, once each, the probes whose direct answer is late."""
+        late = [
             (sequence, probe)
             for sequence, probe in self.by_sequence.items()
-            if not probe.helpers and probe.indirect_at <= now < probe.fails_at
+            if not probe.asked_again and probe.indirect_at <= now < probe.fails_at
         ]
+        for _, probe in late:
+            probe.asked_again = True
+        return late
 
     def take_failed(self, now: float) -> list[Probe]:
         """Remove and return the probes that had no answer at all."""
--- a/src/comfreytray/reconciliation.py
+++ b/src/comfreytray/reconciliation.py
@@ -17,9 +17,9 @@
 EMPTY_HASH = bytes(HASH_BYTES)
 NEWCOMER_BUCKETS = 1
 """Filled buckets of a member that knows only itself."""
-JOIN_INTERVAL_S = 1.0
-JOIN_FANOUT = 3
-SYNC_INTERVAL_S = 10.0
+JOIN_INTERVAL_S = 0.5
+JOIN_FANOUT = 1
+SYNC_INTERVAL_S = 5.0
 SYNC_AGAIN_S = 1.0
 """Wait before the next comparison after one that changed something."""
 CROSSING_SHARE = 0.1
--- a/src/comfreytray/suspicions.py
+++ b/src/comfreytray/suspicions.py
@@ -1,6 +1,7 @@
-"""Timers of members under suspicion, and the test for places that are cut off."""
+"""Timers of members under suspicion; they run only while a member's place is heard."""
 
 import math
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -8,19 +9,37 @@
 SUSPICION_MAX_S = 8.0
 CONFIRMATIONS = 3
 """Independent accusers after which the shortest time-out holds."""
-HOLD_S = 1800.0
-"""How long members of a place that is cut off stay suspect."""
-RECHECK_S = 1.0
+SILENCE_S = 2.0
+"""Silence of a place after which its members get the long time-out."""
+HEAL_S = 30.0
+"""Time to refute for members of another region, and of a place that was silent."""
+JUDGE_AGAIN_S = 15.0
+HOLD_S = 600.0
+"""How long members of a place that stays silent are kept as suspect."""
 
 
 @define(kw_only=True)
 class Suspicion:
     """Follow one member under suspicion."""
 
-    started_at: float
-    deadline: float
+    first_at: float
+    stretch: float
+    is_far: bool
+    """Whether members nearer to the suspect judge it first."""
+    heard_at: float | None = None
+    """When the member's place was first heard after the accusation."""
+    judged_at: float = -math.inf
     accusers: set[str] = field(factory=set)
 
+    @property
+    def deadline(self) -> float:
+        """Give the time at which the member is taken for dead."""
+        if self.heard_at is None:
+            return self.first_at + HOLD_S
+        if self.is_far or self.heard_at - self.first_at > SILENCE_S:
+            return self.heard_at + HEAL_S
+        return self.heard_at + _timeout(len(self.accusers)) * self.stretch
+
 
 @define(kw_only=True)
 class Suspicions:
@@ -28,40 +47,48 @@
 
     by_id: dict[str, Suspicion] = field(factory=dict)
 
-    def accuse(self, node_id: str, accuser: str, *, now: float, stretch: float) -> bool:
+    def accuse(
+        self, node_id: str, accuser: str, *, now: float, stretch: float, is_far: bool
+    ) -> bool:
         """Start or shorten a timer; say whether this accuser is worth repeating."""
         suspicion = self.by_id.get(node_id)
         if suspicion is None:
-            deadline = now + SUSPICION_MAX_S * stretch
-            suspicion = Suspicion(started_at=now, deadline=deadline)
+            suspicion = Suspicion(first_at=now, stretch=stretch, is_far=is_far)
             self.by_id[node_id] = suspicion
         if accuser in suspicion.accusers or len(suspicion.accusers) > CONFIRMATIONS:
             return False
         suspicion.accusers.add(accuser)
-        timeout = _timeout(len(suspicion.accusers) - 1) * stretch
-        suspicion.deadline = min(suspicion.deadline, suspicion.started_at + timeout)
         return True
 
     def clear(self, node_id: str) -> None:
         """Stop the timer of a member."""
         self.by_id.pop(node_id, None)
 
-    def expired(self, now: float) -> list[tuple[str, Suspicion]]:
-        """List the members whose time is over."""
-        return [
-            (node_id, suspicion)
-            for node_id, suspicion in self.by_id.items()
-            if suspicion.deadline <= now
-        ]
+    def take_due(
+        self, now: float, is_heard_since: Callable[[str, float], bool]
+    ) -> list[str]:
+        """Return the members to judge now; each again later until it is cleared."""
+        due: list[str] = []
+        for node_id, suspicion in self.by_id.items():
+            if suspicion.heard_at is None and is_heard_since(
+                node_id, suspicion.first_at
+            ):
+                suspicion.heard_at = now
+            if max(suspicion.deadline, suspicion.judged_at + JUDGE_AGAIN_S) <= now:
+                suspicion.judged_at = now
+                due.append(node_id)
+        return due
 
-    def postpone(self, now: float) -> None:
+    def restart(self, now: float) -> None:
         """Give every member a whole time-out from now on, after a pause."""
         for suspicion in self.by_id.values():
-            suspicion.started_at = now
-            suspicion.deadline = now + SUSPICION_MAX_S
+            suspicion.first_at = now
+            suspicion.heard_at = None
+            suspicion.accusers.clear()
 
 
-def _timeout(confirmations: int) -> float:
+def _timeout(accusers: int) -> float:
+    confirmations = max(0, accusers - 1)
     share = math.log(confirmations + 1) / math.log(CONFIRMATIONS + 1)
     return max(
         SUSPICION_MIN_S, SUSPICION_MAX_S - share * (SUSPICION_MAX_S - SUSPICION_MIN_S)
