Bound the seeds' store calls; prove seeds, leases and charts

Cause: the first draft of the seeds left two meshes apart for ever if both formed before either was listed, and let stale entries block a list for 240 s. An announcement with a load of 10**400 raised OverflowError; now refused.

--- /dev/null
+++ b/features/steps/charts_steps.py
@@ -0,0 +1,60 @@
+import itertools
+from pathlib import Path
+
+from behave import then, when
+from sismic.interpreter import Event, Interpreter
+from sismic.io import import_from_yaml
+
+from comfreytray import charts
+from comfreytray.exceptions import InvariantError
+
+
+@when("each chart file is compiled and read by the statechart library")
+def read_charts(context):
+    context.sources = sorted(Path(charts.CHART_DIRECTORY).glob("*.yaml"))
+    assert len(context.sources) >= 2
+    context.charts = [import_from_yaml(filepath=source) for source in context.sources]
+    for chart in context.charts:
+        chart.validate()
+
+
+@then("the committed compiled form is the same")
+def same_as_committed(context):
+    for source in context.sources:
+        committed = source.with_suffix(".json").read_text("utf-8")
+        assert committed == charts.compile_chart(source), source.name
+
+
+def _state(interpreter, chart):
+    return next(s for s in interpreter.configuration if s != chart.root)
+
+
+@then("both interpreters reach the same states for every short run of events")
+def same_states(context):
+    for source, reference in zip(context.sources, context.charts, strict=True):
+        table = charts.load_chart(source.stem)
+        events = sorted({event for _, event in table.target_by_step})
+        for run in itertools.product(events, repeat=3):
+            interpreter = Interpreter(reference)
+            interpreter.execute()
+            state = table.initial
+            for event in run:
+                if not table.allows(state, event):
+                    break
+                interpreter.queue(Event(event)).execute()
+                state = table.step(state, event)
+                assert _state(interpreter, reference) == state, (source.name, run)
+
+
+@when("a vacant lease is replaced")
+def replace_vacant(context):
+    try:
+        charts.load_chart("lease").step("vacant", "replaced")
+    except InvariantError as error:
+        context.error = error
+
+
+@then("the invariant names the chart, the event and the state")
+def named(context):
+    for word in ("lease", "replaced", "vacant"):
+        assert word in str(context.error)
--- a/features/steps/mesh.py
+++ b/features/steps/mesh.py
@@ -33,7 +33,8 @@
         self.network = FakeNetwork(clock=self.clock, seed=self.seed)
         for number in range(self.count):
             self.add(self.record(number))
-        self.run(6.0)
+        if self.count:
+            self.run(6.0)
 
     def record(self, number, incarnation=1000, node_id=None):
         region = number % self.regions
@@ -54,7 +55,7 @@
             ),
         )
 
-    def add(self, record):
+    def add(self, record, join=True):
         self.seen = {
             k: v for k, v in self.seen.items() if k[0] != record.control_address
         }
@@ -72,7 +73,8 @@
         holder.append(member)
         seeds = [m.me.control_address for m in self.running[:3]]
         self.member_by_id[record.node_id] = member
-        member.start(seeds)
+        if join:
+            member.start(seeds)
         return member
 
     @property
--- a/src/comfreytray/announcements.py
+++ b/src/comfreytray/announcements.py
@@ -1,7 +1,6 @@
 """The lease by which an upstream announces itself to the node beside it."""
 
 import json
-import math
 import re
 from collections import deque
 from collections.abc import Callable
@@ -98,14 +97,10 @@
     if plain["state"] not in tuple(state.value for state in EndpointState):
         return "state must be cold, ready or draining"
     load = plain["load"]
-    if type(load) not in (int, float) or not _in_load_range(load):
-        return f"load must be a number from 0 to {MAX_LOAD:g}"
-    return None
-
-
-def _in_load_range(load: object) -> bool:
-    assert isinstance(load, int | float)
-    return math.isfinite(load) and 0 <= load <= MAX_LOAD
+    wanted = f"load must be a number from 0 to {MAX_LOAD:g}"
+    if isinstance(load, bool) or not isinstance(load, int | float):
+        return wanted
+    return None if 0 <= load <= MAX_LOAD else wanted
 
 
 class AnnouncementDesk:
--- a/src/comfreytray/reconciliation.py
+++ b/src/comfreytray/reconciliation.py
@@ -18,7 +18,9 @@
 NEWCOMER_BUCKETS = 1
 """Filled buckets of a member that knows only itself."""
 JOIN_INTERVAL_S = 0.5
-JOIN_FANOUT = 1
+MERGE_FANOUT = 3
+"""Unknown seeds that a member asks at once; a lone node asks one."""
+MAX_SEEDS = 64
 SYNC_INTERVAL_S = 5.0
 SYNC_AGAIN_S = 1.0
 """Wait before the next comparison after one that changed something."""
@@ -66,10 +68,13 @@
         self._due_at = clock.monotonic()
 
     def join(self, me: NodeRecord, seeds: Iterable[Address]) -> None:
-        """Ask some first peers for their tables, now and until one answers."""
-        known = {*self._seeds, me.control_address}
-        self._seeds.extend(seed for seed in seeds if seed not in known)
-        self._ask_seeds(me)
+        """Ask first peers that are no members yet for their tables."""
+        members = self._members.id_by_address
+        unknown = [seed for seed in seeds if seed not in members]
+        self._seeds = list(dict.fromkeys((*unknown, *self._seeds)))[:MAX_SEEDS]
+        asked = unknown[:MERGE_FANOUT] if len(members) > 1 else unknown[:1]
+        for seed in asked:
+            self._network.send_datagram(seed, self._digest(me))
 
     def hurry(self) -> None:
         """Compare tables at the next tick."""
@@ -172,8 +177,8 @@
             names = ()
 
     def _ask_seeds(self, me: NodeRecord) -> None:
-        count = min(JOIN_FANOUT, len(self._seeds))
-        for seed in self._random.sample(self._seeds, count):
+        if self._seeds:
+            seed = self._random.choice(self._seeds)
             self._network.send_datagram(seed, self._digest(me))
 
     def _digest(self, me: NodeRecord) -> Digest:
--- a/src/comfreytray/seeds.py
+++ b/src/comfreytray/seeds.py
@@ -5,20 +5,26 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from attrs import define, field, frozen
+from attrs import define, frozen
 
 from comfreytray import logs
 from comfreytray.errors import Failure, Kind
-from comfreytray.interfaces import Address, Clock, ObjectStore
+from comfreytray.interfaces import Address, Clock, ObjectStore, StoredObject
 from comfreytray.records import MembershipView, NodeRecord, NodeState
 
 KEY_PREFIX = "seeds/"
 SEEDS_PER_DATA_CENTRE = 3
 RENEW_INTERVAL_S = 60.0
+FRESH_S = 40.0
+"""Age up to which a node leaves its own entry as it is."""
 EXPIRY_S = 240.0
-"""Age at which a listed seed may be replaced by another member."""
-FIRST_WRITE_SPREAD_S = 2.0
-"""Longest random wait before the first write into an empty list."""
+"""Age at which an entry is dropped."""
+UNKNOWN_EXPIRY_S = 90.0
+"""Age at which the entry of a node that is not known as alive is dropped."""
+FIRST_SPREAD_S = 2.0
+"""Longest random wait before a lone node writes itself."""
+JOIN_WAIT_S = 3.0
+"""Time that newly found peers have to answer."""
 RETRY_MIN_S = 0.5
 RETRY_MAX_S = 30.0
 MAX_SEED_BYTES = 16_384
@@ -89,10 +95,11 @@
 
 @define(kw_only=True)
 class Seeds:
-    """Find first peers, and keep this data centre's list while it is this node's turn.
+    """Find first peers, and list this node where others look for theirs.
 
-    Few members write: the ones with the highest rendezvous weight in their data
-    centre, each once in a renewal interval and only if the list is as it was read.
+    A list is written by the few members of its data centre with the highest
+    rendezvous weight, once in a renewal interval each, and by a node that found
+    nobody alive in it; always on condition that it is as it was read.
     """
 
     store: ObjectStore
@@ -102,10 +109,14 @@
     peers: tuple[Address, ...] = ()
     """Addresses from the settings."""
     _found: tuple[Address, ...] = ()
+    _mine: StoredObject | None = None
+    """The list of this data centre as it was last read."""
+    _tried: frozenset[Address] = frozenset()
+    _has_waited: bool = False
     _due_at: float = 0.0
+    _interval_s: float = JOIN_WAIT_S
     _retry_s: float = RETRY_MIN_S
-    _listed_before: bool = False
-    _store_down: bool = field(default=False)
+    _store_down: bool = False
 
     @property
     def key(self) -> str:
@@ -119,37 +130,44 @@
         unique.pop(self.me.control_address, None)
         return tuple(unique)
 
-    def find(self) -> Failure | None:
-        """Read all lists from the store; one call."""
-        objects = self.store.list(KEY_PREFIX)
-        if isinstance(objects, Failure):
-            self._failed(objects)
-            return objects
-        self._succeeded()
-        near: list[Address] = []
-        far: list[Address] = []
-        for stored in objects:
-            listed = [seed.address for seed in decode_seeds(stored.value)]
-            self.random.shuffle(listed)
-            (near if stored.key == self.key else far).extend(listed)
-        self._found = (*near, *far)
-        wait = RENEW_INTERVAL_S if near else FIRST_WRITE_SPREAD_S
-        self._due_at = self.clock.monotonic() + self.random.uniform(0.0, wait)
-        return None
+    def tick(self, view: MembershipView) -> bool:
+        """Read and write the lists if it is time; may block.
 
-    def tick(self, view: MembershipView) -> None:
-        """Find peers or renew this node's entry when that is due."""
+        Return whether `addresses` were read anew, for `Membership.start`.
+        """
         now = self.clock.monotonic()
         if now < self._due_at:
-            return
+            return False
         alone = len(view.by_id) <= 1
-        if alone and not self._listed_before:
-            self._listed_before = True
-            self.find()
-            return
-        self._due_at = now + RENEW_INTERVAL_S * self.random.uniform(0.8, 1.2)
-        if alone or self._is_elected(view):
-            self._renew(alone)
+        if not alone and not self._is_elected(view):
+            self._rest()
+            return False
+        if not self._find():
+            return bool(self.peers)
+        if alone and not self._should_stay_alone():
+            return True
+        self._rest()
+        self._write(view, alone)
+        return True
+
+    def _rest(self) -> None:
+        """Wait longer each time, up to the renewal interval."""
+        wait = self._interval_s * self.random.uniform(0.8, 1.2)
+        self._due_at = self.clock.monotonic() + wait
+        self._interval_s = min(RENEW_INTERVAL_S, self._interval_s * 2)
+
+    def _should_stay_alone(self) -> bool:
+        """Say whether all that could be done to find peers was done."""
+        now = self.clock.monotonic()
+        if set(self.addresses) - self._tried:
+            self._tried |= set(self.addresses)
+            self._due_at = now + JOIN_WAIT_S + self.random.uniform(0, FIRST_SPREAD_S)
+            return False
+        if not self._has_waited:
+            self._has_waited = True
+            self._due_at = now + self.random.uniform(0, FIRST_SPREAD_S)
+            return False
+        return True
 
     def _is_elected(self, view: MembershipView) -> bool:
         here = self.me.data_centre
@@ -161,48 +179,76 @@
         candidates.sort(key=lambda node_id: _weight(here, node_id), reverse=True)
         return self.me.node_id in candidates[:SEEDS_PER_DATA_CENTRE]
 
-    def _renew(self, alone: bool) -> None:
-        stored = self.store.get(self.key)
-        version = 0
-        listed: tuple[Seed, ...] = ()
-        if not isinstance(stored, Failure):
-            version = stored.version
-            listed = decode_seeds(stored.value)
-        elif stored.kind is not Kind.NOT_FOUND:
-            self._failed(stored)
-            return
+    def _find(self) -> bool:
+        objects = self.store.list(KEY_PREFIX)
+        if isinstance(objects, Failure):
+            self._failed(objects)
+            return False
         self._succeeded()
-        others = self._keep(listed, alone)
-        if alone and others:
-            self._found = tuple(seed.address for seed in others)
-        if len(others) >= SEEDS_PER_DATA_CENTRE:
+        near: list[Address] = []
+        far: list[Address] = []
+        self._mine = None
+        for stored in objects:
+            listed = [seed.address for seed in decode_seeds(stored.value)]
+            self.random.shuffle(listed)
+            (near if stored.key == self.key else far).extend(listed)
+            if stored.key == self.key:
+                self._mine = stored
+        self._found = (*near, *far)
+        return True
+
+    def _write(self, view: MembershipView, alone: bool) -> None:
+        now = self.clock.wall()
+        if self._is_listed(now):
             return
-        mine = Seed(
-            node_id=self.me.node_id,
-            address=self.me.control_address,
-            renewed_at_s=self.clock.wall(),
+        kept = self._kept(view, now)
+        if len(kept) >= SEEDS_PER_DATA_CENTRE:
+            if not alone:
+                return
+            kept = kept[-SEEDS_PER_DATA_CENTRE + 1 :]
+        entry = Seed(
+            node_id=self.me.node_id, address=self.me.control_address, renewed_at_s=now
         )
+        version = self._mine.version if self._mine is not None else 0
         written = self.store.put(
-            self.key, encode_seeds((*others, mine)), expected_version=version
+            self.key, encode_seeds((*kept, entry)), expected_version=version
         )
         if isinstance(written, Failure):
             self._failed(written)
 
-    def _keep(self, listed: tuple[Seed, ...], alone: bool) -> list[Seed]:
-        oldest = self.clock.wall() - EXPIRY_S
-        return [
+    def _is_listed(self, now: float) -> bool:
+        listed = decode_seeds(self._mine.value) if self._mine is not None else ()
+        return any(
+            seed.node_id == self.me.node_id
+            and seed.address == self.me.control_address
+            and now - seed.renewed_at_s < FRESH_S
+            for seed in listed
+        )
+
+    def _kept(self, view: MembershipView, now: float) -> list[Seed]:
+        """List the other entries worth keeping, oldest first."""
+        listed = decode_seeds(self._mine.value) if self._mine is not None else ()
+        kept = [
             seed
             for seed in listed
-            if seed.renewed_at_s > oldest
-            and seed.node_id != self.me.node_id
+            if seed.node_id != self.me.node_id
             and seed.address != self.me.control_address
+            and now - seed.renewed_at_s < self._expiry_of(seed, view)
         ]
+        return sorted(kept, key=lambda seed: seed.renewed_at_s)
+
+    def _expiry_of(self, seed: Seed, view: MembershipView) -> float:
+        known = view.by_id.get(seed.node_id)
+        is_alive = known is not None and known.state is NodeState.ALIVE
+        return EXPIRY_S if is_alive else UNKNOWN_EXPIRY_S
 
     def _failed(self, failure: Failure) -> None:
+        """Try again after a random wait that grows."""
         if failure.kind is Kind.STORE_UNAVAILABLE and not self._store_down:
             self._store_down = True
             logs.warn(logs.Event.STORE_UNAVAILABLE, purpose="seeds")
-        self._due_at = self.clock.monotonic() + self.random.uniform(0, self._retry_s)
+        wait = self.random.uniform(self._retry_s / 2, self._retry_s)
+        self._due_at = self.clock.monotonic() + wait
         self._retry_s = min(RETRY_MAX_S, self._retry_s * 2)
 
     def _succeeded(self) -> None:
