--- a/src/comfreytray/node.py
+++ b/src/comfreytray/node.py
@@ -37,7 +37,7 @@
 from comfreytray.transport import Transport
 
 TICK_S = 0.1
-SEEDS_PERIOD_S = 1.0
+SEEDS_PERIOD_S = 0.5
 LEAVE_SPREAD_S = 1.0
 LISTEN_BACKLOG = 1024
 MAX_ADMIN_CONNECTIONS = 64
@@ -227,16 +227,11 @@
         tasks.spawn("store-fetch", lambda: _repeat(self.watcher.fetch_step))
 
     def _keep_seeds(self) -> None:
-        self.seeds.find()
-        asked = self.seeds.addresses
-        self.membership.start(asked)
+        self.membership.start(self.seeds.addresses)
         while True:
+            if self.seeds.tick(self.membership.view):
+                self.membership.start(self.seeds.addresses)
             eventlet.sleep(SEEDS_PERIOD_S)
-            self.seeds.tick(self.membership.view)
-            strangers = self.seeds.strangers(self.membership.view)
-            if strangers and strangers != asked:
-                self.membership.start(strangers)
-            asked = strangers
 
     def _listen(self, stack: ExitStack, port: int) -> Any:
         listener = eventlet.listen((self.settings.host, port), backlog=LISTEN_BACKLOG)
