Add bench-scale: slopes of real nodes and of the pure decisions

Real nodes run as processes, announced by threads of the benchmark in place of a process for each upstream; the decisions run up to 1,000 members in one process. The node now reports when it applied its version, as gauge version_applied_at_s.

--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -184,10 +184,14 @@
         return node
 
     def restart_node(self, node: FleetNode) -> None:
+        """Start a node's process again with its settings and wait for it."""
+        self.begin_restart(node)
+        node.process.wait_for_output("ready node=", READY_TIMEOUT_S)
+
+    def begin_restart(self, node: FleetNode) -> None:
         """Start a node's process again with its settings."""
         node.process.kill()
         node.process = self.own(Process(arguments=node.arguments, name=node.node_id))
-        node.process.wait_for_output("ready node=", READY_TIMEOUT_S)
 
     def start_upstream(
         self,
--- /dev/null
+++ b/benchmarks/scale.py
@@ -0,0 +1,209 @@
+"""Measure how costs grow with the fleet, and read them at the design size."""
+
+import sys
+import warnings
+from collections.abc import Callable
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import fire
+from absl import logging
+
+from benchmarks import _scale_logic, _scale_processes
+from benchmarks._places import DESIGN_NODES
+from benchmarks._report import Report, fit
+
+PROCESS_SIZES = (10, 25, 50, 100)
+LOGIC_SIZES = (50, 100, 200, 400)
+LARGEST_LOGIC = 1000
+SEED = 1
+MAX_CPU_SHARE = 0.013
+MAX_RSS_MB = 64.0
+MAX_BYTES_PER_S = 23_000.0
+MAX_CONVERGENCE_S = 8.0
+MAX_STORE_READS_PER_S = 2000.0
+MAX_STORE_WRITES_PER_S = 300.0
+GROWTH = 0.1
+"""Exponent of a cost per node from which it is said to grow with the fleet."""
+
+LogicPoint = _scale_logic.Point
+ProcessPoint = _scale_processes.Point
+WRITES = ("put", "delete")
+
+
+def _sizes(text: object, default: tuple[int, ...]) -> tuple[int, ...]:
+    if text == "":
+        return default
+    if isinstance(text, int):
+        return (text,)
+    if isinstance(text, tuple | list):
+        return tuple(int(size) for size in text)
+    return tuple(int(size) for size in str(text).split(","))
+
+
+def report_slope(
+    report: Report,
+    name: str,
+    points: list[tuple[float, float]],
+    unit: str,
+    limit: float | None = None,
+) -> None:
+    """Print a fit, its residual and its value at the design size."""
+    if len(points) < 2:
+        return
+    line = fit(points)
+    report.value(f"{name}.slope", line.slope, f"{unit}/node")
+    report.value(f"{name}.residual", line.residual, unit)
+    report.value(f"{name}.exponent", line.exponent, "log-log")
+    if limit is None:
+        report.value(f"{name}.at-{DESIGN_NODES}", line.at(DESIGN_NODES), unit)
+    else:
+        report.at_most(f"{name}.at-{DESIGN_NODES}", line.at(DESIGN_NODES), unit, limit)
+    if line.exponent > GROWTH:
+        report.note(f"{name} grows with the fleet: its total grows faster than it")
+
+
+def store_rate(calls: dict[str, float], *, writes: bool) -> float:
+    """Sum the store's calls per second that write, or that do not."""
+    return sum(rate for kind, rate in calls.items() if (kind in WRITES) == writes)
+
+
+def report_point(report: Report, prefix: str, point: LogicPoint | ProcessPoint) -> None:
+    """Print what both kinds of points have in common."""
+    report.value(f"{prefix}.bytes", point.bytes_per_node_s, "B/s/node")
+    largest = sorted(point.bytes_by_purpose.items(), key=lambda pair: -pair[1])
+    for purpose, size in largest[:6]:
+        report.value(f"{prefix}.bytes.{purpose}", size, "B/s/node")
+    for kind, rate in sorted(point.store_calls_by_kind.items()):
+        report.value(f"{prefix}.store.{kind}", rate, "calls/s")
+    if point.times_s:
+        report.at_most(f"{prefix}.time.max", max(point.times_s), "s", MAX_CONVERGENCE_S)
+    if point.events:
+        report.value(f"{prefix}.events", point.events, "events")
+
+
+def report_logic_point(report: Report, point: LogicPoint) -> None:
+    """Print a point of the pure decisions."""
+    prefix = f"logic.{point.phase}.{point.nodes}"
+    report_point(report, prefix, point)
+    report.value(f"{prefix}.messages", point.messages_per_node_s, "msg/s/node")
+    for purpose, rate in sorted(point.messages_by_purpose.items()):
+        report.value(f"{prefix}.messages.{purpose}", rate, "msg/s/node")
+    report.value(f"{prefix}.cross-region", point.cross_region_bytes_per_s, "B/s")
+    report.value(f"{prefix}.busiest-node", point.busiest_node_bytes_per_s, "B/s")
+    report.value(f"{prefix}.decisions-cpu", point.logic_cpu_share, "cores/node")
+
+
+def report_process_point(report: Report, point: ProcessPoint) -> None:
+    """Print a point of real nodes."""
+    prefix = f"process.{point.phase}.{point.nodes}"
+    report_point(report, prefix, point)
+    report.value(f"{prefix}.cpu.mean", point.cpu_share_mean, "cores/node")
+    report.value(f"{prefix}.cpu.max", point.cpu_share_max, "cores/node")
+    report.value(f"{prefix}.rss.mean", point.rss_mb_mean, "MB")
+    report.value(f"{prefix}.rss.max", point.rss_mb_max, "MB")
+    report.value(f"{prefix}.store-cpu", point.store_cpu_share, "cores")
+
+
+def _points_of(
+    points: list[ProcessPoint] | list[LogicPoint],
+    phase: str,
+    read: Callable[..., float],
+) -> list[tuple[float, float]]:
+    return [(point.nodes, read(point)) for point in points if point.phase == phase]
+
+
+def report_common_slopes(
+    report: Report, kind: str, points: list[ProcessPoint] | list[LogicPoint]
+) -> None:
+    """Print the slopes that both kinds of points have."""
+    for phase in ("calm", "changes", "churn", "storm"):
+        limit = MAX_BYTES_PER_S
+        found = _points_of(points, phase, lambda p: p.bytes_per_node_s)
+        report_slope(report, f"{kind}.{phase}.bytes", found, "B/s", limit)
+        found = _points_of(
+            points, phase, lambda p: store_rate(p.store_calls_by_kind, writes=False)
+        )
+        limit = MAX_STORE_READS_PER_S
+        report_slope(report, f"{kind}.{phase}.store-reads", found, "calls/s", limit)
+        found = _points_of(
+            points, phase, lambda p: store_rate(p.store_calls_by_kind, writes=True)
+        )
+        limit = MAX_STORE_WRITES_PER_S
+        report_slope(report, f"{kind}.{phase}.store-writes", found, "calls/s", limit)
+        if phase == "calm":
+            continue
+        found = _points_of(points, phase, lambda p: max(p.times_s, default=0.0))
+        limit_s = MAX_CONVERGENCE_S if phase != "storm" else None
+        report_slope(report, f"{kind}.{phase}.time", found, "s", limit_s)
+
+
+def run_processes(report: Report, sizes: tuple[int, ...], *, short: bool) -> None:
+    """Measure real nodes at some fleet sizes."""
+    points: list[ProcessPoint] = []
+    for size in sizes:
+        for point in _scale_processes.measure(size, short=short):
+            report_process_point(report, point)
+            points.append(point)
+    report_common_slopes(report, "process", points)
+    for phase in ("calm", "churn"):
+        found = _points_of(points, phase, lambda p: p.cpu_share_mean)
+        report_slope(report, f"process.{phase}.cpu", found, "cores", MAX_CPU_SHARE)
+        found = _points_of(points, phase, lambda p: p.rss_mb_max)
+        report_slope(report, f"process.{phase}.rss", found, "MB", MAX_RSS_MB)
+
+
+def run_logic(report: Report, sizes: tuple[int, ...], *, short: bool) -> None:
+    """Measure the pure decisions at some fleet sizes."""
+    points: list[LogicPoint] = []
+    for size in sizes:
+        for point in _scale_logic.measure(size, SEED, short=short):
+            report_logic_point(report, point)
+            points.append(point)
+    report_common_slopes(report, "logic", points)
+    for phase in ("calm", "changes", "churn", "storm"):
+        found = _points_of(points, phase, lambda p: p.messages_per_node_s)
+        report_slope(report, f"logic.{phase}.messages", found, "msg/s")
+        found = _points_of(points, phase, lambda p: p.busiest_node_bytes_per_s)
+        limit = MAX_BYTES_PER_S
+        report_slope(report, f"logic.{phase}.busiest-node", found, "B/s", limit)
+        found = _points_of(points, phase, lambda p: p.logic_cpu_share)
+        report_slope(report, f"logic.{phase}.decisions-cpu", found, "cores")
+
+
+def run_largest(report: Report) -> None:
+    """Measure the largest fleet of pure decisions, calm and with changes."""
+    mesh = _scale_logic.start_mesh(LARGEST_LOGIC, SEED)
+    report_logic_point(report, _scale_logic.measure_calm(mesh, 10.0))
+    report_logic_point(report, _scale_logic.measure_changes(mesh, 3))
+
+
+def main(
+    *,
+    smoke: bool = False,
+    part: str = "all",
+    process_sizes: object = "",
+    logic_sizes: object = "",
+    largest: bool = False,
+) -> None:
+    """Run the benchmark; `--smoke` runs a short part of it.
+
+    `--largest` adds 1,000 members, which takes several minutes.
+    """
+    logging.set_verbosity(logging.ERROR)
+    report = Report()
+    if part in ("all", "logic"):
+        sizes = _sizes(logic_sizes, (10, 20) if smoke else LOGIC_SIZES)
+        run_logic(report, sizes, short=smoke)
+    if part in ("all", "processes"):
+        sizes = _sizes(process_sizes, (3,) if smoke else PROCESS_SIZES)
+        run_processes(report, sizes, short=smoke)
+    if largest:
+        run_largest(report)
+    report.finish()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/comfreytray/node.py
+++ b/src/comfreytray/node.py
@@ -30,6 +30,7 @@
 from comfreytray.records import Endpoint, NodeRecord
 from comfreytray.seeds import Seeds, parse_addresses
 from comfreytray.settings import Settings
+from comfreytray.snapshots import Snapshot
 from comfreytray.status import StatusBoard
 from comfreytray.storeclient import StoreClient
 from comfreytray.storewatch import StoreWatcher
@@ -148,9 +149,7 @@
             network=self.transport,
             content=self.content,
             compile_snapshot=compile_snapshot,
-            on_applied=lambda snapshot: self.metrics.gauge(
-                "version_in_force", snapshot.head.version
-            ),
+            on_applied=self._on_applied,
             store_region=settings.store_region,
         )
         self.status = StatusBoard(
@@ -276,6 +275,10 @@
             }
         return self._regions
 
+    def _on_applied(self, snapshot: Snapshot) -> None:
+        self.metrics.gauge("version_in_force", snapshot.head.version)
+        self.metrics.gauge("version_applied_at_s", self.clock.wall())
+
     def _on_endpoint_change(self, endpoint: Endpoint | None) -> None:
         self.membership.set_endpoint(endpoint)
 
