--- a/benchmarks/_simulation.py
+++ b/benchmarks/_simulation.py
@@ -241,8 +241,6 @@
         )
         node = self._make(record)
         self.by_id[record.node_id] = node
-        node.seeds.find()
-        node.membership.start(node.seeds.addresses)
         endpoint = Endpoint(
             service=service,
             instance_id=f"{service}-{number}",
@@ -408,8 +406,7 @@
         if self.clock.now < node.seeds_due_s or self._is_cut_off(node):
             return
         node.seeds_due_s = self.clock.now + SEEDS_PERIOD_S
-        node.seeds.tick(node.membership.view)
-        if len(node.membership.view.by_id) <= 1:
+        if node.seeds.tick(node.membership.view):
             node.membership.start(node.seeds.addresses)
 
     # Questions
--- a/src/comfreytray/adminroutes.py
+++ b/src/comfreytray/adminroutes.py
@@ -4,18 +4,15 @@
 from typing import TYPE_CHECKING
 
 import eventlet
-from attrs import frozen
 from cattrs.preconf.json import make_converter
 
-from comfreytray import messages
 from comfreytray.admin import AdminApi, Request, parse_json
 from comfreytray.announcements import parse_announcement
 from comfreytray.errors import Failure, Kind
 from comfreytray.operations import ChangeResult, ItemKind, ItemText
 from comfreytray.records import NodeRecord
-from comfreytray.reports import Laggard, VersionStatus
 from comfreytray.settings import effective
-from comfreytray.snapshots import Route
+from comfreytray.statusreply import describe
 
 if TYPE_CHECKING:
     from comfreytray.node import Node
@@ -25,39 +22,6 @@
 DEFAULT_HISTORY = 20
 
 
-@frozen(kw_only=True)
-class Lagging:
-    """Say why one node does not have a version in force."""
-
-    node_id: str
-    reason: str
-    in_force: int
-    message: str
-
-
-@frozen(kw_only=True)
-class UnreachableRoute:
-    """Name a route whose service nobody has announced."""
-
-    customer: str
-    route: str
-    service: str
-    message: str
-
-
-@frozen(kw_only=True)
-class StatusReply:
-    """Say in plain terms where a version stands."""
-
-    version: int
-    accepted: bool
-    complete: bool
-    in_force: int
-    total: int
-    lagging: tuple[Lagging, ...]
-    unreachable_routes: tuple[UnreachableRoute, ...]
-
-
 def add_routes(api: AdminApi, node: "Node") -> None:
     """Serve a node's operations and state."""
     items = _ItemRoutes(node)
@@ -243,7 +207,12 @@
         answered = eventlet.event.Event()
         self._node.status.query(version, answered.send)
         with eventlet.Timeout(STATUS_TIMEOUT_S, False):
-            return self._describe(answered.wait(), request.language)
+            return describe(
+                answered.wait(),
+                snapshot=self._node.distributor.snapshot,
+                view=self._node.membership.view,
+                language=request.language,
+            )
         return Failure(kind=Kind.NODE_UNREACHABLE, detail="no collector answered")
 
     def _version(self, name: str) -> int | Failure:
@@ -255,60 +224,6 @@
         held = self._node.distributor.held
         return head if held is None else held.version
 
-    def _describe(self, status: VersionStatus, language: str) -> StatusReply:
-        return StatusReply(
-            version=status.version,
-            accepted=status.accepted,
-            complete=status.in_force == status.total and status.accepted,
-            in_force=status.in_force,
-            total=status.total,
-            lagging=tuple(_lagging(one, language) for one in status.laggards),
-            unreachable_routes=self._unreachable_routes(language),
-        )
-
-    def _unreachable_routes(self, language: str) -> tuple[UnreachableRoute, ...]:
-        snapshot = self._node.distributor.snapshot
-        if snapshot is None:
-            return ()
-        announced = self._node.membership.view.endpoints_by_service
-        return tuple(
-            _unreachable(route, language)
-            for routes in snapshot.routes_by_customer.values()
-            for route in routes
-            if not announced.get(route.service)
-        )
-
-
-def _lagging(laggard: Laggard, language: str) -> Lagging:
-    message = messages.text(
-        f"lag.{laggard.lag.value}",
-        language=language,
-        detail=laggard.detail,
-        in_force=str(laggard.in_force),
-    )
-    return Lagging(
-        node_id=laggard.node_id,
-        reason=laggard.lag.value,
-        in_force=laggard.in_force,
-        message=message,
-    )
-
-
-def _unreachable(route: Route, language: str) -> UnreachableRoute:
-    message = messages.text(
-        "route.no-endpoint",
-        language=language,
-        customer=route.customer,
-        route=route.name,
-        service=route.service,
-    )
-    return UnreachableRoute(
-        customer=route.customer,
-        route=route.name,
-        service=route.service,
-        message=message,
-    )
-
 
 class _StateRoutes:
     """The state of the asked node."""
@@ -350,6 +265,3 @@
             return announcement
         refused = self._node.desk.receive(announcement)
         return {} if refused is None else refused
-
-
-__all__ = ["Lagging", "StatusReply", "UnreachableRoute", "add_routes", "offer"]
--- /dev/null
+++ b/src/comfreytray/statusreply.py
@@ -0,0 +1,104 @@
+"""Where a version stands, in plain terms and in an operator's language."""
+
+from attrs import frozen
+
+from comfreytray import messages
+from comfreytray.records import MembershipView
+from comfreytray.reports import Laggard, VersionStatus
+from comfreytray.snapshots import Route, Snapshot
+
+
+@frozen(kw_only=True)
+class Lagging:
+    """Say why one node does not have a version in force."""
+
+    node_id: str
+    reason: str
+    in_force: int
+    message: str
+
+
+@frozen(kw_only=True)
+class UnreachableRoute:
+    """Name a route whose service nobody has announced."""
+
+    customer: str
+    route: str
+    service: str
+    message: str
+
+
+@frozen(kw_only=True)
+class StatusReply:
+    """Say in plain terms where a version stands."""
+
+    version: int
+    accepted: bool
+    complete: bool
+    in_force: int
+    total: int
+    lagging: tuple[Lagging, ...]
+    unreachable_routes: tuple[UnreachableRoute, ...]
+
+
+def describe(
+    status: VersionStatus,
+    *,
+    snapshot: Snapshot | None,
+    view: MembershipView,
+    language: str,
+) -> StatusReply:
+    """Put a status into words, with the routes that no endpoint serves."""
+    return StatusReply(
+        version=status.version,
+        accepted=status.accepted,
+        complete=status.in_force == status.total and status.accepted,
+        in_force=status.in_force,
+        total=status.total,
+        lagging=tuple(_lagging(one, language) for one in status.laggards),
+        unreachable_routes=_unreachable_routes(snapshot, view, language),
+    )
+
+
+def _unreachable_routes(
+    snapshot: Snapshot | None, view: MembershipView, language: str
+) -> tuple[UnreachableRoute, ...]:
+    if snapshot is None:
+        return ()
+    return tuple(
+        _unreachable(route, language)
+        for routes in snapshot.routes_by_customer.values()
+        for route in routes
+        if not view.endpoints_by_service.get(route.service)
+    )
+
+
+def _lagging(laggard: Laggard, language: str) -> Lagging:
+    message = messages.text(
+        f"lag.{laggard.lag.value}",
+        language=language,
+        detail=laggard.detail,
+        in_force=str(laggard.in_force),
+    )
+    return Lagging(
+        node_id=laggard.node_id,
+        reason=laggard.lag.value,
+        in_force=laggard.in_force,
+        message=message,
+    )
+
+
+def _unreachable(route: Route, language: str) -> UnreachableRoute:
+    message = messages.text(
+        "route.no-endpoint",
+        language=language,
+        customer=route.customer,
+        route=route.name,
+        service=route.service,
+    )
+    return UnreachableRoute(
+        customer=route.customer,
+        route=route.name,
+        service=route.service,
+        message=message,
+    )
