Replay a recorded trace against its stated outcome

Change: what one node of a fleet received through a cut, a freeze and a kill, as frames, with what it applied; replayed as recorded, doubled and in 30 other orders. A store without a stated region counts as near for every node.

--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -78,3 +78,8 @@
     Given a calm fleet of 6 nodes
     When 20 small changes are accepted, each at some node
     Then each node holds the blobs of the newest version only, some minutes later
+
+  Scenario: A recorded trace applies the versions that it is stated to apply
+    Given the recorded trace of a node through a cut, a freeze and a kill
+    When it is replayed as recorded, with each message doubled, and in other orders
+    Then the first two apply 1, 3, 4, 5, 6 and 7, and the others only rise
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -1,8 +1,10 @@
+import json
 import os
 import random
 import time
 
 import attrs
+import traces
 from behave import given, then, when
 from fleet import FAULTS, REGIONS, Chaos, Fleet
 from hypothesis import example, settings
@@ -10,7 +12,7 @@
 from hypothesis import strategies as st
 
 from comfreytray import relays, wire
-from comfreytray.content import Content, Head, encode_record
+from comfreytray.content import Content, Head, digest_of, encode_record
 from comfreytray.deltas import Delta, encode_blob
 from comfreytray.distribution import SEND_BURST_BYTES
 from comfreytray.exchange import Blobs, Digest, Pull, Push, Unserved
@@ -449,3 +451,54 @@
     wanted = fleet.author.content.references(fleet.author.heads[-1])
     for node in fleet.node_by_id.values():
         assert set(node.content.blob_by_digest) == wanted
+
+
+@given("the recorded trace of a node through a cut, a freeze and a kill")
+def read_trace(context):
+    context.trace = json.loads(traces.TRACE.read_text())
+
+
+def replay(trace, order):
+    """Give a node alone the messages of a trace and return what it applied."""
+    fleet = Fleet(count=1, seed=1)
+    node = fleet.node_by_id["node-0"]
+    fleet.author.heads = [
+        Head(version=version, digest=bytes.fromhex(digest))
+        for version, digest in trace["heads"]
+    ]
+    version, digest = trace["head"]
+    blobs = [bytes.fromhex(blob) for blob in trace["blobs"]]
+    held = Head(version=version, digest=bytes.fromhex(digest))
+    node.distributor.offer(held, {digest_of(blob): blob for blob in blobs})
+    times = [at for at, _, _ in trace["received"]]
+    for at, number in zip(times, order, strict=False):
+        fleet.run(max(0.0, at - fleet.clock.now))
+        _, sender, frame = trace["received"][number]
+        node.receive(tuple(sender), wire.decode(bytes.fromhex(frame)), True)
+    for number in order[len(times) :]:
+        _, sender, frame = trace["received"][number]
+        node.receive(tuple(sender), wire.decode(bytes.fromhex(frame)), True)
+    fleet.run(60)
+    return [version for version, _ in node.applied]
+
+
+@when("it is replayed as recorded, with each message doubled, and in other orders")
+def replay_all(context):
+    count = len(context.trace["received"])
+    doubled = [number for number in range(count) for _ in range(2)]
+    context.as_recorded = replay(context.trace, list(range(count)))
+    context.doubled = replay(context.trace, doubled)
+    context.shuffled = []
+    for seed in range(30):
+        order = doubled.copy()
+        random.Random(seed).shuffle(order)
+        context.shuffled.append(replay(context.trace, order))
+
+
+@then("the first two apply 1, 3, 4, 5, 6 and 7, and the others only rise")
+def check_replays(context):
+    assert context.trace["applied"] == [1, 3, 4, 5, 6, 7]
+    assert context.as_recorded == context.doubled == [1, 3, 4, 5, 6, 7]
+    for applied in context.shuffled:
+        assert applied == sorted(set(applied)), applied
+    assert any(len(applied) > 1 for applied in context.shuffled)
--- a/src/comfreytray/distribution.py
+++ b/src/comfreytray/distribution.py
@@ -141,10 +141,9 @@
         candidate = self._candidates.hear(head, None)
         if candidate is None or not self._absorb(candidate, dict(blobs)):
             return
-        region = self._node().region
-        if candidate.from_store and region != self._store_region:
+        if candidate.from_store and self._is_far_from_store():
             # The watchers of the store's region bring it to the other regions.
-            self._spreader.spread_to_root(region)
+            self._spreader.spread_to_root(self._node().region)
         else:
             self._spreader.spread_everywhere()
 
@@ -189,10 +188,13 @@
             return STORE_LAST_RESORT_S * (1 + self._store_jitter_s)
         delay = STORE_DELAY_S + self._store_jitter_s
         delay += STORE_RANK_DELAY_S * (self._watch_rank or 0)
-        if self._node().region != self._store_region:
+        if self._is_far_from_store():
             delay += STORE_OTHER_REGION_DELAY_S
         return delay
 
+    def _is_far_from_store(self) -> bool:
+        return self._store_region not in ("", self._node().region)
+
     def _on_digest(self, sender: Address, message: Digest) -> None:
         head = message.head
         if head is not None:
