Pass over an endpoint that just shed a call

Cause: an endpoint that refuses or breaks each call at once looks the fastest while the others are busy, and draws the calls to itself.

Change: an endpoint that shed a call goes last for about 0.1 s; if all of a place do, the next place is used.

Ruled out: ejecting for shedding (in an overload half of the capacity would be out); counting it as a failure (the same, slower).

--- a/features/calls_routing.feature
+++ b/features/calls_routing.feature
@@ -8,6 +8,8 @@
   Scenario: A slow, a failing, a cold and a lying endpoint get less
     When one endpoint of four is slow, failing, cold or claims to be idle or busy
     Then the bad one gets far fewer calls and the liar no more than its share
+    When a bad one answers at once while the others are busy
+    Then it does not draw the calls to itself
 
   Scenario: Ejection has a cap and an end
     When endpoints fail call after call
--- a/features/steps/calls_routing_steps.py
+++ b/features/steps/calls_routing_steps.py
@@ -33,6 +33,7 @@
             random=random.Random(11),
         )
         self.running = []
+        self.failure = LOST
         self.count_by_id = {}
 
     def call(self, latency_by_id, failing=(), interval_s=0.002):
@@ -50,7 +51,7 @@
 
     def end(self, view, took, failed):
         if failed:
-            self.router.fail(view, LOST, took_s=took, load=0.0)
+            self.router.fail(view, self.failure, took_s=took, load=0.0)
         else:
             self.router.finish(view, took_s=took, load=0.0)
 
@@ -126,6 +127,23 @@
     context.share_by_case["slow in quiet"] = quiet.count_by_id["bad"] / 1000
 
 
+@when("a bad one answers at once while the others are busy")
+def pick_black_hole(context):
+    for case, kind in (("breaks", Kind.LOST_AFTER_SEND), ("sheds", Kind.OVERLOADED)):
+        picking = Picking([record(f"n{n}") for n in range(6)])
+        picking.failure = Failure(kind=kind)
+        latency_by_id = {f"n{n}": 0.1 for n in range(1, 6)} | {"n0": 0.001}
+        for _ in range(8000):
+            picking.call(latency_by_id, failing=("n0",))
+        context.share_by_case[case] = picking.count_by_id["n0"] / 8000
+
+
+@then("it does not draw the calls to itself")
+def check_black_hole(context):
+    assert context.share_by_case["breaks"] < 0.01, context.share_by_case
+    assert context.share_by_case["sheds"] < 0.03, context.share_by_case
+
+
 @then("the bad one gets far fewer calls and the liar no more than its share")
 def check_bad(context):
     shares = context.share_by_case
--- a/src/comfreytray/routing.py
+++ b/src/comfreytray/routing.py
@@ -24,6 +24,7 @@
 EJECT_MAX_S = 30.0
 EJECT_MAX_SHARE = 0.5
 MOVED_S = 3.0
+SHED_S = 0.1
 FORGET_AFTER_S = 60.0
 IDLE_HALVES_COST_S = 10.0
 """Time without calls that halves an endpoint's cost, so that it is tried again."""
@@ -45,6 +46,8 @@
     ejected_until: float = 0.0
     moved_until: float = 0.0
     """Until when a refusal for leaving keeps it out, ahead of the member list."""
+    shed_until: float = 0.0
+    """Until when others go first, since it shed a call."""
     load: float = 0.0
     """Load that the owner sent with its last answer."""
 
@@ -85,7 +88,8 @@
         if not usable:
             return Failure(kind=Kind.NO_ENDPOINT, fields={"service": service})
         healthy = self._without_ejected(usable, now)
-        return self._choose(self._nearest(healthy), now)
+        ready = [r for r in healthy if self.view(r, now).shed_until <= now]
+        return self._choose(self._nearest(ready or healthy), now)
 
     def view(self, record: NodeRecord, now: float) -> EndpointView:
         """Look up what is known of an endpoint; a new incarnation starts afresh."""
@@ -130,6 +134,8 @@
         if failure.kind in (Kind.LEAVING, Kind.WRONG_NODE):
             view.moved_until = now + MOVED_S
             return
+        if failure.kind is Kind.OVERLOADED:
+            view.shed_until = now + SHED_S * self.random.uniform(0.5, 1.5)
         if failure.kind not in _BLAMED:
             return
         view.latency_s += LATENCY_WEIGHT * max(0.0, took_s - view.latency_s)
