Count the age of claims on each node's own clock

Cause: segments were trimmed, and keys forgotten, by the writer's wall clock. A keeper whose clock was two hours behind had its claims deleted at once, and the key was granted again.

Header fields are kept by name as they are read.

Ruled out: refusing segments of writers with a wrong clock (their calls may have run).

--- a/features/calls_claims.feature
+++ b/features/calls_claims.feature
@@ -12,6 +12,11 @@
     When the paused keeper wakes and claims a key that ran meanwhile
     Then the paused keeper is not granted the key
 
+  Scenario: A keeper whose wall clock is wrong loses no claim
+    Given a keeper whose wall clock is two hours behind and that claimed a key
+    When another keeper reads and trims the log
+    Then the key is not granted again within its retention
+
   Scenario: A key stays claimed while its outcome waits for a later append
     Given a keeper with more outcomes than one append carries
     When a key whose call did not run is claimed again
--- a/features/steps/calls_claims_steps.py
+++ b/features/steps/calls_claims_steps.py
@@ -228,6 +228,37 @@
     assert context.verdicts, "no verdict"
 
 
+class SlowWallClock(FakeClock):
+    """Share the time with another clock but show an older wall time."""
+
+    def wall(self):
+        return self.now - 7200.0
+
+
+@given("a keeper whose wall clock is two hours behind and that claimed a key")
+def claim_with_wrong_clock(context):
+    context.clock = SlowWallClock(now=10_000.0)
+    context.store = MemoryStore()
+    keeper = _partition(context, "behind/1")
+    for key in KEYS[:3]:
+        assert _claimed(context, keeper, key) == [GRANTED]
+
+
+@when("another keeper reads and trims the log")
+def trim_with_right_clock(context):
+    context.clock = FakeClock(now=10_001.0)
+    other = _partition(context, "right/1")
+    assert GRANTED not in _claimed(context, other, KEYS[0])
+    other.tidy()
+
+
+@then("the key is not granted again within its retention")
+def check_wrong_clock(context):
+    third = _partition(context, "third/1")
+    for key in KEYS[:3]:
+        assert GRANTED not in _claimed(context, third, key)
+
+
 @given("a keeper with more outcomes than one append carries")
 def many_outcomes(context):
     context.clock = FakeClock(now=10_000.0)
--- a/src/comfreytray/claimlog.py
+++ b/src/comfreytray/claimlog.py
@@ -5,6 +5,7 @@
 number taken, reads what it missed, and checks its claims again.
 """
 
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -24,6 +25,8 @@
 MAX_KNOWLEDGE_AGE_S = RETENTION_S / 4
 """Age from which a writer reads the log anew before it may append."""
 NONCE_BITS = 64
+ANCIENT_S = 172_800.0
+"""Age by its writer's wall clock from which a segment is past its retention."""
 MAX_TRIM = 20
 """Segments that one trim deletes at most, so that appends are not held up."""
 
@@ -157,7 +160,7 @@
         """Whether the log was last read whole, not found taken by another."""
         self._unresolved: tuple[int, bytes, Segment] | None = None
         self._segments: deque[tuple[int, float]] = deque()
-        """Sequence numbers and wall times of the segments that are known."""
+        """Sequence numbers, and since when on this clock each segment is known."""
 
     @property
     def unresolved(self) -> bool:
@@ -205,11 +208,11 @@
 
     def trim(self) -> int:
         """Delete segments past their retention, never the newest; count them."""
-        oldest = self.clock.wall() - RETENTION_S
+        oldest = self.clock.monotonic() - RETENTION_S
         dropped = 0
         while dropped < MAX_TRIM and len(self._segments) > 1:
-            sequence, at = self._segments[0]
-            if at >= oldest:
+            sequence, known_since = self._segments[0]
+            if known_since >= oldest:
                 break
             fault = self.store.delete(self._key(sequence), expected_version=None)
             if fault is not None and fault.kind is not Kind.NOT_FOUND:
@@ -284,7 +287,10 @@
     def _accept(self, sequence: int, segment: Segment) -> None:
         self.apply(segment)
         self.next_sequence = sequence + 1
-        self._segments.append((sequence, segment.at))
+        # Another node's wall clock may be wrong: only old age by days counts at once.
+        ancient = segment.at < self.clock.wall() - ANCIENT_S
+        known_since = -math.inf if ancient else self.clock.monotonic()
+        self._segments.append((sequence, known_since))
 
     def _key(self, sequence: int) -> str:
         return f"{self.prefix}{sequence:012d}"
--- a/src/comfreytray/claims.py
+++ b/src/comfreytray/claims.py
@@ -63,7 +63,7 @@
     request: bytes
     until: float
     at: float
-    """Wall time of the claim."""
+    """Monotonic time since which this node knows of the claim."""
     state: EntryType = EntryType.CLAIM
     answer: KeptAnswer | None = None
     own: bool = False
@@ -187,7 +187,7 @@
 
     def expire(self) -> None:
         """Forget the keys past their retention."""
-        oldest = self.clock.wall() - RETENTION_S
+        oldest = self.clock.monotonic() - RETENTION_S
         for key, held in list(self.held_by_key.items()):
             if held.at < oldest and not held.own:
                 self._drop_answer(held)
@@ -278,7 +278,7 @@
                 )
                 continue
             self.held_by_key[entry.key] = _Held(
-                request=entry.request, until=entry.until, at=segment.at
+                request=entry.request, until=entry.until, at=self.clock.monotonic()
             )
 
     def _reset(self) -> None:
--- a/src/comfreytray/heads.py
+++ b/src/comfreytray/heads.py
@@ -6,7 +6,7 @@
 
 import re
 from collections.abc import Callable
-from http.client import HTTPException, HTTPMessage, HTTPResponse, IncompleteRead
+from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import Any, Protocol
 
 MAX_LINE_BYTES = 8192
@@ -38,36 +38,59 @@
         ...
 
 
-def read_fields(source: LineSource) -> HTTPMessage:
+class Fields:
+    """Hold header fields in their order and by name."""
+
+    __slots__ = ("_values_by_name", "pairs")
+
+    def __init__(self) -> None:
+        self.pairs: list[tuple[str, str]] = []
+        self._values_by_name: dict[str, list[str]] = {}
+
+    def add(self, name: str, value: str) -> None:
+        """Add a field after the others."""
+        self.pairs.append((name, value))
+        self._values_by_name.setdefault(name.lower(), []).append(value)
+
+    def get(self, name: str, default: str | None = None) -> str | None:
+        """Return the first value of a name."""
+        values = self._values_by_name.get(name.lower())
+        return values[0] if values else default
+
+    def get_all(self, name: str) -> list[str]:
+        """Return all values of a name given in lower case."""
+        return self._values_by_name.get(name, [])
+
+
+def read_fields(source: LineSource) -> Fields:
     """Read header fields up to the blank line; raises HeadError."""
-    message = HTTPMessage()
+    fields = Fields()
     size = 0
     while True:
         line = source.readline(MAX_LINE_BYTES)
         if line in _BLANK:
-            return message
+            return fields
         size += len(line)
         if len(line) >= MAX_LINE_BYTES or size > MAX_HEAD_BYTES:
             raise HeadTooLargeError("size")
-        if len(message) >= MAX_FIELDS:
+        if len(fields.pairs) >= MAX_FIELDS:
             raise HeadTooLargeError("number of fields")
         match = _FIELD.fullmatch(line)
         if match is None:
             raise HeadError("field")
-        message.set_raw(match[1].decode("latin-1"), match[2].decode("latin-1"))
+        fields.add(match[1].decode("latin-1"), match[2].decode("latin-1"))
 
 
-def body_framing(message: HTTPMessage) -> tuple[bool, int | None]:
+def body_framing(fields: Fields) -> tuple[bool, int | None]:
     """Return whether a body is chunked, and its length; raises HeadError."""
-    lengths = message.get_all("content-length")
-    codings = message.get_all("transfer-encoding")
-    if codings is None and lengths is None:
+    lengths = fields.get_all("content-length")
+    codings = fields.get_all("transfer-encoding")
+    if not codings and not lengths:
         return False, None
-    if codings is not None:
+    if codings:
         if lengths or len(codings) > 1 or codings[0].lower() != "chunked":
             raise HeadError("ambiguous framing")
         return True, None
-    assert lengths is not None
     if len(lengths) > 1 or not (lengths[0].isascii() and lengths[0].isdigit()):
         raise HeadError("content length")
     return False, int(lengths[0][:18])
@@ -77,6 +100,8 @@
     """Read an answer that can be proved whole, or raise."""
 
     fp: Any
+    headers: Any
+    msg: Any
     _method: str
     _read_status: Callable[[], tuple[str, int, str]]
     _check_close: Callable[[], bool]
--- a/src/comfreytray/httpserver.py
+++ b/src/comfreytray/httpserver.py
@@ -6,7 +6,6 @@
 import socket as plain_socket
 import warnings
 from collections.abc import Callable
-from http.client import HTTPMessage
 from typing import Any, Protocol
 from urllib.parse import unquote
 
@@ -17,6 +16,7 @@
 from comfreytray.errors import Failure, Kind
 from comfreytray.heads import (
     MAX_LINE_BYTES,
+    Fields,
     HeadError,
     HeadTooLargeError,
     body_framing,
@@ -120,7 +120,7 @@
         def get_environ(self) -> dict[str, Any]:
             """Make only what the call path and the server read, for each call."""
             path, _, query = self.path.partition("?")
-            pairs = tuple(self.headers.raw_items())
+            pairs = tuple(self.headers.pairs)
             environ: dict[str, Any] = {
                 "REQUEST_METHOD": self.command,
                 "RAW_PATH_INFO": path,
@@ -208,10 +208,10 @@
             left -= len(part)
 
 
-def _check(version: str, headers: HTTPMessage) -> None:
+def _check(version: str, headers: Fields) -> None:
     chunked, _ = body_framing(headers)
     if chunked and version == "HTTP/1.0":
         raise HeadError("transfer coding in HTTP/1.0")
-    hosts = headers.get_all("host", [])
+    hosts = headers.get_all("host")
     if len(hosts) > 1 or (not hosts and version == "HTTP/1.1"):
         raise HeadError("host")
--- a/src/comfreytray/upstream.py
+++ b/src/comfreytray/upstream.py
@@ -322,8 +322,9 @@
 
 def _answer_headers(response: http.client.HTTPResponse) -> Headers:
     """Take the end-to-end headers that an upstream may set."""
+    fields: Any = response.headers
     return tuple(
         pair
-        for pair in answer_headers(response.headers.raw_items())
+        for pair in answer_headers(fields.pairs)
         if not pair[0].lower().startswith("comfreytray-")
     )
