--- /dev/null
+++ b/src/comfreytray/httpserver.py
@@ -0,0 +1,173 @@
+"""Serve HTTP to callers: eventlet's WSGI server with strict heads."""
+
+import contextlib
+import re
+import socket as plain_socket
+from collections.abc import Callable
+from http.client import HTTPMessage
+from typing import Any, Protocol
+
+import eventlet
+from eventlet import wsgi
+
+from comfreytray.callers import Callers
+from comfreytray.errors import Failure, Kind
+from comfreytray.heads import (
+    MAX_LINE_BYTES,
+    HeadError,
+    HeadTooLargeError,
+    body_framing,
+    read_fields,
+)
+from comfreytray.interfaces import Clock
+
+HEAD_TIMEOUT_S = 10.0
+KEEPALIVE_S = 75.0
+SOCKET_TIMEOUT_S = 30.0
+MAX_CONNECTIONS = 2048
+LINGER_S = 0.5
+LINGER_BYTES = 2_097_152
+READ_BYTES = 65_536
+
+_REQUEST_LINE = re.compile(
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) (/[\x21-\x7e]*) (HTTP/1\.[01])\r?\n"
+)
+_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"})
+
+
+_TOO_LARGE = (HeadTooLargeError, wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge)
+
+
+class Heads(Protocol):
+    """Answer and follow what happens before a call reaches the application."""
+
+    clock: Clock
+    callers: Callers
+    head_started_by_socket: dict[Any, float]
+
+    def refusal(self, failure: Failure, accept_language: str) -> bytes:
+        """Return a whole HTTP answer for a head that is refused."""
+        ...
+
+
+def protocol_for(heads: Heads) -> type[wsgi.HttpProtocol]:
+    """Make the protocol class of a server."""
+
+    class StrictProtocol(wsgi.HttpProtocol):
+        """Refuse heads that two readers could take in two ways."""
+
+        headers: Any
+        lingers = False
+        """Whether the caller may still be sending what will not be read."""
+
+        def _read_request_line(self) -> bytes:
+            line: bytes = super()._read_request_line()
+            if not line:
+                return line
+            if len(line) >= MAX_LINE_BYTES:
+                self._refuse(Failure(kind=Kind.HEAD_TOO_LARGE, detail="request line"))
+                return b""
+            heads.callers.take_request(self.connection)
+            heads.head_started_by_socket[self.connection] = heads.clock.monotonic()
+            return line
+
+        def handle(self) -> None:
+            try:
+                super().handle()
+            finally:
+                heads.callers.close(self.connection)
+
+        def handle_one_request(self) -> None:
+            heads.callers.wait_for_request(self.connection)
+            super().handle_one_request()
+
+        def parse_request(self) -> bool:
+            self.close_connection = True
+            self.headers = None
+            try:
+                self._read_head()
+            except _TOO_LARGE as error:
+                self._refuse(Failure(kind=Kind.HEAD_TOO_LARGE, detail=str(error)))
+                return False
+            except HeadError as error:
+                self._refuse(Failure(kind=Kind.BAD_REQUEST, detail=str(error)))
+                return False
+            finally:
+                heads.head_started_by_socket.pop(self.connection, None)
+            if self.command not in _METHODS:
+                self._refuse(Failure(kind=Kind.METHOD_NOT_SUPPORTED, detail="method"))
+                return False
+            return True
+
+        def _read_head(self) -> None:
+            match = _REQUEST_LINE.fullmatch(self.raw_requestline)
+            if match is None:
+                raise HeadError("request line")
+            self.requestline = self.raw_requestline.decode("latin-1").rstrip()
+            self.command, self.path = match[1].decode(), match[2].decode()
+            self.request_version = match[3].decode()
+            self.headers = read_fields(self.rfile)
+            _check(self.request_version, self.headers)
+            connection = self.headers.get("connection", "").lower()
+            if self.request_version == "HTTP/1.1":
+                self.close_connection = "close" in connection
+            else:
+                self.close_connection = "keep-alive" not in connection
+
+        def get_environ(self) -> dict[str, Any]:
+            environ: dict[str, Any] = super().get_environ()
+            environ["comfreytray.protocol"] = self
+            return environ
+
+        def _refuse(self, failure: Failure) -> None:
+            headers = getattr(self, "headers", None)
+            language = headers.get("accept-language", "") if headers else ""
+            self.wfile.write(heads.refusal(failure, language))
+            self.wfile.flush()
+            self.close_connection = True
+            self.lingers = True
+
+        def finish(self) -> None:
+            if self.lingers:
+                _linger(self.connection, self.wfile)
+            super().finish()
+
+    return StrictProtocol
+
+
+def serve(listener: Any, application: Callable[..., Any], heads: Heads) -> None:
+    """Serve until the listener is closed."""
+    wsgi.server(
+        listener,
+        application,
+        custom_pool=eventlet.GreenPool(MAX_CONNECTIONS),
+        protocol=protocol_for(heads),
+        keepalive=KEEPALIVE_S,
+        socket_timeout=SOCKET_TIMEOUT_S,
+        log_output=False,
+        url_length_limit=MAX_LINE_BYTES,
+        debug=False,
+        minimum_chunk_size=1,
+    )
+
+
+def _linger(sock: Any, wfile: Any) -> None:
+    """Read on for a moment, or the reset would take the answer with it."""
+    with contextlib.suppress(OSError), eventlet.Timeout(LINGER_S, False):
+        wfile.flush()
+        sock.shutdown(plain_socket.SHUT_WR)
+        left = LINGER_BYTES
+        while left > 0:
+            part = sock.recv(READ_BYTES)
+            if not part:
+                return
+            left -= len(part)
+
+
+def _check(version: str, headers: HTTPMessage) -> None:
+    chunked, _ = body_framing(headers)
+    if chunked and version == "HTTP/1.0":
+        raise HeadError("transfer coding in HTTP/1.0")
+    hosts = headers.get_all("host", [])
+    if len(hosts) > 1 or (not hosts and version == "HTTP/1.1"):
+        raise HeadError("host")
--- /dev/null
+++ b/src/comfreytray/storewatch.py
@@ -0,0 +1,140 @@
+"""Ask the store for new versions, on the few nodes whose turn it is."""
+
+import random
+from collections.abc import Callable
+
+from comfreytray import logs
+from comfreytray.budgets import Backoff, TokenBucket
+from comfreytray.content import Head, digest_of
+from comfreytray.distribution import Distributor
+from comfreytray.errors import Failure, Kind
+from comfreytray.interfaces import Clock, ObjectStore, StoredObject
+from comfreytray.metrics import Metrics
+
+HEAD_KEY = "configuration/head"
+BLOB_PREFIX = "configuration/blobs/"
+WATCH_TIMEOUT_S = 30.0
+IDLE_S = 0.5
+EMPTY_WATCH_PAUSE_S = 1.0
+FETCH_CHECK_S = 0.2
+MIN_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 10.0
+MAX_BLOBS_PER_STEP = 32
+STORE_CALLS_PER_S = 100.0
+STORE_CALL_BURST = 200.0
+
+
+def blob_key(digest: bytes) -> str:
+    """Name the store's key of a blob."""
+    return BLOB_PREFIX + digest.hex()
+
+
+class StoreWatcher:
+    """Bring heads and blobs from the store to the distributor.
+
+    `watch_step` and `fetch_step` each make bounded calls and return the seconds to
+    wait before the next; a daemon runs each in a loop of its own.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        distributor: Distributor,
+        decode_head: Callable[[bytes], Head | Failure],
+        clock: Clock,
+        random: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._store = store
+        self._distributor = distributor
+        self._decode_head = decode_head
+        self._clock = clock
+        self._metrics = metrics
+        self._revision = 0
+        self._watch_backoff = _backoff(random)
+        self._fetch_backoff = _backoff(random)
+        self._budget = TokenBucket(
+            rate_per_s=STORE_CALLS_PER_S,
+            capacity=STORE_CALL_BURST,
+            refilled_at_s=clock.monotonic(),
+        )
+
+    def watch_step(self) -> float:
+        """Wait for a newer head if it is this node's turn to ask."""
+        if not self._distributor.watches_store():
+            self._revision = 0
+            return IDLE_S
+        self._metrics.count("store-watch")
+        batch = self._store.watch(
+            HEAD_KEY, after_revision=self._revision, timeout_s=WATCH_TIMEOUT_S
+        )
+        if isinstance(batch, Failure):
+            # From the start again: the store may have lost its newest revisions.
+            self._revision = 0
+            return _failed(self._watch_backoff, batch)
+        _succeeded(self._watch_backoff)
+        is_newer = batch.revision > self._revision
+        self._revision = max(self._revision, batch.revision)
+        for stored in batch.objects:
+            self._take_head(stored)
+        return 0.0 if batch.objects and is_newer else EMPTY_WATCH_PAUSE_S
+
+    def fetch_step(self) -> float:
+        """Read some of the blobs that no peer could give."""
+        wanted = self._distributor.wanted_from_store()
+        if wanted is None:
+            return FETCH_CHECK_S
+        head, digests = wanted
+        blob_by_digest, failed = self._read(digests[:MAX_BLOBS_PER_STEP])
+        if blob_by_digest:
+            self._distributor.offer(head, blob_by_digest)
+        if failed is not None:
+            return _failed(self._fetch_backoff, failed)
+        _succeeded(self._fetch_backoff)
+        return self._budget.wait_s(self._clock.monotonic())
+
+    def _read(self, digests: list[bytes]) -> tuple[dict[bytes, bytes], Failure | None]:
+        """Read blobs until the budget is spent or one fails."""
+        blob_by_digest: dict[bytes, bytes] = {}
+        for digest in digests:
+            now = self._clock.monotonic()
+            if not self._budget.is_open(now):
+                break
+            self._budget.spend(1, now)
+            self._metrics.count("store-get")
+            stored = self._store.get(blob_key(digest))
+            if isinstance(stored, Failure):
+                return blob_by_digest, stored
+            if digest_of(stored.value) != digest:
+                detail = f"stored blob {digest.hex()}"
+                failed = Failure(kind=Kind.DIGEST_MISMATCH, detail=detail)
+                return blob_by_digest, failed
+            blob_by_digest[digest] = stored.value
+        return blob_by_digest, None
+
+    def _take_head(self, stored: StoredObject) -> None:
+        if stored.key != HEAD_KEY:
+            return
+        head = self._decode_head(stored.value)
+        if isinstance(head, Failure):
+            logs.warn(logs.Event.FRAME_REFUSED, key=stored.key, detail=head.detail)
+            return
+        self._distributor.hear(head)
+
+
+def _backoff(random: random.Random) -> Backoff:
+    return Backoff(random=random, min_s=MIN_BACKOFF_S, max_s=MAX_BACKOFF_S)
+
+
+def _failed(backoff: Backoff, failure: Failure) -> float:
+    """Note a failed call and return the seconds to wait."""
+    if backoff.failures == 0:
+        logs.warn(logs.Event.STORE_UNAVAILABLE, reason=failure.kind.value)
+    return backoff.next_s()
+
+
+def _succeeded(backoff: Backoff) -> None:
+    if backoff.failures:
+        logs.log(logs.Event.STORE_BACK, failures=backoff.failures)
+    backoff.reset()
--- /dev/null
+++ b/src/comfreytray/tasks.py
@@ -0,0 +1,59 @@
+"""Green threads of a daemon that end with their owner."""
+
+from collections.abc import Callable, Mapping
+from types import TracebackType
+from typing import Any
+
+import eventlet
+
+from comfreytray.logs import Event, warn
+
+
+class TaskGroup:
+    """Run loops as green threads and end them together."""
+
+    def __init__(self) -> None:
+        self._threads: list[eventlet.greenthread.GreenThread] = []
+
+    def __enter__(self) -> "TaskGroup":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def spawn(self, name: str, function: Callable[[], object]) -> Any:
+        """Run a function in a green thread; an error that it lets through is logged."""
+        thread = eventlet.spawn(_run, name, function)
+        self._threads.append(thread)
+        return thread
+
+    def every(
+        self, period_s: float, function_by_name: Mapping[str, Callable[[], object]]
+    ) -> None:
+        """Run functions again and again; an error ends one function's round only."""
+
+        def loop() -> None:
+            while True:
+                for name, function in function_by_name.items():
+                    _run(name, function)
+                eventlet.sleep(period_s)
+
+        self._threads.append(eventlet.spawn(loop))
+
+    def close(self) -> None:
+        """End all green threads."""
+        for thread in self._threads:
+            thread.kill()
+        self._threads.clear()
+
+
+def _run(name: str, function: Callable[[], object]) -> None:
+    try:
+        function()
+    except Exception as error:
+        warn(Event.INTERNAL_ERROR, task=name, error=repr(error))
