Follow members incrementally; send whole tables to nodes far behind

A node that joined a small mesh learned the rest eight buckets at a time. Change: the view and the peers take in one change at a time; a table less than half as long as the other side's is answered whole.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -28,6 +28,12 @@
     And 10 s pass
     Then all views show all running members as alive
 
+  Scenario: A member that starts at the address of another replaces it at once
+    Given a mesh of 30 members in 2 regions
+    When a member crashes and a new one starts at its address at once
+    And 2 s pass
+    Then no view holds the crashed one
+
   Scenario: A paused member doubts itself and not the others
     Given a mesh of 20 members in 2 regions
     When a member is paused for 40 s
--- a/src/comfreytray/detection.py
+++ b/src/comfreytray/detection.py
@@ -164,11 +164,11 @@
         jitter = self.random.uniform(0.9, 1.1)
         if now >= self._near_due_at:
             self._near_due_at = now + PROBE_INTERVAL_S * jitter
-            self._probe(self._near_ring.next(self.peers.near), now)
+            self._probe(self._near_ring.next(self.peers.near.ids), now)
         if now >= self._far_due_at:
             share = (len(self.peers.near) + 1) / REGION_PROBES_PER_S
             self._far_due_at = now + max(PROBE_INTERVAL_S, share) * jitter
-            self._probe(self._far_ring.next(self.peers.far), now)
+            self._probe(self._far_ring.next(self.peers.far.ids), now)
         if now >= self._gone_due_at:
             share = self.members.present_count / GONE_PROBES_PER_S
             self._gone_due_at = now + max(PROBE_INTERVAL_S, share) * jitter
@@ -188,7 +188,9 @@
             if record is None or record.state is NodeState.DEAD:
                 continue
             self._ping(record.node_id, record.control_address, sequence)
-            near = [r for r in self.peers.near_alive if r.node_id != probe.target_id]
+            near = [
+                r for r in self.peers.near_alive.records if r.node_id != probe.target_id
+            ]
             helpers = self.random.sample(near, min(HELPERS, len(near)))
             probe.helpers = len(helpers)
             request = PingRequest(
@@ -246,6 +248,6 @@
         if record.data_centre == self.data_centre:
             return self._heard_at > since
         place = record.data_centre
-        if self.peers.count_in(place) < MIN_PLACE_MEMBERS:
+        if self.peers.count_by_place[place] < MIN_PLACE_MEMBERS:
             place = record.region
         return self.heard_at_by_place.get(place, 0.0) > since
--- a/src/comfreytray/dissemination.py
+++ b/src/comfreytray/dissemination.py
@@ -91,7 +91,7 @@
         self._refilled_at = now
 
     def _targets(self) -> list[NodeRecord]:
-        near, far = self.peers.near_alive, self.peers.far_alive
+        near, far = self.peers.near_alive.records, self.peers.far_alive.records
         share = self._crossing_share(len(near), len(far))
         crossing = sum(self.random.random() < share for _ in range(FANOUT))
         crossing = min(crossing, len(far))
--- a/src/comfreytray/gossip.py
+++ b/src/comfreytray/gossip.py
@@ -66,6 +66,8 @@
 
     sender_id: str
     record: bytes
+    count: int
+    """Members that the sender knows, itself included."""
     hashes: bytes
 
 
--- a/src/comfreytray/members.py
+++ b/src/comfreytray/members.py
@@ -1,6 +1,6 @@
 """The table of members and the rules by which claims about them merge."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 from attrs import define, field
@@ -26,6 +26,9 @@
 _RANK_BY_STATE = {state: rank for rank, state in enumerate(EVENT_BY_CLAIM)}
 
 
+Follow = Callable[[NodeRecord | None, NodeRecord | None], None]
+
+
 def is_gone(record: NodeRecord) -> bool:
     """Say whether a record is that of a member that is dead or has left."""
     return record.state in _GONE
@@ -75,8 +78,8 @@
     id_by_address: dict[Address, str] = field(factory=dict)
     """Members that are not gone."""
     gone_at_by_id: dict[str, float] = field(factory=dict)
-    generation: int = 0
-    """Grows with each change."""
+    followers: list[Follow] = field(factory=list)
+    """Called with the old and new record of a change, None where it is not present."""
     _hashes: list[int] = field(factory=lambda: [0] * BUCKET_COUNT)
 
     def get(self, node_id: str) -> NodeRecord | None:
@@ -98,6 +101,7 @@
         held = self.record_by_id.get(claim.node_id)
         if held is None:
             self._put(claim, now)
+            self._tell(None, claim)
             return claim
         merged = merge_records(held, claim)
         if merged == held:
@@ -105,12 +109,12 @@
         invariant(merged.incarnation >= held.incarnation, "incarnations never go back")
         self._remove(held)
         self._put(merged, now)
+        self._tell(held, merged)
         return merged
 
     def forget(self, node_id: str) -> None:
         """Drop a gone member."""
         invariant(node_id in self.gone_at_by_id, "only gone members are forgotten")
-        self.generation += 1
         del self.gone_at_by_id[node_id]
         del self.record_by_id[node_id]
 
@@ -136,8 +140,13 @@
             if bucket_of(node_id) in wanted
         ]
 
+    def _tell(self, held: NodeRecord | None, record: NodeRecord) -> None:
+        before = held if held is not None and not is_gone(held) else None
+        after = record if not is_gone(record) else None
+        for follow in self.followers:
+            follow(before, after)
+
     def _put(self, record: NodeRecord, now: float) -> None:
-        self.generation += 1
         self.record_by_id[record.node_id] = record
         if is_gone(record):
             self.gone_at_by_id[record.node_id] = now
--- a/src/comfreytray/membership.py
+++ b/src/comfreytray/membership.py
@@ -33,7 +33,7 @@
     NodeState,
 )
 from comfreytray.rumors import Accusation, Claim, Priority, pack_claim, unpack_claim
-from comfreytray.views import build_view
+from comfreytray.views import ViewBuilder
 
 FORGET_S = 4 * 3600.0
 MAX_GONE = 2000
@@ -66,8 +66,10 @@
         self._network = network
         self._metrics = metrics
         self._members = Members()
+        self._peers = Peers(node_id=me.node_id, region=me.region)
+        self._views = ViewBuilder()
+        self._members.followers += [self._peers.replace, self._views.replace]
         self._members.merge(me, clock.monotonic())
-        self._peers = Peers(members=self._members, node_id=me.node_id, region=me.region)
         self._disseminator = Disseminator(
             peers=self._peers, clock=clock, random=random, network=network
         )
@@ -97,7 +99,7 @@
         self._yielded = False
         self._dirty = False
         self._urgent = False
-        self._view = build_view(self._members.present())
+        self._view = self._views.view()
 
     @property
     def view(self) -> MembershipView:
@@ -409,7 +411,7 @@
         if not self._dirty:
             return
         self._dirty = False
-        self._view = build_view(self._members.present())
+        self._view = self._views.view()
         for listener in self._listeners:
             listener(self._view)
 
--- a/src/comfreytray/peers.py
+++ b/src/comfreytray/peers.py
@@ -4,65 +4,79 @@
 
 from attrs import define, field
 
-from comfreytray.members import Members
 from comfreytray.records import NodeRecord, NodeState
 
 
 @define(kw_only=True)
-class Peers:
-    """Keep lists of the other members, made anew only after a change."""
+class Group:
+    """Hold some members, with a list of them that is made anew only after a change."""
 
-    members: Members
-    node_id: str
-    region: str
-    _count_by_place: Counter[str] = field(factory=Counter)
-    _near: list[str] = field(factory=list)
-    _far: list[str] = field(factory=list)
-    _near_alive: list[NodeRecord] = field(factory=list)
-    _far_alive: list[NodeRecord] = field(factory=list)
-    _generation: int = -1
+    _by_id: dict[str, NodeRecord] = field(factory=dict)
+    _listed: list[NodeRecord] | None = None
 
-    @property
-    def near(self) -> list[str]:
-        """List the members of this region."""
-        self._refresh()
-        return self._near
+    def __len__(self) -> int:
+        """Count the members."""
+        return len(self._by_id)
 
     @property
-    def far(self) -> list[str]:
-        """List the members of other regions."""
-        self._refresh()
-        return self._far
+    def ids(self) -> list[str]:
+        """List the ids of the members."""
+        return list(self._by_id)
 
     @property
-    def near_alive(self) -> list[NodeRecord]:
-        """List the members of this region that are not suspect."""
-        self._refresh()
-        return self._near_alive
+    def records(self) -> list[NodeRecord]:
+        """List the members; the list must not be changed."""
+        if self._listed is None:
+            self._listed = list(self._by_id.values())
+        return self._listed
 
-    @property
-    def far_alive(self) -> list[NodeRecord]:
-        """List the members of other regions that are not suspect."""
-        self._refresh()
-        return self._far_alive
-
-    def count_in(self, place: str) -> int:
-        """Count the members of a data centre or region."""
-        self._refresh()
-        return self._count_by_place[place]
-
-    def _refresh(self) -> None:
-        if self._generation == self.members.generation:
+    def put(self, record: NodeRecord) -> None:
+        """Add or replace a member."""
+        self._by_id[record.node_id] = record
+        self._listed = None
+
+    def drop(self, node_id: str) -> None:
+        """Remove a member if it is there."""
+        if self._by_id.pop(node_id, None) is not None:
+            self._listed = None
+
+
+@define(kw_only=True)
+class Peers:
+    """Follow the other members by place and by whether they are suspect."""
+
+    node_id: str
+    region: str
+    near: Group = field(factory=Group)
+    """Members of this region."""
+    far: Group = field(factory=Group)
+    """Members of other regions."""
+    near_alive: Group = field(factory=Group)
+    """Members of this region that are not suspect."""
+    far_alive: Group = field(factory=Group)
+    """Members of other regions that are not suspect."""
+    count_by_place: Counter[str] = field(factory=Counter)
+    """Members, this node included, of each data centre and region."""
+
+    def replace(self, held: NodeRecord | None, record: NodeRecord | None) -> None:
+        """Take in a member's new record; None where it is not present."""
+        if held is not None:
+            self._drop(held)
+        if record is not None:
+            self._add(record)
+
+    def _add(self, record: NodeRecord) -> None:
+        self.count_by_place[record.data_centre] += 1
+        self.count_by_place[record.region] += 1
+        if record.node_id == self.node_id:
             return
-        self._generation = self.members.generation
-        others = [r for r in self.members.present() if r.node_id != self.node_id]
-        self._count_by_place = Counter()
-        for record in self.members.present():
-            self._count_by_place[record.data_centre] += 1
-            self._count_by_place[record.region] += 1
-        near = [record for record in others if record.region == self.region]
-        far = [record for record in others if record.region != self.region]
-        self._near = [record.node_id for record in near]
-        self._far = [record.node_id for record in far]
-        self._near_alive = [r for r in near if r.state is not NodeState.SUSPECT]
-        self._far_alive = [r for r in far if r.state is not NodeState.SUSPECT]
+        is_near = record.region == self.region
+        (self.near if is_near else self.far).put(record)
+        if record.state is not NodeState.SUSPECT:
+            (self.near_alive if is_near else self.far_alive).put(record)
+
+    def _drop(self, record: NodeRecord) -> None:
+        self.count_by_place[record.data_centre] -= 1
+        self.count_by_place[record.region] -= 1
+        for group in (self.near, self.far, self.near_alive, self.far_alive):
+            group.drop(record.node_id)
--- a/src/comfreytray/reconciliation.py
+++ b/src/comfreytray/reconciliation.py
@@ -14,9 +14,8 @@
 MAX_BUCKETS = 8
 """Buckets compared at a time, so that one exchange stays small."""
 DELTA_RECORDS = 500
-EMPTY_HASH = bytes(HASH_BYTES)
-NEWCOMER_BUCKETS = 1
-"""Filled buckets of a member that knows only itself."""
+FAR_BEHIND = 2
+"""Factor of members known above which the whole table is sent."""
 JOIN_INTERVAL_S = 0.5
 MERGE_FANOUT = 3
 """Unknown seeds that a member asks at once; a lone node asks one."""
@@ -125,12 +124,14 @@
             self._receive_delta(me, sender, message)
 
     def _receive_digest(self, me: NodeRecord, sender: Address, digest: Digest) -> None:
-        newcomer = _is_newcomer(digest.hashes)
-        self._apply_payload(digest.record, spread=newcomer)
+        self._apply_payload(digest.record, spread=digest.count <= 1)
         self.greet(me, digest.sender_id, sender)
-        if newcomer:
-            present = list(self._members.present())
-            self._send(me, sender, present, ())
+        count = self._members.present_count
+        if digest.count * FAR_BEHIND <= count:
+            self._send(me, sender, list(self._members.present()), ())
+            return
+        if count * FAR_BEHIND <= digest.count:
+            self._network.send_datagram(sender, self._digest(me))
             return
         summary = self._summarize(me, digest.hashes)
         if summary is not None:
@@ -185,11 +186,12 @@
         return Digest(
             sender_id=me.node_id,
             record=pack_claim(me),
+            count=self._members.present_count,
             hashes=self._members.hashes(),
         )
 
     def _partner(self) -> NodeRecord | None:
-        near, far = self._peers.near_alive, self._peers.far_alive
+        near, far = self._peers.near_alive.records, self._peers.far_alive.records
         crossing = far and self._random.random() < CROSSING_SHARE
         candidates = far if crossing or not near else near
         return self._random.choice(candidates) if candidates else None
@@ -208,14 +210,6 @@
         return Summary(sender_id=me.node_id, buckets=tuple(chosen), entries=entries)
 
 
-def _is_newcomer(hashes: bytes) -> bool:
-    filled = sum(
-        hashes[start : start + HASH_BYTES] != EMPTY_HASH
-        for start in range(0, len(hashes), HASH_BYTES)
-    )
-    return filled <= NEWCOMER_BUCKETS
-
-
 def compare(members: Members, summary: Summary) -> tuple[list[NodeRecord], list[str]]:
     """Return the records that the sender lacks and the ids that it knows better."""
     theirs_by_id: dict[str, Key] = {
