--- /dev/null
+++ b/src/comfreytray/identity.py
@@ -0,0 +1,77 @@
+"""This node's own record, and its answers to what others claim about it."""
+
+import attrs
+from attrs import define
+
+from comfreytray import logs
+from comfreytray.errors import Failure, Kind
+from comfreytray.exceptions import invariant
+from comfreytray.members import is_gone
+from comfreytray.records import NodeRecord, NodeState
+from comfreytray.rumors import Accusation, Claim
+
+MAX_DISPLACEMENTS = 3
+"""Times another address may claim this node's id before it is taken for a twin."""
+
+
+@define(kw_only=True)
+class Identity:
+    """Hold the node's own record; its incarnation never goes back."""
+
+    record: NodeRecord
+    fault: Failure | None = None
+    """Why this node may not be a member, if so."""
+    has_yielded: bool = False
+    """Whether another process has this node's id now."""
+    _displacements: int = 0
+
+    @property
+    def is_gone(self) -> bool:
+        """Say whether this node has left."""
+        return is_gone(self.record)
+
+    def replace(self, record: NodeRecord) -> None:
+        """Take a newer own record."""
+        invariant(
+            record.incarnation >= self.record.incarnation,
+            "a node's own incarnation never goes back",
+        )
+        self.record = record
+
+    def renewed(self, incarnation: int) -> NodeRecord:
+        """Give the own record under another incarnation."""
+        return attrs.evolve(self.record, incarnation=incarnation)
+
+    def must_refute(self, claim: Claim) -> bool:
+        """Say whether a claim about this node is to be outranked."""
+        if self.is_gone or claim.incarnation < self.record.incarnation:
+            return False
+        if isinstance(claim, NodeRecord):
+            self._note_displacement(claim)
+        return not self._agrees(claim)
+
+    def _agrees(self, claim: Claim) -> bool:
+        if claim.incarnation != self.record.incarnation:
+            return False
+        if claim.state not in (NodeState.ALIVE, self.record.state):
+            return False
+        if isinstance(claim, Accusation):
+            return True
+        return claim.endpoint_revision <= self.record.endpoint_revision
+
+    def _note_displacement(self, claim: NodeRecord) -> None:
+        """Give up the id if a twin with a lower address keeps claiming it."""
+        if is_gone(claim) or claim.control_address == self.record.control_address:
+            return
+        self._displacements += 1
+        if self.record.state is NodeState.LEAVING:
+            self.has_yielded = True
+        if self._displacements < MAX_DISPLACEMENTS or self.fault is not None:
+            return
+        if claim.control_address < self.record.control_address:
+            self.has_yielded = True
+            self.fault = Failure(
+                kind=Kind.CONFLICT,
+                detail=f"node id {claim.node_id} is in use at {claim.host}",
+            )
+            logs.warn(logs.Event.FRAME_REFUSED, reason="twin", node=claim.node_id)
--- a/src/comfreytray/members.py
+++ b/src/comfreytray/members.py
@@ -13,6 +13,8 @@
 
 BUCKET_COUNT = 64
 HASH_BYTES = 8
+FORGET_S = 4 * 3600.0
+MAX_GONE = 2000
 
 CHART = load_chart("member")
 EVENT_BY_CLAIM = {
@@ -112,11 +114,15 @@
         self._tell(held, merged)
         return merged
 
-    def forget(self, node_id: str) -> None:
-        """Drop a gone member."""
-        invariant(node_id in self.gone_at_by_id, "only gone members are forgotten")
-        del self.gone_at_by_id[node_id]
-        del self.record_by_id[node_id]
+    def forget_old(self, now: float) -> None:
+        """Drop the member that is gone for longest, if it is time."""
+        oldest = next(iter(self.gone_at_by_id), None)
+        if oldest is None:
+            return
+        age = now - self.gone_at_by_id[oldest]
+        if age > FORGET_S or len(self.gone_at_by_id) > MAX_GONE:
+            del self.gone_at_by_id[oldest]
+            del self.record_by_id[oldest]
 
     def hashes(self) -> bytes:
         """Pack one hash for each bucket over the members that are not gone."""
--- /dev/null
+++ b/src/comfreytray/priorities.py
@@ -0,0 +1,28 @@
+"""How soon every member must hear of a change."""
+
+import attrs
+
+from comfreytray.records import Endpoint, EndpointState, NodeState
+from comfreytray.rumors import Priority
+
+
+def priority_of_state(state: NodeState) -> Priority:
+    """Rank a change of a member's state."""
+    if state in (NodeState.LEAVING, NodeState.LEFT):
+        return Priority.LEAVING
+    if state is NodeState.ALIVE:
+        return Priority.CHANGED
+    return Priority.DOUBTED
+
+
+def priority_of_endpoint(before: Endpoint | None, after: Endpoint | None) -> Priority:
+    """Rank a change of a member's endpoint."""
+    if after == before:
+        return Priority.DOUBTED
+    if after is None or after.state is EndpointState.DRAINING:
+        return Priority.LEAVING
+    if before is None:
+        return Priority.CHANGED
+    if attrs.evolve(after, reported_load=before.reported_load) == before:
+        return Priority.DOUBTED
+    return Priority.CHANGED
