--- a/src/comfreytray/node.py
+++ b/src/comfreytray/node.py
@@ -16,7 +16,7 @@
 from comfreytray.adminroutes import add_routes
 from comfreytray.announcements import AnnouncementDesk
 from comfreytray.clock import SystemClock
-from comfreytray.compiler import compile_snapshot
+from comfreytray.compiler import Compiler
 from comfreytray.content import Content, decode_head
 from comfreytray.distribution import Distributor
 from comfreytray.errors import Failure, Kind
@@ -30,6 +30,7 @@
 from comfreytray.records import Endpoint, NodeRecord
 from comfreytray.seeds import Seeds, parse_addresses
 from comfreytray.settings import Settings
+from comfreytray.snapshots import Snapshot
 from comfreytray.status import StatusBoard
 from comfreytray.storeclient import StoreClient
 from comfreytray.storewatch import StoreWatcher
@@ -37,7 +38,7 @@
 from comfreytray.transport import Transport
 
 TICK_S = 0.1
-SEEDS_PERIOD_S = 1.0
+SEEDS_PERIOD_S = 0.5
 LEAVE_SPREAD_S = 1.0
 LISTEN_BACKLOG = 1024
 MAX_ADMIN_CONNECTIONS = 64
@@ -147,10 +148,8 @@
             random=self.random,
             network=self.transport,
             content=self.content,
-            compile_snapshot=compile_snapshot,
-            on_applied=lambda snapshot: self.metrics.gauge(
-                "version_in_force", snapshot.head.version
-            ),
+            compile_snapshot=Compiler().compile,
+            on_applied=self._on_applied,
             store_region=settings.store_region,
         )
         self.status = StatusBoard(
@@ -227,16 +226,11 @@
         tasks.spawn("store-fetch", lambda: _repeat(self.watcher.fetch_step))
 
     def _keep_seeds(self) -> None:
-        self.seeds.find()
-        asked = self.seeds.addresses
-        self.membership.start(asked)
+        self.membership.start(self.seeds.addresses)
         while True:
+            if self.seeds.tick(self.membership.view):
+                self.membership.start(self.seeds.addresses)
             eventlet.sleep(SEEDS_PERIOD_S)
-            self.seeds.tick(self.membership.view)
-            strangers = self.seeds.strangers(self.membership.view)
-            if strangers and strangers != asked:
-                self.membership.start(strangers)
-            asked = strangers
 
     def _listen(self, stack: ExitStack, port: int) -> Any:
         listener = eventlet.listen((self.settings.host, port), backlog=LISTEN_BACKLOG)
@@ -276,6 +270,10 @@
             }
         return self._regions
 
+    def _on_applied(self, snapshot: Snapshot) -> None:
+        self.metrics.gauge("version_in_force", snapshot.head.version)
+        self.metrics.gauge("version_applied_at_s", self.clock.wall())
+
     def _on_endpoint_change(self, endpoint: Endpoint | None) -> None:
         self.membership.set_endpoint(endpoint)
 
