Judge added latency by what the run can show

At 70 calls/s the direct calls' own p99 is many times the 0.52 ms target, so a difference of two p99s came out as -1.3 ms and 'met'. Now the median added bounds p99 from below; where neither it nor the noise decides, the line says unresolved. A back-to-back part keeps all processes awake, and processor time for a call is a line with the target too, since no call can be faster than its own processor time.

--- a/benchmarks/_report.py
+++ b/benchmarks/_report.py
@@ -1,7 +1,6 @@
 """Lines of a benchmark: name, value, unit, target and whether it was met."""
 
 import math
-import sys
 
 from attrs import define, field, frozen
 
@@ -49,6 +48,18 @@
         """Add a value that must reach a limit."""
         self._judge(name, value, unit, f">={_number(limit)}", value >= limit)
 
+    def unresolved(self, name: str, value: float, unit: str, limit: float) -> None:
+        """Add a value whose target is smaller than the noise of its own run."""
+        self._add(
+            Line(
+                name=name,
+                value=value,
+                unit=unit,
+                target=f"<={_number(limit)}",
+                verdict="unresolved",
+            )
+        )
+
     def _judge(
         self, name: str, value: float, unit: str, target: str, met: bool
     ) -> None:
@@ -65,8 +76,8 @@
         """Print how many targets were met."""
         met = sum(line.verdict == "met" for line in self.lines)
         missed = sum(line.verdict == "missed" for line in self.lines)
-        print(f"# {met} met, {missed} missed", flush=True)
-        sys.stdout.flush()
+        unresolved = sum(line.verdict == "unresolved" for line in self.lines)
+        print(f"# {met} met, {missed} missed, {unresolved} unresolved", flush=True)
 
 
 @frozen(kw_only=True)
--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -150,7 +150,7 @@
     return process, port
 
 
-def make_paths(fleet: Fleet) -> list[Way]:
+def make_ways(fleet: Fleet) -> list[Way]:
     """Start one upstream with its node, a second node and the baselines."""
     entry = fleet.start_node()
     owner = fleet.start_node()
@@ -186,47 +186,67 @@
 
 
 def measure_latency(
-    report: Report, paths: list[Way], rounds: int, round_s: float
+    report: Report, ways: list[Way], rounds: int, round_s: float, rate: float
 ) -> None:
-    """Compare the ways at a node's own rate, in turn so that noise hits all."""
-    samples_by_name = {path.name: Samples() for path in paths}
+    """Compare the ways in turn, so that the machine's noise hits all.
+
+    A rate of 0 makes each call right after the one before: no process falls idle.
+    """
+    samples_by_name = {way.name: Samples() for way in ways}
     for number in range(rounds):
-        for path in paths:
+        for way in ways:
             result = call(
-                [path.address],
-                calls_per_s=CALLS_PER_S,
+                [way.address],
+                calls_per_s=rate,
+                workers=1,
                 duration_s=round_s,
-                warmup_s=WARM_UP_S,
+                warmup_s=WARM_UP_S if round_s > WARM_UP_S else 0.0,
                 seed=number + 1,
                 **caller_options(),
             )
-            samples_by_name[path.name].add(result)
+            samples_by_name[way.name].add(result)
+    label = f"{rate:g}/s" if rate else "back-to-back"
     direct = samples_by_name["direct"]
-    for path in paths:
-        samples = samples_by_name[path.name]
-        name = f"latency-70/s.{path.name}"
-        report.value(f"{name}.p50", percentile(samples.p50_ms, 50), "ms")
-        report.value(f"{name}.p99", percentile(samples.p99_ms, 50), "ms")
-        report.value(f"{name}.lost", samples.sent - samples.good, "calls")
-        if path.name == "direct":
-            continue
-        for share, ours, base in (
-            ("p50", samples.p50_ms, direct.p50_ms),
-            ("p99", samples.p99_ms, direct.p99_ms),
-        ):
-            added = percentile([a - b for a, b in zip(ours, base, strict=True)], 50)
-            if share == "p99" and path.name.endswith(("node", "nodes")):
-                report.at_most(f"{name}.added.p99", added, "ms", MAX_ADDED_P99_MS)
-            else:
-                report.value(f"{name}.added.{share}", added, "ms")
+    for way in ways:
+        report_latency(
+            report, f"latency-{label}.{way.name}", samples_by_name[way.name], direct
+        )
 
 
-def measure_saturation(report: Report, paths: list[Way], seconds: float) -> None:
+def report_latency(
+    report: Report, name: str, samples: Samples, direct: Samples
+) -> None:
+    """Print the medians over the rounds, and what the way adds to the direct one."""
+    report.value(f"{name}.p50", percentile(samples.p50_ms, 50), "ms")
+    report.value(f"{name}.p99", percentile(samples.p99_ms, 50), "ms")
+    report.value(f"{name}.lost", samples.sent - samples.good, "calls")
+    if samples is direct:
+        return
+    added_p50 = _added(samples.p50_ms, direct.p50_ms)
+    added_p99 = _added(samples.p99_ms, direct.p99_ms)
+    report.value(f"{name}.added.p50", added_p50, "ms")
+    if not name.endswith(("node", "nodes")):
+        report.value(f"{name}.added.p99", added_p99, "ms")
+        return
+    noise_ms = percentile(direct.p99_ms, 50) - percentile(direct.p50_ms, 50)
+    if added_p50 > MAX_ADDED_P99_MS or noise_ms <= MAX_ADDED_P99_MS:
+        # Half of the calls already pay the median, so it bounds p99 from below.
+        bound = max(added_p50, added_p99)
+        report.at_most(f"{name}.added.p99", bound, "ms", MAX_ADDED_P99_MS)
+        return
+    report.unresolved(f"{name}.added.p99", added_p99, "ms", MAX_ADDED_P99_MS)
+
+
+def _added(ours: list[float], base: list[float]) -> float:
+    return percentile([a - b for a, b in zip(ours, base, strict=True)], 50)
+
+
+def measure_saturation(report: Report, ways: list[Way], seconds: float) -> None:
     """Find calls per second and per core when callers never pause."""
-    for path in paths:
-        before = [process.cpu_s() for process in path.processes]
+    for way in ways:
+        before = [process.cpu_s() for process in way.processes]
         result = call(
-            [path.address],
+            [way.address],
             calls_per_s=0,
             workers=SATURATION_WORKERS,
             duration_s=seconds,
@@ -234,14 +254,18 @@
         )
         used = sum(
             process.cpu_s() - start
-            for process, start in zip(path.processes, before, strict=True)
+            for process, start in zip(way.processes, before, strict=True)
         )
-        name = f"saturation.{path.name}"
+        name = f"saturation.{way.name}"
         report.value(f"{name}.calls", result["goodput"], "calls/s")
         report.value(f"{name}.p50", result["p50_ms"], "ms")
         report.value(f"{name}.p99", result["p99_ms"], "ms")
         if used > 0 and result["sent"]:
-            report.value(f"{name}.cpu", used / result["sent"] * 1e3, "ms/call")
+            cost_ms = used / result["sent"] * 1e3
+            if way.name.endswith(("node", "nodes")):
+                report.at_most(f"{name}.cpu", cost_ms, "ms/call", MAX_ADDED_P99_MS)
+            else:
+                report.value(f"{name}.cpu", cost_ms, "ms/call")
             report.value(f"{name}.per-core", result["sent"] / used, "calls/s/core")
 
 
@@ -254,10 +278,12 @@
 def measure_ways(report: Report, *, smoke: bool) -> None:
     """Measure latency, saturation and memory on one upstream."""
     with Fleet() as fleet:
-        paths = make_paths(fleet)
+        ways = make_ways(fleet)
         measure_memory(report, fleet, "idle")
-        measure_latency(report, paths, 1 if smoke else ROUNDS, 2 if smoke else ROUND_S)
-        measure_saturation(report, paths, 1 if smoke else SATURATION_S)
+        rounds, seconds = (1, 1.0) if smoke else (ROUNDS, ROUND_S)
+        measure_latency(report, ways, rounds, seconds, CALLS_PER_S)
+        measure_latency(report, ways, rounds, seconds / 2, 0.0)
+        measure_saturation(report, ways, 1 if smoke else SATURATION_S)
         measure_memory(report, fleet, "after-load")
 
 
