--- a/src/comfreytray/sweeping.py
+++ b/src/comfreytray/sweeping.py
@@ -16,8 +16,10 @@
 from comfreytray.routing import Router
 
 PERIOD_S = 0.05
+IDLE_PERIOD_S = 0.25
+"""Pause while no call and no head is under way."""
 GRACE_S = 0.05
-IDLE_EVERY = 40
+CLOSE_IDLE_PERIOD_S = 2.0
 _PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
 
 
@@ -67,17 +69,22 @@
 
     def run(self) -> None:
         """Sweep once per period."""
-        turn = 0
+        close_at = 0.0
         while True:
-            eventlet.sleep(PERIOD_S)
-            turn += 1
+            eventlet.sleep(PERIOD_S if self._has_work() else IDLE_PERIOD_S)
             try:
                 self.sweep()
-                if turn % IDLE_EVERY == 0:
+                now = self.clock.monotonic()
+                if now >= close_at:
+                    close_at = now + CLOSE_IDLE_PERIOD_S
                     self._close_idle()
             except Exception as error:
                 logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
 
+    def _has_work(self) -> bool:
+        waiting = self.owner.admission.queued
+        return bool(self.entries or self.head_started_by_socket or waiting)
+
     def sweep(self) -> None:
         """Cancel the calls of callers that are gone and end heads that are late."""
         now = self.clock.monotonic()
