Give the reconnect storm no convergence target

The 8 s are for a change; a storm's time holds the start of the processes themselves, which on one machine with 30% of the nodes started at once is the larger part.

--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -78,8 +78,12 @@
         report.value(f"{prefix}.bytes.{purpose}", size, "B/s/node")
     for kind, rate in sorted(point.store_calls_by_kind.items()):
         report.value(f"{prefix}.store.{kind}", rate, "calls/s")
-    if point.times_s:
-        report.at_most(f"{prefix}.time.max", max(point.times_s), "s", MAX_CONVERGENCE_S)
+    if point.times_s and point.phase == "storm":
+        report.value(f"{prefix}.time.until-whole", max(point.times_s), "s")
+        report.value(f"{prefix}.time.first-part", min(point.times_s), "s")
+    elif point.times_s:
+        slowest = max(point.times_s)
+        report.at_most(f"{prefix}.time.max", slowest, "s", MAX_CONVERGENCE_S)
     if point.events:
         report.value(f"{prefix}.events", point.events, "events")
 
