Spend less on each call: fields by name, two endpoints looked at

Change: a pick draws two from the nearest place and looks at the others only when one of them may not be used; headers are walked once each way.

Ruled out: building the upstream's request without http.client (about a tenth, but it would be HTTP of our own). Patching eventlet's hub to keep sockets registered.

--- a/src/comfreytray/calls.py
+++ b/src/comfreytray/calls.py
@@ -38,6 +38,7 @@
         "upgrade",
     }
 )
+_OWN_PREFIX = "comfreytray-"
 _NEVER_NAMED = frozenset({"host", "content-length", KEY_HEADER.lower()})
 """Headers that a Connection header can't take out of a message."""
 _SET_BY_NODE = frozenset(
@@ -137,24 +138,31 @@
 
 def request_headers(headers: Iterable[tuple[str, str]]) -> Headers:
     """Keep the headers of a call that an upstream gets as the caller sent them."""
-    return _end_to_end(tuple(headers), _HOP_BY_HOP | _SET_BY_NODE)
+    pairs = tuple(headers)
+    drop = _named(pairs, _HOP_BY_HOP | _SET_BY_NODE)
+    return tuple([pair for pair in pairs if pair[0].lower() not in drop])
 
 
 def answer_headers(headers: Iterable[tuple[str, str]]) -> Headers:
-    """Keep the headers of an answer that are meant for the caller."""
-    kept = _end_to_end(tuple(headers), _HOP_BY_HOP)
-    return tuple(
-        (LENGTH_HEADER, value) if name.lower() == "content-length" else (name, value)
-        for name, value in kept
-    )
-
-
-def _end_to_end(pairs: Headers, drop: frozenset[str]) -> Headers:
+    """Keep the headers of an upstream's answer that are meant for the caller."""
+    pairs = tuple(headers)
+    drop = _named(pairs, _HOP_BY_HOP)
+    kept: list[tuple[str, str]] = []
+    for pair in pairs:
+        name = pair[0].lower()
+        if name in drop or name.startswith(_OWN_PREFIX):
+            continue
+        kept.append((LENGTH_HEADER, pair[1]) if name == "content-length" else pair)
+    return tuple(kept)
+
+
+def _named(pairs: Headers, drop: frozenset[str]) -> frozenset[str]:
+    """Add the names that a Connection header lists."""
     for name, value in pairs:
-        if name.lower() == "connection":
-            named = {part.strip().lower() for part in value.split(",")}
-            drop = drop | (named - _NEVER_NAMED)
-    return tuple(pair for pair in pairs if pair[0].lower() not in drop)
+        if len(name) == len("connection") and name.lower() == "connection":
+            listed = {part.strip().lower() for part in value.split(",")}
+            drop = drop | (listed - _NEVER_NAMED)
+    return drop
 
 
 def whole_ms(seconds: float) -> int:
--- a/src/comfreytray/requests.py
+++ b/src/comfreytray/requests.py
@@ -31,6 +31,16 @@
 Environ = dict[str, Any]
 
 
+def _variable(header: str) -> str:
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+_DEADLINE = _variable(DEADLINE_HEADER)
+_DEPTH = _variable(DEPTH_HEADER)
+_KEY = _variable(KEY_HEADER)
+_RETRIED = _variable(RETRIED_HEADER)
+
+
 class BodyBudget:
     """Bound the bytes of request bodies that a node holds at one time."""
 
@@ -64,7 +74,7 @@
     if isinstance(route, Failure):
         return route
     left_s = _left_s(environ, route)
-    depth = _number(environ, DEPTH_HEADER, MAX_DEPTH + 1)
+    depth = _number(environ, _DEPTH, MAX_DEPTH + 1)
     if left_s is None or depth is None:
         return Failure(kind=Kind.BAD_REQUEST, detail="deadline or depth")
     if depth > MAX_DEPTH:
@@ -73,7 +83,7 @@
         return Failure(kind=Kind.DEADLINE_BEFORE_RUN, detail="no time left at entry")
     method: str = environ["REQUEST_METHOD"]
     idempotent = route.idempotent or method in IDEMPOTENT_METHODS
-    key = environ.get(_variable(KEY_HEADER), "").strip()
+    key = environ.get(_KEY, "").strip()
     if len(key) > MAX_KEY_LENGTH:
         return Failure(kind=Kind.BAD_REQUEST, detail="idempotency key")
     body = read_body(environ, budget)
@@ -90,7 +100,7 @@
         deadline=now + left_s,
         idempotent=idempotent,
         depth=depth,
-        retried=_variable(RETRIED_HEADER) in environ,
+        retried=_RETRIED in environ,
         key="" if idempotent else key,
         trace=environ.get("HTTP_TRACEPARENT", ""),
     )
@@ -169,7 +179,8 @@
 
 def _route(environ: Environ, snapshot: Snapshot) -> Route | Failure:
     path = unquote(_raw_path(environ))
-    if any(part in (".", "..") for part in path.split("/")) or "\x00" in path:
+    dots = "/." in path and any(part in (".", "..") for part in path.split("/"))
+    if dots or "\x00" in path:
         return Failure(kind=Kind.BAD_REQUEST, detail="dot segment")
     host = environ.get("HTTP_HOST", "")
     return snapshot.match(host=host, method=environ["REQUEST_METHOD"], path=path)
@@ -197,12 +208,8 @@
     )
 
 
-def _variable(header: str) -> str:
-    return "HTTP_" + header.upper().replace("-", "_")
-
-
-def _number(environ: Environ, header: str, limit: int) -> int | None:
-    text = environ.get(_variable(header))
+def _number(environ: Environ, variable: str, limit: int) -> int | None:
+    text = environ.get(variable)
     if text is None:
         return 0
     if not (text.isascii() and text.isdigit()):
@@ -211,9 +218,9 @@
 
 
 def _left_s(environ: Environ, route: Route) -> float | None:
-    if _variable(DEADLINE_HEADER) not in environ:
+    if _DEADLINE not in environ:
         return route.timeout_s
-    left_ms = _number(environ, DEADLINE_HEADER, MAX_DEADLINE_MS)
+    left_ms = _number(environ, _DEADLINE, MAX_DEADLINE_MS)
     if left_ms is None:
         return None
     return min(route.timeout_s, left_ms / MS_PER_S)
--- a/src/comfreytray/routing.py
+++ b/src/comfreytray/routing.py
@@ -70,6 +70,10 @@
         self.leaving = False
         self.view_by_id: dict[str, EndpointView] = {}
         self.panics = 0
+        self._near_by_service: dict[
+            str, tuple[tuple[NodeRecord, ...], list[NodeRecord]]
+        ] = {}
+        """Nearest endpoints by service, with the list that they were found in."""
 
     def pick(
         self, service: str, *, exclude: Sequence[str] = ()
@@ -77,6 +81,10 @@
         """Choose an endpoint of a service: nearest place first, then least loaded."""
         records = self.members().endpoints_by_service.get(service, ())
         now = self.clock.monotonic()
+        if not exclude and not self.leaving:
+            picked = self._pick_of_two(service, records, now)
+            if picked is not None:
+                return picked
         own_id = self.node().node_id
         usable = [
             record
@@ -89,7 +97,22 @@
             return Failure(kind=Kind.NO_ENDPOINT, fields={"service": service})
         healthy = self._without_ejected(usable, now)
         ready = [r for r in healthy if self.view(r, now).shed_until <= now]
-        return self._choose(self._nearest(ready or healthy), now)
+        return self._cheaper(self._draw(self._nearest(ready or healthy)), now)
+
+    def _pick_of_two(
+        self, service: str, records: tuple[NodeRecord, ...], now: float
+    ) -> NodeRecord | None:
+        """Draw from the nearest place; None if what is drawn may not be used."""
+        near = self._near_by_service.get(service)
+        if near is None or near[0] is not records:
+            near = (records, self._nearest(list(records)))
+            self._near_by_service[service] = near
+        drawn = self._draw(near[1])
+        for record in drawn:
+            view = self.view(record, now)
+            if max(view.moved_until, view.ejected_until, view.shed_until) > now:
+                return None
+        return self._cheaper(drawn, now) if drawn else None
 
     def view(self, record: NodeRecord, now: float) -> EndpointView:
         """Look up what is known of an endpoint; a new incarnation starts afresh."""
@@ -203,13 +226,23 @@
             return here
         return [r for r in records if r.region == own.region] or records
 
-    def _choose(self, records: list[NodeRecord], now: float) -> NodeRecord:
+    def _draw(self, records: list[NodeRecord]) -> list[NodeRecord]:
+        """Draw two endpoints, or take all of fewer."""
+        count = len(records)
+        if count <= 2:
+            return records
+        first = int(self.random.random() * count)
+        second = int(self.random.random() * (count - 1))
+        return [records[first], records[second + (second >= first)]]
+
+    def _cheaper(self, records: list[NodeRecord], now: float) -> NodeRecord:
+        """Choose the cheaper of one or two; either, when they cost the same."""
         if len(records) == 1:
             return records[0]
-        first, second = self.random.sample(records, 2)
-        if self._cost(second, now) < self._cost(first, now):
-            return second
-        return first
+        first, second = self._cost(records[0], now), self._cost(records[1], now)
+        if first == second:
+            return records[int(self.random.random() * 2)]
+        return records[0] if first < second else records[1]
 
     def _cost(self, record: NodeRecord, now: float) -> float:
         view = self.view(record, now)
--- a/src/comfreytray/upstream.py
+++ b/src/comfreytray/upstream.py
@@ -18,7 +18,6 @@
     TRACE_HEADER,
     Call,
     CallCutError,
-    Headers,
     Outcome,
     Reply,
     answer_headers,
@@ -106,9 +105,11 @@
         self.sock.settimeout(max(0.001, left_s))
         self.flush()
 
-    def read_head(self) -> http.client.HTTPResponse:
+    def read_head(self) -> StrictResponse:
         """Read the head of the answer."""
-        return http.client.HTTPConnection.getresponse(self)
+        response = http.client.HTTPConnection.getresponse(self)
+        assert isinstance(response, StrictResponse)
+        return response
 
 
 @define(kw_only=True, eq=False)
@@ -117,7 +118,7 @@
 
     pool: "UpstreamPool"
     connection: UpstreamConnection
-    response: http.client.HTTPResponse | None = None
+    response: StrictResponse | None = None
     done: bool = False
     on_end: Callable[[], None] | None = None
 
@@ -237,9 +238,9 @@
         return self._reply(exchange, call, response)
 
     def _reply(
-        self, exchange: _Exchange, call: Call, response: http.client.HTTPResponse
+        self, exchange: _Exchange, call: Call, response: StrictResponse
     ) -> Reply | Outcome:
-        headers = _answer_headers(response)
+        headers = answer_headers(response.headers.pairs)
         reply = Reply(
             status=response.status,
             reason=response.reason,
@@ -290,7 +291,7 @@
         return chunk
 
     def _end(
-        self, exchange: _Exchange, response: http.client.HTTPResponse, chunk: bytes
+        self, exchange: _Exchange, response: StrictResponse, chunk: bytes
     ) -> bytes:
         response.close()
         exchange.end(reusable=not response.will_close)
@@ -309,7 +310,7 @@
     return fail(Kind.LOST_AFTER_SEND, detail)
 
 
-def _own_word(response: http.client.HTTPResponse) -> Outcome | None:
+def _own_word(response: StrictResponse) -> Outcome | None:
     """Take the upstream's own word that a call did not run."""
     if response.status not in _OWN_WORD_STATUSES:
         return None
@@ -318,13 +319,3 @@
     retry_after = response.headers.get("Retry-After", "").strip()
     retry_after_s = int(retry_after) if retry_after.isdigit() else None
     return fail(Kind.OVERLOADED, "upstream refused", retry_after_s)
-
-
-def _answer_headers(response: http.client.HTTPResponse) -> Headers:
-    """Take the end-to-end headers that an upstream may set."""
-    fields: Any = response.headers
-    return tuple(
-        pair
-        for pair in answer_headers(fields.pairs)
-        if not pair[0].lower().startswith("comfreytray-")
-    )
