Read a request to its end whose head came before a planned stop

Ruled out: naming it leaving (the request can be served). Change: connections with a first byte in their buffer are left to finish. Test seen to fail first: without the check the answer is cut off after 0 bytes.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -6,6 +6,12 @@
     Then the request runs once and its whole answer arrives
     And the connection ends and a new caller is refused
 
+  Scenario: A request whose body is still on its way is read and answered
+    Given an HTTP side with a connection that has had one answer
+    When the head of its next request arrives, the stop begins and the body follows
+    Then the request runs once and its whole answer arrives
+    And the connection ends and a new caller is refused
+
   Scenario: A call that runs when the stop begins gets its whole answer
     Given an HTTP side with a connection that has had one answer
     When the stop begins while a slow request runs
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -45,6 +45,7 @@
         if path == "/slow":
             context.entered.send()
             context.go.wait()
+        assert path != "/body" or environ["wsgi.input"].read() == b"body"
         start_response("200 OK", [("Content-Length", str(len(ANSWER)))])
         return [ANSWER]
 
@@ -76,6 +77,16 @@
     context.stop = _begin_stop(context)
 
 
+@when("the head of its next request arrives, the stop begins and the body follows")
+def stop_before_body(context):
+    context.path = "/body"
+    head = b"POST /body HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\n"
+    context.connection.fd.sendall(head)
+    context.stop = _begin_stop(context)
+    eventlet.sleep(0.05)
+    context.connection.sendall(b"body")
+
+
 @when("the stop begins while a slow request runs")
 def stop_while_running(context):
     context.path = "/slow"
--- a/src/comfreytray/callers.py
+++ b/src/comfreytray/callers.py
@@ -8,6 +8,7 @@
 from eventlet.event import Event
 
 POLL_S = 0.02
+_PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
 
 
 class Callers:
@@ -38,12 +39,12 @@
     def stop(self, timeout_s: float) -> bool:
         """End idle connections, let busy ones finish; false if some did not.
 
-        Only the reading side of an idle connection is shut: a request that is
-        already under way in its buffer still runs and gets its answer.
+        A request of which a first byte has arrived still runs and gets its answer.
         """
         self.stopping = True
         for sock in list(self.idle_sockets):
-            _end_reading(sock)
+            if not _has_input(sock):
+                _end_reading(sock)
         with eventlet.Timeout(timeout_s, False):
             while self.idle_sockets or self.busy_sockets:
                 eventlet.sleep(POLL_S)
@@ -85,6 +86,13 @@
             self._end.send()
 
 
+def _has_input(sock: Any) -> bool:
+    try:
+        return bool(sock.fd.recv(1, _PEEK_FLAGS))
+    except OSError:
+        return False
+
+
 def _end_reading(sock: Any) -> None:
     with contextlib.suppress(OSError):
         sock.shutdown(plain_socket.SHUT_RD)
