--- a/features/shell.feature
+++ b/features/shell.feature
@@ -29,3 +29,7 @@
     And an oversized body is refused as "body-too-large"
     And an error in a handler is answered as "internal" and the next request is served
     And an operator's name in any script arrives whole
+
+  Scenario: The library is used without a node
+    Then every public name loads
+    And the example "examples/embedded.py" prints "modèle: dat-san"
--- a/features/steps/shell_steps.py
+++ b/features/steps/shell_steps.py
@@ -1,5 +1,7 @@
+import contextlib
 import io
 import json
+import runpy
 import shlex
 from urllib.parse import quote
 
@@ -7,6 +9,7 @@
 from hypothesis import given as property_of
 from hypothesis import strategies as st
 
+import comfreytray
 from comfreytray import settings
 from comfreytray.admin import MAX_BODY_BYTES, AdminApi
 from comfreytray.exceptions import SettingError
@@ -148,3 +151,18 @@
     operator = {"HTTP_COMFREYTRAY_OPERATOR": quote("Nguyễn Thị Lan")}
     _ask(context, "PUT", "/v1/things/a", **operator)
     assert context.operators[-1] == "Nguyễn Thị Lan"
+
+
+@then("every public name loads")
+def check_public_names(context):
+    assert set(comfreytray._MODULE_BY_NAME) < set(comfreytray.__all__)
+    for name in comfreytray.__all__:
+        assert getattr(comfreytray, name) is not None
+
+
+@then('the example "{path}" prints "{text}"')
+def check_example(context, path, text):
+    printed = io.StringIO()
+    with contextlib.redirect_stdout(printed):
+        runpy.run_path(path, run_name="__main__")
+    assert text in printed.getvalue()
