Place a hostile parameter value in the operator's text

Cause: a value that leaves its path segment was refused at line 1, column 1.

Ruled out: checking values when the customer is read; defaults and other templates' uses of the value would escape.

Change: the refusal names the parameter, so the message points at it; tests of hostile values and of decimal commas in flow lists (a mutant without the quoting had stayed green because a fallback kept the meaning but not the comment).

Before: place 1:1.

--- a/features/configuration_texts.feature
+++ b/features/configuration_texts.feature
@@ -1,6 +1,7 @@
 Feature: Operators' texts
   Scenario: Any document comes back the same through every language
     Then documents written in one language read the same in another and back
+    And a decimal comma in a flow list is quoted and the comment stays
 
   Scenario: Nothing that an operator can write breaks the reader
     Then broken and hostile texts are refused with a place and a cause
@@ -27,3 +28,6 @@
 
   Scenario: Each cause can be brought about or is walked in every language
     Then every kind and cause renders in every language without its markers
+
+  Scenario: A parameter's value can't reach beyond its place
+    Then hostile values of a text parameter are refused or stay one segment
--- a/features/steps/configuration_texts_steps.py
+++ b/features/steps/configuration_texts_steps.py
@@ -124,7 +124,11 @@
 
 @then("documents written in one language read the same in another and back")
 def check_round_trips(context):
-    @hypothesis.settings(max_examples=EXAMPLES)
+    @hypothesis.settings(
+        max_examples=EXAMPLES,
+        phases=(hypothesis.Phase.generate,),
+        report_multiple_bugs=False,
+    )
     @hypothesis.given(pairs(), languages, languages, st.booleans())
     def check(pair, first, second, decomposed):
         template, customer = pair
@@ -155,6 +159,14 @@
     check()
 
 
+@then("a decimal comma in a flow list is quoted and the comment stays")
+def check_flow(context):
+    text = TEXT_BY_LANGUAGE["en"].replace("default: 1 s}}", "default: 1.5 s}}  # why")
+    parsed = parse(ItemKind.TEMPLATE, text, vocabulary("en"), file="")
+    there = translate(text, parsed, vocabulary("fr"), templates={})
+    assert 'défaut: "1,5 s"}}  # why' in there, there
+
+
 def damage(random_, text):
     pieces = [
         *("{", "}", "[", "]", "&a ", "*a", "!x ", "|", ">", "\t", "\x00", "\ufffe"),
@@ -242,3 +254,27 @@
     assert "{name.__class__} {0}" in messages.text(hostile, language="en")
     known = evolve(hostile, fields={})
     assert messages.text(known, language="xx") == messages.text(known, language="en")
+
+
+@then("hostile values of a text parameter are refused or stay one segment")
+def check_injection(context):
+    operations = Operations(
+        store=MemoryStore(), clock=FakeClock(), random=random.Random(1)
+    )
+    template = (
+        "template: t\nparameters: {field: {type: text}}\nroutes:\n"
+        "  - {name: r, path: /$(field)/book, service: lichbay, methods: POST}\n"
+    )
+    names = {"operator": "Sam", "language": "en"}
+    made = operations.edit(ItemKind.TEMPLATE, "t", template, **names)
+    assert not isinstance(made, Failure), made
+    for value in ("..", ".", "", "a/b", "a/../..", "$(field)", "a?b", "a\\nroutes: x"):
+        text = (
+            "customer: c\ntemplate: t\nhosts: c.example\n"
+            f'parameters: {{field: "{value}"}}'
+        )
+        result = operations.edit(ItemKind.CUSTOMER, "c", text, **names)
+        assert isinstance(result, Failure), value
+        assert result.fields["cause_id"] == Cause.BAD_PATH.value, result
+        told = messages.text(result, language="en")
+        assert told.startswith("customer/c, line 4, column 14:"), told
--- a/src/comfreytray/compiler.py
+++ b/src/comfreytray/compiler.py
@@ -197,8 +197,15 @@
     customer: str, template: RouteTemplate, values: dict[str, Value]
 ) -> Route | Failure:
     path = fill_text(template.path, values)
-    if not is_path(path) or not _segments_are_safe(template.path, values):
-        return refuse(Cause.BAD_PATH, customer=customer, route=template.name, path=path)
+    unsafe = _unsafe_parameters(template.path, values)
+    if unsafe or not is_path(path):
+        return refuse(
+            Cause.BAD_PATH,
+            customer=customer,
+            route=template.name,
+            path=path,
+            parameter=unsafe[0] if unsafe else "",
+        )
     service = fill_text(template.service, values)
     if not is_service(service):
         return refuse(
@@ -239,9 +246,10 @@
     return _SERVICE.fullmatch(service) is not None
 
 
-def _segments_are_safe(path: str, values: dict[str, Value]) -> bool:
+def _unsafe_parameters(path: str, values: dict[str, Value]) -> list[str]:
+    """List the parameters in a path whose values are not plain text in a segment."""
     names = REFERENCE.findall(path)
-    return all(_SEGMENT.fullmatch(str(values[name])) is not None for name in names)
+    return [name for name in names if _SEGMENT.fullmatch(str(values[name])) is None]
 
 
 def _resolve(setting: Setting, values: dict[str, Value]) -> Value:
