Let edits reuse what versions share, as nodes do

Cause: an edit of one customer among 1,000 read and compiled all of them again.

Ruled out: checking only the items of a change; a template's change reaches its customers, and hosts are unique across all.

Change: one cache of documents by digest and of filled templates, used by the operations and by Compiler, which keeps its interface.

--- a/src/comfreytray/compiler.py
+++ b/src/comfreytray/compiler.py
@@ -1,8 +1,8 @@
 """Turn the documents of a version into the routes that a node has in force."""
 
 import re
-from collections.abc import Mapping
-from types import MappingProxyType
+
+from attrs import define, field, frozen
 
 from comfreytray.causes import Cause
 from comfreytray.content import Content, Head
@@ -30,94 +30,89 @@
 _SERVICE = re.compile(r"[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?")
 
 
+@frozen(kw_only=True)
+class _Filled:
+    customer: Customer
+    template: Template
+    routes: tuple[Route, ...]
+
+
+@define(kw_only=True)
+class CompileCache:
+    """Keep what versions share from one compilation to the next."""
+
+    document_by_digest: dict[bytes, Document] = field(factory=dict)
+    filled_by_customer: dict[str, _Filled] = field(factory=dict)
+
+
 class Compiler:
     """Compile versions, reusing what a version has in common with the one before."""
 
     def __init__(self) -> None:
-        self._document_by_body: dict[bytes, Document] = {}
-        self._routes_by_bodies: dict[tuple[bytes, bytes], tuple[Route, ...]] = {}
+        self._cache = CompileCache()
 
     def compile(self, head: Head, content: Content) -> Snapshot | Failure:
         """Compile a version that is held whole."""
-        body_by_key = content.items(head)
-        if isinstance(body_by_key, Failure):
-            return body_by_key
-        catalogue = decode_catalogue(body_by_key, self._document_by_body)
-        if isinstance(catalogue, Failure):
-            return catalogue
-        snapshot = compile_catalogue(head, catalogue, self._known_routes(body_by_key))
-        if not isinstance(snapshot, Failure):
-            self._remember(body_by_key, catalogue, snapshot)
-        return snapshot
-
-    def _known_routes(
-        self, body_by_key: Mapping[str, bytes]
-    ) -> dict[str, tuple[Route, ...]]:
-        """Find the customers whose text and template are as they were."""
-        template_by_body = {
-            body: document.template
-            for body, document in self._document_by_body.items()
-            if isinstance(document, Customer)
-        }
-        known: dict[str, tuple[Route, ...]] = {}
-        for key, body in body_by_key.items():
-            template = template_by_body.get(body)
-            if template is None:
-                continue
-            bodies = (body, body_by_key.get(f"template/{template}", b""))
-            routes = self._routes_by_bodies.get(bodies)
-            if routes is not None:
-                known[key.removeprefix("customer/")] = routes
-        return known
-
-    def _remember(
-        self,
-        body_by_key: Mapping[str, bytes],
-        catalogue: Catalogue,
-        snapshot: Snapshot,
-    ) -> None:
-        self._document_by_body = {}
-        self._routes_by_bodies = {}
-        for name, template in catalogue.template_by_name.items():
-            self._document_by_body[body_by_key[f"template/{name}"]] = template
-        for name, customer in catalogue.customer_by_name.items():
-            body = body_by_key[f"customer/{name}"]
-            bodies = (body, body_by_key[f"template/{customer.template}"])
-            self._document_by_body[body] = customer
-            self._routes_by_bodies[bodies] = snapshot.routes_by_customer[name]
-
-
-def compile_snapshot(head: Head, content: Content) -> Snapshot | Failure:
-    """Compile a version that is held whole, from nothing."""
-    return Compiler().compile(head, content)
+        return compile_snapshot(head, content, cache=self._cache)
+
+
+def compile_snapshot(
+    head: Head, content: Content, *, cache: CompileCache | None = None
+) -> Snapshot | Failure:
+    """Compile a version that is held whole; with a cache only what changed."""
+    body_by_key = content.items(head)
+    if isinstance(body_by_key, Failure):
+        return body_by_key
+    cache = CompileCache() if cache is None else cache
+    catalogue = decode_catalogue(body_by_key, cache.document_by_digest)
+    if isinstance(catalogue, Failure):
+        return catalogue
+    return compile_catalogue(head, catalogue, cache=cache)
 
 
 def compile_catalogue(
-    head: Head,
-    catalogue: Catalogue,
-    known_routes: Mapping[str, tuple[Route, ...]] = MappingProxyType({}),
+    head: Head, catalogue: Catalogue, *, cache: CompileCache | None = None
 ) -> Snapshot | Failure:
-    """Compile documents that were read already; known customers are taken over."""
-    routes_by_customer: dict[str, tuple[Route, ...]] = {}
+    """Compile documents that were read already."""
+    cache = CompileCache() if cache is None else cache
+    filled_by_customer: dict[str, _Filled] = {}
     customer_by_host: dict[str, str] = {}
     for name in sorted(catalogue.customer_by_name):
         customer = catalogue.customer_by_name[name]
-        routes = known_routes.get(name) or compile_customer(customer, catalogue)
-        if isinstance(routes, Failure):
-            return routes
-        routes_by_customer[name] = routes
+        filled = _fill_once(customer, catalogue, cache)
+        if isinstance(filled, Failure):
+            return filled
+        filled_by_customer[name] = filled
         for host in customer.hosts:
             if host in customer_by_host:
                 other = customer_by_host[host]
                 return refuse(Cause.HOST_TAKEN, customer=name, host=host, other=other)
             customer_by_host[host] = name
+    cache.filled_by_customer = filled_by_customer
     return Snapshot(
         head=head,
-        routes_by_customer=routes_by_customer,
+        routes_by_customer={
+            name: filled.routes for name, filled in filled_by_customer.items()
+        },
         customer_by_host=customer_by_host,
     )
 
 
+def _fill_once(
+    customer: Customer, catalogue: Catalogue, cache: CompileCache
+) -> _Filled | Failure:
+    """Fill a customer's template unless both are the very ones of the last time."""
+    template = catalogue.template_by_name.get(customer.template)
+    last = cache.filled_by_customer.get(customer.name)
+    if last is not None and last.customer is customer and last.template is template:
+        return last
+    routes = compile_customer(customer, catalogue)
+    if isinstance(routes, Failure):
+        return routes
+    assert template is not None
+    return _Filled(customer=customer, template=template, routes=routes)
+
+
 def refuse(cause: Cause, **fields: str) -> Failure:
     """Refuse content for a cause of the catalogues (`cause.<name>`)."""
     detail = " ".join(
--- a/src/comfreytray/documents.py
+++ b/src/comfreytray/documents.py
@@ -3,7 +3,6 @@
 import re
 from collections.abc import Callable, Mapping
 from enum import Enum
-from types import MappingProxyType
 from typing import Any
 
 import attrs
@@ -12,6 +11,7 @@
 from cattrs import UnstructureStrategy
 from cattrs.preconf.msgpack import make_converter
 
+from comfreytray.content import digest_of
 from comfreytray.errors import Failure, Kind
 
 FORMAT = 1
@@ -192,19 +192,28 @@
 
 
 def decode_catalogue(
-    body_by_key: Mapping[str, bytes],
-    document_by_body: Mapping[bytes, Document] = MappingProxyType({}),
+    body_by_key: Mapping[str, bytes], known: dict[bytes, Document] | None = None
 ) -> Catalogue | Failure:
-    """Unpack all items of a version; documents that are known are taken over."""
+    """Unpack all items of a version.
+
+    `known` holds documents by digest of their bodies from one version to the next.
+    """
     catalogue = Catalogue()
+    used: dict[bytes, Document] = {}
     for key, body in body_by_key.items():
-        document = document_by_body.get(body) or decode_document(body)
-        if isinstance(document, Failure):
-            return document
-        if item_key(kind_of(document), document.name) != key:
-            return Failure(kind=Kind.BAD_FRAME, detail=f"{key} holds {document.name}")
-        if isinstance(document, Template):
-            catalogue.template_by_name[document.name] = document
+        digest = digest_of(body)
+        document = known.get(digest) if known is not None else None
+        decoded = decode_document(body) if document is None else document
+        if isinstance(decoded, Failure):
+            return decoded
+        if item_key(kind_of(decoded), decoded.name) != key:
+            return Failure(kind=Kind.BAD_FRAME, detail=f"{key} holds {decoded.name}")
+        used[digest] = decoded
+        if isinstance(decoded, Template):
+            catalogue.template_by_name[decoded.name] = decoded
         else:
-            catalogue.customer_by_name[document.name] = document
+            catalogue.customer_by_name[decoded.name] = decoded
+    if known is not None:
+        known.clear()
+        known.update(used)
     return catalogue
--- a/src/comfreytray/drafts.py
+++ b/src/comfreytray/drafts.py
@@ -6,7 +6,7 @@
 
 from comfreytray.acceptance import Edited
 from comfreytray.causes import Cause
-from comfreytray.compiler import compile_catalogue, refuse
+from comfreytray.compiler import CompileCache, compile_catalogue, refuse
 from comfreytray.content import digest_of, split_body
 from comfreytray.documents import (
     Catalogue,
@@ -70,10 +70,11 @@
     body_by_key: Mapping[str, bytes],
     *,
     language: str,
+    cache: CompileCache,
     pause: Pause | None = None,
 ) -> Draft | Failure:
     """Read and check texts on top of a version's items."""
-    catalogue = decode_catalogue(body_by_key)
+    catalogue = decode_catalogue(body_by_key, cache.document_by_digest)
     if isinstance(catalogue, Failure):
         return catalogue
     parsed_by_key: dict[str, Parsed] = {}
@@ -96,7 +97,7 @@
         parsed_by_key[item.key] = parsed
         documents[item.key] = document
         _insert(document, catalogue)
-    failed = _check(items, catalogue, parsed_by_key, language)
+    failed = _check(items, catalogue, parsed_by_key, language, cache)
     if failed is not None:
         return failed
     return _draft(documents, body_by_key, texts_by_key, catalogue, parsed_by_key)
@@ -170,11 +171,12 @@
     catalogue: Catalogue,
     parsed_by_key: Mapping[str, Parsed],
     language: str,
+    cache: CompileCache,
 ) -> Failure | None:
     """Compile the outcome as a node would; place a refusal in the operator's text."""
     failed: object = _check_removals(items, catalogue)
     if failed is None:
-        failed = compile_catalogue(NO_VERSION, catalogue)
+        failed = compile_catalogue(NO_VERSION, catalogue, cache=cache)
     if not isinstance(failed, Failure):
         return None
     return _localise(failed, items, parsed_by_key, language)
--- a/src/comfreytray/lookups.py
+++ b/src/comfreytray/lookups.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from comfreytray.acceptance import Acceptance
+from comfreytray.compiler import CompileCache
 from comfreytray.content import Content, Head, digest_of
 from comfreytray.documents import (
     Catalogue,
@@ -60,6 +61,7 @@
             content=self._content,
             versions=self._versions,
         )
+        self._cache = CompileCache()
         self._services = services
         self._pause = pause
 
@@ -90,7 +92,7 @@
         items = head if isinstance(head, Failure) else self._items(head)
         if isinstance(items, Failure):
             return items
-        catalogue = decode_catalogue(items)
+        catalogue = decode_catalogue(items, self._cache.document_by_digest)
         if isinstance(catalogue, Failure):
             return catalogue
         summaries: list[ItemSummary] = []
@@ -123,7 +125,7 @@
         if isinstance(items, Failure):
             return items
         assert not isinstance(head, Failure)
-        catalogue = decode_catalogue(items)
+        catalogue = decode_catalogue(items, self._cache.document_by_digest)
         if isinstance(catalogue, Failure):
             return catalogue
         document = catalogue.get(kind, name)
--- a/src/comfreytray/operations.py
+++ b/src/comfreytray/operations.py
@@ -63,11 +63,24 @@
         if isinstance(items, Failure):
             return items
         item = ItemText(kind=kind, name=name, text=text)
-        draft = prepare([item], items, language=language, pause=self._pause)
+        draft = prepare(
+            [item], items, language=language, cache=self._cache, pause=self._pause
+        )
         if isinstance(draft, Failure):
             return draft
         return CheckResult(warnings=self._warnings(draft, language))
 
+    def _prepare(
+        self, items: Sequence[ItemText], body_by_key: dict[str, bytes], language: str
+    ) -> Draft | Failure:
+        return prepare(
+            items,
+            body_by_key,
+            language=language,
+            cache=self._cache,
+            pause=self._pause,
+        )
+
     def edit(
         self,
         kind: ItemKind,
@@ -127,7 +140,13 @@
                 current = _digest_hex(body_by_key.get(key))
                 if base_by_key.setdefault(key, current) != current:
                     return self._conflict(head, key, item.text or "", language)
-            draft = prepare(items, body_by_key, language=language, pause=self._pause)
+            draft = prepare(
+                items,
+                body_by_key,
+                language=language,
+                cache=self._cache,
+                pause=self._pause,
+            )
             if isinstance(draft, Failure):
                 return draft
             drafts.append(draft)
@@ -163,10 +182,10 @@
             }
             if not changed:
                 return Failure(kind=Kind.NOTHING_CHANGED)
-            catalogue = decode_catalogue(old)
+            catalogue = decode_catalogue(old, self._cache.document_by_digest)
             if isinstance(catalogue, Failure):
                 return catalogue
-            compiled = compile_catalogue(head, catalogue)
+            compiled = compile_catalogue(head, catalogue, cache=self._cache)
             if isinstance(compiled, Failure):
                 return compiled
             texts = self._texts(catalogue, changed)
