--- a/features/configuration_faults.feature
+++ b/features/configuration_faults.feature
@@ -36,3 +36,12 @@
   Scenario: A template that would break its customers is refused
     Given a version that is accepted
     Then a template that needs one more parameter is refused by name of the customer
+
+  Scenario: The history and its blobs stay bounded
+    Given a version that is accepted
+    When 60 changes are accepted while 8 versions are kept
+    Then at most 12 versions and their blobs are there and the newest is whole
+
+  Scenario: Names that can't be read or stored are refused
+    Given a version that is accepted
+    Then an edit without an operator, in no language or with a long id changes nothing
--- a/features/configuration_store.feature
+++ b/features/configuration_store.feature
@@ -24,3 +24,7 @@
   Scenario: A change whose blobs can't be stored is refused whole
     When a template is accepted while 3 answers about "configuration/blobs" are lost
     Then the refusal says that nothing changed and nothing is accepted
+
+  Scenario: Operators on connections of their own race and lose nothing
+    When 4 operators accept 6 changes each at the same time
+    Then the versions run from 1 to 25 and every operator's last text stands
--- a/features/steps/configuration_faults_steps.py
+++ b/features/steps/configuration_faults_steps.py
@@ -679,3 +679,46 @@
     )
     assert result.kind is Kind.INVALID_CONTENT
     assert "« a » le paramètre « more »" in messages.text(result, language="fr")
+
+
+@when("60 changes are accepted while 8 versions are kept")
+def fill_history(context):
+    acceptance.REPEAT_DEPTH = REPEAT_DEPTH
+    context.add_cleanup(setattr, acceptance, "REPEAT_DEPTH", 64)
+    context.operations = Operations(
+        store=context.store, clock=FakeClock(), random=random.Random(5), keep_versions=8
+    )
+    for number in range(60):
+        result = edit(context.operations, "abc"[number % 3], 2 + number)
+        assert not isinstance(result, Failure), result
+
+
+@then("at most 12 versions and their blobs are there and the newest is whole")
+def check_bounded(context):
+    reader = Operations(store=context.store, clock=FakeClock(), random=random.Random(6))
+    history = reader.history(100)
+    assert 8 <= len(history) <= 12, len(history)
+    content = raw_content(context.store)
+    assert len(content.blob_by_digest) < 12 * 4 + 20, len(content.blob_by_digest)
+    head = context.operations.head()
+    assert head.version == 61
+    assert not isinstance(compile_snapshot(head, content), Failure)
+
+
+@then("an edit without an operator, in no language or with a long id changes nothing")
+def check_names(context):
+    before = dict(context.store.object_by_key)
+    kinds = [
+        edit(context.first, "a", 9, **changes).kind
+        for changes in (
+            {"operator": "  "},
+            {"language": "fr", "operator": "A\nB"},
+            {"change_id": "x" * 101},
+        )
+    ]
+    text = text_of(make_customer("a", "t", 9), "en")
+    names = {"operator": "Sam", "language": "xx"}
+    kinds.append(context.first.edit(ItemKind.CUSTOMER, "a", text, **names).kind)
+    kinds.append(context.first.show(ItemKind.CUSTOMER, "a", language="xx").kind)
+    assert kinds == [Kind.OPERATOR_MISSING, *[Kind.BAD_REQUEST] * 4], kinds
+    assert context.store.object_by_key == before
--- a/features/steps/configuration_store_steps.py
+++ b/features/steps/configuration_store_steps.py
@@ -182,6 +182,50 @@
     assert counts["list"] == 1 and counts["put"] >= 6, counts
 
 
+@when("4 operators accept 6 changes each at the same time")
+def race(context):
+    names = {"operator": "Anne", "language": "fr"}
+    began = make_operations(context, 0).edit(
+        ItemKind.TEMPLATE, "equipe", TEMPLATE, **names
+    )
+    assert not isinstance(began, Failure), began
+    context.results = []
+
+    def work(number):
+        operations = make_operations(context, number)
+        for turn in range(6):
+            text = f"client: c{number}\nmodèle: equipe\nhôtes: c{number}-{turn}.example"
+            context.results.append(
+                operations.edit(ItemKind.CUSTOMER, f"c{number}", text, **names)
+            )
+
+    threads = [threading.Thread(target=work, args=(one,)) for one in range(1, 5)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def make_operations(context, seed):
+    return Operations(
+        store=start_client(context, TIMEOUT_S),
+        clock=SystemClock(),
+        random=random.Random(seed),
+    )
+
+
+@then("the versions run from 1 to 25 and every operator's last text stands")
+def check_race(context):
+    failures = [one for one in context.results if isinstance(one, Failure)]
+    assert not failures, failures
+    versions = sorted(one.head.version for one in context.results)
+    assert versions == list(range(2, 26)), versions
+    operations = make_operations(context, 9)
+    for number in range(1, 5):
+        view = operations.show(ItemKind.CUSTOMER, f"c{number}")
+        assert f"c{number}-5.example" in view.text, view
+
+
 @then("the refusal says that nothing changed and nothing is accepted")
 def check_refused(context):
     assert kind_of(context.result) is Kind.STORE_UNAVAILABLE, context.result
--- a/src/comfreytray/lookups.py
+++ b/src/comfreytray/lookups.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from comfreytray import messages
 from comfreytray.acceptance import Acceptance
 from comfreytray.compiler import CompileCache
 from comfreytray.content import Content, Head, digest_of
@@ -17,6 +18,7 @@
 )
 from comfreytray.drafts import Pause
 from comfreytray.errors import Failure, Kind
+from comfreytray.garbage import DEFAULT_KEEP_VERSIONS
 from comfreytray.interfaces import Clock, ObjectStore
 from comfreytray.languages import nearest, vocabulary
 from comfreytray.rendering import render, translate
@@ -45,11 +47,14 @@
         content: Content | None = None,
         services: Callable[[], frozenset[str]] | None = None,
         pause: Pause | None = None,
+        keep_versions: int = DEFAULT_KEEP_VERSIONS,
     ) -> None:
         """Share `content` with a node to read what it holds without store calls.
 
-        `services` gives those with an endpoint now; `pause` lets other work run.
+        `services` gives those with an endpoint now; `pause` lets other work run;
+        `keep_versions` bounds the history.
         """
+        self._keep_versions = keep_versions
         self._store = store
         self._own_content = content is None
         self._content = Content() if content is None else content
@@ -120,6 +125,8 @@
         language: str | None = None,
     ) -> ItemView | Failure:
         """Show an item, by default as it was written and in the newest version."""
+        if language is not None and language not in messages.LANGUAGES:
+            return Failure(kind=Kind.BAD_REQUEST, detail=f"language {language!r}")
         head = self._find(version)
         items = head if isinstance(head, Failure) else self._items(head)
         if isinstance(items, Failure):
--- a/src/comfreytray/operations.py
+++ b/src/comfreytray/operations.py
@@ -18,7 +18,6 @@
 from comfreytray.drafts import Draft, ItemText, prepare
 from comfreytray.errors import Failure, Kind
 from comfreytray.garbage import (
-    DEFAULT_KEEP_VERSIONS,
     Collected,
     collect_garbage,
 )
@@ -49,6 +48,7 @@
     "Operations",
 ]
 ROLL_BACK = "roll-back"
+MAX_NAME_LENGTH = 100
 
 
 class Operations(Lookups):
@@ -58,6 +58,9 @@
         self, kind: ItemKind, name: str, text: str, *, language: str
     ) -> CheckResult | Failure:
         """Check a text against the newest version and accept nothing."""
+        refused = _check_names("", language, None)
+        if refused is not None:
+            return refused
         head = self.head()
         items = head if isinstance(head, Failure) else self._items(head)
         if isinstance(items, Failure):
@@ -200,7 +203,7 @@
         return self._accept(build, [], operator, language, change_id)
 
     def collect_garbage(
-        self, *, keep_versions: int = DEFAULT_KEEP_VERSIONS
+        self, *, keep_versions: int | None = None
     ) -> Collected | Failure:
         """Delete what only versions older than the newest ones use."""
         content = Content()
@@ -209,7 +212,7 @@
             store=self._store,
             reader=reader,
             content=content,
-            keep_versions=keep_versions,
+            keep_versions=keep_versions or self._keep_versions,
         )
 
     def _accept(
@@ -222,6 +225,9 @@
     ) -> ChangeResult | Failure:
         if not operator.strip():
             return Failure(kind=Kind.OPERATOR_MISSING)
+        refused = _check_names(operator, language, change_id)
+        if refused is not None:
+            return refused
         accepted = self._acceptance.accept(
             build,
             operator=operator,
@@ -231,6 +237,9 @@
         if isinstance(accepted, Failure):
             return accepted
         self._tidy(accepted.head)
+        if accepted.head.version % max(1, self._keep_versions // 2) == 0:
+            # A failure costs nothing: the next collection deletes the same.
+            self.collect_garbage()
         warnings = self._warnings(drafts[-1], language) if drafts else ()
         return change_result(accepted, warnings, language)
 
@@ -295,6 +304,16 @@
         )
 
 
+def _check_names(operator: str, language: str, change_id: str | None) -> Failure | None:
+    """Refuse what would be stored in each version's record and can't be read."""
+    if language not in messages.LANGUAGES:
+        return Failure(kind=Kind.BAD_REQUEST, detail=f"language {language!r}")
+    for name in (operator, change_id or ""):
+        if len(name) > MAX_NAME_LENGTH or not name.isprintable():
+            return Failure(kind=Kind.BAD_REQUEST, detail="unreadable or long name")
+    return None
+
+
 def _touched(draft: Draft) -> list[Customer]:
     """List the customers whose routes a draft may change."""
     touched: dict[str, Customer] = {}
