--- a/features/membership.feature
+++ b/features/membership.feature
@@ -34,6 +34,12 @@
     And 2 s pass
     Then no view holds the crashed one
 
+  Scenario: A suspect whose refutation is lost is asked again before it is dead
+    Given a mesh of 40 members in 2 regions
+    When a healthy member is accused to all while no rumour and no table passes
+    And 16 s pass
+    Then all views hold the accused member
+
   Scenario: A paused member doubts itself and not the others
     Given a mesh of 20 members in 2 regions
     When a member is paused for 40 s
@@ -49,7 +55,7 @@
 
   Scenario: The load of a member does not grow with the mesh
     When calm meshes of 20 and 80 members are measured for 20 s
-    Then a member sends at most 1.5 times as many bytes in the larger mesh
+    Then a member sends at most 1.1 times as many bytes in the larger mesh
     And a mesh whose members all change at once stays within the byte budget
 
   Scenario: Claims merge to the same record in any order
--- a/features/membership_seeds.feature
+++ b/features/membership_seeds.feature
@@ -20,7 +20,7 @@
     Then they form one mesh
 
   Scenario: Two meshes that never met merge through the store
-    Given 2 groups of 10 nodes that started apart and see the same store
+    Given 2 regions of 10 nodes that started apart and see the same store
     When they run for 90 s
     Then they form one mesh
 
--- a/features/steps/membership_seeds_steps.py
+++ b/features/steps/membership_seeds_steps.py
@@ -58,11 +58,13 @@
     context.fleet.store.down = True
 
 
-@given("2 groups of {count:d} nodes that started apart and see the same store")
+@given("2 regions of {count:d} nodes that started apart and see the same store")
 def start_groups(context, count):
     fleet = context.fleet = Fleet(count * 2)
     members = list(fleet.mesh.member_by_id.values())
-    for group in (members[:count], members[count:]):
+    near = [member for member in members if member.me.region == "r0"]
+    far = [member for member in members if member.me.region == "r1"]
+    for group in (near, far):
         for member in group:
             member.start([group[0].me.control_address])
     fleet.mesh.run(5.0)
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,4 +1,5 @@
 import itertools
+import math
 import os
 import random
 import sys
@@ -19,7 +20,7 @@
 from comfreytray.dissemination import BURST_BYTES, BYTES_PER_S
 from comfreytray.members import Members
 from comfreytray.records import EndpointState, NodeState
-from comfreytray.rumors import pack_claim, unpack_claim
+from comfreytray.rumors import Accusation, RumorQueue, pack_claim, unpack_claim
 from comfreytray.suspicions import HOLD_S
 
 CALM_S = 45.0
@@ -258,6 +259,38 @@
     context.mesh.add(attrs.evolve(old, incarnation=old.incarnation - 1))
 
 
+class SilentQueue(RumorQueue):
+    """Spreads nothing."""
+
+    def put(self, key, payload, *, sends, priority):
+        pass
+
+
+@when("a healthy member is accused to all while no rumour and no table passes")
+def accuse_to_all(context):
+    mesh = context.mesh
+    context.accused = mesh.running[5].me
+    accusation = Accusation(
+        node_id=context.accused.node_id,
+        incarnation=context.accused.incarnation,
+        state=NodeState.SUSPECT,
+        accuser="n1",
+    )
+    rumors = (pack_claim(accusation),)
+    for member in mesh.running:
+        member._disseminator.queue = SilentQueue()
+        member._reconciler._due_at = math.inf
+        if member.me.node_id != context.accused.node_id:
+            gossip_to = gossip.Gossip(sender_id="n1", rumors=rumors)
+            member.receive(mesh.running[1].me.control_address, gossip_to, True)
+
+
+@then("all views hold the accused member")
+def accused_is_held(context):
+    for member in context.mesh.running:
+        assert context.accused.node_id in member.view.by_id, member.me.node_id
+
+
 @when("a member crashes and a new one starts at its address at once")
 def replace_at_once(context):
     mesh = context.mesh
@@ -327,10 +360,10 @@
     context.mesh = mesh
 
 
-@then("a member sends at most 1.5 times as many bytes in the larger mesh")
+@then("a member sends at most 1.1 times as many bytes in the larger mesh")
 def calm_load_is_constant(context):
     small, large = context.rates
-    assert large <= 1.5 * small, context.rates
+    assert 50 < large <= 1.1 * small, context.rates
 
 
 @then("a mesh whose members all change at once stays within the byte budget")
