--- a/src/comfreytray/adminroutes.py
+++ b/src/comfreytray/adminroutes.py
@@ -9,6 +9,7 @@
 from comfreytray.admin import AdminApi, Request, parse_json
 from comfreytray.announcements import parse_announcement
 from comfreytray.errors import Failure, Kind
+from comfreytray.logs import Event, log
 from comfreytray.operations import ChangeResult, ItemKind, ItemText
 from comfreytray.records import NodeRecord
 from comfreytray.settings import effective
@@ -73,9 +74,6 @@
     def __init__(self, node: "Node") -> None:
         self._node = node
 
-    def _offer(self, result: ChangeResult | Failure) -> ChangeResult | Failure:
-        return offer(self._node, result)
-
     def list_all(self, request: Request, /, **parts: str) -> object:
         kind = _kind(parts["kind"])
         if isinstance(kind, Failure):
@@ -119,7 +117,7 @@
             language=request.language,
             base=request.base,
         )
-        return self._offer(result)
+        return offer(self._node, request, result)
 
     def remove(self, request: Request, /, **parts: str) -> object:
         kind = _kind(parts["kind"])
@@ -132,7 +130,7 @@
             language=request.language,
             base=request.base,
         )
-        return self._offer(result)
+        return offer(self._node, request, result)
 
     def diff(self, request: Request, /, **parts: str) -> object:
         kind = _kind(parts["kind"])
@@ -159,7 +157,7 @@
         result = self._node.operations.edit_many(
             texts, operator=request.operator, language=request.language
         )
-        return self._offer(result)
+        return offer(self._node, request, result)
 
 
 def _item_texts(document: object) -> list[ItemText] | Failure:
@@ -170,10 +168,27 @@
         return Failure(kind=Kind.BAD_REQUEST, detail=f"items: {type(error).__name__}")
 
 
-def offer(node: "Node", result: ChangeResult | Failure) -> ChangeResult | Failure:
-    """Hand an accepted change on to the other nodes at once."""
-    if isinstance(result, ChangeResult):
-        node.distributor.offer(result.head, result.new_blobs)
+def offer(
+    node: "Node", request: Request, result: ChangeResult | Failure
+) -> ChangeResult | Failure:
+    """Log a change and hand an accepted one on to the other nodes at once."""
+    if isinstance(result, Failure):
+        log(
+            Event.CHANGE_REFUSED,
+            operator=request.operator,
+            path=request.path,
+            kind=result.kind.value,
+            detail=result.detail,
+        )
+        return result
+    log(
+        Event.CHANGE_ACCEPTED,
+        operator=request.operator,
+        path=request.path,
+        version=result.head.version,
+        change=result.change_id,
+    )
+    node.distributor.offer(result.head, result.new_blobs)
     return result
 
 
@@ -198,7 +213,7 @@
         result = self._node.operations.roll_back(
             version, operator=request.operator, language=request.language
         )
-        return offer(self._node, result)
+        return offer(self._node, request, result)
 
     def status(self, request: Request, /, **parts: str) -> object:
         version = self._version(parts["version"])
--- a/src/comfreytray/operations.py
+++ b/src/comfreytray/operations.py
@@ -483,8 +483,10 @@
     def _conflict(self, head: Head, key: str, text: str, language: str) -> Failure:
         """Tell who changed an item last; an empty key stands for any item."""
         fields = {"text": text, "key": key}
+        detail = f"{key} moved on"
         for step in self._versions.walk(head):
             if isinstance(step, Failure):
+                detail += f"; by whom is unread: {step.kind.value} {step.detail}"
                 break
             record = step[1]
             if not key or key in record.changed_keys:
@@ -497,7 +499,7 @@
                     summary=entry.summary,
                 )
                 break
-        return Failure(kind=Kind.CONFLICT, detail=f"{key} moved on", fields=fields)
+        return Failure(kind=Kind.CONFLICT, detail=detail, fields=fields)
 
     def _warnings(self, draft: Draft, language: str) -> tuple[str, ...]:
         """Name the services that changed routes need and no endpoint serves now."""
