End waiting watches in the store's stand-in when its outage begins

The process test of an outage stayed green with a node that drops its configuration when the store fails: a watch that waited when the outage began was held for its 30 s and no node noticed. An outage ends connections, so the stand-in now answers waiting watches with 503 too. With the mutant the test now fails ('reads during the outage'), without it it passes; the seven scenarios of the store's client pass.

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -40,7 +40,7 @@
     """Switches for what goes wrong; set over HTTP at /faults."""
 
     outage: bool = False
-    """Answer every call with 503."""
+    """Answer every call with 503, the waiting watches too."""
     hang: bool = False
     """Hold every call until the switch is off."""
     delay_s: float = 0.0
@@ -150,6 +150,8 @@
             return _json(start, _plain_batch(self.store.revision, objects))
         after = int(query["after"][0])
         batch = self._wait(prefix, after, float(query["timeout"][0]))
+        if self.faults.outage:
+            return _answer(start, "503 Service Unavailable")
         return _json(start, _plain_batch(batch.revision, batch.objects))
 
     def _wait(self, prefix: str, after: int, timeout_s: float) -> WatchBatch:
@@ -157,6 +159,8 @@
         assert not isinstance(counted, Failure)
         waited = 0.0
         while waited < timeout_s and not self._changed(prefix, after):
+            if self.faults.outage:
+                break
             eventlet.sleep(WATCH_POLL_S)
             waited += WATCH_POLL_S
         changed = self._changed(prefix, after)
