Measure loads that move; read falling lines at their largest value

Each upstream's load that moves as often as it is passed on (60 s) goes to all nodes.

A falling fit read 760 nodes as -321 B/s and 'met'; now the largest measured value stands for larger fleets.

--- a/benchmarks/_scale_logic.py
+++ b/benchmarks/_scale_logic.py
@@ -2,6 +2,7 @@
 
 import time
 
+import attrs
 from attrs import define, field
 
 from benchmarks._places import (
@@ -11,7 +12,8 @@
     DESIGN_REPLACEMENTS_PER_DAY,
     grown,
 )
-from benchmarks._simulation import Mesh
+from benchmarks._simulation import Mesh, SimulatedNode
+from comfreytray.announcements import LOAD_INTERVAL_S
 
 LIMIT_S = 300.0
 SETTLE_S = 15.0
@@ -119,6 +121,35 @@
     return point
 
 
+def measure_loads(mesh: Mesh, seconds: float) -> Point:
+    """Let each upstream's load move as often as it is passed on, the worst case."""
+    for node in mesh.living():
+        _move_load(mesh, node)
+    mesh.run(SETTLE_S)
+    nodes = len(mesh.by_id)
+    rate = nodes / LOAD_INTERVAL_S
+    meter = Meter(mesh, "loads")
+    end = mesh.clock.now + seconds
+    due, events = 0.0, 0
+    while mesh.clock.now < end:
+        due += rate * 0.1
+        while due >= 1:
+            due -= 1
+            events += 1
+            _move_load(mesh, mesh.random.choice(mesh.living()))
+        mesh.run(0.1)
+    point = meter.point(nodes)
+    point.events = events
+    return point
+
+
+def _move_load(mesh: Mesh, node: SimulatedNode) -> None:
+    endpoint = node.membership.me.endpoint
+    if endpoint is not None:
+        load = mesh.random.uniform(0.0, 1.0)
+        node.membership.set_endpoint(attrs.evolve(endpoint, reported_load=load))
+
+
 def measure_churn(mesh: Mesh, seconds: float) -> Point:
     """Replace and change as on an ordinary day, faster by a factor."""
     nodes = len(mesh.by_id)
@@ -209,6 +240,7 @@
     mesh = start_mesh(nodes, seed)
     return [
         measure_calm(mesh, 5.0 if short else CALM_S),
+        measure_loads(mesh, 5.0 if short else CALM_S),
         measure_changes(mesh, 2 if short else CHANGES),
         measure_churn(mesh, 5.0 if short else CHURN_S),
         measure_storm(mesh, 5.0 if short else STORM_S),
--- a/benchmarks/config.py
+++ b/benchmarks/config.py
@@ -221,16 +221,19 @@
     slowest = fit([(n, max(o.complete_s)) for n, o in calm_by_size.items()])
     report.at_most(
         f"slope.convergence.max.at-{DESIGN_NODES}",
-        slowest.at(DESIGN_NODES),
+        max(
+            slowest.at(DESIGN_NODES),
+            max(max(o.complete_s) for o in calm_by_size.values()),
+        ),
         "s",
         MAX_DESIGN_S,
     )
     report.value("slope.convergence.max.residual", slowest.residual, "s")
     reads = fit([(n, o.store_calls / o.elapsed_s) for n, o in calm_by_size.items()])
     report.value("slope.store-reads.per-node", reads.slope, "calls/s/node")
-    report.at_most(
-        f"slope.store-reads.at-{DESIGN_NODES}", reads.at(DESIGN_NODES), "calls/s", 10.0
-    )
+    most = max(o.store_calls / o.elapsed_s for o in calm_by_size.values())
+    most = max(most, reads.at(DESIGN_NODES))
+    report.at_most(f"slope.store-reads.at-{DESIGN_NODES}", most, "calls/s", 10.0)
     report.value("slope.store-reads.residual", reads.residual, "calls/s")
 
 
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -26,7 +26,10 @@
 MAX_STORE_READS_PER_S = 2000.0
 MAX_STORE_WRITES_PER_S = 300.0
 GROWTH = 0.1
-"""Exponent of a cost per node from which it is said to grow with the fleet."""
+"""Exponent from which a value is said to grow with the fleet.
+
+A cost per node that grows makes the total grow faster than the fleet.
+"""
 
 LogicPoint = _scale_logic.Point
 ProcessPoint = _scale_processes.Point
@@ -57,12 +60,14 @@
     report.value(f"{name}.slope", line.slope, f"{unit}/node")
     report.value(f"{name}.residual", line.residual, unit)
     report.value(f"{name}.exponent", line.exponent, "log-log")
+    # A falling line says nothing about larger fleets: the largest value seen stands.
+    reading = max(line.at(DESIGN_NODES), max(value for _, value in points))
     if limit is None:
-        report.value(f"{name}.at-{DESIGN_NODES}", line.at(DESIGN_NODES), unit)
+        report.value(f"{name}.at-{DESIGN_NODES}", reading, unit)
     else:
-        report.at_most(f"{name}.at-{DESIGN_NODES}", line.at(DESIGN_NODES), unit, limit)
+        report.at_most(f"{name}.at-{DESIGN_NODES}", reading, unit, limit)
     if line.exponent > GROWTH:
-        report.note(f"{name} grows with the fleet: its total grows faster than it")
+        report.note(f"{name} grows with the fleet")
 
 
 def store_rate(calls: dict[str, float], *, writes: bool) -> float:
@@ -123,7 +128,7 @@
     report: Report, kind: str, points: list[ProcessPoint] | list[LogicPoint]
 ) -> None:
     """Print the slopes that both kinds of points have."""
-    for phase in ("calm", "changes", "churn", "storm"):
+    for phase in ("calm", "loads", "changes", "churn", "storm"):
         limit = MAX_BYTES_PER_S
         found = _points_of(points, phase, lambda p: p.bytes_per_node_s)
         report_slope(report, f"{kind}.{phase}.bytes", found, "B/s", limit)
@@ -137,7 +142,7 @@
         )
         limit = MAX_STORE_WRITES_PER_S
         report_slope(report, f"{kind}.{phase}.store-writes", found, "calls/s", limit)
-        if phase == "calm":
+        if phase in ("calm", "loads"):
             continue
         found = _points_of(points, phase, lambda p: max(p.times_s, default=0.0))
         limit_s = MAX_CONVERGENCE_S if phase != "storm" else None
@@ -167,7 +172,7 @@
             report_logic_point(report, point)
             points.append(point)
     report_common_slopes(report, "logic", points)
-    for phase in ("calm", "changes", "churn", "storm"):
+    for phase in ("calm", "loads", "changes", "churn", "storm"):
         found = _points_of(points, phase, lambda p: p.messages_per_node_s)
         report_slope(report, f"logic.{phase}.messages", found, "msg/s")
         found = _points_of(points, phase, lambda p: p.busiest_node_bytes_per_s)
