--- a/benchmarks/config.py
+++ b/benchmarks/config.py
@@ -46,9 +46,15 @@
     complete_s: list[float] = field(factory=list)
     cross_bytes: list[float] = field(factory=list)
     node_bytes: list[float] = field(factory=list)
-    store_calls: int = 0
+    calls_by_kind: dict[str, int] = field(factory=dict)
+    """Calls to the store, but for the writes of the acceptance itself."""
     elapsed_s: float = 0.0
 
+    @property
+    def store_reads_per_s(self) -> float:
+        """Give the rate of calls that read or watch."""
+        return sum(self.calls_by_kind.values()) / self.elapsed_s
+
 
 def start_mesh(deployment: Deployment, seed: int) -> Mesh:
     """Start a mesh and wait until its first version is in force."""
@@ -87,8 +93,7 @@
 def make_changes(mesh: Mesh, changes: int, *, outage: bool = False) -> Outcome:
     """Accept changes through random nodes and see them come into force."""
     outcome = Outcome()
-    calls_before = sum(mesh.store.calls_by_kind.values())
-    writes_before = mesh.store.calls_by_kind.get("put", 0)
+    before = dict(mesh.store.calls_by_kind)
     begin = mesh.clock.now
     for _ in range(changes):
         mesh.network.reset_counts()
@@ -107,9 +112,11 @@
             if purpose.startswith(BODY_PURPOSES)
         )
         outcome.node_bytes.append(2 * total / len(mesh.by_id))
-    writes = mesh.store.calls_by_kind.get("put", 0) - writes_before
-    outcome.store_calls = sum(mesh.store.calls_by_kind.values()) - calls_before
-    outcome.store_calls -= writes
+    outcome.calls_by_kind = {
+        kind: count - before.get(kind, 0)
+        for kind, count in mesh.store.calls_by_kind.items()
+        if kind != "put"
+    }
     outcome.elapsed_s = mesh.clock.now - begin
     return outcome
 
@@ -154,8 +161,9 @@
     outcome = make_changes(mesh, changes)
     report_times(report, name, outcome, limit_s)
     report_bytes(report, name, mesh, outcome)
-    rate = outcome.store_calls / outcome.elapsed_s
-    report.value(f"{name}.store-reads", rate, "calls/s")
+    report.value(f"{name}.store-reads", outcome.store_reads_per_s, "calls/s")
+    for kind, count in sorted(outcome.calls_by_kind.items()):
+        report.value(f"{name}.store-reads.{kind}", count / outcome.elapsed_s, "calls/s")
     return outcome
 
 
@@ -229,9 +237,9 @@
         MAX_DESIGN_S,
     )
     report.value("slope.convergence.max.residual", slowest.residual, "s")
-    reads = fit([(n, o.store_calls / o.elapsed_s) for n, o in calm_by_size.items()])
+    reads = fit([(n, o.store_reads_per_s) for n, o in calm_by_size.items()])
     report.value("slope.store-reads.per-node", reads.slope, "calls/s/node")
-    most = max(o.store_calls / o.elapsed_s for o in calm_by_size.values())
+    most = max(o.store_reads_per_s for o in calm_by_size.values())
     most = max(most, reads.at(DESIGN_NODES))
     report.at_most(f"slope.store-reads.at-{DESIGN_NODES}", most, "calls/s", 10.0)
     report.value("slope.store-reads.residual", reads.residual, "calls/s")
