--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -317,9 +317,9 @@
     unknown = sum(
         count
         for outcome, count in result["outcomes"].items()
-        if outcome.startswith("error") or outcome.endswith(":unknown")
+        if outcome.startswith(("error", "late")) or outcome.endswith(":unknown")
     )
-    report.value(f"{name}.not-whole-or-unknown", unknown, "calls")
+    report.value(f"{name}.late-lost-or-unknown", unknown, "calls")
     shown = sorted(result["outcomes"].items(), key=lambda pair: -pair[1])[:4]
     report.note(f"{name} outcomes {dict(shown)}")
 
@@ -460,7 +460,7 @@
         proxy.kill()
 
 
-def measure_goodput(report: Report, *, smoke: bool) -> None:
+def measure_goodput(report: Report, *, smoke: bool, part: str) -> None:
     """Measure goodput under overload and with one bad endpoint."""
     seconds = 3.0 if smoke else GOODPUT_S
     capacity = ENDPOINTS * SLOTS / (WORK_MS / 1000)
@@ -468,19 +468,25 @@
         nodes = start_mesh(fleet)
         if smoke:
             return
-        measure_overload(report, fleet, nodes, seconds, capacity)
-        measure_faults(report, fleet, nodes, seconds, capacity)
-        measure_memory(report, fleet, "after-overload")
-    measure_far_region(report, seconds)
+        if part != "faults":
+            measure_overload(report, fleet, nodes, seconds, capacity)
+            measure_memory(report, fleet, "after-overload")
+        if part != "overload":
+            measure_faults(report, fleet, nodes, seconds, capacity)
+    if part != "overload":
+        measure_far_region(report, seconds)
 
 
 def main(*, smoke: bool = False, part: str = "all") -> None:
-    """Run the benchmark; `--smoke` runs a short part of it."""
+    """Run the benchmark; `--smoke` runs a short part of it.
+
+    `--part` is all, ways, goodput, or of the last one overload or faults.
+    """
     report = Report()
     if part in ("all", "ways"):
         measure_ways(report, smoke=smoke)
-    if part in ("all", "goodput"):
-        measure_goodput(report, smoke=smoke)
+    if part != "ways":
+        measure_goodput(report, smoke=smoke, part=part)
     report.finish()
 
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -56,6 +56,8 @@
     repeats: int = 0
     """How often a call whose outcome is unknown is made again at the next address."""
     repeat_pause_s: float = 0.5
+    late_after_s: float = 0.0
+    """Time from which a whole answer no longer counts as good; 0 for never."""
 
 
 @define(kw_only=True)
@@ -184,6 +186,8 @@
             eventlet.sleep(load.repeat_pause_s)
             outcome, good = self._exchange(request_id, number, attempt)
         took = time.perf_counter() - start
+        if good and 0 < load.late_after_s < took:
+            outcome, good = "late", False
         if self.keep_outcomes:
             self.result.outcome_by_id[request_id] = outcome
         if not counted:
@@ -279,6 +283,7 @@
         seed=seed,
         key_header=key_header,
         repeats=repeats,
+        late_after_s=deadline_ms / 1000,
         headers={DEADLINE_HEADER: str(deadline_ms)} if deadline_ms else {},
     )
     result = run_load(load, keep_outcomes=keep_outcomes)
