--- /dev/null
+++ b/benchmarks/_operator.py
@@ -0,0 +1,67 @@
+"""What an operator's command costs on its own machine and at the store."""
+
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from attrs import frozen
+
+from benchmarks._fleet import Fleet, FleetNode, customer_text, simple_items
+from benchmarks._processes import ROOT, python_environment
+
+SERVICE = "service-01"
+CUSTOMERS = 200
+
+
+@frozen(kw_only=True)
+class Cost:
+    """Hold what one command used."""
+
+    name: str
+    elapsed_s: float
+    cpu_s: float
+    rss_mb: float
+    store_calls: int
+
+
+def run_command(fleet: Fleet, node: FleetNode, name: str, words: list[str]) -> Cost:
+    """Run a command to its end and read its usage from the system."""
+    before = sum(fleet.store_calls().values())
+    begin = time.monotonic()
+    environment = python_environment(
+        {"COMFREYTRAY_ADMIN_URL": node.admin_url, "COMFREYTRAY_OPERATOR": "bench"}
+    )
+    arguments = [sys.executable, "-m", "comfreytray", *words]
+    with open(os.devnull, "w") as null:
+        actions = [(os.POSIX_SPAWN_DUP2, null.fileno(), 1)]
+        pid = os.posix_spawn(
+            sys.executable, arguments, environment, file_actions=actions
+        )
+        _, status, usage = os.wait4(pid, 0)
+    if status != 0:
+        raise RuntimeError(f"{name} ended with status {status}")
+    return Cost(
+        name=name,
+        elapsed_s=time.monotonic() - begin,
+        cpu_s=usage.ru_utime + usage.ru_stime,
+        rss_mb=usage.ru_maxrss * 1024 / 1e6,
+        store_calls=sum(fleet.store_calls().values()) - before,
+    )
+
+
+def measure() -> list[Cost]:
+    """Measure a list, an edit and a status."""
+    os.chdir(ROOT)
+    with Fleet() as fleet, tempfile.TemporaryDirectory() as folder:
+        node = fleet.start_node()
+        fleet.wait_version(fleet.load_items(simple_items(SERVICE, customers=CUSTOMERS)))
+        customer = f"{SERVICE}-customer-0000"
+        file = Path(folder, "customer.yaml")
+        file.write_text(customer_text(customer, f"use-{SERVICE}", "other"), "utf-8")
+        return [
+            run_command(fleet, node, "list", ["customer", "list"]),
+            run_command(fleet, node, "edit", ["customer", "edit", customer, str(file)]),
+            run_command(fleet, node, "status", ["status"]),
+        ]
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -11,7 +11,7 @@
 import fire
 from absl import logging
 
-from benchmarks import _scale_logic, _scale_processes
+from benchmarks import _operator, _scale_logic, _scale_processes
 from benchmarks._places import DESIGN_NODES
 from benchmarks._report import Report, fit
 
@@ -182,6 +182,15 @@
         report_slope(report, f"logic.{phase}.decisions-cpu", found, "cores")
 
 
+def run_operator(report: Report) -> None:
+    """Measure the operator's commands."""
+    for cost in _operator.measure():
+        report.value(f"operator.{cost.name}.time", cost.elapsed_s, "s")
+        report.value(f"operator.{cost.name}.cpu", cost.cpu_s, "s")
+        report.value(f"operator.{cost.name}.rss", cost.rss_mb, "MB")
+        report.value(f"operator.{cost.name}.store", cost.store_calls, "calls")
+
+
 def run_largest(report: Report) -> None:
     """Measure the largest fleet of pure decisions, calm and with changes."""
     mesh = _scale_logic.start_mesh(LARGEST_LOGIC, SEED)
@@ -209,6 +218,8 @@
     if part in ("all", "processes"):
         sizes = _sizes(process_sizes, (3,) if smoke else PROCESS_SIZES)
         run_processes(report, sizes, short=smoke)
+    if part in ("all", "operator"):
+        run_operator(report)
     if largest:
         run_largest(report)
     report.finish()
