--- a/benchmarks/_report.py
+++ b/benchmarks/_report.py
@@ -21,6 +21,8 @@
 
 
 def _number(value: float) -> str:
+    if not math.isfinite(value):
+        return str(value)
     if value == int(value) and abs(value) < 1e12:
         return str(int(value))
     return f"{value:.4g}" if abs(value) < 1000 else f"{value:.0f}"
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -11,13 +11,14 @@
 import fire
 from absl import logging
 
-from benchmarks import _operator, _scale_logic, _scale_processes
+from benchmarks import _operator, _scale_logic, _scale_places, _scale_processes
 from benchmarks._places import DESIGN_NODES
 from benchmarks._report import Report, fit
 
 PROCESS_SIZES = (10, 25, 50, 100)
 LOGIC_SIZES = (50, 100, 200, 400)
 LARGEST_LOGIC = 1000
+PLACES_NODES = 100
 SEED = 1
 MAX_CPU_SHARE = 0.013
 MAX_RSS_MB = 64.0
@@ -182,6 +183,20 @@
         report_slope(report, f"logic.{phase}.decisions-cpu", found, "cores")
 
 
+def run_places(report: Report, nodes: int) -> None:
+    """Measure the loss of a rack, a data centre and a region's links."""
+    for loss in _scale_places.measure(nodes, SEED):
+        name = f"places.{loss.name}.{loss.nodes}"
+        report.value(f"{name}.lost", loss.lost, "nodes")
+        report.value(f"{name}.noticed", loss.noticed_s, "s")
+        report.value(f"{name}.dropped", loss.dropped_s, "s")
+        report.value(f"{name}.members-back", loss.members_back_s, "s")
+        report.value(f"{name}.version-back", loss.version_back_s, "s")
+        report.value(f"{name}.bytes", loss.bytes_per_node, "B/node")
+        report.value(f"{name}.cross-region", loss.cross_region_bytes, "B")
+        report.value(f"{name}.store", loss.store_calls, "calls")
+
+
 def run_operator(report: Report) -> None:
     """Measure the operator's commands."""
     for cost in _operator.measure():
@@ -218,6 +233,8 @@
     if part in ("all", "processes"):
         sizes = _sizes(process_sizes, (3,) if smoke else PROCESS_SIZES)
         run_processes(report, sizes, short=smoke)
+    if part in ("all", "places"):
+        run_places(report, 20 if smoke else PLACES_NODES)
     if part in ("all", "operator"):
         run_operator(report)
     if largest:
