Refuse malformed bodies in the compiler

Cause: a damaged body with a reference to no parameter, or text in place of a number, raised KeyError or ValueError on the node that compiled it.

Ruled out: catching everything around the compiler; a cause would be lost and a fault of the program would look like one of the content.

Change: references, methods and numbers are checked when a route is filled.

--- a/features/configuration_texts.feature
+++ b/features/configuration_texts.feature
@@ -31,3 +31,6 @@
 
   Scenario: A parameter's value can't reach beyond its place
     Then hostile values of a text parameter are refused or stay one segment
+
+  Scenario: A malformed body never becomes routes
+    Then damaged documents are refused or compile to routes within the limits
--- a/features/steps/configuration_texts_steps.py
+++ b/features/steps/configuration_texts_steps.py
@@ -5,13 +5,15 @@
 import unicodedata
 
 import hypothesis
+import msgpack
 from attrs import evolve
 from behave import then, when
 from hypothesis import strategies as st
 
 from comfreytray import messages
 from comfreytray.causes import Cause
-from comfreytray.compiler import MAX_TIMEOUT_S
+from comfreytray.compiler import MAX_TIMEOUT_S, compile_catalogue
+from comfreytray.content import Head
 from comfreytray.documents import (
     METHODS,
     Argument,
@@ -23,6 +25,7 @@
     Setting,
     Source,
     Template,
+    decode_catalogue,
     decode_document,
     encode_document,
 )
@@ -278,3 +281,43 @@
         assert result.fields["cause_id"] == Cause.BAD_PATH.value, result
         told = messages.text(result, language="en")
         assert told.startswith("customer/c, line 4, column 14:"), told
+
+
+def damage_row(random_, row):
+    if isinstance(row, list) and row and random_.random() < 0.85:
+        place = random_.randrange(len(row))
+        return [*row[:place], damage_row(random_, row[place]), *row[place + 1 :]]
+    return random_.choice(
+        [None, 1, -1.5, True, "x", "$(x)", "", b"x", [], [1], {}, "text", float("nan")]
+    )
+
+
+@then("damaged documents are refused or compile to routes within the limits")
+def check_damaged(context):
+    random_ = random.Random(int(os.environ.get("COMFREYTRAY_SOAK_SEED", "1")))
+    words = vocabulary("en")
+    text = TEXT_BY_LANGUAGE["en"].replace("path: /a", "path: /$(x)")
+    text = text.replace("2 s", "$(hạn)").replace(": {hạn", ": {x: {type: text}, hạn")
+    template = parse(ItemKind.TEMPLATE, text, words, file="").document
+    customer = "customer: c\ntemplate: t\nhosts: h\nparameters: {x: v}\n"
+    known = {"t": template}
+    filled = parse(ItemKind.CUSTOMER, customer, words, file="", templates=known)
+    bodies = [encode_document(template), encode_document(filled.document)]
+    compiled = 0
+    for _ in range(10 * FUZZ_EXAMPLES):
+        damaged = list(bodies)
+        place = random_.randrange(2)
+        row = damage_row(random_, msgpack.unpackb(bodies[place]))
+        damaged[place] = msgpack.packb(row)
+        keys = ("template/t", "customer/c")
+        catalogue = decode_catalogue(dict(zip(keys, damaged, strict=True)))
+        if isinstance(catalogue, Failure):
+            continue
+        snapshot = compile_catalogue(Head(version=1, digest=b""), catalogue)
+        if isinstance(snapshot, Failure):
+            continue
+        compiled += 1
+        for route in snapshot.routes_by_customer["c"]:
+            assert route.methods <= set(METHODS) and route.path.startswith("/")
+            assert 0 < route.timeout_s <= MAX_TIMEOUT_S and 0 < route.share <= 1
+    assert compiled > 100, compiled
--- a/src/comfreytray/compiler.py
+++ b/src/comfreytray/compiler.py
@@ -7,6 +7,7 @@
 from comfreytray.causes import Cause
 from comfreytray.content import Content, Head
 from comfreytray.documents import (
+    METHODS,
     REFERENCE,
     Argument,
     Catalogue,
@@ -191,6 +192,10 @@
 def _fill(
     customer: str, template: RouteTemplate, values: dict[str, Value]
 ) -> Route | Failure:
+    """Fill one route; a body from the store is checked like a text."""
+    for name in REFERENCE.findall(template.path + template.service):
+        if name not in values:
+            return refuse(Cause.UNKNOWN_REFERENCE, customer=customer, parameter=name)
     path = fill_text(template.path, values)
     unsafe = _unsafe_parameters(template.path, values)
     if unsafe or not is_path(path):
@@ -206,10 +211,13 @@
         return refuse(
             Cause.BAD_SERVICE, customer=customer, route=template.name, service=service
         )
-    timeout_s = float(_resolve(template.timeout_s, values))
+    if not template.methods or not set(template.methods) <= set(METHODS):
+        methods = ", ".join(template.methods)
+        return refuse(Cause.BAD_METHOD, customer=customer, method=methods)
+    timeout_s = _number(template.timeout_s, values)
     if not 0 < timeout_s <= MAX_TIMEOUT_S:
         return refuse(Cause.BAD_TIMEOUT, customer=customer, route=template.name)
-    share = float(_resolve(template.share, values))
+    share = _number(template.share, values)
     if not 0 < share <= 1:
         return refuse(Cause.BAD_SHARE, customer=customer, route=template.name)
     return Route(
@@ -218,7 +226,7 @@
         path=path,
         methods=frozenset(template.methods),
         service=service,
-        idempotent=bool(_resolve(template.idempotent, values)),
+        idempotent=_resolve(template.idempotent, values) is True,
         timeout_s=timeout_s,
         share=share,
     )
@@ -247,8 +255,12 @@
     return [name for name in names if _SEGMENT.fullmatch(str(values[name])) is None]
 
 
-def _resolve(setting: Setting, values: dict[str, Value]) -> Value:
-    if setting.parameter:
-        return values[setting.parameter]
-    assert setting.value is not None
-    return setting.value
+def _resolve(setting: Setting, values: dict[str, Value]) -> Value | None:
+    return values.get(setting.parameter) if setting.parameter else setting.value
+
+
+def _number(setting: Setting, values: dict[str, Value]) -> float:
+    """Read a number; what is none reads as zero, which no field allows."""
+    value = _resolve(setting, values)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return float(value) if is_number and value is not None else 0.0
