Share the judging of suspects; keep doubts from crossing regions

Change: a member judges one suspect a tick, chosen at random, and only plain probes carry rumours; about 5 copies of a doubt cross to other regions, not 20.

--- a/src/comfreytray/detection.py
+++ b/src/comfreytray/detection.py
@@ -132,7 +132,13 @@
         record = self.members.get(node_id)
         return record is not None and record.region != self.peers.region
 
-    def _ping(self, target_id: str, address: Address, sequence: int) -> None:
+    def _ping(
+        self,
+        target_id: str,
+        address: Address,
+        sequence: int,
+        rumors: tuple[bytes, ...] = (),
+    ) -> None:
         record = self.members.get(target_id)
         about = b""
         if record is not None and record.state is not NodeState.ALIVE:
@@ -148,7 +154,7 @@
             sender_id=self.peers.node_id,
             target_id=target_id,
             about=about,
-            rumors=self.disseminator.piggyback(),
+            rumors=rumors,
         )
         self.network.send_datagram(address, ping)
 
@@ -158,7 +164,8 @@
             return
         self.metrics.count("membership.probes")
         sequence = self.probes.start(record, now, self.doubt.stretch, verdicts_left)
-        self._ping(record.node_id, record.control_address, sequence)
+        rumors = () if verdicts_left else self.disseminator.piggyback()
+        self._ping(record.node_id, record.control_address, sequence, rumors)
 
     def _start_probes(self, now: float) -> None:
         jitter = self.random.uniform(0.9, 1.1)
@@ -235,10 +242,15 @@
         return alone or self._heard_at > probe.started_at
 
     def _expire(self, now: float) -> None:
+        """Judge one suspect a tick; members share the work by choosing at random."""
         if self.doubt.in_grace(now):
             return
-        for node_id in self.suspicions.take_due(now, self._is_place_heard_since):
-            self._probe(node_id, now, VERDICT_PROBES)
+        due = self.suspicions.due(now, self._is_place_heard_since)
+        if not due:
+            return
+        chosen = self.random.choice(due)
+        self.suspicions.by_id[chosen].judged_at = now
+        self._probe(chosen, now, VERDICT_PROBES)
 
     def _is_place_heard_since(self, node_id: str, since: float) -> bool:
         """Say whether a member's silence cannot be that of its place."""
--- a/src/comfreytray/dissemination.py
+++ b/src/comfreytray/dissemination.py
@@ -20,8 +20,12 @@
     Priority.CHANGED: 1.0,
     Priority.DOUBTED: 0.5,
 }
-CROSSINGS = 20
-"""Copies of a rumour that all members together send to other regions."""
+CROSSINGS_BY_PRIORITY = {
+    Priority.LEAVING: 20.0,
+    Priority.CHANGED: 20.0,
+    Priority.DOUBTED: 5.0,
+}
+"""Copies of a rumour that all members of a region send to other regions."""
 MAX_CROSSING_SHARE = 0.5
 BYTES_PER_S = 7000.0
 BURST_BYTES = 10_000.0
@@ -112,4 +116,5 @@
         if near == 0:
             return 1.0
         sends = SENDS_PER_DECADE * math.log10(near + far + 2)
-        return min(MAX_CROSSING_SHARE, CROSSINGS / ((near + 1) * sends))
+        crossings = CROSSINGS_BY_PRIORITY[self.queue.most_urgent or Priority.DOUBTED]
+        return min(MAX_CROSSING_SHARE, crossings / ((near + 1) * sends))
--- a/src/comfreytray/suspicions.py
+++ b/src/comfreytray/suspicions.py
@@ -64,10 +64,10 @@
         """Stop the timer of a member."""
         self.by_id.pop(node_id, None)
 
-    def take_due(
+    def due(
         self, now: float, is_heard_since: Callable[[str, float], bool]
     ) -> list[str]:
-        """Return the members to judge now; each again later until it is cleared."""
+        """List the members whose time is over and that are not being judged."""
         due: list[str] = []
         for node_id, suspicion in self.by_id.items():
             if suspicion.heard_at is None and is_heard_since(
@@ -75,7 +75,6 @@
             ):
                 suspicion.heard_at = now
             if max(suspicion.deadline, suspicion.judged_at + JUDGE_AGAIN_S) <= now:
-                suspicion.judged_at = now
                 due.append(node_id)
         return due
 
