--- a/src/comfreytray/distribution.py
+++ b/src/comfreytray/distribution.py
@@ -1,13 +1,12 @@
 """Exchange versions with other nodes until each holds the newest accepted one."""
 
 import random
-from collections import deque
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from comfreytray import deltas, relays
+from comfreytray import relays
 from comfreytray.budgets import TokenBucket
-from comfreytray.content import PAGE_COUNT, Content, Head
+from comfreytray.content import Content, Head
 from comfreytray.errors import Failure
 from comfreytray.exchange import Blobs, Digest, Pull, Push, Unserved
 from comfreytray.fetching import Candidate, Candidates
@@ -15,6 +14,7 @@
 from comfreytray.interfaces import Address, Clock, Network
 from comfreytray.lifecycles import Lifecycles
 from comfreytray.records import MembershipView, NodeRecord
+from comfreytray.serving import MAX_PULL_DIGESTS, BlobServer
 from comfreytray.snapshots import Snapshot
 from comfreytray.spreading import Spreader
 
@@ -22,8 +22,6 @@
 SEARCH_INTERVAL_S = 0.5
 CROSS_GOSSIP_INTERVAL_S = 2.0
 """Mean time between digests that a whole region sends to other regions."""
-MAX_ANSWER_BYTES = 48 * 1024
-MAX_PULL_DIGESTS = 256
 SEND_RATE_BYTES_PER_S = 16_000
 SEND_BURST_BYTES = 512 * 1024
 RETAIN_INTERVAL_S = 10.0
@@ -36,7 +34,6 @@
 SETTLE_JITTER_S = 1.0
 WATCH_CHECK_INTERVAL_S = 2.0
 MAX_RETRY_AFTER_S = 30.0
-MAX_REFERRALS = 6
 
 
 class Distributor:
@@ -86,11 +83,17 @@
             holdings=self._holdings,
             budget=self._budget,
         )
+        self._server = BlobServer(
+            clock=clock,
+            random=random,
+            network=network,
+            holdings=self._holdings,
+            budget=self._budget,
+        )
         self._settled_at_s = now + SETTLE_S + random.uniform(0, SETTLE_JITTER_S)
         self._store_jitter_s = random.uniform(0, STORE_JITTER_S)
         self._gossip_at_s = now + random.uniform(0, SEARCH_INTERVAL_S)
         self._retain_at_s = now + RETAIN_INTERVAL_S
-        self._served: deque[Address] = deque(maxlen=MAX_REFERRALS)
         self._watch_rank: int | None = None
         self._watch_check_at_s = now
         self._handler_by_type: dict[type, Callable[[Address, Any], None]] = {
@@ -236,47 +239,8 @@
         self._spreader.pushes.acknowledge(sender, message.head)
         if self.held is not None and message.head.version < self.held.version:
             self._tell(sender, answer=True)
-            return
-        now = self._clock.monotonic()
-        if not self._budget.is_open(now):
-            self._refuse_pull(sender, message.head, wait_s=self._budget.wait_s(now))
-            return
-        found = self._answer_to(message)
-        if not found:
-            self._refuse_pull(sender, message.head, wait_s=None)
-            return
-        self._served.append(sender)
-        self._budget.spend(sum(len(delta.data) for delta in found), now)
-        self._network.send_stream(sender, Blobs(head=message.head, deltas=found))
-
-    def _answer_to(self, message: Pull) -> tuple[deltas.Delta, ...]:
-        """Choose blobs for a pull; of a version that is held in part, what is there."""
-        base_by_digest: dict[bytes, bytes] = {}
-        if message.head == self.held:
-            base_by_digest = self._holdings.difference(message.have, message.head)
-        pairs = [
-            (digest, base_by_digest.get(digest, b""))
-            for digest in message.digests[:MAX_PULL_DIGESTS]
-        ]
-        if not message.digests:
-            pairs = list(base_by_digest.items())
-            # Askers get different bodies, so that they can serve each other.
-            bodies = pairs[PAGE_COUNT + 1 :]
-            self._random.shuffle(bodies)
-            pairs[PAGE_COUNT + 1 :] = bodies
-        return deltas.bundle(self._holdings.content, pairs, MAX_ANSWER_BYTES)
-
-    def _refuse_pull(
-        self, sender: Address, head: Head, *, wait_s: float | None
-    ) -> None:
-        """Say that this node is busy for some seconds, or holds nothing for None."""
-        answer = Unserved(
-            head=head,
-            held=wait_s is not None,
-            retry_after_ms=int((wait_s or 0.0) * 1000),
-            others=tuple(address for address in self._served if address != sender),
-        )
-        self._network.send_datagram(sender, answer)
+        else:
+            self._server.answer(sender, message)
 
     def _on_blobs(self, sender: Address, message: Blobs) -> None:
         candidate = self._candidates.by_head.get(message.head)
