Repeat a change of unknown outcome under one id from the commands

Cause: operations recognise a repeated change by its id, but neither the administration API nor the commands passed one; an operator who repeated by hand could be told that nothing had changed, or accept twice. Test seen to fail first: without the header the repeat is refused as unchanged.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -29,6 +29,8 @@
       | nodes --admin_url=http://127.0.0.1:9                        | 5    | 127.0.0.1:9     |
       | roll_back 77 --operator=An                                  | 6    | 77              |
     And the versions list 1 versions by "Lan"
+    When customer "cuu-long" gets a new host twice by the same change of "An"
+    Then the versions list 2 versions by "Lan" and "An"
     When the store stops answering
     Then these commands end so
       | command                                                     | code | says            |
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -139,6 +139,21 @@
     assert [entry["operator"] for entry in entries] == names[::-1]
 
 
+@when('customer "{name}" gets a new host twice by the same change of "{operator}"')
+def edit_twice(context, name, operator):
+    text = CUSTOMER.read_text("utf-8").replace(".canhdieu", ".canh-dieu")
+    settings = {"operator": operator, "language": "vi"}
+    said = set()
+    with tempfile.NamedTemporaryFile("w", suffix=".yaml", encoding="utf-8") as file:
+        file.write(text)
+        file.flush()
+        for _ in range(2):
+            words = ("customer", "edit", name, file.name, "--change=once")
+            said.add(_run(context, *words, **settings))
+            assert context.code == 0, context.said
+    assert len(said) == 1, said
+
+
 @when("the store stops answering")
 def cut_store(context):
     fetch_json(f"{context.store_url}/faults", method="PUT", body={"outage": True})
--- a/src/comfreytray/admin.py
+++ b/src/comfreytray/admin.py
@@ -21,6 +21,8 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 OPERATOR_HEADER = "HTTP_COMFREYTRAY_OPERATOR"
+CHANGE_HEADER = "HTTP_COMFREYTRAY_CHANGE"
+MAX_CHANGE_ID_LENGTH = 64
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 MessageFor = Callable[[Failure, str], str]
@@ -38,6 +40,8 @@
     language: str = "en"
     base: str | None = None
     """Digest of the text that the operator began to edit, from `If-Match`."""
+    change_id: str | None = None
+    """Names a change, so that a repeat of it is accepted once."""
     remote_host: str = ""
 
     def number(self, name: str) -> int | Failure | None:
@@ -203,6 +207,7 @@
         operator=unquote(operator.decode("utf-8", "replace")),
         language=_language(environ.get("HTTP_ACCEPT_LANGUAGE", "")),
         base=environ.get("HTTP_IF_MATCH", "").strip('"') or None,
+        change_id=environ.get(CHANGE_HEADER, "")[:MAX_CHANGE_ID_LENGTH] or None,
         remote_host=environ.get("REMOTE_ADDR", ""),
     )
 
--- a/src/comfreytray/adminclient.py
+++ b/src/comfreytray/adminclient.py
@@ -48,6 +48,7 @@
         query: dict[str, object] | None = None,
         body: bytes | None = None,
         base: str | None = None,
+        change_id: str | None = None,
     ) -> Any:
         """Return the result in plain types, or a Failure with the node's message."""
         path = "/".join(quote(part, safe="") for part in ("v1", *parts))
@@ -56,6 +57,8 @@
         headers = dict(self._headers)
         if base:
             headers["If-Match"] = f'"{base}"'
+        if change_id:
+            headers["Comfreytray-Change"] = change_id
         try:
             answer = self._pool.request(method, url, body=body, headers=headers)
         except urllib3.exceptions.HTTPError as error:
--- a/src/comfreytray/adminroutes.py
+++ b/src/comfreytray/adminroutes.py
@@ -116,6 +116,7 @@
             operator=request.operator,
             language=request.language,
             base=request.base,
+            change_id=request.change_id,
         )
         return offer(self._node, request, result)
 
@@ -129,6 +130,7 @@
             operator=request.operator,
             language=request.language,
             base=request.base,
+            change_id=request.change_id,
         )
         return offer(self._node, request, result)
 
@@ -155,7 +157,10 @@
         if isinstance(texts, Failure):
             return texts
         result = self._node.operations.edit_many(
-            texts, operator=request.operator, language=request.language
+            texts,
+            operator=request.operator,
+            language=request.language,
+            change_id=request.change_id,
         )
         return offer(self._node, request, result)
 
@@ -211,7 +216,10 @@
         if isinstance(version, Failure):
             return version
         result = self._node.operations.roll_back(
-            version, operator=request.operator, language=request.language
+            version,
+            operator=request.operator,
+            language=request.language,
+            change_id=request.change_id,
         )
         return offer(self._node, request, result)
 
--- a/src/comfreytray/cli.py
+++ b/src/comfreytray/cli.py
@@ -8,6 +8,7 @@
 import os
 import sys
 import time
+import uuid
 import warnings
 from collections.abc import Callable
 from pathlib import Path
@@ -22,14 +23,19 @@
 from comfreytray.exceptions import SettingError
 
 POLL_S = 0.2
+CHANGE_ATTEMPTS = 3
+REPEAT_PAUSE_S = 1.0
 WAIT_LIMIT_S = 60.0
 
+_UNKNOWN = frozenset({Kind.STORE_OUTCOME_UNKNOWN, Kind.NODE_UNREACHABLE, Kind.INTERNAL})
+
 
 class _Session:
     """Hold the settings of one command and print its outcome."""
 
     def __init__(self, flags: dict[str, object]) -> None:
         self.as_json = bool(flags.pop("json", False))
+        self.change_id = str(flags.pop("change", "")) or None
         self.settings = settings.load(flags, os.environ)
         self.language = self.settings.language
 
@@ -54,6 +60,25 @@
         self.print(result, show)
         return result
 
+    def change(self, *request: str, **options: Any) -> None:
+        """Ask for a change and print it; repeat it while its outcome is unknown.
+
+        The repeats carry the same id, so the change is accepted once.
+        """
+        change_id = self.change_id or uuid.uuid4().hex
+
+        def ask(client: AdminClient) -> Any:
+            result: Any = None
+            for _ in range(CHANGE_ATTEMPTS):
+                result = client.ask(*request, change_id=change_id, **options)
+                if not isinstance(result, Failure) or result.kind not in _UNKNOWN:
+                    return result
+                time.sleep(REPEAT_PAUSE_S)
+            print(f"--change={change_id}", file=sys.stderr)
+            return result
+
+        self.run(ask, display.change)
+
     def print(self, result: Any, show: Callable[[Any, str], str]) -> None:
         if self.as_json:
             print(json.dumps(result, ensure_ascii=False))
@@ -121,19 +146,14 @@
         Example: comfreytray customer edit clb-hue clb-hue.yaml --operator=lan
         """
         body = _read_text(file).encode()
-        _Session(flags).run(
-            lambda c: c.ask("PUT", "items", self._kind, name, body=body, base=base),
-            display.change,
-        )
+        _Session(flags).change("PUT", "items", self._kind, name, body=body, base=base)
 
     def remove(self, name: str, **flags: object) -> None:
         """Remove an item in a new version.
 
         Example: comfreytray customer remove clb-hue --operator=lan
         """
-        _Session(flags).run(
-            lambda c: c.ask("DELETE", "items", self._kind, name), display.change
-        )
+        _Session(flags).change("DELETE", "items", self._kind, name)
 
     def diff(
         self, name: str, from_version: int, to_version: int, **flags: object
@@ -182,7 +202,7 @@
         if isinstance(items, Failure):
             session.fail(items)
         body = json.dumps(plain(items)).encode()
-        session.run(lambda c: c.ask("POST", "load", body=body), display.change)
+        session.change("POST", "load", body=body)
 
     def versions(self, limit: int = 20, **flags: object) -> None:
         """List the newest versions.
@@ -199,10 +219,7 @@
 
         Example: comfreytray roll_back 4 --operator=lan
         """
-        _Session(flags).run(
-            lambda c: c.ask("POST", "versions", str(version), "roll-back"),
-            display.change,
-        )
+        _Session(flags).change("POST", "versions", str(version), "roll-back")
 
     def status(
         self, version: int | None = None, wait: bool = False, **flags: object
