--- a/src/comfreytray/membership.py
+++ b/src/comfreytray/membership.py
@@ -38,6 +38,8 @@
 from comfreytray.views import ViewBuilder
 
 LEFT_ROUNDS = 3
+WARNINGS = 10
+"""Warnings that a suspect gets from all of its region together."""
 
 Listener = Callable[[MembershipView], None]
 _EVENT_BY_STATE = {
@@ -62,6 +64,7 @@
         self._identity = Identity(record=me)
         self._clock = clock
         self._network = network
+        self._random = random
         self._metrics = metrics
         self._members = Members()
         self._peers = Peers(node_id=me.node_id, region=me.region)
@@ -280,7 +283,11 @@
         return True
 
     def _warn(self, record: NodeRecord) -> None:
-        """Tell a member what is said against it, so that it can refute."""
+        """Tell a near member what is said against it; few of its region do so."""
+        near = len(self._peers.near)
+        is_near = record.region == self.me.region
+        if not is_near or self._random.random() * near >= WARNINGS:
+            return
         warning = Gossip(sender_id=self.me.node_id, rumors=(pack_claim(record),))
         self._network.send_datagram(record.control_address, warning)
 
