--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -107,6 +107,11 @@
         """Tell whether the process has not ended."""
         return self._popen.poll() is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, None while the process runs."""
+        return self._popen.poll()
+
     def output(self) -> str:
         """Return what the process has printed."""
         size = os.fstat(self._output.fileno()).st_size
--- a/features/commands.feature
+++ b/features/commands.feature
@@ -36,3 +36,7 @@
       | command                                                     | code | says            |
       | customer edit cuu-long <customer> --operator=An             | 5    |                 |
       | nodes                                                       | 0    | only            |
+
+  Scenario: Of two nodes with one name one stops by itself and says so
+    When a second node of the same name starts
+    Then one of the two ends with 4 and its log names the node, the other runs on
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -13,6 +13,7 @@
     Process,
     fetch_json,
     python_environment,
+    wait_until,
 )
 
 BAD_TEMPLATE = "mẫu: dat-san\ntuyen duong:\n  - tên: x\n"
@@ -30,6 +31,7 @@
     context.add_cleanup(folder.cleanup)
     context.bad_template = Path(folder.name, "bad.yaml")
     context.bad_template.write_text(BAD_TEMPLATE, "utf-8")
+    context.processes = []
     for arguments in (
         ["standins/object_store.py", f"--port={store}"],
         [
@@ -39,9 +41,14 @@
             f"--store_url={context.store_url}",
         ],
     ):
-        process = Process(arguments=arguments)
-        context.add_cleanup(process.kill)
-        process.wait_for_output("ready")
+        _start(context, arguments)
+
+
+def _start(context, arguments):
+    process = Process(arguments=arguments)
+    context.add_cleanup(process.kill)
+    context.processes.append(process)
+    process.wait_for_output("ready")
 
 
 def _run(context, *words, **settings):
@@ -157,3 +164,21 @@
 @when("the store stops answering")
 def cut_store(context):
     fetch_json(f"{context.store_url}/faults", method="PUT", body={"outage": True})
+
+
+@when("a second node of the same name starts")
+def start_twin(context):
+    ports = Ports()
+    names = ("http_port", "admin_port", "control_port", "call_port")
+    arguments = ["-m", "comfreytray", "node", "--node_id=only"]
+    arguments += [f"--{name}={ports.take()}" for name in names]
+    _start(context, [*arguments, f"--store_url={context.store_url}"])
+
+
+@then("one of the two ends with {code:d} and its log names the node, the other runs on")
+def check_twins(context, code):
+    twins = context.processes[1:]
+    wait_until(lambda: not all(one.running for one in twins), 120.0, "one to end")
+    (ended,) = [one for one in twins if not one.running]
+    assert ended.exit_code == code, ended.output()
+    assert "node id only is in use" in ended.output(), ended.output()
--- a/src/comfreytray/node.py
+++ b/src/comfreytray/node.py
@@ -1,5 +1,6 @@
 """The node daemon: wires the decisions to the machine and owns what they use."""
 
+import gc
 import random
 import signal
 import uuid
@@ -93,8 +94,11 @@
         if not self._stop.ready():
             self._stop.send()
 
-    def run(self) -> None:
-        """Serve until asked to stop, then leave, finish what runs and return."""
+    def run(self) -> Failure | None:
+        """Serve until asked to stop, then leave and finish what runs.
+
+        Returns why the node stopped by itself, if it did.
+        """
         self._stop.wait()
         log(Event.NODE_STOPPING, node=self.record().node_id)
         self.membership.leave()
@@ -104,6 +108,7 @@
         self.calls.drain(self.settings.drain_timeout_s)
         self.membership.left()
         eventlet.sleep(TICK_S)
+        return self.membership.fault
 
     def _open(self, stack: ExitStack) -> None:
         settings = self.settings
@@ -228,7 +233,7 @@
         tasks.every(
             TICK_S,
             {
-                "membership": self.membership.tick,
+                "membership": self._tick_membership,
                 "announcement": self.desk.tick,
                 "distribution": self.distributor.tick,
                 "status": self.status.tick,
@@ -238,6 +243,12 @@
         tasks.spawn("store-watch", lambda: _repeat(self.watcher.watch_step))
         tasks.spawn("store-fetch", lambda: _repeat(self.watcher.fetch_step))
 
+    def _tick_membership(self) -> None:
+        """Stop the node if another one has its id."""
+        self.membership.tick()
+        if self.membership.fault is not None:
+            self.ask_to_stop()
+
     def _keep_seeds(self) -> None:
         self.membership.start(self.seeds.addresses)
         while True:
@@ -341,5 +352,11 @@
     signal.signal(signal.SIGINT, stop)
     with node:
         print(f"ready node={node.record().node_id}", flush=True)
-        node.run()
-    return 0
+        # What start-up made stays; without it a collection takes no time.
+        gc.collect()
+        gc.freeze()
+        fault = node.run()
+    if fault is None:
+        return 0
+    logs.warn(Event.NODE_STOPPED, reason=fault.kind.value, detail=fault.detail)
+    return fault.answer.exit_code
