--- a/src/comfreytray/display.py
+++ b/src/comfreytray/display.py
@@ -19,10 +19,12 @@
 
 
 def items(result: Any, language: str) -> str:
-    """Show a list of items."""
+    """Show a list of items: name, language of writing, digest for `--base`."""
     if not result:
         return messages.text("display.nothing", language=language)
-    return "\n".join(entry["name"] for entry in result)
+    return _table(
+        [entry["name"], entry["language"], entry["digest"]] for entry in result
+    )
 
 
 def item(result: Any, language: str) -> str:
@@ -31,17 +33,19 @@
 
 
 def check(result: Any, language: str) -> str:
-    """Say that a text may be accepted."""
-    return messages.text("display.valid", language=language)
+    """Say that a text may be accepted, and what to think of before."""
+    valid = messages.text("display.valid", language=language)
+    return "\n".join([valid, *result["warnings"]])
 
 
 def change(result: Any, language: str) -> str:
-    """Say which version a change became."""
-    return messages.text(
+    """Say which version a change became, and what to think of."""
+    accepted = messages.text(
         "display.accepted",
         language=language,
         version=str(result["head"]["version"]),
     )
+    return "\n".join([accepted, *result["warnings"]])
 
 
 def diff(result: Any, language: str) -> str:
