--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -11,7 +11,7 @@
 from attrs import define, field
 
 from benchmarks._places import Deployment
-from benchmarks._processes import (
+from standins.processes import (
     Ports,
     Process,
     fetch_json,
--- a/benchmarks/_operator.py
+++ b/benchmarks/_operator.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 
 from benchmarks._fleet import Fleet, FleetNode, customer_text, simple_items
-from benchmarks._processes import ROOT, python_environment
+from standins.processes import ROOT, python_environment
 
 SERVICE = "service-01"
 CUSTOMERS = 200
--- a/benchmarks/_scale_processes.py
+++ b/benchmarks/_scale_processes.py
@@ -25,7 +25,7 @@
     DESIGN_REPLACEMENTS_PER_DAY,
     grown,
 )
-from benchmarks._processes import wait_until
+from standins.processes import wait_until
 
 CUSTOMERS = 200
 MAX_NODES = 150
--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -21,8 +21,8 @@
 from attrs import define, field, frozen
 
 from benchmarks._fleet import Fleet, FleetNode, host_of, simple_items
-from benchmarks._processes import Process
 from benchmarks._report import Report, percentile
+from standins.processes import Process
 
 CALLS_PER_S = 70.0
 MAX_ADDED_P99_MS = 0.52
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -23,7 +23,7 @@
 from attrs import define, field, frozen
 
 from benchmarks._fleet import OPERATOR, Fleet, FleetNode, customer_text, simple_items
-from benchmarks._processes import fetch_json, wait_until
+from standins.processes import fetch_json, wait_until
 
 REGIONS = {"north": ("n1", "n2"), "middle": ("m1", "m2"), "south": ("s1", "s2")}
 NODES_PER_DATA_CENTRE = 2
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -21,7 +21,7 @@
 from attrs import define, field, frozen
 from ruamel.yaml import YAML
 
-from benchmarks._processes import (
+from standins.processes import (
     Ports,
     Process,
     fetch_json,
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -7,7 +7,7 @@
 import urllib3
 from behave import given, then, when
 
-from benchmarks._processes import (
+from standins.processes import (
     ROOT,
     Ports,
     Process,
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -11,7 +11,7 @@
     host_of,
     simple_items,
 )
-from benchmarks._processes import Process, try_fetch_json, wait_until
+from standins.processes import Process, try_fetch_json, wait_until
 
 SERVICE = "lichbay"
 CUSTOMERS = 3
--- a/benchmarks/_processes.py
+++ b/standins/processes.py
@@ -1,4 +1,4 @@
-"""Start, measure and end the processes of a benchmark, each by its own id."""
+"""Start, measure and end processes, each by its own id."""
 
 import contextlib
 import json
