--- a/src/comfreytray/admin.py
+++ b/src/comfreytray/admin.py
@@ -18,6 +18,7 @@
 
 from comfreytray.errors import Failure, Kind, Ran
 from comfreytray.logs import Event, warn
+from comfreytray.messages import accepted_language
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 OPERATOR_HEADER = "HTTP_COMFREYTRAY_OPERATOR"
@@ -205,22 +206,13 @@
         query={name: values[-1] for name, values in query.items()},
         body=environ["wsgi.input"].read(int(length)) if int(length) else b"",
         operator=unquote(operator.decode("utf-8", "replace")),
-        language=_language(environ.get("HTTP_ACCEPT_LANGUAGE", "")),
+        language=accepted_language(environ.get("HTTP_ACCEPT_LANGUAGE", "")),
         base=environ.get("HTTP_IF_MATCH", "").strip('"') or None,
         change_id=environ.get(CHANGE_HEADER, "")[:MAX_CHANGE_ID_LENGTH] or None,
         remote_host=environ.get("REMOTE_ADDR", ""),
     )
 
 
-def _language(accepted: str) -> str:
-    """Pick the first language that has a catalogue."""
-    for choice in accepted.split(","):
-        language = choice.partition(";")[0].strip().lower()[:2]
-        if language in ("vi", "fr", "en"):
-            return language
-    return "en"
-
-
 def _reply(
     status: int,
     body: object,
--- a/src/comfreytray/cli.py
+++ b/src/comfreytray/cli.py
@@ -186,7 +186,7 @@
         import eventlet
 
         eventlet.monkey_patch()
-        from comfreytray.node import run
+        from comfreytray.daemon import run
 
         raise SystemExit(run(settings.load(flags, os.environ)))
 
--- a/src/comfreytray/messages.py
+++ b/src/comfreytray/messages.py
@@ -22,6 +22,15 @@
     return gettext.translation(DOMAIN, LOCALE_DIRECTORY, languages=[known])
 
 
+def accepted_language(header: str) -> str:
+    """Pick the first language of an Accept-Language header that has a catalogue."""
+    for choice in header.split(","):
+        language = choice.partition(";")[0].strip().lower()[:2]
+        if language in LANGUAGES:
+            return language
+    return DEFAULT_LANGUAGE
+
+
 def message_id(failure: Failure) -> str:
     """Name the catalogue entry of a failure."""
     return KIND_PREFIX + failure.kind.value
--- a/src/comfreytray/node.py
+++ b/src/comfreytray/node.py
@@ -1,18 +1,17 @@
 """The node daemon: wires the decisions to the machine and owns what they use."""
 
-import gc
 import random
-import signal
 import uuid
 from collections.abc import Callable
 from contextlib import ExitStack
-from types import FrameType, TracebackType
+from types import TracebackType
 from typing import Any
 
+import attrs
 import eventlet
 import eventlet.wsgi
 
-from comfreytray import logs, messages
+from comfreytray import messages
 from comfreytray.admin import AdminApi
 from comfreytray.adminroutes import add_routes
 from comfreytray.announcements import AnnouncementDesk
@@ -20,7 +19,7 @@
 from comfreytray.compiler import Compiler
 from comfreytray.content import Content, decode_head
 from comfreytray.distribution import Distributor
-from comfreytray.errors import Failure, Kind
+from comfreytray.errors import Failure
 from comfreytray.exceptions import SettingError
 from comfreytray.interfaces import Address
 from comfreytray.logs import Event, log
@@ -303,60 +302,21 @@
 
     def message_for(self, failure: Failure, language: str) -> str:
         """Give the text for a failure in the first language that is known."""
-        return messages.text(failure, language=_first_language(language))
-
-
-def _first_language(accepted: str) -> str:
-    for choice in accepted.split(","):
-        language = choice.partition(";")[0].strip().lower()[:2]
-        if language in ("vi", "fr", "en"):
-            return language
-    return "en"
+        return messages.text(failure, language=messages.accepted_language(language))
 
 
 def _peers(settings: Settings) -> tuple[Address, ...]:
     peers = parse_addresses(settings.peers)
     if isinstance(peers, Failure):
-        raise SettingError(peers)
+        fields = {
+            "setting": "peers",
+            "value": settings.peers,
+            "allowed": "ip:port,ip:port",
+        }
+        raise SettingError(attrs.evolve(peers, fields=fields))
     return peers
 
 
 def _repeat(step: Callable[[], float]) -> None:
     while True:
         eventlet.sleep(step())
-
-
-def check(settings: Settings) -> None:
-    """Refuse settings that do not fit together."""
-    loopback = settings.host.startswith("127.") or settings.host == "::1"
-    if loopback or settings.admin_token:
-        return
-    fields = {"setting": "admin_token", "value": "", "allowed": "any text off loopback"}
-    raise SettingError(
-        Failure(
-            kind=Kind.INVALID_SETTING, detail="admin_token is missing", fields=fields
-        )
-    )
-
-
-def run(settings: Settings) -> int:
-    """Run a node until SIGTERM or SIGINT; return the exit code."""
-    check(settings)
-    logs.configure(settings.log_level)
-    node = Node(settings=settings)
-
-    def stop(_: int, __: FrameType | None) -> None:
-        eventlet.hubs.get_hub().schedule_call_global(0, node.ask_to_stop)
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    with node:
-        print(f"ready node={node.record().node_id}", flush=True)
-        # What start-up made stays; without it a collection takes no time.
-        gc.collect()
-        gc.freeze()
-        fault = node.run()
-    if fault is None:
-        return 0
-    logs.warn(Event.NODE_STOPPED, reason=fault.kind.value, detail=fault.detail)
-    return fault.answer.exit_code
