--- /dev/null
+++ b/deploy/node.py
@@ -0,0 +1,17 @@
+"""Start a node on the platform from a checkout, without installing the package."""
+
+import sys
+import warnings
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+from comfreytray.platform.main import main  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/features/steps/calls_limits_steps.py
+++ b/features/steps/calls_limits_steps.py
@@ -205,7 +205,12 @@
         outcome = Outcome(failure=Failure(kind=generator.choice(kinds)), ran=ran)
         for redirects in range(6):
             decision = decide(
-                call, outcome, redirects=redirects, time_left_s=1.0, budget=budget
+                call,
+                outcome,
+                redirects=redirects,
+                sent=0,
+                time_left_s=1.0,
+                budget=budget,
             )
             context.decided.append((call.idempotent, call.retried, ran, decision))
             if decision is Decision.GIVE_UP:
--- a/features/steps/calls_routing_steps.py
+++ b/features/steps/calls_routing_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from calls_rig import Fleet, answer, until
 
+from comfreytray.calls import IDLE
 from comfreytray.errors import Failure, Kind
 from comfreytray.records import Endpoint, EndpointState, MembershipView, NodeRecord
 from comfreytray.routing import EJECT_AFTER_FAILURES, EJECT_MAX_S, Router
@@ -51,9 +52,9 @@
 
     def end(self, view, took, failed):
         if failed:
-            self.router.fail(view, self.failure, took_s=took, load=0.0)
+            self.router.fail(view, self.failure, took_s=took, load=IDLE)
         else:
-            self.router.finish(view, took_s=took, load=0.0)
+            self.router.finish(view, took_s=took, load=IDLE)
 
 
 def record(node_id, place="r1-1", service="s", state=EndpointState.READY, load=0.0):
--- a/features/steps/calls_streams_steps.py
+++ b/features/steps/calls_streams_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from comfreytray import callframes
-from comfreytray.calls import Call
+from comfreytray.calls import Call, Load
 from comfreytray.errors import Failure, Kind, Ran
 from comfreytray.ownerstreams import OwnerStreams
 from comfreytray.streams import CallStreams
@@ -94,7 +94,7 @@
                 headers=(("T", stream.call.target),),
                 body=body[:part],
                 last=part == len(body),
-                load=0.5,
+                load=Load(used=0.5),
             )
         else:
             part = min(part, len(body) - done)
--- a/src/comfreytray/answers.py
+++ b/src/comfreytray/answers.py
@@ -1,6 +1,7 @@
 """Turn replies and failures into HTTP answers."""
 
 import json
+import math
 from collections.abc import Callable
 
 from comfreytray.calls import (
@@ -13,6 +14,7 @@
     Reply,
     fail,
 )
+from comfreytray.dialect import NATIVE, Dialect
 from comfreytray.errors import Failure, Kind
 
 MessageFor = Callable[[Failure, str], str]
@@ -25,10 +27,17 @@
     return failure.kind.value
 
 
-def refusal_of(outcome: Outcome, text: str) -> tuple[str, list[tuple[str, str]], bytes]:
+def refusal_of(
+    outcome: Outcome, text: str, dialect: Dialect = NATIVE
+) -> tuple[str, list[tuple[str, str]], bytes]:
     """Return status line, headers and body for a failure."""
     failure = outcome.failure
     retry_after_s = failure.retry_after_s or failure.answer.retry_after_s
+    status = dialect.status_of(outcome)
+    if not dialect.has_refusal_body:
+        return f"{status} {failure.kind.value}", _retry_after(retry_after_s), b""
+    if retry_after_s is not None and dialect.whole_retry_after:
+        retry_after_s = math.ceil(retry_after_s)
     body = json.dumps(
         {
             "kind": failure.kind.value,
@@ -43,14 +52,17 @@
         (ERROR_HEADER, failure.kind.value),
         (RAN_HEADER, outcome.ran.value),
     ]
-    if retry_after_s is not None:
-        headers.append(("Retry-After", str(retry_after_s)))
-    return f"{failure.answer.status} {failure.kind.value}", headers, body
+    headers.extend(_retry_after(retry_after_s))
+    return f"{status} {failure.kind.value}", headers, body
 
 
-def whole_refusal(outcome: Outcome, text: str) -> bytes:
+def _retry_after(seconds: float | None) -> list[tuple[str, str]]:
+    return [] if seconds is None else [("Retry-After", f"{seconds:.3g}")]
+
+
+def whole_refusal(outcome: Outcome, text: str, dialect: Dialect = NATIVE) -> bytes:
     """Return a whole HTTP answer after which the connection closes."""
-    status, headers, body = refusal_of(outcome, text)
+    status, headers, body = refusal_of(outcome, text, dialect)
     lines = [f"HTTP/1.1 {status}"]
     lines.extend(f"{name}: {value}" for name, value in headers)
     lines.extend((f"{LENGTH_HEADER}: {len(body)}", "Connection: close", "", ""))
--- a/src/comfreytray/callframes.py
+++ b/src/comfreytray/callframes.py
@@ -9,10 +9,10 @@
 import msgpack
 from attrs import frozen
 
-from comfreytray.calls import MAX_BODY_BYTES, Call, Headers
+from comfreytray.calls import MAX_BODY_BYTES, Call, Headers, Load, Outcome
 from comfreytray.errors import Failure, Kind, Ran
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 HELLO = 40
 OPEN = 41
 HEAD = 42
@@ -49,11 +49,15 @@
         bool,
         str,
         str,
+        str,
+        str,
+        str,
+        int,
     ),
-    HEAD: (int, int, str, tuple, bytes, bool, float),
+    HEAD: (int, int, str, tuple, bytes, bool, float, float, float),
     DATA: (int, bytes, bool),
     CREDIT: (int, int),
-    REFUSE: (int, str, str, str, int, float),
+    REFUSE: (int, str, str, str, bool, float, float, float),
     CANCEL: (int,),
     CUT: (int, str, str),
     PING: (int,),
@@ -99,6 +103,10 @@
             call.retried,
             call.key,
             call.trace,
+            call.call_id,
+            call.caller,
+            call.kind,
+            call.priority,
         )
     )
 
@@ -111,11 +119,22 @@
     headers: Headers,
     body: bytes,
     last: bool,
-    load: float,
+    load: Load,
 ) -> bytes:
     """Pack the head of an answer with the first part of its body."""
     return _pack(  # type: ignore[no-any-return]
-        (HEAD, stream_id, status, reason, headers, body, last, float(load))
+        (
+            HEAD,
+            stream_id,
+            status,
+            reason,
+            headers,
+            body,
+            last,
+            float(load.used),
+            float(load.service_time_s),
+            float(load.held_s),
+        )
     )
 
 
@@ -129,22 +148,33 @@
     return _pack((CREDIT, stream_id, size))  # type: ignore[no-any-return]
 
 
-def refuse(stream_id: int, failure: Failure, ran: Ran, load: float) -> bytes:
+def refuse(stream_id: int, outcome: Outcome) -> bytes:
     """Pack a failure with what is known about whether the call ran."""
-    retry_after_s = failure.retry_after_s or 0
+    failure = outcome.failure
     return _pack(  # type: ignore[no-any-return]
         (
             REFUSE,
             stream_id,
             failure.kind.value,
-            ran.value,
+            outcome.ran.value,
             failure.detail,
-            retry_after_s,
-            float(load),
+            outcome.sent,
+            float(failure.retry_after_s or 0.0),
+            float(outcome.load.used),
+            float(outcome.load.service_time_s),
         )
     )
 
 
+def load_of(values: Frame) -> Load:
+    """Take the load that ends a frame."""
+    return Load(
+        used=values[0],
+        service_time_s=values[1],
+        held_s=values[2] if len(values) > 2 else 0.0,
+    )
+
+
 def cancel(stream_id: int) -> bytes:
     """Pack that the caller gave a call up."""
     return _pack((CANCEL, stream_id))  # type: ignore[no-any-return]
@@ -238,13 +268,13 @@
 def _open_fault(plain: Frame) -> str:
     if not _are_headers(plain[7]):
         return "headers of a call"
-    if plain[9] < 0 or plain[11] < 0 or not 0.0 < plain[4] <= 1.0:
+    if min(plain[9], plain[11], plain[18]) < 0 or not 0.0 < plain[4] <= 1.0:
         return "number out of range in a call"
     return ""
 
 
 def _head_fault(plain: Frame) -> str:
-    if not _are_headers(plain[4]) or not math.isfinite(plain[7]):
+    if not _are_headers(plain[4]) or not _are_amounts(plain[7:10]):
         return "headers or load of an answer"
     return "" if 200 <= plain[2] <= 599 else "status of an answer"
 
@@ -256,7 +286,11 @@
 def _refuse_fault(plain: Frame) -> str:
     if kind_of(plain[2]) is None or ran_of(plain[3]) is None:
         return "unknown kind or outcome"
-    return "" if math.isfinite(plain[6]) and plain[5] >= 0 else "number of a refusal"
+    return "" if _are_amounts(plain[6:9]) else "number of a refusal"
+
+
+def _are_amounts(values: Frame) -> bool:
+    return all(math.isfinite(value) and value >= 0 for value in values)
 
 
 def _cut_fault(plain: Frame) -> str:
--- a/src/comfreytray/calls.py
+++ b/src/comfreytray/calls.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable, Iterable, Iterator
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from comfreytray.errors import Failure, Kind, Ran
 from comfreytray.exceptions import ComfreytrayError
@@ -13,6 +13,7 @@
 DEADLINE_HEADER = "Comfreytray-Deadline-Ms"
 DEPTH_HEADER = "Comfreytray-Depth"
 RETRIED_HEADER = "Comfreytray-Retried"
+CALLER_HEADER = "Comfreytray-Caller"
 ERROR_HEADER = "Comfreytray-Error"
 RAN_HEADER = "Comfreytray-Ran"
 KEY_HEADER = "Idempotency-Key"
@@ -21,8 +22,6 @@
 TRACE_HEADER = "traceparent"
 MAX_DEPTH = 32
 MAX_BODY_BYTES = 1_048_576
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-IDEMPOTENT_METHODS = SAFE_METHODS | {"PUT", "DELETE"}
 
 _HOP_BY_HOP = frozenset(
     {
@@ -41,16 +40,7 @@
 _OWN_PREFIX = "comfreytray-"
 _NEVER_NAMED = frozenset({"host", "content-length", KEY_HEADER.lower()})
 """Headers that a Connection header can't take out of a message."""
-_SET_BY_NODE = frozenset(
-    {
-        "content-length",
-        "expect",
-        TRACE_HEADER,
-        DEADLINE_HEADER.lower(),
-        DEPTH_HEADER.lower(),
-        RETRIED_HEADER.lower(),
-    }
-)
+_FRAMED_BY_NODE = frozenset({"content-length", "expect"})
 
 
 class CallCutError(ComfreytrayError):
@@ -84,6 +74,31 @@
     """Idempotency key that still has to be claimed, empty if none."""
     trace: str = ""
     """W3C traceparent of the span above."""
+    call_id: str = ""
+    """Id that the caller gave to this attempt, empty if none."""
+    caller: str = ""
+    """Service of the instance beside which the call began."""
+    kind: str = ""
+    """Name of the route; calls of one kind take about the same time."""
+    priority: int = 0
+    """Rank of the route; 0 is the highest."""
+    max_attempts: int = 0
+    """Most endpoints that may be tried; 0 leaves it to the retry policy."""
+
+
+@frozen(kw_only=True)
+class Load:
+    """Say how busy an upstream is, as the node beside it knows."""
+
+    used: float = 0.0
+    """Calls held and queued, as a share of the slots."""
+    service_time_s: float = 0.0
+    """Mean time that a call holds a slot; 0 if unknown."""
+    held_s: float = 0.0
+    """Time for which the call that is answered held its slot; 0 if unknown."""
+
+
+IDLE = Load()
 
 
 def _no_close() -> None:
@@ -103,8 +118,7 @@
     body: bytes = b""
     rest: Iterator[bytes] | None = None
     close: Callable[[], None] = _no_close
-    load: float = 0.0
-    """Share of the owner's slots and queue in use."""
+    load: "Load" = field(factory=lambda: IDLE)
 
 
 @define(kw_only=True, eq=False)
@@ -113,13 +127,15 @@
 
     failure: Failure
     ran: Ran
-    load: float = 0.0
+    load: "Load" = field(factory=lambda: IDLE)
     node_id: str = field(default="")
+    sent: bool = False
+    """Whether the call was, or may have been, sent to an upstream."""
 
     @classmethod
-    def of(cls, failure: Failure, *, load: float = 0.0) -> "Outcome":
+    def of(cls, failure: Failure, *, load: "Load | None" = None) -> "Outcome":
         """Take the outcome that the table of answers gives for a failure."""
-        return cls(failure=failure, ran=failure.answer.ran, load=load)
+        return cls(failure=failure, ran=failure.answer.ran, load=load or IDLE)
 
 
 _CERTAINTY = (Ran.NO, Ran.UNKNOWN, Ran.YES)
@@ -130,16 +146,18 @@
     return max(first, second, key=_CERTAINTY.index)
 
 
-def fail(kind: Kind, detail: str = "", retry_after_s: int | None = None) -> Outcome:
+def fail(kind: Kind, detail: str = "", retry_after_s: float | None = None) -> Outcome:
     """Make the outcome of a call that failed."""
     failure = Failure(kind=kind, detail=detail, retry_after_s=retry_after_s)
     return Outcome(failure=failure, ran=failure.answer.ran)
 
 
-def request_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+def request_headers(
+    headers: Iterable[tuple[str, str]], set_by_node: frozenset[str]
+) -> Headers:
     """Keep the headers of a call that an upstream gets as the caller sent them."""
     pairs = tuple(headers)
-    drop = _named(pairs, _HOP_BY_HOP | _SET_BY_NODE)
+    drop = _named(pairs, _HOP_BY_HOP | _FRAMED_BY_NODE | set_by_node)
     return tuple([pair for pair in pairs if pair[0].lower() not in drop])
 
 
--- a/src/comfreytray/connections.py
+++ b/src/comfreytray/connections.py
@@ -13,6 +13,7 @@
 from comfreytray.calls import Call, CallCutError, Outcome, Reply, fail
 from comfreytray.errors import Failure, Kind
 from comfreytray.interfaces import Address, Clock
+from comfreytray.keepalive import notice_silence
 from comfreytray.metrics import Metrics
 from comfreytray.records import NodeRecord
 from comfreytray.signals import Signal
@@ -230,7 +231,9 @@
         if unsent:
             link.close()
             return fail(Kind.DEADLINE_BEFORE_RUN, "not sent")
-        return fail(Kind.DEADLINE_WHILE_RUNNING, "no answer from the owner")
+        outcome = fail(Kind.DEADLINE_WHILE_RUNNING, "no answer from the owner")
+        outcome.sent = True
+        return outcome
 
     def _rest(
         self, link: Link, stream: CallStream, signal: Signal, call: Call
@@ -283,6 +286,7 @@
         try:
             sock.settimeout(CONNECT_TIMEOUT_S)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            notice_silence(sock)
             sock.connect(address)
             sock.settimeout(None)
         except (OSError, EOFError) as error:
--- /dev/null
+++ b/src/comfreytray/directory.py
@@ -0,0 +1,157 @@
+"""The members of the mesh, as their nodes write them into the platform's store."""
+
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+
+from comfreytray import logs
+from comfreytray.interfaces import StoredObject
+from comfreytray.records import (
+    Endpoint,
+    EndpointState,
+    MembershipView,
+    NodeRecord,
+    NodeState,
+)
+
+PREFIX = "members/"
+MAX_RECORD_BYTES = 4096
+
+
+def key_of(node_id: str) -> str:
+    """Name the stored object of a member."""
+    return PREFIX + node_id
+
+
+def encode(record: NodeRecord) -> bytes:
+    """Write a member's record as JSON."""
+    plain = attrs.asdict(record, value_serializer=_plain)
+    return json.dumps(plain, separators=(",", ":"), sort_keys=True).encode()
+
+
+def decode(value: bytes) -> NodeRecord | None:
+    """Read a member's record; None if another writer made it."""
+    if len(value) > MAX_RECORD_BYTES:
+        return None
+    try:
+        return _record(json.loads(value))
+    except (ValueError, TypeError, KeyError, RecursionError):
+        return None
+
+
+def _plain(_: type, __: Any, value: object) -> object:
+    return value.value if isinstance(value, NodeState | EndpointState) else value
+
+
+def _record(plain: Mapping[str, Any]) -> NodeRecord:
+    endpoint = plain["endpoint"]
+    return NodeRecord(
+        node_id=_text(plain["node_id"]),
+        incarnation=_whole(plain["incarnation"]),
+        region=_text(plain["region"]),
+        data_centre=_text(plain["data_centre"]),
+        host=_text(plain["host"]),
+        control_port=_whole(plain["control_port"]),
+        call_port=_whole(plain["call_port"]),
+        state=NodeState(plain["state"]),
+        endpoint=None if endpoint is None else _endpoint(endpoint),
+        endpoint_revision=_whole(plain["endpoint_revision"]),
+    )
+
+
+def _endpoint(plain: Mapping[str, Any]) -> Endpoint:
+    return Endpoint(
+        service=_text(plain["service"]),
+        instance_id=_text(plain["instance_id"]),
+        slots=_whole(plain["slots"]),
+        connections=_whole(plain["connections"]),
+        state=EndpointState(plain["state"]),
+    )
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError("not a text")
+    return value
+
+
+def _whole(value: object) -> int:
+    if type(value) is not int or value < 0:
+        raise TypeError("not a whole number")
+    return value
+
+
+class Directory:
+    """Hold what the store says of the members; the newest revision of each counts."""
+
+    def __init__(self) -> None:
+        self._revision_by_id: dict[str, int] = {}
+        self._record_by_id: dict[str, NodeRecord] = {}
+        self.view = MembershipView()
+
+    def apply(self, objects: Iterable[StoredObject]) -> None:
+        """Take in stored records; older ones than those that are held are skipped."""
+        changed = False
+        for stored in objects:
+            changed = self._take(stored) or changed
+        if changed:
+            self.view = _view(self._record_by_id)
+
+    def put(self, record: NodeRecord) -> None:
+        """Take in this node's own record ahead of the store."""
+        self._record_by_id[record.node_id] = record
+        self.view = _view(self._record_by_id)
+
+    def _take(self, stored: StoredObject) -> bool:
+        node_id = stored.key.removeprefix(PREFIX)
+        if stored.version <= self._revision_by_id.get(node_id, 0):
+            return False
+        self._revision_by_id[node_id] = stored.version
+        record = decode(stored.value)
+        if record is None or record.node_id != node_id:
+            logs.warn(logs.Event.MEMBER_REFUSED, key=stored.key, version=stored.version)
+            return False
+        held = self._record_by_id.get(node_id)
+        self._record_by_id[node_id] = record
+        _log_change(held, record, stored.version)
+        return record != held
+
+
+def _view(record_by_id: Mapping[str, NodeRecord]) -> MembershipView:
+    by_id = {
+        node_id: record
+        for node_id, record in record_by_id.items()
+        if record.state is not NodeState.LEFT
+    }
+    records_by_service: dict[str, list[NodeRecord]] = {}
+    for record in by_id.values():
+        if record.endpoint is None or record.state is not NodeState.ALIVE:
+            continue
+        if record.endpoint.state is EndpointState.DRAINING:
+            continue
+        records_by_service.setdefault(record.endpoint.service, []).append(record)
+    return MembershipView(
+        by_id=by_id,
+        endpoints_by_service={
+            service: tuple(records) for service, records in records_by_service.items()
+        },
+    )
+
+
+def _log_change(held: NodeRecord | None, record: NodeRecord, version: int) -> None:
+    event = logs.Event.MEMBER_JOINED
+    if record.state in (NodeState.LEAVING, NodeState.LEFT):
+        event = logs.Event.MEMBER_LEFT
+    elif held is not None and held.incarnation == record.incarnation:
+        event = logs.Event.MEMBER_CHANGED
+    endpoint = record.endpoint
+    logs.log(
+        event,
+        member=record.node_id,
+        state=record.state.value,
+        instance=endpoint.instance_id if endpoint else "",
+        instance_state=endpoint.state.value if endpoint else "",
+        version=version,
+    )
--- a/src/comfreytray/dispatch.py
+++ b/src/comfreytray/dispatch.py
@@ -39,19 +39,22 @@
         self.budget.earn()
         excluded: list[str] = []
         redirects = 0
+        sent = 0
         last: Outcome | None = None
         worst = Ran.NO
         while True:
-            record = self.router.pick(call.service, exclude=excluded)
+            record = self.router.pick(call.service, exclude=excluded, kind=call.kind)
             if isinstance(record, Failure):
                 return last or Outcome.of(record)
             result = self._attempt(record, call)
             if isinstance(result, Reply):
                 return result
+            sent += result.sent
             decision = decide(
                 call,
                 result,
                 redirects=redirects,
+                sent=sent,
                 time_left_s=call.deadline - self.clock.monotonic(),
                 budget=self.budget,
             )
@@ -84,12 +87,17 @@
             self.router.fail(view, result.failure, took_s=took_s, load=result.load)
             return result
         if result.rest is None:
-            self.router.finish(view, took_s=took_s, load=result.load)
+            self.router.finish(view, took_s=took_s, load=result.load, kind=call.kind)
             return result
-        return self._follow(result, result.rest, view, took_s)
+        return self._follow(result, result.rest, view, took_s, call.kind)
 
     def _follow(
-        self, reply: Reply, rest: Iterator[bytes], view: EndpointView, took_s: float
+        self,
+        reply: Reply,
+        rest: Iterator[bytes],
+        view: EndpointView,
+        took_s: float,
+        kind: str,
     ) -> Reply:
         """Count the endpoint's call as in flight until its last byte."""
         end = reply.close
@@ -100,7 +108,7 @@
             end()
             if not counted:
                 counted = True
-                self.router.finish(view, took_s=took_s, load=reply.load)
+                self.router.finish(view, took_s=took_s, load=reply.load, kind=kind)
 
         def follow() -> Iterator[bytes]:
             try:
--- a/src/comfreytray/errors.py
+++ b/src/comfreytray/errors.py
@@ -162,7 +162,7 @@
     kind: Kind
     detail: str = ""
     fields: dict[str, str] = field(factory=dict)
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
 
     @property
     def answer(self) -> Answer:
--- a/src/comfreytray/heads.py
+++ b/src/comfreytray/heads.py
@@ -106,6 +106,12 @@
     _read_status: Callable[[], tuple[str, int, str]]
     _check_close: Callable[[], bool]
 
+    def __init__(
+        self, source: Any, *, method: str, may_end_with_connection: bool = False
+    ) -> None:
+        super().__init__(source, method=method)
+        self._may_end_with_connection = may_end_with_connection
+
     def begin(self) -> None:
         """Read the head."""
         version, status, reason = self._read_status()
@@ -125,7 +131,9 @@
             self.length = 0
             self.chunked = False
         if self.length is None and not self.chunked:
-            raise HeadError("no framing")
+            if not self._may_end_with_connection:
+                raise HeadError("no framing")
+            self.will_close = True
 
     def _read_next_chunk_size(self) -> int:
         match = _CHUNK_LINE.fullmatch(self.fp.readline(MAX_CHUNK_LINE_BYTES))
--- /dev/null
+++ b/src/comfreytray/heartbeats.py
@@ -0,0 +1,179 @@
+"""What the upstream instance beside a node says of itself, by heartbeats."""
+
+from collections.abc import Callable
+from enum import Enum
+
+import attrs
+from attrs import frozen
+
+from comfreytray import logs
+from comfreytray.charts import load_chart
+from comfreytray.interfaces import Clock
+from comfreytray.records import Endpoint, EndpointState, LocalUpstream
+
+LEASE_HEARTBEATS = 6
+"""Heartbeats that may be missed in a row; single ones come seconds late."""
+
+_CHART = load_chart("instance")
+_TAKES_CALLS = "serving"
+
+
+@frozen(kw_only=True, order=True)
+class Lifetime:
+    """Name one start of an instance."""
+
+    started_ms: int
+    """Milliseconds since the epoch, by the instance's own clock."""
+    instance_id: str
+
+
+@frozen(kw_only=True)
+class Heartbeat:
+    """Hold one heartbeat."""
+
+    upstream: LocalUpstream
+    started_ms: int
+    sequence: int
+    """Grows with each heartbeat of one lifetime."""
+
+    @property
+    def lifetime(self) -> Lifetime:
+        """Name the start of the instance that sent the heartbeat."""
+        return Lifetime(
+            started_ms=self.started_ms,
+            instance_id=self.upstream.endpoint.instance_id,
+        )
+
+
+class Receipt(Enum):
+    """Say what a node did with a heartbeat or a departure."""
+
+    TAKEN = "taken"
+    STALE = "stale"
+    """Sent by an earlier lifetime, or overtaken by a later one of the same."""
+
+
+class InstanceRegister:
+    """Follow the instance beside this node and say whether it takes calls.
+
+    A lifetime that said that it leaves never takes calls again, and a later lifetime
+    replaces an earlier one at once: a message of the past changes nothing.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        heartbeat_s: float,
+        on_change: Callable[[Endpoint | None], None],
+    ) -> None:
+        self._clock = clock
+        self._lease_s = heartbeat_s * LEASE_HEARTBEATS
+        self._on_change = on_change
+        self._state = _CHART.initial
+        self._lifetime: Lifetime | None = None
+        self._sequence = -1
+        self._upstream: LocalUpstream | None = None
+        self._expires_at = 0.0
+        self._published: Endpoint | None = None
+
+    @property
+    def upstream(self) -> LocalUpstream | None:
+        """Return the instance with its present state, if its lease holds."""
+        self.tick()
+        return self._upstream
+
+    def receive(self, heartbeat: Heartbeat) -> Receipt:
+        """Take in a heartbeat."""
+        self.tick()
+        if not self._follow(heartbeat.lifetime):
+            return Receipt.STALE
+        if heartbeat.sequence <= self._sequence:
+            return Receipt.STALE
+        self._sequence = heartbeat.sequence
+        endpoint = heartbeat.upstream.endpoint
+        draining = endpoint.state is EndpointState.DRAINING
+        self._step("draining" if draining else "ready", endpoint)
+        self._expires_at = self._clock.monotonic() + self._lease_s
+        if self._state == "gone":
+            return Receipt.TAKEN
+        if self._state == "draining":
+            endpoint = attrs.evolve(endpoint, state=EndpointState.DRAINING)
+        self._upstream = attrs.evolve(heartbeat.upstream, endpoint=endpoint)
+        self._publish(endpoint)
+        return Receipt.TAKEN
+
+    def leave(self, instance_id: str, started_ms: int | None) -> Receipt:
+        """Take in that an instance leaves, by its id and, if it tells, its start."""
+        held = self._lifetime
+        if held is None or held.instance_id != instance_id:
+            return Receipt.STALE
+        if started_ms is not None and started_ms < held.started_ms:
+            return Receipt.STALE
+        endpoint = self._upstream.endpoint if self._upstream else None
+        self._step("left", endpoint)
+        self._upstream = None
+        self._publish(None)
+        return Receipt.TAKEN
+
+    def replaced(self, instance_id: str) -> None:
+        """Note that another instance answers at the address of this one."""
+        held = self._lifetime
+        if held is None or held.instance_id != instance_id or not self._upstream:
+            return
+        logs.warn(logs.Event.ENDPOINT_LAPSED, instance=instance_id, reason="replaced")
+        self._lapse()
+
+    def tick(self) -> None:
+        """Let the lease lapse when its time is over."""
+        if self._upstream is None or self._clock.monotonic() < self._expires_at:
+            return
+        endpoint = self._upstream.endpoint
+        logs.warn(
+            logs.Event.ENDPOINT_LAPSED,
+            service=endpoint.service,
+            instance=endpoint.instance_id,
+            lease_s=self._lease_s,
+        )
+        self._lapse()
+
+    def _lapse(self) -> None:
+        self._state = _CHART.step(self._state, "lapsed")
+        self._upstream = None
+        self._publish(None)
+
+    def _follow(self, lifetime: Lifetime) -> bool:
+        """Turn to a later lifetime; False for one that was replaced."""
+        held = self._lifetime
+        if held == lifetime:
+            return True
+        if held is not None and lifetime < held:
+            return False
+        self._state = _CHART.step(self._state, "replaced")
+        self._lifetime = lifetime
+        self._sequence = -1
+        self._upstream = None
+        return True
+
+    def _step(self, event: str, endpoint: Endpoint | None) -> None:
+        before = self._state
+        self._state = _CHART.step(before, event)
+        if before == self._state or self._lifetime is None:
+            return
+        name = logs.Event.ENDPOINT_LEAVING
+        if self._state == _TAKES_CALLS:
+            name = logs.Event.ENDPOINT_ANNOUNCED
+        logs.log(
+            name,
+            service=endpoint.service if endpoint else "",
+            instance=self._lifetime.instance_id,
+            started_ms=self._lifetime.started_ms,
+            sequence=self._sequence,
+            state=self._state,
+        )
+
+    def _publish(self, endpoint: Endpoint | None) -> None:
+        if endpoint == self._published:
+            return
+        self._published = endpoint
+        self._on_change(endpoint)
--- a/src/comfreytray/owner.py
+++ b/src/comfreytray/owner.py
@@ -3,7 +3,10 @@
 from collections.abc import Callable
 from types import TracebackType
 
-from comfreytray.calls import Call, Outcome, Reply, fail
+from attrs import evolve
+
+from comfreytray.calls import Call, Load, Outcome, Reply, fail
+from comfreytray.dialect import NATIVE, Dialect
 from comfreytray.errors import Failure, Kind
 from comfreytray.exceptions import invariant
 from comfreytray.interfaces import Clock
@@ -25,13 +28,16 @@
         clock: Clock,
         metrics: Metrics,
         tracer: Tracer | None = None,
+        dialect: Dialect = NATIVE,
     ) -> None:
         self.local_upstream = local_upstream
         self.clock = clock
         self.metrics = metrics
         self.tracer = tracer
         self.admission = Admission(clock=clock, slots=0)
-        self.pool = UpstreamPool(clock=clock, connections=0)
+        self.pool = UpstreamPool(
+            clock=clock, connections=0, dialect=dialect, metrics=metrics
+        )
 
     def __enter__(self) -> "Owner":
         return self
@@ -45,9 +51,11 @@
         self.pool.__exit__(kind, error, trace)
 
     @property
-    def load(self) -> float:
-        """Give the slots and queue places in use as a share of the slots."""
-        return self.admission.load
+    def load(self) -> Load:
+        """Say how busy the upstream is."""
+        return Load(
+            used=self.admission.load, service_time_s=self.admission.service_time_s
+        )
 
     @property
     def in_flight(self) -> int:
@@ -75,11 +83,13 @@
             return Outcome.of(failure, load=self.load)
         invariant(ticket.state is TicketState.HELD, "a call runs only with a slot")
         reply = self.pool.call(
-            (upstream.host, upstream.port),
+            upstream,
             call,
             on_end=lambda: self.admission.release(ticket),
         )
-        reply.load = self.load
+        reply.load = evolve(
+            self.load, held_s=self.clock.monotonic() - ticket.admitted_at
+        )
         return reply
 
     def leave(self) -> None:
--- a/src/comfreytray/ownerstreams.py
+++ b/src/comfreytray/ownerstreams.py
@@ -5,7 +5,7 @@
 from attrs import define
 
 from comfreytray import callframes
-from comfreytray.calls import Call, Headers, Outcome, fail
+from comfreytray.calls import Call, Headers, Load, Outcome, fail
 from comfreytray.errors import Failure, Kind
 from comfreytray.exceptions import invariant
 from comfreytray.interfaces import Clock
@@ -53,12 +53,10 @@
                 opened.append(taken)
         return [stream for stream in opened if not stream.cancelled]
 
-    def refuse(self, stream: OwnerStream, outcome: Outcome, *, load: float) -> None:
+    def refuse(self, stream: OwnerStream, outcome: Outcome) -> None:
         """Answer a call with a failure."""
         if self._finish(stream):
-            self.outbox.push(
-                callframes.refuse(stream.stream_id, outcome.failure, outcome.ran, load)
-            )
+            self.outbox.push(callframes.refuse(stream.stream_id, outcome))
 
     def head(
         self,
@@ -69,7 +67,7 @@
         headers: Headers,
         body: bytes,
         last: bool,
-        load: float,
+        load: Load,
     ) -> None:
         """Send the head of an answer and the first part of its body."""
         invariant(len(body) <= stream.credit, "credits are never overdrawn")
@@ -160,10 +158,10 @@
         stream = OwnerStream(stream_id=stream_id, call=self._call_of(frame))
         self.stream_by_id[stream_id] = stream
         if self.hello is not None and self.hello.expected_id != self.node_id:
-            self.refuse(stream, fail(Kind.WRONG_NODE, "another node"), load=0.0)
+            self.refuse(stream, fail(Kind.WRONG_NODE, "another node"))
             return None
         if len(self.stream_by_id) > MAX_OPEN_STREAMS:
-            self.refuse(stream, fail(Kind.OVERLOADED, "streams"), load=1.0)
+            self.refuse(stream, fail(Kind.OVERLOADED, "streams"))
             return None
         return stream
 
@@ -183,6 +181,10 @@
             retried=frame[12],
             key=frame[13],
             trace=frame[14],
+            call_id=frame[15],
+            caller=frame[16],
+            kind=frame[17],
+            priority=frame[18],
         )
 
 
--- /dev/null
+++ b/src/comfreytray/ownrecord.py
@@ -0,0 +1,67 @@
+"""Keep this node's own record in the platform's store as it is here."""
+
+from comfreytray import directory, logs
+from comfreytray.budgets import Backoff
+from comfreytray.errors import Failure, Kind
+from comfreytray.interfaces import ObjectStore
+from comfreytray.records import NodeRecord
+
+UNKNOWN_VERSION = -1
+
+
+class OwnRecord:
+    """Write a record until the store holds it.
+
+    Each write names the version that it replaces, so that a write which the store
+    does late can't undo a later one.
+    """
+
+    def __init__(self, *, store: ObjectStore, backoff: Backoff) -> None:
+        self._store = store
+        self._backoff = backoff
+        self._version = UNKNOWN_VERSION
+        self._written: NodeRecord | None = None
+
+    def is_current(self, record: NodeRecord) -> bool:
+        """Say whether the store is known to hold a record."""
+        return record == self._written
+
+    def write(self, record: NodeRecord) -> float:
+        """Make one call towards storing a record; return the seconds to wait."""
+        if self._version == UNKNOWN_VERSION:
+            return self._read(record)
+        stored = self._store.put(
+            directory.key_of(record.node_id),
+            directory.encode(record),
+            expected_version=self._version,
+        )
+        if not isinstance(stored, Failure):
+            self._version = stored.version
+            self._written = record
+            self._backoff.reset()
+            return 0.0
+        self._version = UNKNOWN_VERSION
+        if stored.kind is Kind.CONFLICT:
+            return 0.0
+        return self._wait(stored, "write")
+
+    def _read(self, record: NodeRecord) -> float:
+        held = self._store.get(directory.key_of(record.node_id))
+        if not isinstance(held, Failure):
+            self._version = held.version
+            if directory.decode(held.value) == record:
+                self._written = record
+            return 0.0
+        if held.kind is Kind.NOT_FOUND:
+            self._version = 0
+            return 0.0
+        return self._wait(held, "read")
+
+    def _wait(self, failure: Failure, call: str) -> float:
+        logs.warn(
+            logs.Event.RECORD_NOT_STORED,
+            call=call,
+            kind=failure.kind.value,
+            reason=failure.detail,
+        )
+        return self._backoff.next_s()
--- /dev/null
+++ b/src/comfreytray/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the product and the users' platform; the only place that does."""
--- /dev/null
+++ b/src/comfreytray/platform/configuration.py
@@ -0,0 +1,73 @@
+"""Read the operator's configuration into a snapshot."""
+
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from comfreytray.content import Head
+from comfreytray.errors import Failure, Kind
+from comfreytray.snapshots import Route, ServiceShare, Snapshot
+
+OBJECT_KEY = "config/main"
+_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"})
+_REPEATABLE = "safe"
+
+
+def decode(value: bytes) -> Snapshot | Failure:
+    """Read a whole configuration; any fault refuses all of it."""
+    try:
+        return _snapshot(json.loads(value))
+    except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
+        detail = f"configuration: {type(error).__name__}: {error}"
+        return Failure(kind=Kind.INVALID_CONTENT, detail=detail)
+
+
+def _snapshot(plain: Mapping[str, Any]) -> Snapshot:
+    version = plain["version"]
+    if type(version) is not int:
+        raise TypeError("version is not a whole number")
+    routes_by_host: dict[str, list[Route]] = {}
+    connections_by_service: dict[str, int] = {}
+    for resource in plain["resources"]:
+        kind, spec = resource["resource_kind"], resource["spec"]
+        if kind == "routes":
+            host = str(spec["hostname"]).lower()
+            route = _route(resource["metadata"]["name"], spec)
+            routes_by_host.setdefault(host, []).append(route)
+        elif kind == "services":
+            name = resource["metadata"]["name"]
+            connections_by_service[name] = int(spec["max_connections"])
+    return Snapshot(
+        head=Head(version=version, digest=b""),
+        routes_by_customer={
+            host: _longest_first(routes) for host, routes in routes_by_host.items()
+        },
+        customer_by_host={host: host for host in routes_by_host},
+        connections_by_service=connections_by_service,
+    )
+
+
+def _longest_first(routes: Iterable[Route]) -> tuple[Route, ...]:
+    return tuple(sorted(routes, key=lambda route: -len(route.path)))
+
+
+def _route(name: str, spec: Mapping[str, Any]) -> Route:
+    shares = tuple(
+        ServiceShare(service=str(part["service"]), weight=float(part["weight"]))
+        for part in spec.get("traffic_split") or ()
+    )
+    return Route(
+        customer="",
+        name=str(name),
+        path=str(spec["path_prefix"]),
+        methods=_METHODS,
+        service=str(spec.get("service") or shares[0].service),
+        shares=shares,
+        # The type of a route says whether a request may run more than once.
+        idempotent=spec["type"] == _REPEATABLE,
+        trusts_method=False,
+        timeout_s=float(spec["timeout_s"]),
+        target_latency_s=float(spec.get("target_latency_s", 0.0)),
+        priority=int(spec.get("priority", 0)),
+        max_attempts=int(spec.get("max_attempts", 0)),
+    )
--- /dev/null
+++ b/src/comfreytray/platform/interfaces.py
@@ -0,0 +1,89 @@
+"""Answer the platform's and the instance's own questions to the node."""
+
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import unquote
+
+from comfreytray.heartbeats import InstanceRegister, Receipt
+from comfreytray.interfaces import Address
+from comfreytray.logs import Event, warn
+from comfreytray.platform import instances
+
+READY_PATH = "/-/ready"
+INSTANCES_PATH = "/-/instances/"
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+def _answer(start_response: StartResponse, status: HTTPStatus) -> Iterable[bytes]:
+    body = b"{}"
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    start_response(f"{status.value} {status.phrase}", headers)
+    return [body]
+
+
+class Readiness:
+    """Tell the platform whether the node takes callers."""
+
+    def __init__(self, *, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        if environ["PATH_INFO"] != READY_PATH:
+            return _answer(start_response, HTTPStatus.NOT_FOUND)
+        status = HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
+        return _answer(start_response, status)
+
+
+class Heartbeats:
+    """Take the heartbeats and departures of the instance beside the node."""
+
+    def __init__(
+        self, *, register: InstanceRegister, service: str, upstream: Address
+    ) -> None:
+        self._register = register
+        self._service = service
+        self._upstream = upstream
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        path: str = environ["PATH_INFO"]
+        if not path.startswith(INSTANCES_PATH):
+            return _answer(start_response, HTTPStatus.NOT_FOUND)
+        instance_id = unquote(path.removeprefix(INSTANCES_PATH))
+        body = environ["wsgi.input"].read(instances.MAX_BYTES + 1)
+        method = environ["REQUEST_METHOD"]
+        if method == "PUT":
+            return _answer(start_response, self._put(instance_id, body))
+        if method == "DELETE":
+            return _answer(start_response, self._delete(instance_id, body))
+        return _answer(start_response, HTTPStatus.METHOD_NOT_ALLOWED)
+
+    def _put(self, instance_id: str, body: bytes) -> HTTPStatus:
+        heartbeat = instances.decode_heartbeat(
+            instance_id, body, service=self._service, upstream=self._upstream
+        )
+        if heartbeat is None:
+            warn(Event.HEARTBEAT_REFUSED, instance=instance_id, bytes=len(body))
+            return HTTPStatus.BAD_REQUEST
+        if self._register.receive(heartbeat) is Receipt.STALE:
+            warn(
+                Event.HEARTBEAT_STALE,
+                instance=instance_id,
+                started_ms=heartbeat.started_ms,
+                sequence=heartbeat.sequence,
+            )
+        return HTTPStatus.OK
+
+    def _delete(self, instance_id: str, body: bytes) -> HTTPStatus:
+        started_ms = instances.decode_start(body)
+        if self._register.leave(instance_id, started_ms) is Receipt.STALE:
+            warn(Event.HEARTBEAT_STALE, instance=instance_id, started_ms=started_ms)
+        return HTTPStatus.OK
--- /dev/null
+++ b/src/comfreytray/platform/main.py
@@ -0,0 +1,76 @@
+"""The process that the platform starts beside each upstream instance."""
+
+import gc
+import os
+import signal
+from pathlib import Path
+from types import FrameType
+
+import eventlet
+
+from comfreytray import logs
+from comfreytray.exceptions import SettingError
+from comfreytray.platform import configuration
+from comfreytray.platform.headers import DIALECT
+from comfreytray.platform.interfaces import Heartbeats, Readiness
+from comfreytray.platform.objectstore import PlatformStore
+from comfreytray.platform.settings import FILE_VARIABLE, PlatformSettings, load
+from comfreytray.proxynode import ProxyNode
+
+
+def main() -> int:
+    """Run a node until it is told to stop; return the exit code."""
+    logs.configure("info")
+    path = Path(os.environ.get(FILE_VARIABLE, ""))
+    try:
+        settings = load(path)
+    except SettingError as error:
+        logs.warn(logs.Event.SETTING_REFUSED, reason=str(error))
+        return error.exit_code
+    with PlatformStore(address=settings.store) as store:
+        _run(settings, store, path)
+    return 0
+
+
+def _run(settings: PlatformSettings, store: PlatformStore, path: Path) -> None:
+    node = ProxyNode(
+        place=settings.place,
+        store=store,
+        configuration_key=configuration.OBJECT_KEY,
+        decode_configuration=configuration.decode,
+        dialect=DIALECT,
+    )
+
+    def stop(_: int, __: FrameType | None) -> None:
+        eventlet.hubs.get_hub().schedule_call_global(0, node.ask_to_stop)
+
+    def reload(_: int, __: FrameType | None) -> None:
+        eventlet.hubs.get_hub().schedule_call_global(0, _reload, path)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGHUP, reload)
+    with node:
+        node.serve(settings.ready, Readiness(is_ready=lambda: node.is_ready))
+        node.serve(
+            settings.heartbeats,
+            Heartbeats(
+                register=node.register,
+                service=settings.place.service,
+                upstream=settings.place.upstream,
+            ),
+        )
+        # What start-up made stays; without it a collection takes no time.
+        gc.collect()
+        gc.freeze()
+        node.run()
+
+
+def _reload(path: Path) -> None:
+    """Check the settings file again; what it changes takes effect at a restart."""
+    try:
+        load(path)
+    except SettingError as error:
+        logs.warn(logs.Event.SETTING_REFUSED, reason=str(error))
+        return
+    logs.log(logs.Event.SETTINGS_RELOADED, path=str(path))
--- /dev/null
+++ b/src/comfreytray/platform/objectstore.py
@@ -0,0 +1,222 @@
+"""A client of the platform's object store."""
+
+import json
+import socket
+from types import TracebackType
+from typing import Any, Self
+from urllib.parse import quote
+
+import urllib3
+from urllib3 import exceptions as http_errors
+
+from comfreytray.errors import Failure, Kind
+from comfreytray.interfaces import Address, StoredObject, WatchBatch
+from comfreytray.keepalive import OPTIONS as SILENCE_OPTIONS
+
+OBJECTS_PATH = "/-/objects"
+CALL_TIMEOUT_S = 1.5
+WATCH_MARGIN_S = 1.5
+"""How much longer than a watch's own time the client waits for its answer."""
+MAX_CONNECTIONS = 4
+MS_PER_S = 1000
+_NOT_SENT = (http_errors.NewConnectionError, http_errors.ConnectTimeoutError)
+_HISTORY_GONE = 410
+_KIND_BY_STATUS = {
+    404: Kind.NOT_FOUND,
+    409: Kind.CONFLICT,
+    413: Kind.VALUE_TOO_LARGE,
+    429: Kind.STORE_UNAVAILABLE,
+    503: Kind.STORE_UNAVAILABLE,
+}
+"""Statuses after which nothing was done; any other leaves a write unknown."""
+
+
+class PlatformStore:
+    """Use the platform's store; implements `ObjectStore`.
+
+    A key is `kind/name`, a prefix `kind/` or a whole key; the value is the JSON text
+    of the object's spec.
+    """
+
+    def __init__(self, *, address: Address) -> None:
+        self._pool = urllib3.HTTPConnectionPool(
+            address[0],
+            address[1],
+            maxsize=MAX_CONNECTIONS,
+            block=False,
+            retries=False,
+            socket_options=[
+                (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+                *SILENCE_OPTIONS,
+            ],
+        )
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._pool.close()
+
+    def get(self, key: str) -> StoredObject | Failure:
+        """Read one object."""
+        plain = self._read(_path(key), CALL_TIMEOUT_S)
+        if isinstance(plain, Failure):
+            return plain
+        return _stored_or_failure(key.partition("/")[0], plain)
+
+    def list(self, prefix: str) -> tuple[StoredObject, ...] | Failure:
+        """Read all objects under a prefix, in key order."""
+        batch = self._list(prefix)
+        return batch if isinstance(batch, Failure) else batch.objects
+
+    def put(
+        self, key: str, value: bytes, *, expected_version: int | None
+    ) -> StoredObject | Failure:
+        """Write if the version is as expected; 0 expects no object, None any."""
+        kind, _, name = key.partition("/")
+        metadata: dict[str, Any] = {"name": name, "finalizers": []}
+        if expected_version:
+            metadata["revision"] = expected_version
+        body = {"metadata": metadata, "spec": json.loads(value)}
+        creating = expected_version == 0
+        path = f"{OBJECTS_PATH}/{quote(kind)}" if creating else _path(key)
+        plain = self._write("POST" if creating else "PUT", path, body)
+        if isinstance(plain, Failure):
+            return plain
+        try:
+            return _stored(kind, plain)
+        except (KeyError, TypeError) as error:
+            return _unknown(f"malformed answer: {type(error).__name__}")
+
+    def delete(self, key: str, *, expected_version: int | None) -> Failure | None:
+        """Delete if the version is as expected."""
+        condition = "" if expected_version is None else f"?revision={expected_version}"
+        plain = self._write("DELETE", _path(key) + condition, None)
+        return plain if isinstance(plain, Failure) else None
+
+    def watch(
+        self, prefix: str, *, after_revision: int, timeout_s: float
+    ) -> WatchBatch | Failure:
+        """Wait for changes under a prefix; all of it when the changes are forgotten."""
+        if after_revision <= 0:
+            return self._list(prefix)
+        kind = prefix.partition("/")[0]
+        wait_ms = int(timeout_s * MS_PER_S)
+        path = f"{OBJECTS_PATH}/{quote(kind)}?watch={after_revision}&wait_ms={wait_ms}"
+        plain = self._read(path, timeout_s + WATCH_MARGIN_S)
+        if isinstance(plain, Failure):
+            gone = plain.kind is Kind.NOT_FOUND
+            return self._list(prefix) if gone else plain
+        try:
+            objects = [
+                _stored(kind, event["object"])
+                for event in plain["events"]
+                if not event["removed"]
+            ]
+            return _batch(prefix, plain["store_revision"], objects)
+        except (KeyError, TypeError) as error:
+            return _malformed(error)
+
+    def _list(self, prefix: str) -> WatchBatch | Failure:
+        """Read a kind page by page; the first page's revision holds for a watch."""
+        kind = prefix.partition("/")[0]
+        objects: list[StoredObject] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            query = f"?after={quote(after)}" if after else ""
+            plain = self._read(f"{OBJECTS_PATH}/{quote(kind)}{query}", CALL_TIMEOUT_S)
+            if isinstance(plain, Failure):
+                return plain
+            try:
+                page = [_stored(kind, item) for item in plain["items"]]
+                if revision is None:
+                    revision = plain["store_revision"]
+                more = plain["more"]
+            except (KeyError, TypeError) as error:
+                return _malformed(error)
+            objects.extend(page)
+            if not more or not page:
+                return _batch(prefix, revision, objects)
+            after = page[-1].key.partition("/")[2]
+
+    def _read(self, path: str, timeout_s: float) -> Any:
+        try:
+            response = self._request("GET", path, None, timeout_s)
+        except (http_errors.HTTPError, OSError) as error:
+            return Failure(kind=Kind.STORE_UNAVAILABLE, detail=type(error).__name__)
+        if response.status == _HISTORY_GONE:
+            return Failure(kind=Kind.NOT_FOUND, detail="history gone")
+        if response.status != 200:
+            kind = _KIND_BY_STATUS.get(response.status, Kind.STORE_UNAVAILABLE)
+            return Failure(kind=kind, detail=f"status {response.status}")
+        try:
+            return json.loads(response.data)
+        except ValueError as error:
+            return _malformed(error)
+
+    def _write(self, method: str, path: str, body: object) -> Any:
+        try:
+            response = self._request(method, path, body, CALL_TIMEOUT_S)
+        except _NOT_SENT as error:
+            return Failure(kind=Kind.STORE_UNAVAILABLE, detail=type(error).__name__)
+        except (http_errors.HTTPError, OSError) as error:
+            return _unknown(type(error).__name__)
+        if response.status in (200, 201, 204):
+            return json.loads(response.data) if response.data else {}
+        kind = _KIND_BY_STATUS.get(response.status)
+        if kind is None:
+            return _unknown(f"status {response.status}")
+        return Failure(kind=kind, detail=f"{path}: status {response.status}")
+
+    def _request(
+        self, method: str, path: str, body: object, timeout_s: float
+    ) -> urllib3.BaseHTTPResponse:
+        return self._pool.urlopen(
+            method,
+            path,
+            body=None if body is None else json.dumps(body).encode(),
+            headers={"Content-Type": "application/json"},
+            redirect=False,
+            timeout=urllib3.Timeout(connect=CALL_TIMEOUT_S, read=timeout_s),
+        )
+
+
+def _path(key: str) -> str:
+    kind, _, name = key.partition("/")
+    return f"{OBJECTS_PATH}/{quote(kind)}/{quote(name, safe='')}"
+
+
+def _stored(kind: str, plain: Any) -> StoredObject:
+    metadata = plain["metadata"]
+    return StoredObject(
+        key=f"{kind}/{metadata['name']}",
+        value=json.dumps(plain["spec"]).encode(),
+        version=int(metadata["revision"]),
+    )
+
+
+def _stored_or_failure(kind: str, plain: Any) -> StoredObject | Failure:
+    try:
+        return _stored(kind, plain)
+    except (KeyError, TypeError) as error:
+        return _malformed(error)
+
+
+def _batch(prefix: str, revision: Any, objects: list[StoredObject]) -> WatchBatch:
+    wanted = tuple(stored for stored in objects if stored.key.startswith(prefix))
+    return WatchBatch(revision=int(revision), objects=wanted)
+
+
+def _malformed(error: Exception) -> Failure:
+    detail = f"malformed answer: {type(error).__name__}"
+    return Failure(kind=Kind.STORE_UNAVAILABLE, detail=detail)
+
+
+def _unknown(detail: str) -> Failure:
+    return Failure(kind=Kind.STORE_OUTCOME_UNKNOWN, detail=detail)
--- a/src/comfreytray/proxy.py
+++ b/src/comfreytray/proxy.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Iterable, Iterator
 from types import TracebackType
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import eventlet
 from attrs import define
@@ -25,19 +25,23 @@
     fail,
 )
 from comfreytray.connections import StreamClient
+from comfreytray.dialect import NATIVE, Dialect
 from comfreytray.dispatch import Dispatcher
 from comfreytray.errors import Failure, Kind
 from comfreytray.interfaces import Clock, ObjectStore
-from comfreytray.keyed import KeyedCalls
 from comfreytray.metrics import Metrics
 from comfreytray.owner import Owner
 from comfreytray.records import LocalUpstream, MembershipView, NodeRecord
 from comfreytray.routing import Router
 from comfreytray.snapshots import Snapshot
+from comfreytray.splits import Splitter
 from comfreytray.streamserver import StreamServer
 from comfreytray.sweeping import Sweeper
 from comfreytray.tracing import Tracer, traced
 
+if TYPE_CHECKING:
+    from comfreytray.keyed import KeyedCalls
+
 DRAIN_POLL_S = 0.02
 
 Environ = dict[str, Any]
@@ -61,6 +65,10 @@
         self.on_end()
 
 
+def _no_caller() -> str:
+    return ""
+
+
 class CallPath:
     """Carry calls from callers to endpoints and from other nodes to the upstream."""
 
@@ -73,8 +81,10 @@
         local_upstream: Callable[[], LocalUpstream | None],
         clock: Clock,
         random: random.Random,
-        store: ObjectStore,
+        store: ObjectStore | None,
         metrics: Metrics,
+        caller: Callable[[], str] = _no_caller,
+        dialect: Dialect = NATIVE,
         tracer: Tracer | None = None,
         message_for: MessageFor = plain_message,
     ) -> None:
@@ -86,11 +96,19 @@
         self.tracer = tracer
         self.leaving = False
         self.in_flight = 0
-        self.body_budget = requests.BodyBudget()
+        self.dialect = dialect
+        self.reader = requests.RequestReader(
+            dialect=dialect, caller=caller, clock=clock, splitter=Splitter()
+        )
+        self.body_budget = self.reader.budget
         own_id = node().node_id
         self.router = Router(node=node, members=members, clock=clock, random=random)
         self.owner = Owner(
-            local_upstream=local_upstream, clock=clock, metrics=metrics, tracer=tracer
+            local_upstream=local_upstream,
+            clock=clock,
+            metrics=metrics,
+            tracer=tracer,
+            dialect=dialect,
         )
         self.client = StreamClient(own_id=own_id, clock=clock, metrics=metrics)
         self.server = StreamServer(
@@ -107,15 +125,7 @@
             clock=clock,
             metrics=metrics,
         )
-        self.keyed = KeyedCalls(
-            node=node,
-            members=members,
-            client=self.client,
-            run=self.dispatcher.run,
-            store=store,
-            clock=clock,
-            random=random,
-        )
+        self.keyed = self._keyed_calls(node, members, store, random)
         self.sweeper = Sweeper(
             clock=clock,
             owner=self.owner,
@@ -128,6 +138,29 @@
         self.callers = Callers()
         self._listener: Listener | None = None
 
+    def _keyed_calls(
+        self,
+        node: Callable[[], NodeRecord],
+        members: Callable[[], MembershipView],
+        store: ObjectStore | None,
+        random: random.Random,
+    ) -> "KeyedCalls | None":
+        """Make the part for idempotency keys; a node without a store has none."""
+        if store is None:
+            return None
+        # Its imports cost memory in a node that has no keys.
+        from comfreytray.keyed import KeyedCalls
+
+        return KeyedCalls(
+            node=node,
+            members=members,
+            client=self.client,
+            run=self.dispatcher.run,
+            store=store,
+            clock=self.clock,
+            random=random,
+        )
+
     def __enter__(self) -> "CallPath":
         self._sweep = eventlet.spawn(self.sweeper.run)
         return self
@@ -160,16 +193,21 @@
         """Serve the call streams of other nodes until the listener is closed."""
         self.server.serve(listener)
 
+    def leave(self) -> None:
+        """Refuse new work for the upstream; callers are served through other nodes."""
+        self.leaving = True
+        self.router.leaving = True
+        if self.keyed is not None:
+            self.keyed.leave()
+        self.owner.leave()
+
     def drain(self, timeout_s: float) -> bool:
         """Refuse new work for the upstream and wait for its calls in flight.
 
         Callers are still served through other nodes; once they are stopped, their
         calls are waited for too.
         """
-        self.leaving = True
-        self.router.leaving = True
-        self.keyed.leave()
-        self.owner.leave()
+        self.leave()
         end = self.clock.monotonic() + timeout_s
         while self._busy():
             if self.clock.monotonic() >= end:
@@ -179,7 +217,8 @@
 
     def _busy(self) -> bool:
         entering = self.in_flight if self.callers.stopping else 0
-        return bool(entering or self.owner.in_flight or not self.keyed.settled)
+        settled = self.keyed is None or self.keyed.settled
+        return bool(entering or self.owner.in_flight or not settled)
 
     def report(self) -> dict[str, object]:
         """Return the state of the call path in plain types."""
@@ -203,12 +242,7 @@
         streaming = False
         entry = self.sweeper.enter(environ)
         try:
-            call = requests.read(
-                environ,
-                snapshot=self.snapshot(),
-                now=self.clock.monotonic(),
-                budget=self.body_budget,
-            )
+            call = self.reader.read(environ, self.snapshot())
             result = Outcome.of(call) if isinstance(call, Failure) else self._run(call)
             if isinstance(result, Reply) and requests.needs_whole(environ, result):
                 result = gather(result)
@@ -234,16 +268,18 @@
     def refusal(self, failure: Failure, accept_language: str) -> bytes:
         """Return a whole HTTP answer for a head that is refused."""
         text = self.message_for(failure, accept_language)
-        return whole_refusal(Outcome.of(failure), text)
+        return whole_refusal(Outcome.of(failure), text, self.dialect)
 
     def _run(self, call: Call) -> Reply | Outcome:
         self.metrics.count("calls")
-        run = self.keyed.run if call.key else self.dispatcher.run
+        run = self.dispatcher.run
+        if call.key and self.keyed is not None:
+            run = self.keyed.run
         return traced(self.tracer, "entry", call, run)
 
     def _run_for_node(self, call: Call) -> Reply | Outcome:
         self.metrics.count("calls_for_nodes")
-        if call.key:
+        if call.key and self.keyed is not None:
             return self.keyed.keep(call)
         return self.owner.run(call)
 
@@ -269,7 +305,7 @@
         self.metrics.count(f"refused_{kind.value}")
         language = environ.get("HTTP_ACCEPT_LANGUAGE", "")
         text = self.message_for(outcome.failure, language)
-        status, headers, body = refusal_of(outcome, text)
+        status, headers, body = refusal_of(outcome, text, self.dialect)
         if requests.body_unread(environ) or self.leaving:
             requests.close_after(environ)
         start_response(status, headers)
--- /dev/null
+++ b/src/comfreytray/proxynode.py
@@ -0,0 +1,298 @@
+"""A node that takes configuration and members straight from the platform's store."""
+
+import random
+from collections.abc import Callable, Iterable, Mapping
+from contextlib import ExitStack
+from types import TracebackType
+from typing import Any
+
+import attrs
+import eventlet
+import eventlet.wsgi
+from attrs import frozen
+
+from comfreytray.budgets import Backoff
+from comfreytray.clock import SystemClock
+from comfreytray.dialect import Dialect
+from comfreytray.directory import PREFIX as MEMBERS_PREFIX
+from comfreytray.directory import Directory
+from comfreytray.errors import Failure
+from comfreytray.heartbeats import InstanceRegister
+from comfreytray.interfaces import Address, ObjectStore, StoredObject
+from comfreytray.logs import Event, log, warn
+from comfreytray.metrics import Metrics
+from comfreytray.ownrecord import OwnRecord
+from comfreytray.proxy import CallPath
+from comfreytray.records import Endpoint, LocalUpstream, NodeRecord, NodeState
+from comfreytray.signals import Signal
+from comfreytray.snapshots import Snapshot
+from comfreytray.subscriptions import Subscription
+from comfreytray.tasks import TaskGroup
+
+LISTEN_BACKLOG = 1024
+MAX_SIDE_CONNECTIONS = 64
+CONFIGURATION_WAIT_S = 8.0
+MEMBERS_WAIT_S = 15.0
+CONFIGURATION_GAP_S = 0.3
+"""Pause after a change, so that a series of them is read as few."""
+MEMBERS_GAP_S = 0.3
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 1.0
+TICK_S = 0.25
+READY_MISSES_S = 2.4
+"""Time in which callers learn that a node is no longer ready: two status checks."""
+EXIT_MARGIN_S = 0.6
+"""Part of the grace period that is left for ending the process."""
+
+DecodeConfiguration = Callable[[bytes], Snapshot | Failure]
+Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
+@frozen(kw_only=True)
+class Place:
+    """Say who a node is and where it listens."""
+
+    node_id: str
+    service: str
+    """Service of the instance beside the node."""
+    region: str
+    data_centre: str
+    host: str
+    upstream: Address
+    call_port: int
+    entry: Address
+    heartbeat_s: float
+    grace_s: float
+    """Time between the signal to stop and the end by force."""
+
+
+class ProxyNode:
+    """Carry calls by what the store says; a context manager that owns all it opens."""
+
+    def __init__(
+        self,
+        *,
+        place: Place,
+        store: ObjectStore,
+        configuration_key: str,
+        decode_configuration: DecodeConfiguration,
+        dialect: Dialect,
+    ) -> None:
+        self.place = place
+        self.store = store
+        self.decode_configuration = decode_configuration
+        self.clock = SystemClock()
+        self.random = random.Random()
+        self.metrics = Metrics()
+        self.snapshot: Snapshot | None = None
+        self.directory = Directory()
+        self.state = NodeState.ALIVE
+        self.incarnation = int(self.clock.wall() * 1000)
+        self.register = InstanceRegister(
+            clock=self.clock,
+            heartbeat_s=place.heartbeat_s,
+            on_change=self._on_endpoint_change,
+        )
+        self.configuration = self._subscribe(
+            configuration_key,
+            CONFIGURATION_WAIT_S,
+            CONFIGURATION_GAP_S,
+            self._apply_configuration,
+        )
+        self.members = self._subscribe(
+            MEMBERS_PREFIX, MEMBERS_WAIT_S, MEMBERS_GAP_S, self.directory.apply
+        )
+        self.own_record = OwnRecord(store=store, backoff=self._backoff())
+        self._record_changed = Signal()
+        self._stop = eventlet.event.Event()
+        self._stack = ExitStack()
+        self.calls = CallPath(
+            node=self.record,
+            members=lambda: self.directory.view,
+            snapshot=lambda: self.snapshot,
+            local_upstream=self._local_upstream,
+            clock=self.clock,
+            random=self.random,
+            store=None,
+            metrics=self.metrics,
+            caller=lambda: place.service,
+            dialect=dialect,
+        )
+        self.directory.put(self.record())
+
+    def __enter__(self) -> "ProxyNode":
+        with ExitStack() as stack:
+            stack.enter_context(self.calls)
+            self._tasks = stack.enter_context(TaskGroup())
+            self._open()
+            self._stack = stack.pop_all()
+        log(
+            Event.NODE_STARTED,
+            node=self.place.node_id,
+            service=self.place.service,
+            incarnation=self.incarnation,
+        )
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._stack.close()
+        log(Event.NODE_STOPPED, node=self.place.node_id)
+
+    @property
+    def is_ready(self) -> bool:
+        """Say whether the node can serve new callers."""
+        known = self.snapshot is not None and self.members.heard_at is not None
+        return known and self.state is NodeState.ALIVE
+
+    def record(self) -> NodeRecord:
+        """Return how this node describes itself now."""
+        upstream = self.register.upstream
+        place = self.place
+        return NodeRecord(
+            node_id=place.node_id,
+            incarnation=self.incarnation,
+            region=place.region,
+            data_centre=place.data_centre,
+            host=place.host,
+            control_port=0,
+            call_port=place.call_port,
+            state=self.state,
+            endpoint=None if upstream is None else upstream.endpoint,
+        )
+
+    def serve(self, address: Address, application: Application) -> None:
+        """Serve a further interface of the node on an address of its own."""
+        listener = eventlet.listen(address, backlog=LISTEN_BACKLOG)
+        self._tasks.spawn(
+            f"http-{address[1]}",
+            lambda: eventlet.wsgi.server(
+                listener,
+                application,
+                log_output=False,
+                max_size=MAX_SIDE_CONNECTIONS,
+                debug=False,
+            ),
+        )
+
+    def ask_to_stop(self) -> None:
+        """Begin the graceful shutdown."""
+        if not self._stop.ready():
+            self._stop.send()
+
+    def run(self) -> None:
+        """Serve until asked to stop, then leave and finish what runs."""
+        self._stop.wait()
+        started = self.clock.monotonic()
+        log(Event.NODE_STOPPING, node=self.place.node_id, grace_s=self.place.grace_s)
+        self.state = NodeState.LEAVING
+        self._on_endpoint_change(None)
+        self.calls.leave()
+        eventlet.sleep(READY_MISSES_S)
+        spent_s = self.clock.monotonic() - started
+        left_s = max(0.0, self.place.grace_s - EXIT_MARGIN_S - spent_s)
+        finished = self.calls.stop_http(left_s)
+        if not finished:
+            warn(Event.CALLS_CUT, in_flight=self.calls.in_flight)
+
+    def _open(self) -> None:
+        place = self.place
+        entry = eventlet.listen(place.entry, backlog=LISTEN_BACKLOG)
+        streams = eventlet.listen((place.host, place.call_port), backlog=LISTEN_BACKLOG)
+        self._tasks.spawn("entry", lambda: self.calls.serve_http(entry))
+        self._tasks.spawn("streams", lambda: self.calls.serve_streams(streams))
+        self._tasks.spawn("configuration", lambda: _repeat(self.configuration.step))
+        self._tasks.spawn("members", lambda: _repeat(self.members.step))
+        self._tasks.spawn("own-record", self._keep_record)
+        self._tasks.every(TICK_S, {"register": self.register.tick})
+
+    def _subscribe(
+        self,
+        prefix: str,
+        wait_s: float,
+        gap_s: float,
+        on_objects: Callable[[Iterable[StoredObject]], None],
+    ) -> Subscription:
+        return Subscription(
+            store=self.store,
+            prefix=prefix,
+            clock=self.clock,
+            backoff=self._backoff(),
+            wait_s=wait_s,
+            gap_s=gap_s,
+            on_objects=on_objects,
+        )
+
+    def _backoff(self) -> Backoff:
+        return Backoff(random=self.random, min_s=RETRY_MIN_S, max_s=RETRY_MAX_S)
+
+    def _local_upstream(self) -> LocalUpstream | None:
+        """Return the instance beside the node with the connections that it may take."""
+        upstream = self.register.upstream
+        if upstream is None or self.snapshot is None:
+            return upstream
+        connections = self.snapshot.connections_by_service.get(
+            upstream.endpoint.service
+        )
+        if connections is None or connections == upstream.endpoint.connections:
+            return upstream
+        endpoint = attrs.evolve(upstream.endpoint, connections=connections)
+        return attrs.evolve(upstream, endpoint=endpoint)
+
+    def _apply_configuration(self, objects: Iterable[StoredObject]) -> None:
+        for stored in objects:
+            snapshot = self.decode_configuration(stored.value)
+            if isinstance(snapshot, Failure):
+                warn(
+                    Event.VERSION_REFUSED,
+                    key=stored.key,
+                    revision=stored.version,
+                    reason=snapshot.detail,
+                )
+                continue
+            self._put_in_force(snapshot, stored.version)
+
+    def _put_in_force(self, snapshot: Snapshot, revision: int) -> None:
+        held = self.snapshot
+        if held is not None and snapshot.head.version <= held.head.version:
+            return
+        self.snapshot = snapshot
+        self.metrics.gauge("version_in_force", snapshot.head.version)
+        log(
+            Event.VERSION_APPLIED,
+            version=snapshot.head.version,
+            before=held.head.version if held else 0,
+            revision=revision,
+        )
+
+    def _on_endpoint_change(self, endpoint: Endpoint | None) -> None:
+        del endpoint
+        self.directory.put(self.record())
+        self._record_changed.fire()
+
+    def _keep_record(self) -> None:
+        while True:
+            record = self.record()
+            if self.own_record.is_current(record):
+                self._record_changed.wait(MEMBERS_WAIT_S)
+                continue
+            eventlet.sleep(self.own_record.write(record))
+
+    def report(self) -> Mapping[str, object]:
+        """Return the state of the node in plain types."""
+        return {
+            "node": self.place.node_id,
+            "ready": self.is_ready,
+            "version": self.snapshot.head.version if self.snapshot else 0,
+            "calls": self.calls.report(),
+            "metrics": self.metrics.report(),
+        }
+
+
+def _repeat(step: Callable[[], float]) -> None:
+    while True:
+        eventlet.sleep(step())
--- a/src/comfreytray/requests.py
+++ b/src/comfreytray/requests.py
@@ -1,25 +1,24 @@
 """Read a caller's HTTP request into a call, or say why it is refused."""
 
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import unquote
 
 import eventlet
 
 from comfreytray.calls import (
-    DEADLINE_HEADER,
-    DEPTH_HEADER,
-    IDEMPOTENT_METHODS,
-    KEY_HEADER,
     LENGTH_HEADER,
     MAX_BODY_BYTES,
     MAX_DEPTH,
-    RETRIED_HEADER,
     Call,
     Reply,
     request_headers,
 )
+from comfreytray.dialect import Dialect
 from comfreytray.errors import Failure, Kind
+from comfreytray.interfaces import Clock
 from comfreytray.snapshots import Route, Snapshot
+from comfreytray.splits import Splitter
 
 BODY_TIMEOUT_S = 10.0
 READ_BYTES = 65_536
@@ -32,15 +31,10 @@
 
 
 def _variable(header: str) -> str:
+    """Name the WSGI variable of a header; of no header, one that is never set."""
     return "HTTP_" + header.upper().replace("-", "_")
 
 
-_DEADLINE = _variable(DEADLINE_HEADER)
-_DEPTH = _variable(DEPTH_HEADER)
-_KEY = _variable(KEY_HEADER)
-_RETRIED = _variable(RETRIED_HEADER)
-
-
 class BodyBudget:
     """Bound the bytes of request bodies that a node holds at one time."""
 
@@ -64,46 +58,98 @@
     """End the reading of a body that comes too slowly."""
 
 
-def read(
-    environ: Environ, *, snapshot: Snapshot | None, now: float, budget: BodyBudget
-) -> Call | Failure:
-    """Match a request to its route and read it whole."""
-    if snapshot is None:
-        return Failure(kind=Kind.NO_CONFIGURATION)
-    route = _route(environ, snapshot)
-    if isinstance(route, Failure):
-        return route
-    left_s = _left_s(environ, route)
-    depth = _number(environ, _DEPTH, MAX_DEPTH + 1)
-    if left_s is None or depth is None:
-        return Failure(kind=Kind.BAD_REQUEST, detail="deadline or depth")
-    if depth > MAX_DEPTH:
-        return Failure(kind=Kind.CHAIN_TOO_DEEP)
-    if left_s <= 0:
-        return Failure(kind=Kind.DEADLINE_BEFORE_RUN, detail="no time left at entry")
-    method: str = environ["REQUEST_METHOD"]
-    idempotent = route.idempotent or method in IDEMPOTENT_METHODS
-    key = environ.get(_KEY, "").strip()
-    if len(key) > MAX_KEY_LENGTH:
-        return Failure(kind=Kind.BAD_REQUEST, detail="idempotency key")
-    body = read_body(environ, budget)
-    if isinstance(body, Failure):
-        return body
-    return Call(
-        service=route.service,
-        customer=route.customer,
-        share=route.share,
-        method=method,
-        target=_target(environ),
-        headers=request_headers(_pairs(environ)),
-        body=body,
-        deadline=now + left_s,
-        idempotent=idempotent,
-        depth=depth,
-        retried=_RETRIED in environ,
-        key="" if idempotent else key,
-        trace=environ.get("HTTP_TRACEPARENT", ""),
-    )
+class RequestReader:
+    """Read requests of callers into calls, by the words of one dialect."""
+
+    def __init__(
+        self,
+        *,
+        dialect: Dialect,
+        caller: Callable[[], str],
+        clock: Clock,
+        splitter: Splitter,
+    ) -> None:
+        self.dialect = dialect
+        self.caller = caller
+        self.clock = clock
+        self.splitter = splitter
+        self.budget = BodyBudget()
+        self._deadline = _variable(dialect.deadline)
+        self._depth = _variable(dialect.depth)
+        self._key = _variable(dialect.key)
+        self._retried = _variable(dialect.retried)
+        self._trace = _variable(dialect.trace)
+        self._call_id = _variable(dialect.call_id)
+
+    def read(self, environ: Environ, snapshot: Snapshot | None) -> Call | Failure:
+        """Match a request to its route and read it whole."""
+        now = self.clock.monotonic()
+        if snapshot is None:
+            return Failure(kind=Kind.NO_CONFIGURATION)
+        route = _route(environ, snapshot)
+        if isinstance(route, Failure):
+            return route
+        left_s = self._left_s(environ, route)
+        depth = _number(environ, self._depth, MAX_DEPTH + 1)
+        if left_s is None or depth is None:
+            return Failure(kind=Kind.BAD_REQUEST, detail="deadline or depth")
+        if depth > MAX_DEPTH:
+            return Failure(kind=Kind.CHAIN_TOO_DEEP)
+        if left_s <= 0:
+            return Failure(
+                kind=Kind.DEADLINE_BEFORE_RUN, detail="no time left at entry"
+            )
+        key = environ.get(self._key, "").strip()
+        if len(key) > MAX_KEY_LENGTH:
+            return Failure(kind=Kind.BAD_REQUEST, detail="idempotency key")
+        body = read_body(environ, self.budget)
+        if isinstance(body, Failure):
+            return body
+        return self._call(environ, route, body, now + left_s, depth, key)
+
+    def call_id(self, environ: Environ) -> str:
+        """Return the id that the caller gave to its attempt, empty if none."""
+        return environ.get(self._call_id, "")  # type: ignore[no-any-return]
+
+    def _call(
+        self,
+        environ: Environ,
+        route: Route,
+        body: bytes,
+        deadline: float,
+        depth: int,
+        key: str,
+    ) -> Call:
+        method: str = environ["REQUEST_METHOD"]
+        idempotent = route.is_idempotent(method)
+        return Call(
+            service=self.splitter.pick(route),
+            customer=route.customer,
+            share=route.share,
+            method=method,
+            target=_target(environ),
+            headers=request_headers(_pairs(environ), self.dialect.set_by_node),
+            body=body,
+            deadline=deadline,
+            idempotent=idempotent,
+            depth=depth,
+            retried=self._retried in environ,
+            key="" if idempotent else key,
+            trace=environ.get(self._trace, ""),
+            call_id=self.call_id(environ),
+            caller=self.caller(),
+            kind=route.name,
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+        )
+
+    def _left_s(self, environ: Environ, route: Route) -> float | None:
+        if self._deadline not in environ:
+            return route.timeout_s
+        left_ms = _number(environ, self._deadline, MAX_DEADLINE_MS)
+        if left_ms is None:
+            return None
+        return min(route.timeout_s, left_ms / MS_PER_S)
 
 
 def read_body(environ: Environ, budget: BodyBudget) -> bytes | Failure:
@@ -215,12 +261,3 @@
     if not (text.isascii() and text.isdigit()):
         return None
     return min(int(text[:12]), limit)
-
-
-def _left_s(environ: Environ, route: Route) -> float | None:
-    if _DEADLINE not in environ:
-        return route.timeout_s
-    left_ms = _number(environ, _DEADLINE, MAX_DEADLINE_MS)
-    if left_ms is None:
-        return None
-    return min(route.timeout_s, left_ms / MS_PER_S)
--- a/src/comfreytray/retries.py
+++ b/src/comfreytray/retries.py
@@ -53,10 +53,18 @@
 
 
 def decide(
-    call: Call, outcome: Outcome, *, redirects: int, time_left_s: float, budget: Budget
+    call: Call,
+    outcome: Outcome,
+    *,
+    redirects: int,
+    sent: int,
+    time_left_s: float,
+    budget: Budget,
 ) -> Decision:
     """Say whether a failed attempt may be made again at another endpoint."""
     kind = outcome.failure.kind
+    if call.max_attempts and sent >= call.max_attempts:
+        return Decision.GIVE_UP
     if time_left_s < MIN_TIME_LEFT_S:
         return Decision.GIVE_UP
     proved = outcome.ran is Ran.NO
--- a/src/comfreytray/routing.py
+++ b/src/comfreytray/routing.py
@@ -1,4 +1,9 @@
-"""Pick an endpoint by what this node itself sees of it."""
+"""Pick the endpoint that is expected to answer first, by what this node has seen.
+
+Pattern: endpoints of one service differ in speed, stand far apart, and turn slow or
+fail while their health says fine. A fixed order of places overloads the slow endpoint
+of a data centre; an even spread pays the way to the far ones on each call.
+"""
 
 import math
 import random
@@ -7,18 +12,35 @@
 from attrs import define
 
 from comfreytray import logs
+from comfreytray.calls import IDLE, Load
 from comfreytray.errors import Failure, Kind
 from comfreytray.interfaces import Clock
 from comfreytray.records import EndpointState, MembershipView, NodeRecord, NodeState
 
-LATENCY_WEIGHT = 0.2
+SLOWDOWN_WEIGHT = 0.15
+"""Part that the newest call has in what is known of an endpoint's speed."""
+BASE_WEIGHT = 0.05
 FAILURE_WEIGHT = 0.1
 FAILURE_PENALTY = 10.0
-REPORTED_WEIGHT = 0.2
-FIRST_LATENCY_S = 0.005
-MIN_LATENCY_S = 0.0005
-SLOW_START_S = 10.0
-SLOW_START_FLOOR = 0.1
+SUSPECT_PENALTY = 10.0
+COLD_SLOWDOWN = 3.0
+"""How much slower an endpoint is taken to be just after its start."""
+CROWDING = 0.3
+"""Share by which a call is expected to take longer at a full endpoint."""
+FIRST_SERVICE_TIME_S = 0.005
+MIN_SERVICE_TIME_S = 0.0005
+MIN_SLOWDOWN = 0.1
+JITTER = 0.1
+"""Nodes that see the same loads must not all pick the same endpoint."""
+LOAD_FADES_S = 1.0
+"""Time in which what an owner told of its load loses most of its worth."""
+DISTANCE_S_SAME_PLACE = 0.0005
+DISTANCE_S_SAME_REGION = 0.003
+DISTANCE_S_OTHER_REGION = 0.06
+"""Ways there and back, until a connection has shown the true one."""
+MAX_NEAR = 6
+MAX_FAR = 4
+"""Endpoints that one choice looks at, of the own region and of others."""
 EJECT_AFTER_FAILURES = 5
 EJECT_BASE_S = 2.0
 EJECT_MAX_S = 30.0
@@ -26,8 +48,8 @@
 MOVED_S = 3.0
 SHED_S = 0.1
 FORGET_AFTER_S = 60.0
-IDLE_HALVES_COST_S = 10.0
-"""Time without calls that halves an endpoint's cost, so that it is tried again."""
+BLAME_HALVES_S = 10.0
+"""Time without calls in which slowness and failures count half, to try it again."""
 
 
 @define(kw_only=True, eq=False)
@@ -36,10 +58,10 @@
 
     node_id: str
     incarnation: int
-    first_seen: float
     last_used: float
     in_flight: int = 0
-    latency_s: float = FIRST_LATENCY_S
+    slowdown: float = 1.0
+    """Time that calls take here, against the same calls at all endpoints."""
     failure_share: float = 0.0
     failures_in_row: int = 0
     ejections: int = 0
@@ -48,8 +70,19 @@
     """Until when a refusal for leaving keeps it out, ahead of the member list."""
     shed_until: float = 0.0
     """Until when others go first, since it shed a call."""
-    load: float = 0.0
+    load: Load = IDLE
     """Load that the owner sent with its last answer."""
+    load_at: float = 0.0
+    in_flight_at_load: int = 0
+
+
+@define(kw_only=True, eq=False)
+class _Near:
+    """Hold the endpoints of a service by how far they are."""
+
+    records: tuple[NodeRecord, ...]
+    near: list[NodeRecord]
+    far: list[NodeRecord]
 
 
 class Router:
@@ -62,33 +95,30 @@
         members: Callable[[], MembershipView],
         clock: Clock,
         random: random.Random,
+        distance_s: Callable[[NodeRecord], float | None] = lambda _: None,
     ) -> None:
         self.node = node
         self.members = members
         self.clock = clock
         self.random = random
+        self.distance_s = distance_s
         self.leaving = False
         self.view_by_id: dict[str, EndpointView] = {}
+        self.service_time_s_by_kind: dict[str, float] = {}
+        """Mean time of a kind of call at an endpoint of ordinary speed."""
         self.panics = 0
-        self._near_by_service: dict[
-            str, tuple[tuple[NodeRecord, ...], list[NodeRecord]]
-        ] = {}
-        """Nearest endpoints by service, with the list that they were found in."""
+        self._near_by_service: dict[str, _Near] = {}
 
     def pick(
-        self, service: str, *, exclude: Sequence[str] = ()
+        self, service: str, *, exclude: Sequence[str] = (), kind: str = ""
     ) -> NodeRecord | Failure:
-        """Choose an endpoint of a service: nearest place first, then least loaded."""
+        """Choose the endpoint of a service that should answer a kind of call first."""
         records = self.members().endpoints_by_service.get(service, ())
         now = self.clock.monotonic()
-        if not exclude and not self.leaving:
-            picked = self._pick_of_two(service, records, now)
-            if picked is not None:
-                return picked
         own_id = self.node().node_id
         usable = [
             record
-            for record in records
+            for record in self._draw(service, records)
             if record.node_id not in exclude
             and not (self.leaving and record.node_id == own_id)
             and self.view(record, now).moved_until <= now
@@ -97,22 +127,7 @@
             return Failure(kind=Kind.NO_ENDPOINT, fields={"service": service})
         healthy = self._without_ejected(usable, now)
         ready = [r for r in healthy if self.view(r, now).shed_until <= now]
-        return self._cheaper(self._draw(self._nearest(ready or healthy)), now)
-
-    def _pick_of_two(
-        self, service: str, records: tuple[NodeRecord, ...], now: float
-    ) -> NodeRecord | None:
-        """Draw from the nearest place; None if what is drawn may not be used."""
-        near = self._near_by_service.get(service)
-        if near is None or near[0] is not records:
-            near = (records, self._nearest(list(records)))
-            self._near_by_service[service] = near
-        drawn = self._draw(near[1])
-        for record in drawn:
-            view = self.view(record, now)
-            if max(view.moved_until, view.ejected_until, view.shed_until) > now:
-                return None
-        return self._cheaper(drawn, now) if drawn else None
+        return min(ready or healthy, key=lambda record: self._cost(record, kind, now))
 
     def view(self, record: NodeRecord, now: float) -> EndpointView:
         """Look up what is known of an endpoint; a new incarnation starts afresh."""
@@ -122,7 +137,6 @@
         made = EndpointView(
             node_id=record.node_id,
             incarnation=record.incarnation,
-            first_seen=now,
             last_used=now,
         )
         self.view_by_id[record.node_id] = made
@@ -136,23 +150,41 @@
         view.last_used = now
         return view
 
-    def finish(self, view: EndpointView, *, took_s: float, load: float) -> None:
+    def finish(
+        self, view: EndpointView, *, took_s: float, load: Load, kind: str = ""
+    ) -> None:
         """Count a call that was answered."""
         view.in_flight -= 1
-        view.load = load
-        view.latency_s += LATENCY_WEIGHT * (took_s - view.latency_s)
+        self._take_load(view, load)
+        self._learn(view, kind, load.held_s or took_s)
         view.failure_share -= FAILURE_WEIGHT * view.failure_share
         view.failures_in_row = 0
         if view.ejected_until and view.ejected_until <= self.clock.monotonic():
             view.ejected_until = 0.0
             logs.log(logs.Event.ENDPOINT_RESTORED, node=view.node_id)
 
+    def _take_load(self, view: EndpointView, load: Load) -> None:
+        if load is IDLE:
+            return
+        view.load = load
+        view.load_at = self.clock.monotonic()
+        view.in_flight_at_load = view.in_flight
+
+    def _learn(self, view: EndpointView, kind: str, took_s: float) -> None:
+        """Split a call's time into that of its kind and the endpoint's slowness."""
+        took_s = max(took_s, MIN_SERVICE_TIME_S)
+        base_s = self.service_time_s_by_kind.setdefault(kind, took_s)
+        view.slowdown += SLOWDOWN_WEIGHT * (took_s / base_s - view.slowdown)
+        at_ordinary_speed_s = took_s / max(view.slowdown, MIN_SLOWDOWN)
+        base_s += BASE_WEIGHT * (at_ordinary_speed_s - base_s)
+        self.service_time_s_by_kind[kind] = max(base_s, MIN_SERVICE_TIME_S)
+
     def fail(
-        self, view: EndpointView, failure: Failure, *, took_s: float, load: float
+        self, view: EndpointView, failure: Failure, *, took_s: float, load: Load
     ) -> None:
         """Count a call that the endpoint or the way to it failed."""
         view.in_flight -= 1
-        view.load = load or view.load
+        self._take_load(view, load)
         now = self.clock.monotonic()
         if failure.kind in (Kind.LEAVING, Kind.WRONG_NODE):
             view.moved_until = now + MOVED_S
@@ -161,7 +193,6 @@
             view.shed_until = now + SHED_S * self.random.uniform(0.5, 1.5)
         if failure.kind not in _BLAMED:
             return
-        view.latency_s += LATENCY_WEIGHT * max(0.0, took_s - view.latency_s)
         view.failure_share += FAILURE_WEIGHT * (1.0 - view.failure_share)
         view.failures_in_row += 1
         if view.failures_in_row >= EJECT_AFTER_FAILURES:
@@ -188,9 +219,9 @@
             {
                 "node": view.node_id,
                 "in_flight": view.in_flight,
-                "latency_ms": round(view.latency_s * 1000, 3),
+                "slowdown": round(view.slowdown, 3),
                 "failure_share": round(view.failure_share, 4),
-                "load": round(view.load, 3),
+                "load": round(view.load.used, 3),
                 "ejected_for_s": round(max(0.0, view.ejected_until - now), 3),
             }
             for view in self.view_by_id.values()
@@ -217,55 +248,66 @@
             return kept
         if len(records) > 1:
             self.panics += 1
-        return records
+        # With most endpoints failing, what is known of them is in doubt too.
+        return self.random.sample(records, min(2, len(records)))
 
-    def _nearest(self, records: list[NodeRecord]) -> list[NodeRecord]:
-        own = self.node()
-        here = [r for r in records if r.data_centre == own.data_centre]
-        if here:
-            return here
-        return [r for r in records if r.region == own.region] or records
-
-    def _draw(self, records: list[NodeRecord]) -> list[NodeRecord]:
-        """Draw two endpoints, or take all of fewer."""
-        count = len(records)
-        if count <= 2:
+    def _draw(
+        self, service: str, records: tuple[NodeRecord, ...]
+    ) -> Sequence[NodeRecord]:
+        """Take all of a few endpoints, or draw some of many, most of them near."""
+        if len(records) <= MAX_NEAR + MAX_FAR:
             return records
-        first = int(self.random.random() * count)
-        second = int(self.random.random() * (count - 1))
-        return [records[first], records[second + (second >= first)]]
-
-    def _cheaper(self, records: list[NodeRecord], now: float) -> NodeRecord:
-        """Choose the cheaper of one or two; either, when they cost the same."""
-        if len(records) == 1:
-            return records[0]
-        first, second = self._cost(records[0], now), self._cost(records[1], now)
-        if first == second:
-            return records[int(self.random.random() * 2)]
-        return records[0] if first < second else records[1]
-
-    def _cost(self, record: NodeRecord, now: float) -> float:
+        held = self._near_by_service.get(service)
+        if held is None or held.records is not records:
+            held = self._by_distance(records)
+            self._near_by_service[service] = held
+        near = self.random.sample(held.near, min(MAX_NEAR, len(held.near)))
+        return near + self.random.sample(held.far, min(MAX_FAR, len(held.far)))
+
+    def _by_distance(self, records: tuple[NodeRecord, ...]) -> _Near:
+        region = self.node().region
+        return _Near(
+            records=records,
+            near=[record for record in records if record.region == region],
+            far=[record for record in records if record.region != region],
+        )
+
+    def _cost(self, record: NodeRecord, kind: str, now: float) -> float:
+        """Estimate in seconds when an endpoint would answer a call."""
         view = self.view(record, now)
-        cost = (view.in_flight + 1) * max(view.latency_s, MIN_LATENCY_S)
-        cost *= 1.0 + FAILURE_PENALTY * view.failure_share
-        reported = record.endpoint.reported_load if record.endpoint else 0.0
-        cost *= 1.0 + REPORTED_WEIGHT * min(1.0, max(0.0, reported)) + view.load
+        own_s = self.service_time_s_by_kind.get(kind, FIRST_SERVICE_TIME_S)
+        slots = max(1, record.endpoint.slots if record.endpoint else 1)
+        used = self._used(view, slots, now)
+        blame = view.slowdown - 1.0 + FAILURE_PENALTY * view.failure_share
+        blame *= math.exp2((view.last_used - now) / BLAME_HALVES_S)
+        run_s = own_s * max(MIN_SLOWDOWN, 1.0 + blame)
+        run_s *= 1.0 + CROWDING * min(1.0, used) ** 2
+        if record.endpoint and record.endpoint.state is EndpointState.COLD:
+            run_s *= COLD_SLOWDOWN
+        waits = max(0.0, used + 1.0 / slots - 1.0)
+        cost = run_s + waits * (view.load.service_time_s or own_s)
+        cost += self._distance(record)
         if record.state is NodeState.SUSPECT:
-            cost *= 1.0 + FAILURE_PENALTY
-        cost *= math.exp2((view.last_used - now) / IDLE_HALVES_COST_S)
-        return cost / self._warmth(record, view, now)
+            cost *= 1.0 + SUSPECT_PENALTY
+        return cost * self.random.uniform(1.0, 1.0 + JITTER)
 
-    def _warmth(self, record: NodeRecord, view: EndpointView, now: float) -> float:
-        cold = record.endpoint is not None and (
-            record.endpoint.state is EndpointState.COLD
-        )
-        if cold:
-            view.first_seen = now
-            return SLOW_START_FLOOR
-        age_s = now - view.first_seen
-        if age_s >= SLOW_START_S:
-            return 1.0
-        return max(SLOW_START_FLOOR, age_s / SLOW_START_S)
+    def _used(self, view: EndpointView, slots: int, now: float) -> float:
+        """Estimate the share of slots in use: as told, and what went there since."""
+        fresh = math.exp((view.load_at - now) / LOAD_FADES_S)
+        told = view.load.used * fresh
+        own = view.in_flight - view.in_flight_at_load * fresh
+        return max(view.in_flight / slots, told + own / slots)
+
+    def _distance(self, record: NodeRecord) -> float:
+        seen_s = self.distance_s(record)
+        if seen_s is not None:
+            return seen_s
+        own = self.node()
+        if record.data_centre == own.data_centre:
+            return DISTANCE_S_SAME_PLACE
+        if record.region == own.region:
+            return DISTANCE_S_SAME_REGION
+        return DISTANCE_S_OTHER_REGION
 
 
 _BLAMED = frozenset(
--- a/src/comfreytray/snapshots.py
+++ b/src/comfreytray/snapshots.py
@@ -1,12 +1,23 @@
 """The compiled configuration that a node has in force."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from attrs import field, frozen
 
 from comfreytray.content import Head
 from comfreytray.errors import Failure, Kind
 
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+IDEMPOTENT_METHODS = SAFE_METHODS | {"PUT", "DELETE"}
+
+
+@frozen(kw_only=True)
+class ServiceShare:
+    """Give one service its share of a route's calls."""
+
+    service: str
+    weight: float
+
 
 @frozen(kw_only=True)
 class Route:
@@ -18,12 +29,32 @@
     """Path prefix that ends at a segment boundary."""
     methods: frozenset[str]
     service: str
+    shares: tuple["ServiceShare", ...] = ()
+    """Services between which the calls are split; empty if all go to `service`."""
     idempotent: bool = False
     """Declared idempotent by the operator, whatever the method."""
+    trusts_method: bool = True
+    """Whether calls of idempotent methods may run more than once too."""
+    priority: int = 0
+    """Rank among routes; 0 is the highest."""
+    max_attempts: int = 0
+    """Most endpoints that one call may be sent to; 0 leaves it to the node."""
+    target_latency_s: float = 0.0
+    """Time within which an answer is of full use; 0 if unstated."""
     timeout_s: float = 5.0
     share: float = 1.0
     """Largest share of an endpoint's slots that the customer may hold."""
 
+    def is_idempotent(self, method: str) -> bool:
+        """Say whether a call of a method may run more than once."""
+        by_method = self.trusts_method and method in IDEMPOTENT_METHODS
+        return self.idempotent or by_method
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """List the services that the route may send calls to."""
+        return tuple(share.service for share in self.shares) or (self.service,)
+
 
 @frozen(kw_only=True)
 class Snapshot:
@@ -33,14 +64,27 @@
     routes_by_customer: Mapping[str, tuple[Route, ...]] = field(factory=dict)
     """Routes with the longest path first."""
     customer_by_host: Mapping[str, str] = field(factory=dict)
+    connections_by_service: Mapping[str, int] = field(factory=dict)
+    """Most connections to one instance of a service, where the operator says so."""
+    _routes_by_prefix_by_customer: Mapping[str, Mapping[str, tuple[Route, ...]]] = (
+        field(init=False, eq=False, repr=False)
+    )
+
+    @_routes_by_prefix_by_customer.default
+    def _index(self) -> Mapping[str, Mapping[str, tuple[Route, ...]]]:
+        return {
+            customer: _by_prefix(routes)
+            for customer, routes in self.routes_by_customer.items()
+        }
 
     @property
     def services(self) -> frozenset[str]:
         """Collect the services that the routes name."""
         return frozenset(
-            route.service
+            service
             for routes in self.routes_by_customer.values()
             for route in routes
+            for service in route.services
         )
 
     def match(self, *, host: str, method: str, path: str) -> Route | Failure:
@@ -49,17 +93,34 @@
         if customer is None:
             return Failure(kind=Kind.UNKNOWN_CUSTOMER, fields={"host": host})
         wrong_method = False
-        for route in self.routes_by_customer[customer]:
-            if not _covers(route.path, path):
-                continue
+        for route in self._covering(customer, path):
             if method in route.methods:
                 return route
             wrong_method = True
         kind = Kind.METHOD_NOT_SUPPORTED if wrong_method else Kind.NO_ROUTE
         return Failure(kind=kind, fields={"method": method, "path": path})
 
+    def _covering(self, customer: str, path: str) -> Iterator[Route]:
+        """Give the routes whose prefix covers a path, the longest prefix first."""
+        routes_by_prefix = self._routes_by_prefix_by_customer[customer]
+        for prefix in _prefixes(path):
+            yield from routes_by_prefix.get(prefix, ())
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    """Give each part of a path that ends at a segment boundary, longest first."""
+    yield path
+    end = path.rfind("/")
+    while end >= 0:
+        if end + 1 < len(path):
+            yield path[: end + 1]
+        if end:
+            yield path[:end]
+        end = path.rfind("/", 0, end)
+
 
-def _covers(prefix: str, path: str) -> bool:
-    if not path.startswith(prefix):
-        return False
-    return len(path) == len(prefix) or prefix.endswith("/") or path[len(prefix)] == "/"
+def _by_prefix(routes: tuple[Route, ...]) -> dict[str, tuple[Route, ...]]:
+    by_prefix: dict[str, tuple[Route, ...]] = {}
+    for route in routes:
+        by_prefix[route.path] = (*by_prefix.get(route.path, ()), route)
+    return by_prefix
--- /dev/null
+++ b/src/comfreytray/splits.py
@@ -0,0 +1,35 @@
+"""Share the calls of a route between the services that its configuration names."""
+
+from comfreytray.snapshots import Route, ServiceShare
+
+MAX_ROUTES = 4096
+
+
+class Splitter:
+    """Deal calls to services in proportion to their weights.
+
+    Deterministic, so that each short run of calls keeps the proportion too.
+    """
+
+    def __init__(self) -> None:
+        self._credit_by_service_by_shares: dict[
+            tuple[ServiceShare, ...], dict[str, float]
+        ] = {}
+
+    def pick(self, route: Route) -> str:
+        """Choose the service of the next call on a route."""
+        if not route.shares:
+            return route.service
+        if len(self._credit_by_service_by_shares) > MAX_ROUTES:
+            self._credit_by_service_by_shares.clear()
+        credit_by_service = self._credit_by_service_by_shares.setdefault(
+            route.shares, {}
+        )
+        total = 0.0
+        for share in route.shares:
+            held = credit_by_service.get(share.service, 0.0)
+            credit_by_service[share.service] = held + share.weight
+            total += share.weight
+        service = max(credit_by_service, key=credit_by_service.__getitem__)
+        credit_by_service[service] -= total
+        return service
--- a/src/comfreytray/streams.py
+++ b/src/comfreytray/streams.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from comfreytray import callframes
-from comfreytray.calls import Call, Headers, Outcome, fail
+from comfreytray.calls import IDLE, Call, Headers, Load, Outcome, fail
 from comfreytray.errors import Failure, Kind
 from comfreytray.exceptions import invariant
 
@@ -64,7 +64,7 @@
     status: int = 0
     reason: str = ""
     headers: Headers = ()
-    load: float = 0.0
+    load: Load = IDLE
     chunks: deque[bytes] = field(factory=deque)
     buffered: int = 0
     whole: bool = False
@@ -140,6 +140,7 @@
                 outcome = fail(Kind.ANSWER_CUT, "connection lost")
             else:
                 outcome = fail(Kind.LOST_AFTER_SEND, "connection lost")
+                outcome.sent = True
             self._end(stream, outcome)
 
     def _take(self, frame: callframes.Frame) -> Failure | None:
@@ -161,7 +162,7 @@
         if stream.status:
             return Failure(kind=Kind.BAD_FRAME, detail="second head")
         stream.status, stream.reason, stream.headers = frame[2:5]
-        stream.load = frame[7]
+        stream.load = callframes.load_of(frame[7:])
         return self._add(stream, frame[5], last=frame[6])
 
     def _take_data(self, stream: CallStream, frame: callframes.Frame) -> Failure | None:
@@ -189,8 +190,10 @@
         kind, ran = callframes.kind_of(frame[2]), callframes.ran_of(frame[3])
         if kind is None or ran is None:
             return Failure(kind=Kind.BAD_FRAME, detail="refusal")
-        failure = Failure(kind=kind, detail=frame[4], retry_after_s=frame[5] or None)
-        self._end(stream, Outcome(failure=failure, ran=ran, load=frame[6]))
+        failure = Failure(kind=kind, detail=frame[4], retry_after_s=frame[6] or None)
+        load = callframes.load_of(frame[7:])
+        outcome = Outcome(failure=failure, ran=ran, sent=frame[5], load=load)
+        self._end(stream, outcome)
         return None
 
     def _take_cut(self, stream: CallStream, frame: callframes.Frame) -> Failure | None:
--- a/src/comfreytray/streamserver.py
+++ b/src/comfreytray/streamserver.py
@@ -8,10 +8,11 @@
 from eventlet.green import socket
 
 from comfreytray import callframes, logs
-from comfreytray.calls import Call, CallCutError, Outcome, Reply, fail
+from comfreytray.calls import IDLE, Call, CallCutError, Load, Outcome, Reply, fail
 from comfreytray.connections import MAX_OUTBOX_BYTES, READ_BYTES, Writer, hang_up
 from comfreytray.errors import Failure, Kind
 from comfreytray.interfaces import Address, Clock
+from comfreytray.keepalive import notice_silence
 from comfreytray.ownerstreams import OwnerStream, OwnerStreams, chunks_of
 from comfreytray.signals import Signal
 
@@ -33,7 +34,7 @@
         node_id: str,
         clock: Clock,
         handle: Handler,
-        load: Callable[[], float],
+        load: Callable[[], Load],
     ) -> None:
         self.node_id = node_id
         self.clock = clock
@@ -64,6 +65,7 @@
 
     def _serve_connection(self, sock: Any, address: Address) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        notice_silence(sock)
         self._sockets.add(sock)
         streams = OwnerStreams(node_id=self.node_id, clock=self.clock)
 
@@ -135,7 +137,8 @@
             logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
             result = fail(Kind.INTERNAL, type(error).__name__)
         if isinstance(result, Outcome):
-            self.streams.refuse(self.stream, result, load=self.server.load())
+            result.load = self.server.load()
+            self.streams.refuse(self.stream, result)
             self.writer.flush()
             return
         try:
@@ -156,7 +159,7 @@
             headers=reply.headers,
             body=first,
             last=parts is None and reply.rest is None,
-            load=self.server.load(),
+            load=self.server.load() if reply.load is IDLE else reply.load,
         )
         self.writer.flush()
         if parts is None and reply.rest is None:
--- a/src/comfreytray/sweeping.py
+++ b/src/comfreytray/sweeping.py
@@ -1,7 +1,7 @@
 """Find callers that hung up, heads that come too slowly and idle connections."""
 
 import socket as plain_socket
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import eventlet
 from attrs import define
@@ -11,10 +11,12 @@
 from comfreytray.connections import StreamClient
 from comfreytray.httpserver import HEAD_TIMEOUT_S
 from comfreytray.interfaces import Clock
-from comfreytray.keyed import KeyedCalls
 from comfreytray.owner import Owner
 from comfreytray.routing import Router
 
+if TYPE_CHECKING:
+    from comfreytray.keyed import KeyedCalls
+
 PERIOD_S = 0.05
 IDLE_PERIOD_S = 0.25
 """Pause while no call and no head is under way."""
@@ -42,7 +44,7 @@
         owner: Owner,
         client: StreamClient,
         router: Router,
-        keyed: KeyedCalls,
+        keyed: "KeyedCalls | None",
     ) -> None:
         self.clock = clock
         self.owner = owner
@@ -103,7 +105,8 @@
         self.owner.pool.close_idle()
         self.client.close_idle()
         self.router.forget_unused()
-        self.keyed.tidy()
+        if self.keyed is not None:
+            self.keyed.tidy()
 
 
 def _is_gone(sock: Any) -> bool:
--- a/src/comfreytray/upstream.py
+++ b/src/comfreytray/upstream.py
@@ -1,115 +1,35 @@
 """Call the upstream beside this node over kept HTTP connections."""
 
-import errno
 import http.client
-import socket as plain_socket
 from collections.abc import Callable, Iterator
-from typing import Any
 
 from attrs import define
-from eventlet.green import socket
-from urllib3.connection import HTTPConnection
 
 from comfreytray.calls import (
-    DEADLINE_HEADER,
-    DEPTH_HEADER,
-    RAN_HEADER,
-    RETRIED_HEADER,
-    TRACE_HEADER,
     Call,
     CallCutError,
     Outcome,
     Reply,
     answer_headers,
     fail,
-    whole_ms,
 )
+from comfreytray.dialect import NATIVE, Dialect, Refusal
 from comfreytray.errors import Failure, Kind
 from comfreytray.exceptions import invariant
 from comfreytray.heads import HeadError, StrictResponse
 from comfreytray.interfaces import Address, Clock
+from comfreytray.metrics import Metrics
+from comfreytray.records import LocalUpstream
+from comfreytray.upstreamconnection import UpstreamConnection
 
-CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_NOT_IDEMPOTENT_S = 1.0
 """A connection idle for longer may be closing as a call is written to it."""
 CHUNK_BYTES = 65_536
-_OWN_WORD_STATUSES = frozenset({429, 503, 504})
-_PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
-
-
-class UpstreamConnection(HTTPConnection):
-    """Send each request in one block and count the bytes that left."""
-
-    response_class = StrictResponse
-
-    def __init__(self, *, address: Address, clock: Clock) -> None:
-        super().__init__(address[0], address[1], timeout=CONNECT_TIMEOUT_S)
-        self.address = address
-        self.clock = clock
-        self.idle_since = 0.0
-        self.sent_bytes = 0
-        self._blocks: list[bytes] = []
-
-    def _new_conn(self) -> Any:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            sock.settimeout(CONNECT_TIMEOUT_S)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.connect(self.address)
-        except BaseException:
-            sock.close()
-            raise
-        return sock
-
-    def send(self, block: Any) -> None:
-        """Hold a part of a request until `flush`."""
-        self._blocks.append(block)
-
-    def flush(self) -> None:
-        """Write the request that is held."""
-        block = b"".join(self._blocks)
-        self._blocks.clear()
-        view = memoryview(block)
-        while self.sent_bytes < len(block):
-            self.sent_bytes += self.sock.send(view[self.sent_bytes :])
-
-    def is_fresh(self) -> bool:
-        """Say whether an idle connection is still open and silent."""
-        if self.sock is None:
-            return False
-        green: Any = self.sock
-        try:
-            green.fd.recv(1, _PEEK_FLAGS)
-        except OSError as error:
-            return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
-        return False
-
-    def write_call(self, call: Call) -> None:
-        """Write a call with the time that it has left."""
-        left_s = call.deadline - self.clock.monotonic()
-        self.sent_bytes = 0
-        self._blocks.clear()
-        self.putrequest(call.method, call.target, True, True)
-        for name, value in call.headers:
-            self.putheader(name, value)
-        self.putheader(DEADLINE_HEADER, str(whole_ms(left_s)))
-        self.putheader(DEPTH_HEADER, str(call.depth + 1))
-        if call.trace:
-            self.putheader(TRACE_HEADER, call.trace)
-        if call.retried:
-            self.putheader(RETRIED_HEADER, "1")
-        if call.body or call.method in ("POST", "PUT", "PATCH"):
-            self.putheader("Content-Length", str(len(call.body)))
-        self.endheaders(call.body or None)
-        self.sock.settimeout(max(0.001, left_s))
-        self.flush()
-
-    def read_head(self) -> StrictResponse:
-        """Read the head of the answer."""
-        response = http.client.HTTPConnection.getresponse(self)
-        assert isinstance(response, StrictResponse)
-        return response
+GATHER_BYTES = 262_144
+"""Size up to which an answer is read whole before any of it is passed on."""
+MAX_STRAY_ANSWERS = 4
+"""Answers to earlier calls that are skipped on one connection."""
 
 
 @define(kw_only=True, eq=False)
@@ -139,9 +59,18 @@
 class UpstreamPool:
     """Keep connections to the upstream, never more than it takes."""
 
-    def __init__(self, *, clock: Clock, connections: int) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        connections: int,
+        metrics: Metrics,
+        dialect: Dialect = NATIVE,
+    ) -> None:
         self.clock = clock
         self.connections = connections
+        self.metrics = metrics
+        self.dialect = dialect
         self.open_count = 0
         self._idle: list[UpstreamConnection] = []
 
@@ -153,14 +82,14 @@
             self._discard(self._idle.pop())
 
     def call(
-        self, address: Address, call: Call, *, on_end: Callable[[], None]
+        self, upstream: LocalUpstream, call: Call, *, on_end: Callable[[], None]
     ) -> Reply | Outcome:
         """Run a call at the upstream.
 
         `on_end` is called once, when the connection is free or closed.
         """
         try:
-            connection = self._take(address, call)
+            connection = self._take((upstream.host, upstream.port), call)
         except BaseException:
             on_end()
             raise
@@ -169,17 +98,18 @@
             return Outcome.of(connection)
         exchange = _Exchange(pool=self, connection=connection, on_end=on_end)
         try:
-            result = self._exchange(exchange, call)
+            result = self._exchange(exchange, call, upstream.endpoint.instance_id)
         except BaseException:
             exchange.abort()
             raise
         if isinstance(result, Outcome):
+            result.sent = connection.sent_bytes > 0
             exchange.abort()
         return result
 
     def put_back(self, connection: UpstreamConnection, *, reusable: bool) -> None:
         """Keep a connection for the next call, or close it."""
-        if not reusable or connection.sock is None:
+        if not reusable or connection.has_input:
             self._discard(connection)
             return
         connection.idle_since = self.clock.monotonic()
@@ -208,8 +138,11 @@
         if self.open_count >= self.connections:
             return Failure(kind=Kind.OVERLOADED, detail="connections")
         self.open_count += 1
+        self.metrics.count("upstream_connections_opened")
         invariant(self.open_count <= self.connections, "connections are never exceeded")
-        connection = UpstreamConnection(address=address, clock=self.clock)
+        connection = UpstreamConnection(
+            address=address, clock=self.clock, dialect=self.dialect
+        )
         try:
             connection.connect()
         except OSError as error:
@@ -220,14 +153,16 @@
             raise
         return connection
 
-    def _exchange(self, exchange: _Exchange, call: Call) -> Reply | Outcome:
+    def _exchange(
+        self, exchange: _Exchange, call: Call, instance_id: str
+    ) -> Reply | Outcome:
         connection = exchange.connection
         if call.deadline <= self.clock.monotonic():
             return fail(Kind.DEADLINE_BEFORE_RUN, "before sending")
         connection.sent_bytes = 0
         try:
-            connection.write_call(call)
-            response = connection.read_head()
+            connection.write_call(call, instance_id)
+            response = self._own_answer(connection, call)
         except TimeoutError:
             return fail(Kind.DEADLINE_WHILE_RUNNING, "no answer")
         except HeadError as error:
@@ -247,17 +182,61 @@
             headers=headers,
             close=exchange.abort,
         )
-        refused = _own_word(response)
+        refused = self._refusal(response)
         if refused is not None:
             return refused
+        if not self._is_proved(response):
+            return fail(Kind.ANSWER_CUT, "success without proof")
         try:
-            reply.body = self._read(exchange, call, CHUNK_BYTES)
+            reply.body = self._gather(exchange, call)
         except CallCutError as error:
             return Outcome.of(error.failure)
         if not exchange.done:
             reply.rest = self._rest(exchange, call)
         return reply
 
+    def _own_answer(self, connection: UpstreamConnection, call: Call) -> StrictResponse:
+        """Read heads until the one that answers this call."""
+        name = self.dialect.call_id
+        response = connection.read_head()
+        if not name or not call.call_id:
+            return response
+        for _ in range(MAX_STRAY_ANSWERS):
+            answered = response.headers.get(name)
+            if answered is None or answered == call.call_id:
+                return response
+            self.metrics.count("upstream_stray_answers")
+            response.read()
+            response = connection.read_head()
+        raise HeadError("answers to other calls")
+
+    def _is_proved(self, response: StrictResponse) -> bool:
+        name = self.dialect.proof
+        if not name or not 200 <= response.status < 300:
+            return True
+        encoded = response.headers.get("content-encoding")
+        return response.headers.get(name) is not None and encoded is None
+
+    def _refusal(self, response: StrictResponse) -> Outcome | None:
+        """Take the upstream's own word that a call did not run."""
+        refusal = self.dialect.not_run(response.status, response.headers)
+        if refusal is None:
+            return None
+        if refusal is Refusal.ANOTHER_INSTANCE:
+            return fail(Kind.WRONG_NODE, "another instance has the address")
+        retry_after = response.headers.get("Retry-After", "").strip()
+        retry_after_s = int(retry_after) if retry_after.isdigit() else None
+        return fail(Kind.OVERLOADED, "upstream refused", retry_after_s)
+
+    def _gather(self, exchange: _Exchange, call: Call) -> bytes:
+        """Read the answer to its end, or as much as one may hold."""
+        parts = [self._read(exchange, call, CHUNK_BYTES)]
+        size = len(parts[0])
+        while not exchange.done and size < GATHER_BYTES:
+            parts.append(self._read(exchange, call, CHUNK_BYTES))
+            size += len(parts[-1])
+        return b"".join(parts)
+
     def _rest(self, exchange: _Exchange, call: Call) -> Iterator[bytes]:
         try:
             while not exchange.done:
@@ -275,8 +254,7 @@
         expected = response.length
         if expected == 0:
             return self._end(exchange, response, b"")
-        if exchange.connection.sock is not None:
-            exchange.connection.sock.settimeout(left_s)
+        exchange.connection.set_timeout(left_s)
         try:
             if expected is None:
                 chunk = response.read1(size)
@@ -305,17 +283,6 @@
 def _lost(connection: UpstreamConnection, error: Exception) -> Outcome:
     detail = type(error).__name__
     if connection.sent_bytes == 0:
-        refused = isinstance(error, ValueError | http.client.InvalidURL)
+        refused = isinstance(error, ValueError)
         return fail(Kind.BAD_REQUEST if refused else Kind.CONNECT_FAILED, detail)
     return fail(Kind.LOST_AFTER_SEND, detail)
-
-
-def _own_word(response: StrictResponse) -> Outcome | None:
-    """Take the upstream's own word that a call did not run."""
-    if response.status not in _OWN_WORD_STATUSES:
-        return None
-    if response.headers.get(RAN_HEADER, "").strip().lower() != "no":
-        return None
-    retry_after = response.headers.get("Retry-After", "").strip()
-    retry_after_s = int(retry_after) if retry_after.isdigit() else None
-    return fail(Kind.OVERLOADED, "upstream refused", retry_after_s)
--- /dev/null
+++ b/src/comfreytray/upstreamconnection.py
@@ -0,0 +1,186 @@
+"""One kept connection to the upstream beside a node."""
+
+import contextlib
+import errno
+import socket as plain_socket
+from collections.abc import Iterator
+from typing import Any
+
+from eventlet.green import socket
+
+from comfreytray.calls import Call, whole_ms
+from comfreytray.dialect import Dialect
+from comfreytray.heads import StrictResponse
+from comfreytray.interfaces import Address, Clock
+from comfreytray.keepalive import notice_silence
+
+CONNECT_TIMEOUT_S = 1.0
+READ_BYTES = 65_536
+MIN_TIMEOUT_S = 0.001
+_PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
+_METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+
+
+class AnswerSource:
+    """Read the bytes of a connection; what is read ahead stays for the next answer."""
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+        self._held = bytearray()
+
+    def makefile(self, mode: str) -> "AnswerSource":
+        """Return itself, as the standard library asks a socket for its file."""
+        del mode
+        return self
+
+    @property
+    def held_bytes(self) -> int:
+        """Count the bytes that were read and that nobody has taken yet."""
+        return len(self._held)
+
+    def readline(self, limit: int = -1, /) -> bytes:
+        """Return a line, or as much of it as the limit allows."""
+        most = limit if limit >= 0 else READ_BYTES
+        while True:
+            end = self._held.find(b"\n", 0, most)
+            if end >= 0:
+                return self._take(end + 1)
+            if len(self._held) >= most or not self._fill():
+                return self._take(most)
+
+    def read(self, size: int = -1, /) -> bytes:
+        """Return so many bytes, or all up to the end of the connection."""
+        while (size < 0 or len(self._held) < size) and self._fill():
+            pass
+        return self._take(len(self._held) if size < 0 else size)
+
+    def read1(self, size: int = -1, /) -> bytes:
+        """Return what is there, or wait once."""
+        if not self._held:
+            self._fill()
+        return self._take(READ_BYTES if size < 0 else size)
+
+    def readinto(self, target: Any, /) -> int:
+        """Fill a buffer as far as the connection gives bytes."""
+        part = self.read(len(target))
+        target[: len(part)] = part
+        return len(part)
+
+    def flush(self) -> None:
+        """Do nothing: a source is only read."""
+
+    def close(self) -> None:
+        """Do nothing: the connection outlives its answers."""
+
+    def _fill(self) -> bool:
+        part = self._sock.recv(READ_BYTES)
+        self._held += part
+        return bool(part)
+
+    def _take(self, size: int) -> bytes:
+        part = bytes(self._held[:size])
+        del self._held[:size]
+        return part
+
+
+class UpstreamConnection:
+    """Send each request in one block and count the bytes that left."""
+
+    def __init__(self, *, address: Address, clock: Clock, dialect: Dialect) -> None:
+        self.address = address
+        self.clock = clock
+        self.dialect = dialect
+        self.idle_since = 0.0
+        self.sent_bytes = 0
+        self._sock: Any = None
+        self._source: AnswerSource | None = None
+        self._method = ""
+
+    def connect(self) -> None:
+        """Open the connection; raises OSError."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.settimeout(CONNECT_TIMEOUT_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            notice_silence(sock)
+            sock.connect(self.address)
+        except BaseException:
+            sock.close()
+            raise
+        self._sock = sock
+        self._source = AnswerSource(sock)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._sock is not None:
+            with contextlib.suppress(OSError):
+                self._sock.close()
+
+    @property
+    def has_input(self) -> bool:
+        """Say whether bytes were read that belong to no answer."""
+        return self._source is None or self._source.held_bytes > 0
+
+    def is_fresh(self) -> bool:
+        """Say whether an idle connection is still open and silent."""
+        if self.has_input:
+            return False
+        try:
+            self._sock.fd.recv(1, _PEEK_FLAGS)
+        except OSError as error:
+            return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
+        return False
+
+    def set_timeout(self, seconds: float) -> None:
+        """Bound how long each further read may wait."""
+        self._sock.settimeout(max(MIN_TIMEOUT_S, seconds))
+
+    def write_call(self, call: Call, instance_id: str) -> None:
+        """Write a call with the time that it has left; raises OSError, ValueError."""
+        left_s = call.deadline - self.clock.monotonic()
+        self.sent_bytes = 0
+        self._method = call.method
+        block = _head(call, self._node_fields(call, left_s, instance_id)) + call.body
+        self.set_timeout(left_s)
+        view = memoryview(block)
+        while self.sent_bytes < len(block):
+            self.sent_bytes += self._sock.send(view[self.sent_bytes :])
+
+    def read_head(self) -> StrictResponse:
+        """Read the head of the next answer; raises OSError, HTTPException."""
+        response = StrictResponse(
+            self._source,
+            method=self._method,
+            may_end_with_connection=self.dialect.unframed_is_whole,
+        )
+        response.begin()
+        return response
+
+    def _node_fields(
+        self, call: Call, left_s: float, instance_id: str
+    ) -> Iterator[tuple[str, str]]:
+        """Give the fields that the node sets on a call for the upstream."""
+        dialect = self.dialect
+        value_by_name = {
+            dialect.deadline: str(whole_ms(left_s)),
+            dialect.depth: str(call.depth + 1),
+            dialect.trace: call.trace,
+            dialect.retried: "1" if call.retried else "",
+            dialect.instance: instance_id,
+            dialect.caller: call.caller,
+        }
+        for name, value in value_by_name.items():
+            if name and value:
+                yield name, value
+
+
+def _head(call: Call, node_fields: Iterator[tuple[str, str]]) -> bytes:
+    lines = [f"{call.method} {call.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in call.headers]
+    lines += [f"{name}: {value}" for name, value in node_fields]
+    if call.body or call.method in _METHODS_WITH_BODY:
+        lines.append(f"Content-Length: {len(call.body)}")
+    text = "\r\n".join(lines)
+    if text.count("\n") != len(lines) - 1 or text.count("\r") != len(lines) - 1:
+        raise ValueError("line end in a field")
+    return text.encode("latin-1") + b"\r\n\r\n"
