Weigh the way to an endpoint against how likely an answer is late

Change: the cost of an endpoint is the likelihood of a late answer, against the target that the operator names, plus a fixed part for leaving the place or the region. Refusals before anything was sent to an upstream are followed for free, as those of leaving ones.

--- a/src/comfreytray/dispatch.py
+++ b/src/comfreytray/dispatch.py
@@ -9,7 +9,7 @@
 from comfreytray.metrics import Metrics
 from comfreytray.owner import Owner
 from comfreytray.records import NodeRecord
-from comfreytray.retries import Budget, Decision, decide
+from comfreytray.retries import MIN_TIME_LEFT_S, Budget, Decision, decide
 from comfreytray.routing import EndpointView, Router
 
 
@@ -43,7 +43,12 @@
         last: Outcome | None = None
         worst = Ran.NO
         while True:
-            record = self.router.pick(call.service, exclude=excluded, kind=call.kind)
+            record = self.router.pick(
+                call.service,
+                exclude=excluded,
+                kind=call.kind,
+                target_s=self._target_left_s(call),
+            )
             if isinstance(record, Failure):
                 return last or Outcome.of(record)
             result = self._attempt(record, call)
@@ -70,6 +75,17 @@
             call.retried = True
             self.metrics.count("calls_retried")
 
+    def _target_left_s(self, call: Call) -> float:
+        """Give what is left of the time in which an answer is of full use."""
+        if not call.target_latency_s:
+            return 0.0
+        spent_s = self.clock.monotonic() - call.arrived
+        left_s = call.target_latency_s - spent_s
+        if left_s > 0:
+            return left_s
+        # Late already: what counts is the deadline.
+        return max(MIN_TIME_LEFT_S, call.deadline - self.clock.monotonic())
+
     def _attempt(self, record: NodeRecord, call: Call) -> Reply | Outcome:
         view = self.router.begin(record)
         started = self.clock.monotonic()
--- a/src/comfreytray/requests.py
+++ b/src/comfreytray/requests.py
@@ -105,7 +105,7 @@
         body = read_body(environ, self.budget)
         if isinstance(body, Failure):
             return body
-        return self._call(environ, route, body, now + left_s, depth, key)
+        return self._call(environ, route, body, now, now + left_s, depth, key)
 
     def call_id(self, environ: Environ) -> str:
         """Return the id that the caller gave to its attempt, empty if none."""
@@ -116,6 +116,7 @@
         environ: Environ,
         route: Route,
         body: bytes,
+        arrived: float,
         deadline: float,
         depth: int,
         key: str,
@@ -140,6 +141,8 @@
             caller=self.caller(),
             kind=route.name,
             priority=route.priority,
+            target_latency_s=route.target_latency_s,
+            arrived=arrived,
             max_attempts=route.max_attempts,
         )
 
--- a/src/comfreytray/retries.py
+++ b/src/comfreytray/retries.py
@@ -70,7 +70,8 @@
     proved = outcome.ran is Ran.NO
     if not proved and not call.idempotent:
         return Decision.GIVE_UP
-    if proved and kind in _MOVED and redirects < MAX_REDIRECTS:
+    untouched = kind in _MOVED or (kind in _ELSEWHERE and not outcome.sent)
+    if proved and untouched and redirects < MAX_REDIRECTS:
         return Decision.REDIRECT
     if kind not in _ELSEWHERE or call.retried or not budget.spend():
         return Decision.GIVE_UP
--- a/src/comfreytray/routing.py
+++ b/src/comfreytray/routing.py
@@ -15,6 +15,7 @@
 from comfreytray.calls import IDLE, Load
 from comfreytray.errors import Failure, Kind
 from comfreytray.interfaces import Clock
+from comfreytray.placement import CrossingCosts, Placement
 from comfreytray.records import EndpointState, MembershipView, NodeRecord, NodeState
 
 SLOWDOWN_WEIGHT = 0.15
@@ -96,12 +97,14 @@
         clock: Clock,
         random: random.Random,
         distance_s: Callable[[NodeRecord], float | None] = lambda _: None,
+        placement: Placement | None = None,
     ) -> None:
         self.node = node
         self.members = members
         self.clock = clock
         self.random = random
         self.distance_s = distance_s
+        self.placement = placement or Placement(costs=CrossingCosts())
         self.leaving = False
         self.view_by_id: dict[str, EndpointView] = {}
         self.service_time_s_by_kind: dict[str, float] = {}
@@ -110,9 +113,14 @@
         self._near_by_service: dict[str, _Near] = {}
 
     def pick(
-        self, service: str, *, exclude: Sequence[str] = (), kind: str = ""
+        self,
+        service: str,
+        *,
+        exclude: Sequence[str] = (),
+        kind: str = "",
+        target_s: float = 0.0,
     ) -> NodeRecord | Failure:
-        """Choose the endpoint of a service that should answer a kind of call first."""
+        """Choose the endpoint of a service at which a call should lose least."""
         records = self.members().endpoints_by_service.get(service, ())
         now = self.clock.monotonic()
         own_id = self.node().node_id
@@ -127,7 +135,7 @@
             return Failure(kind=Kind.NO_ENDPOINT, fields={"service": service})
         healthy = self._without_ejected(usable, now)
         ready = [r for r in healthy if self.view(r, now).shed_until <= now]
-        return min(ready or healthy, key=lambda record: self._cost(record, kind, now))
+        return min(ready or healthy, key=lambda r: self._cost(r, kind, target_s, now))
 
     def view(self, record: NodeRecord, now: float) -> EndpointView:
         """Look up what is known of an endpoint; a new incarnation starts afresh."""
@@ -271,7 +279,18 @@
             far=[record for record in records if record.region != region],
         )
 
-    def _cost(self, record: NodeRecord, kind: str, now: float) -> float:
+    def _cost(
+        self, record: NodeRecord, kind: str, target_s: float, now: float
+    ) -> float:
+        own = self.node()
+        return self.placement.cost(
+            expected_s=self._expected_s(record, kind, now),
+            target_s=target_s,
+            same_place=record.data_centre == own.data_centre,
+            same_region=record.region == own.region,
+        )
+
+    def _expected_s(self, record: NodeRecord, kind: str, now: float) -> float:
         """Estimate in seconds when an endpoint would answer a call."""
         view = self.view(record, now)
         own_s = self.service_time_s_by_kind.get(kind, FIRST_SERVICE_TIME_S)
@@ -284,11 +303,11 @@
         if record.endpoint and record.endpoint.state is EndpointState.COLD:
             run_s *= COLD_SLOWDOWN
         waits = max(0.0, used + 1.0 / slots - 1.0)
-        cost = run_s + waits * (view.load.service_time_s or own_s)
-        cost += self._distance(record)
+        expected_s = run_s + waits * (view.load.service_time_s or own_s)
+        expected_s += self._distance(record)
         if record.state is NodeState.SUSPECT:
-            cost *= 1.0 + SUSPECT_PENALTY
-        return cost * self.random.uniform(1.0, 1.0 + JITTER)
+            expected_s *= 1.0 + SUSPECT_PENALTY
+        return expected_s * self.random.uniform(1.0, 1.0 + JITTER)
 
     def _used(self, view: EndpointView, slots: int, now: float) -> float:
         """Estimate the share of slots in use: as told, and what went there since."""
