Admit what can be in time first, the more urgent before the less urgent

Change: the owner ranks what waits by whether it can be in time, priority and target; entry nodes pass on when an answer is due, less what a returning caller has spent; Retry-After is the expected wait, spread. A step only: the lowest class is admitted as timely and then overtaken. Next: count what overtakes, demote what became late, don't flee a shedding endpoint abroad.

--- a/src/comfreytray/callframes.py
+++ b/src/comfreytray/callframes.py
@@ -53,6 +53,8 @@
         str,
         str,
         int,
+        bool,
+        int,
     ),
     HEAD: (int, int, str, tuple, bytes, bool, float, float, float),
     DATA: (int, bytes, bool),
@@ -107,6 +109,8 @@
             call.caller,
             call.kind,
             call.priority,
+            call.due > 0,
+            int((left_s - (call.deadline - call.due)) * MICROSECONDS_PER_S),
         )
     )
 
--- a/src/comfreytray/calls.py
+++ b/src/comfreytray/calls.py
@@ -82,10 +82,8 @@
     """Name of the route; calls of one kind take about the same time."""
     priority: int = 0
     """Rank of the route; 0 is the highest."""
-    target_latency_s: float = 0.0
-    """Time from `arrived` within which an answer is of full use; 0 if unstated."""
-    arrived: float = 0.0
-    """When the call came in, by this process's monotonic clock."""
+    due: float = 0.0
+    """When an answer is due to be of full use, as `deadline`; 0 if unstated."""
     max_attempts: int = 0
     """Most endpoints that may be tried; 0 leaves it to the retry policy."""
 
--- a/src/comfreytray/dispatch.py
+++ b/src/comfreytray/dispatch.py
@@ -77,14 +77,13 @@
 
     def _target_left_s(self, call: Call) -> float:
         """Give what is left of the time in which an answer is of full use."""
-        if not call.target_latency_s:
+        if not call.due:
             return 0.0
-        spent_s = self.clock.monotonic() - call.arrived
-        left_s = call.target_latency_s - spent_s
-        if left_s > 0:
-            return left_s
+        now = self.clock.monotonic()
+        if call.due > now:
+            return call.due - now
         # Late already: what counts is the deadline.
-        return max(MIN_TIME_LEFT_S, call.deadline - self.clock.monotonic())
+        return max(MIN_TIME_LEFT_S, call.deadline - now)
 
     def _attempt(self, record: NodeRecord, call: Call) -> Reply | Outcome:
         view = self.router.begin(record)
--- a/src/comfreytray/limits.py
+++ b/src/comfreytray/limits.py
@@ -1,19 +1,29 @@
-"""Admission at the owner of an upstream: exact slots, a short fair queue, shedding."""
+"""Admission at the owner of an upstream: exact slots, a short fair queue, shedding.
+
+Pattern: more calls arrive than the slots can run, for seconds. A queue in order of
+arrival makes every answer late; what can still be in time goes first, the more urgent
+before the less urgent, and what can't is rejected at once while its caller has time.
+"""
 
 import heapq
 import itertools
 import math
+import random
 from collections.abc import Callable
 from enum import Enum
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from comfreytray.errors import Failure, Kind
 from comfreytray.exceptions import invariant
 from comfreytray.interfaces import Clock
 
-QUEUE_PER_SLOT = 2
-MAX_RETRY_AFTER_S = 30
+QUEUE_PER_SLOT = 6
+LATE_QUEUE_PER_SLOT = 0.5
+"""Calls that may wait for a slot although their answer will be late, for each slot."""
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 30.0
+MAX_KINDS = 512
 SERVICE_TIME_WEIGHT = 0.1
 FIRST_SERVICE_TIME_S = 0.005
 
@@ -34,6 +44,7 @@
     customer: str
     share: float
     deadline: float
+    kind: str = ""
     state: TicketState = TicketState.QUEUED
     failure: Failure | None = None
     admitted_at: float = 0.0
@@ -41,21 +52,40 @@
     """Called once when a queued ticket is admitted or refused."""
 
 
+@frozen(order=True)
+class _Rank:
+    """Order calls that wait; the least goes first."""
+
+    late: bool
+    """Whether the answer will come after its target even if all goes well."""
+    priority: int
+    until: float
+    """Target of the call if it names one, else its deadline."""
+
+
 @define(kw_only=True, eq=False)
 class _Lane:
     """Hold what one customer has queued and holds."""
 
     held: int = 0
     queued: int = 0
-    heap: list[tuple[float, int, Ticket]] = field(factory=list)
+    heap: list[tuple[_Rank, int, Ticket]] = field(factory=list)
 
 
 class Admission:
     """Hold an upstream's slots exactly and share them between customers."""
 
-    def __init__(self, *, clock: Clock, slots: int) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        slots: int,
+        uniform: Callable[[float, float], float] = random.uniform,
+    ) -> None:
         self.clock = clock
         self.slots = slots
+        self._uniform = uniform
+        self._service_time_s_by_kind: dict[str, float] = {}
         self.held = 0
         self.queued = 0
         self.service_time_s = FIRST_SERVICE_TIME_S
@@ -81,26 +111,37 @@
         self._admit_queued()
 
     def offer(
-        self, *, customer: str, share: float, deadline: float
+        self,
+        *,
+        customer: str,
+        share: float,
+        deadline: float,
+        kind: str = "",
+        priority: int = 0,
+        due: float = 0.0,
     ) -> Ticket | Failure:
-        """Admit a call, queue it, or refuse it before it ran."""
+        """Admit a call, queue it, or refuse it before it ran.
+
+        `due` is when its answer should be there, 0 if nothing is said of that.
+        """
         now = self.clock.monotonic()
         if self.leaving:
             return Failure(kind=Kind.LEAVING)
         if deadline <= now:
             return Failure(kind=Kind.DEADLINE_BEFORE_RUN, detail="at admission")
-        ticket = Ticket(customer=customer, share=share, deadline=deadline)
+        ticket = Ticket(customer=customer, share=share, deadline=deadline, kind=kind)
         lane = self._lane_by_customer.get(customer)
         if lane is None:
             lane = self._lane_by_customer[customer] = _Lane()
         if self.held < self.slots and not lane.queued and lane.held < self._cap(share):
             self._hold(ticket, lane, now)
             return ticket
-        refused = self._refuse_early(lane, ticket, now)
+        rank = self._rank(ticket, priority, due, now)
+        refused = self._refuse_early(lane, ticket, rank, now)
         if refused is not None:
             self._forget(customer, lane)
             return refused
-        heapq.heappush(lane.heap, (deadline, next(self._sequence), ticket))
+        heapq.heappush(lane.heap, (rank, next(self._sequence), ticket))
         lane.queued += 1
         self.queued += 1
         return ticket
@@ -118,7 +159,7 @@
         lane.held -= 1
         invariant(self.held >= 0 and lane.held >= 0, "no slot is freed twice")
         took_s = self.clock.monotonic() - ticket.admitted_at
-        self.service_time_s += SERVICE_TIME_WEIGHT * (took_s - self.service_time_s)
+        self._learn(ticket.kind, took_s)
         self._forget(ticket.customer, lane)
         self._admit_queued()
 
@@ -130,8 +171,8 @@
         """Refuse the queued calls whose deadline has passed."""
         now = self.clock.monotonic()
         for lane in list(self._lane_by_customer.values()):
-            for deadline, _, ticket in list(lane.heap):
-                if ticket.state is TicketState.QUEUED and deadline <= now:
+            for _, _, ticket in list(lane.heap):
+                if ticket.state is TicketState.QUEUED and ticket.deadline <= now:
                     self._refuse(ticket, Failure(kind=Kind.DEADLINE_BEFORE_RUN))
 
     def leave(self) -> None:
@@ -160,10 +201,44 @@
         self.held += 1
         lane.held += 1
 
-    def _refuse_early(self, lane: _Lane, ticket: Ticket, now: float) -> Failure | None:
-        wait_s = self._expected_wait_s()
-        retry_after_s = max(1, min(MAX_RETRY_AFTER_S, math.ceil(wait_s)))
-        over_share = lane.held >= self._cap(ticket.share)
+    def _learn(self, kind: str, took_s: float) -> None:
+        self.service_time_s += SERVICE_TIME_WEIGHT * (took_s - self.service_time_s)
+        by_kind = self._service_time_s_by_kind
+        if kind not in by_kind and len(by_kind) >= MAX_KINDS:
+            by_kind.clear()
+        held_s = by_kind.get(kind, took_s)
+        by_kind[kind] = held_s + SERVICE_TIME_WEIGHT * (took_s - held_s)
+
+    def _rank(self, ticket: Ticket, priority: int, due: float, now: float) -> _Rank:
+        if not due:
+            return _Rank(late=False, priority=priority, until=ticket.deadline)
+        timely = _Rank(late=False, priority=priority, until=due)
+        wait_s = self._expected_wait_s(self._queued_before(timely))
+        run_s = self._service_time_s_by_kind.get(ticket.kind, self.service_time_s)
+        late = now + wait_s + run_s > due
+        return _Rank(late=late, priority=priority, until=due)
+
+    def _queued_before(self, rank: _Rank) -> int:
+        """Count the calls that wait and would go before one of a rank."""
+        if not self.queued:
+            return 0
+        return sum(
+            entry[0] <= rank
+            for lane in self._lane_by_customer.values()
+            for entry in lane.heap
+        )
+
+    def _retry_after_s(self) -> float:
+        """Say when there should be room, spread so that few come back together."""
+        wait_s = max(MIN_RETRY_AFTER_S, self._expected_wait_s(self.queued))
+        return min(MAX_RETRY_AFTER_S, wait_s * self._uniform(0.75, 1.75))
+
+    def _refuse_early(
+        self, lane: _Lane, ticket: Ticket, rank: _Rank, now: float
+    ) -> Failure | None:
+        wait_s = self._expected_wait_s(self._queued_before(rank))
+        retry_after_s = self._retry_after_s()
+        over_share = ticket.share < 1.0 and lane.held >= self._cap(ticket.share)
         if over_share and lane.queued >= self._cap(ticket.share):
             return Failure(
                 kind=Kind.CUSTOMER_OVER_SHARE,
@@ -171,20 +246,31 @@
                 retry_after_s=retry_after_s,
             )
         if now + wait_s >= ticket.deadline:
-            return Failure(kind=Kind.OVERLOADED, retry_after_s=retry_after_s)
+            return Failure(
+                kind=Kind.OVERLOADED, detail="deadline", retry_after_s=retry_after_s
+            )
+        if rank.late and self.queued >= self.slots * LATE_QUEUE_PER_SLOT:
+            return Failure(
+                kind=Kind.OVERLOADED, detail="late", retry_after_s=retry_after_s
+            )
         if self.queued < self.queue_limit:
             return None
-        if self._evict_for(lane, retry_after_s):
+        if self._evict_for(lane, rank, retry_after_s):
             return None
-        return Failure(kind=Kind.OVERLOADED, retry_after_s=retry_after_s)
+        return Failure(
+            kind=Kind.OVERLOADED, detail="queue", retry_after_s=retry_after_s
+        )
 
-    def _expected_wait_s(self) -> float:
-        return (self.queued + 1) / max(1, self.slots) * self.service_time_s
+    def _expected_wait_s(self, before: int) -> float:
+        return (before + 1) / max(1, self.slots) * self.service_time_s
 
-    def _evict_for(self, newcomer: _Lane, retry_after_s: int) -> bool:
+    def _evict_for(self, newcomer: _Lane, rank: _Rank, retry_after_s: float) -> bool:
         """Refuse the last of the customer with the longest queue, if longer."""
         longest = max(self._lane_by_customer.values(), key=lambda lane: lane.queued)
-        if longest.queued <= newcomer.queued + 1:
+        if longest is newcomer:
+            if max(longest.heap)[0] <= rank:
+                return False
+        elif longest.queued <= newcomer.queued + 1:
             return False
         waiting = [e for e in longest.heap if e[2].state is TicketState.QUEUED]
         failure = Failure(kind=Kind.OVERLOADED, retry_after_s=retry_after_s)
@@ -219,8 +305,8 @@
             lane = self._next_lane()
             if lane is None:
                 return
-            deadline, _, ticket = lane.heap[0]
-            if deadline <= now:
+            _, _, ticket = lane.heap[0]
+            if ticket.deadline <= now:
                 self._refuse(ticket, Failure(kind=Kind.DEADLINE_BEFORE_RUN))
                 continue
             heapq.heappop(lane.heap)
--- a/src/comfreytray/owner.py
+++ b/src/comfreytray/owner.py
@@ -74,7 +74,12 @@
             return fail(Kind.LEAVING, "upstream is draining")
         self._follow(upstream)
         ticket = self.admission.offer(
-            customer=call.customer, share=call.share, deadline=call.deadline
+            customer=call.customer,
+            share=call.share,
+            deadline=call.deadline,
+            kind=call.kind,
+            priority=call.priority,
+            due=call.due,
         )
         if isinstance(ticket, Failure):
             return Outcome.of(ticket, load=self.load)
--- a/src/comfreytray/ownerstreams.py
+++ b/src/comfreytray/ownerstreams.py
@@ -166,7 +166,9 @@
         return stream
 
     def _call_of(self, frame: callframes.Frame) -> Call:
+        now = self.clock.monotonic()
         left_s = frame[9] / callframes.MICROSECONDS_PER_S
+        due_s = frame[20] / callframes.MICROSECONDS_PER_S
         return Call(
             service=frame[2],
             customer=frame[3],
@@ -175,7 +177,7 @@
             target=frame[6],
             headers=frame[7],
             body=frame[8],
-            deadline=self.clock.monotonic() + left_s,
+            deadline=now + left_s,
             idempotent=frame[10],
             depth=frame[11],
             retried=frame[12],
@@ -185,6 +187,7 @@
             caller=frame[16],
             kind=frame[17],
             priority=frame[18],
+            due=now + due_s if frame[19] else 0.0,
         )
 
 
--- a/src/comfreytray/requests.py
+++ b/src/comfreytray/requests.py
@@ -26,6 +26,7 @@
 MAX_KEY_LENGTH = 255
 MAX_DEADLINE_MS = 86_400_000
 MS_PER_S = 1000.0
+MAX_KINDS = 512
 
 Environ = dict[str, Any]
 
@@ -74,6 +75,7 @@
         self.clock = clock
         self.splitter = splitter
         self.budget = BodyBudget()
+        self._longest_ms_by_kind: dict[str, int] = {}
         self._deadline = _variable(dialect.deadline)
         self._depth = _variable(dialect.depth)
         self._key = _variable(dialect.key)
@@ -141,11 +143,25 @@
             caller=self.caller(),
             kind=route.name,
             priority=route.priority,
-            target_latency_s=route.target_latency_s,
-            arrived=arrived,
+            due=self._due(route, arrived, environ),
             max_attempts=route.max_attempts,
         )
 
+    def _due(self, route: Route, arrived: float, environ: Environ) -> float:
+        """Give when an answer is due, less what the caller has spent before.
+
+        Callers that come back have less time left than others on the same route.
+        """
+        if not route.target_latency_s:
+            return 0.0
+        left_ms = _number(environ, self._deadline, MAX_DEADLINE_MS) or 0
+        longest_ms = max(left_ms, self._longest_ms_by_kind.get(route.name, 0))
+        if len(self._longest_ms_by_kind) > MAX_KINDS:
+            self._longest_ms_by_kind.clear()
+        self._longest_ms_by_kind[route.name] = longest_ms
+        spent_s = (longest_ms - left_ms) / MS_PER_S if left_ms else 0.0
+        return arrived + route.target_latency_s - spent_s
+
     def _left_s(self, environ: Environ, route: Route) -> float | None:
         if self._deadline not in environ:
             return route.timeout_s
