Count what overtakes a call, demote what became late, tell load by priority

Cause: the lowest class was admitted as timely and then overtaken for seconds, was held to its deadline, and entry nodes fled shedding endpoints abroad. Change: the expected wait counts the slots that more urgent calls have needed in the last second; a call that can't be in time any more goes last or is refused; owners tell their load as a call of that priority meets it, which replaces a blind pause after a refusal; a call that finds no room asks one further endpoint, not three.

--- a/src/comfreytray/dispatch.py
+++ b/src/comfreytray/dispatch.py
@@ -47,6 +47,7 @@
                 call.service,
                 exclude=excluded,
                 kind=call.kind,
+                priority=call.priority,
                 target_s=self._target_left_s(call),
             )
             if isinstance(record, Failure):
@@ -99,12 +100,29 @@
         took_s = self.clock.monotonic() - started
         if isinstance(result, Outcome):
             result.node_id = record.node_id
-            self.router.fail(view, result.failure, took_s=took_s, load=result.load)
+            self.router.fail(
+                view,
+                result.failure,
+                took_s=took_s,
+                load=result.load,
+                priority=call.priority,
+            )
             return result
         if result.rest is None:
-            self.router.finish(view, took_s=took_s, load=result.load, kind=call.kind)
+            self._finish(view, call, result, took_s)
             return result
-        return self._follow(result, result.rest, view, took_s, call.kind)
+        return self._follow(result, result.rest, view, took_s, call)
+
+    def _finish(
+        self, view: EndpointView, call: Call, reply: Reply, took_s: float
+    ) -> None:
+        self.router.finish(
+            view,
+            took_s=took_s,
+            load=reply.load,
+            kind=call.kind,
+            priority=call.priority,
+        )
 
     def _follow(
         self,
@@ -112,7 +130,7 @@
         rest: Iterator[bytes],
         view: EndpointView,
         took_s: float,
-        kind: str,
+        call: Call,
     ) -> Reply:
         """Count the endpoint's call as in flight until its last byte."""
         end = reply.close
@@ -123,7 +141,7 @@
             end()
             if not counted:
                 counted = True
-                self.router.finish(view, took_s=took_s, load=reply.load, kind=kind)
+                self._finish(view, call, reply, took_s)
 
         def follow() -> Iterator[bytes]:
             try:
--- a/src/comfreytray/limits.py
+++ b/src/comfreytray/limits.py
@@ -12,8 +12,10 @@
 from collections.abc import Callable
 from enum import Enum
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
+from comfreytray.calls import Load
+from comfreytray.demand import Demand
 from comfreytray.errors import Failure, Kind
 from comfreytray.exceptions import invariant
 from comfreytray.interfaces import Clock
@@ -24,6 +26,8 @@
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0
 MAX_KINDS = 512
+MIN_SPARE_SHARE = 0.1
+"""Share of the slots that is taken to be left, however much is more urgent."""
 SERVICE_TIME_WEIGHT = 0.1
 FIRST_SERVICE_TIME_S = 0.005
 
@@ -45,6 +49,8 @@
     share: float
     deadline: float
     kind: str = ""
+    priority: int = 0
+    due: float = 0.0
     state: TicketState = TicketState.QUEUED
     failure: Failure | None = None
     admitted_at: float = 0.0
@@ -85,6 +91,7 @@
         self.clock = clock
         self.slots = slots
         self._uniform = uniform
+        self._demand = Demand()
         self._service_time_s_by_kind: dict[str, float] = {}
         self.held = 0
         self.queued = 0
@@ -129,14 +136,22 @@
             return Failure(kind=Kind.LEAVING)
         if deadline <= now:
             return Failure(kind=Kind.DEADLINE_BEFORE_RUN, detail="at admission")
-        ticket = Ticket(customer=customer, share=share, deadline=deadline, kind=kind)
+        ticket = Ticket(
+            customer=customer,
+            share=share,
+            deadline=deadline,
+            kind=kind,
+            priority=priority,
+            due=due,
+        )
+        self._demand.count(priority, self._run_s(ticket), now)
         lane = self._lane_by_customer.get(customer)
         if lane is None:
             lane = self._lane_by_customer[customer] = _Lane()
         if self.held < self.slots and not lane.queued and lane.held < self._cap(share):
             self._hold(ticket, lane, now)
             return ticket
-        rank = self._rank(ticket, priority, due, now)
+        rank = self._rank(ticket, now)
         refused = self._refuse_early(lane, ticket, rank, now)
         if refused is not None:
             self._forget(customer, lane)
@@ -209,14 +224,32 @@
         held_s = by_kind.get(kind, took_s)
         by_kind[kind] = held_s + SERVICE_TIME_WEIGHT * (took_s - held_s)
 
-    def _rank(self, ticket: Ticket, priority: int, due: float, now: float) -> _Rank:
-        if not due:
-            return _Rank(late=False, priority=priority, until=ticket.deadline)
-        timely = _Rank(late=False, priority=priority, until=due)
-        wait_s = self._expected_wait_s(self._queued_before(timely))
-        run_s = self._service_time_s_by_kind.get(ticket.kind, self.service_time_s)
-        late = now + wait_s + run_s > due
-        return _Rank(late=late, priority=priority, until=due)
+    def load_for(self, priority: int) -> Load:
+        """Say how busy the upstream is for a further call of a priority."""
+        slots = max(1, self.slots)
+        last = _Rank(late=False, priority=priority, until=math.inf)
+        spare = self._spare_slots(priority, self.clock.monotonic())
+        return Load(
+            used=(self.held + self._queued_before(last)) / slots,
+            service_time_s=self.service_time_s * slots / spare,
+        )
+
+    def _run_s(self, ticket: Ticket) -> float:
+        return self._service_time_s_by_kind.get(ticket.kind, self.service_time_s)
+
+    def _rank(self, ticket: Ticket, now: float) -> _Rank:
+        if not ticket.due:
+            return _Rank(late=False, priority=ticket.priority, until=ticket.deadline)
+        timely = _Rank(late=False, priority=ticket.priority, until=ticket.due)
+        wait_s = self._expected_wait_s(timely, now)
+        late = now + wait_s + self._run_s(ticket) > ticket.due
+        return evolve(timely, late=late)
+
+    def _spare_slots(self, priority: int, now: float) -> float:
+        """Give the slots that more urgent calls, which keep coming, leave free."""
+        slots = max(1, self.slots)
+        more_urgent = self._demand.slots_before(priority, now)
+        return max(slots * MIN_SPARE_SHARE, slots - more_urgent)
 
     def _queued_before(self, rank: _Rank) -> int:
         """Count the calls that wait and would go before one of a rank."""
@@ -230,13 +263,14 @@
 
     def _retry_after_s(self) -> float:
         """Say when there should be room, spread so that few come back together."""
-        wait_s = max(MIN_RETRY_AFTER_S, self._expected_wait_s(self.queued))
+        drain_s = self.queued / max(1, self.slots) * self.service_time_s
+        wait_s = max(MIN_RETRY_AFTER_S, drain_s)
         return min(MAX_RETRY_AFTER_S, wait_s * self._uniform(0.75, 1.75))
 
     def _refuse_early(
         self, lane: _Lane, ticket: Ticket, rank: _Rank, now: float
     ) -> Failure | None:
-        wait_s = self._expected_wait_s(self._queued_before(rank))
+        wait_s = self._expected_wait_s(rank, now)
         retry_after_s = self._retry_after_s()
         over_share = ticket.share < 1.0 and lane.held >= self._cap(ticket.share)
         if over_share and lane.queued >= self._cap(ticket.share):
@@ -261,8 +295,10 @@
             kind=Kind.OVERLOADED, detail="queue", retry_after_s=retry_after_s
         )
 
-    def _expected_wait_s(self, before: int) -> float:
-        return (before + 1) / max(1, self.slots) * self.service_time_s
+    def _expected_wait_s(self, rank: _Rank, now: float) -> float:
+        before = self._queued_before(rank)
+        spare = self._spare_slots(rank.priority, now)
+        return (before + 1) / spare * self.service_time_s
 
     def _evict_for(self, newcomer: _Lane, rank: _Rank, retry_after_s: float) -> bool:
         """Refuse the last of the customer with the longest queue, if longer."""
@@ -309,6 +345,8 @@
             if ticket.deadline <= now:
                 self._refuse(ticket, Failure(kind=Kind.DEADLINE_BEFORE_RUN))
                 continue
+            if self._demote(lane, now):
+                continue
             heapq.heappop(lane.heap)
             lane.queued -= 1
             self.queued -= 1
@@ -316,6 +354,22 @@
             if ticket.notify is not None:
                 ticket.notify()
 
+    def _demote(self, lane: _Lane, now: float) -> bool:
+        """Put the first of a lane last, or refuse it, once it can't be in time."""
+        rank, sequence, ticket = lane.heap[0]
+        if rank.late or not ticket.due or now + self._run_s(ticket) <= ticket.due:
+            return False
+        if self.queued > self.slots * LATE_QUEUE_PER_SLOT:
+            failure = Failure(
+                kind=Kind.OVERLOADED,
+                detail="overtaken",
+                retry_after_s=self._retry_after_s(),
+            )
+            self._refuse(ticket, failure)
+            return True
+        heapq.heapreplace(lane.heap, (evolve(rank, late=True), sequence, ticket))
+        return True
+
     def _next_lane(self) -> _Lane | None:
         """Pick the customer that holds least for its share, then by deadline."""
         eligible = [
--- a/src/comfreytray/owner.py
+++ b/src/comfreytray/owner.py
@@ -17,6 +17,8 @@
 from comfreytray.tracing import Tracer, traced
 from comfreytray.upstream import UpstreamPool
 
+LEAST_PRIORITY = 1_000
+
 
 class Owner:
     """Admit calls to the local upstream and run them."""
@@ -52,10 +54,8 @@
 
     @property
     def load(self) -> Load:
-        """Say how busy the upstream is."""
-        return Load(
-            used=self.admission.load, service_time_s=self.admission.service_time_s
-        )
+        """Say how busy the upstream is for the least urgent calls."""
+        return self.admission.load_for(LEAST_PRIORITY)
 
     @property
     def in_flight(self) -> int:
@@ -82,10 +82,10 @@
             due=call.due,
         )
         if isinstance(ticket, Failure):
-            return Outcome.of(ticket, load=self.load)
+            return Outcome.of(ticket, load=self.admission.load_for(call.priority))
         failure = self._wait(ticket, call)
         if failure is not None:
-            return Outcome.of(failure, load=self.load)
+            return Outcome.of(failure, load=self.admission.load_for(call.priority))
         invariant(ticket.state is TicketState.HELD, "a call runs only with a slot")
         reply = self.pool.call(
             upstream,
@@ -93,7 +93,8 @@
             on_end=lambda: self.admission.release(ticket),
         )
         reply.load = evolve(
-            self.load, held_s=self.clock.monotonic() - ticket.admitted_at
+            self.admission.load_for(call.priority),
+            held_s=self.clock.monotonic() - ticket.admitted_at,
         )
         return reply
 
--- a/src/comfreytray/retries.py
+++ b/src/comfreytray/retries.py
@@ -9,6 +9,7 @@
 RETRY_SHARE = 0.1
 BUDGET_RESERVE = 10.0
 MAX_REDIRECTS = 3
+MAX_REDIRECTS_WHEN_FULL = 1
 MIN_TIME_LEFT_S = 0.002
 
 _MOVED = frozenset({Kind.LEAVING, Kind.WRONG_NODE})
@@ -70,9 +71,12 @@
     proved = outcome.ran is Ran.NO
     if not proved and not call.idempotent:
         return Decision.GIVE_UP
-    untouched = kind in _MOVED or (kind in _ELSEWHERE and not outcome.sent)
-    if proved and untouched and redirects < MAX_REDIRECTS:
+    if proved and kind in _MOVED and redirects < MAX_REDIRECTS:
         return Decision.REDIRECT
+    if proved and not outcome.sent and kind in _ELSEWHERE:
+        # Where one endpoint has no room, few others have: one more is asked.
+        elsewhere = redirects < MAX_REDIRECTS_WHEN_FULL
+        return Decision.REDIRECT if elsewhere else Decision.GIVE_UP
     if kind not in _ELSEWHERE or call.retried or not budget.spend():
         return Decision.GIVE_UP
     invariant(
--- a/src/comfreytray/routing.py
+++ b/src/comfreytray/routing.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Callable, Sequence
 
-from attrs import define
+from attrs import define, field
 
 from comfreytray import logs
 from comfreytray.calls import IDLE, Load
@@ -53,6 +53,19 @@
 """Time without calls in which slowness and failures count half, to try it again."""
 
 
+@define(kw_only=True, eq=False)
+class _Told:
+    """Hold the load that an owner sent with its last answer to calls of a priority."""
+
+    load: Load
+    at: float
+    in_flight: int
+    """Calls from here that were under way then."""
+
+
+_NOTHING_TOLD = _Told(load=IDLE, at=0.0, in_flight=0)
+
+
 @define(kw_only=True, eq=False)
 class EndpointView:
     """Hold what this node has seen of one endpoint."""
@@ -71,10 +84,7 @@
     """Until when a refusal for leaving keeps it out, ahead of the member list."""
     shed_until: float = 0.0
     """Until when others go first, since it shed a call."""
-    load: Load = IDLE
-    """Load that the owner sent with its last answer."""
-    load_at: float = 0.0
-    in_flight_at_load: int = 0
+    told_by_priority: dict[int, "_Told"] = field(factory=dict)
 
 
 @define(kw_only=True, eq=False)
@@ -118,6 +128,7 @@
         *,
         exclude: Sequence[str] = (),
         kind: str = "",
+        priority: int = 0,
         target_s: float = 0.0,
     ) -> NodeRecord | Failure:
         """Choose the endpoint of a service at which a call should lose least."""
@@ -135,7 +146,10 @@
             return Failure(kind=Kind.NO_ENDPOINT, fields={"service": service})
         healthy = self._without_ejected(usable, now)
         ready = [r for r in healthy if self.view(r, now).shed_until <= now]
-        return min(ready or healthy, key=lambda r: self._cost(r, kind, target_s, now))
+        return min(
+            ready or healthy,
+            key=lambda r: self._cost(r, kind, priority, target_s, now),
+        )
 
     def view(self, record: NodeRecord, now: float) -> EndpointView:
         """Look up what is known of an endpoint; a new incarnation starts afresh."""
@@ -159,11 +173,17 @@
         return view
 
     def finish(
-        self, view: EndpointView, *, took_s: float, load: Load, kind: str = ""
+        self,
+        view: EndpointView,
+        *,
+        took_s: float,
+        load: Load,
+        kind: str = "",
+        priority: int = 0,
     ) -> None:
         """Count a call that was answered."""
         view.in_flight -= 1
-        self._take_load(view, load)
+        self._take_load(view, load, priority)
         self._learn(view, kind, load.held_s or took_s)
         view.failure_share -= FAILURE_WEIGHT * view.failure_share
         view.failures_in_row = 0
@@ -171,12 +191,12 @@
             view.ejected_until = 0.0
             logs.log(logs.Event.ENDPOINT_RESTORED, node=view.node_id)
 
-    def _take_load(self, view: EndpointView, load: Load) -> None:
+    def _take_load(self, view: EndpointView, load: Load, priority: int) -> None:
         if load is IDLE:
             return
-        view.load = load
-        view.load_at = self.clock.monotonic()
-        view.in_flight_at_load = view.in_flight
+        view.told_by_priority[priority] = _Told(
+            load=load, at=self.clock.monotonic(), in_flight=view.in_flight
+        )
 
     def _learn(self, view: EndpointView, kind: str, took_s: float) -> None:
         """Split a call's time into that of its kind and the endpoint's slowness."""
@@ -187,16 +207,22 @@
         self.service_time_s_by_kind[kind] = base_s
 
     def fail(
-        self, view: EndpointView, failure: Failure, *, took_s: float, load: Load
+        self,
+        view: EndpointView,
+        failure: Failure,
+        *,
+        took_s: float,
+        load: Load,
+        priority: int = 0,
     ) -> None:
         """Count a call that the endpoint or the way to it failed."""
         view.in_flight -= 1
-        self._take_load(view, load)
+        self._take_load(view, load, priority)
         now = self.clock.monotonic()
         if failure.kind in (Kind.LEAVING, Kind.WRONG_NODE):
             view.moved_until = now + MOVED_S
             return
-        if failure.kind is Kind.OVERLOADED:
+        if failure.kind is Kind.OVERLOADED and load is IDLE:
             view.shed_until = now + SHED_S * self.random.uniform(0.5, 1.5)
         if failure.kind not in _BLAMED:
             return
@@ -228,7 +254,10 @@
                 "in_flight": view.in_flight,
                 "slowdown": round(view.slowdown, 3),
                 "failure_share": round(view.failure_share, 4),
-                "load": round(view.load.used, 3),
+                "load": {
+                    str(priority): round(told.load.used, 3)
+                    for priority, told in view.told_by_priority.items()
+                },
                 "ejected_for_s": round(max(0.0, view.ejected_until - now), 3),
             }
             for view in self.view_by_id.values()
@@ -280,22 +309,25 @@
         )
 
     def _cost(
-        self, record: NodeRecord, kind: str, target_s: float, now: float
+        self, record: NodeRecord, kind: str, priority: int, target_s: float, now: float
     ) -> float:
         own = self.node()
         return self.placement.cost(
-            expected_s=self._expected_s(record, kind, now),
+            expected_s=self._expected_s(record, kind, priority, now),
             target_s=target_s,
             same_place=record.data_centre == own.data_centre,
             same_region=record.region == own.region,
         )
 
-    def _expected_s(self, record: NodeRecord, kind: str, now: float) -> float:
+    def _expected_s(
+        self, record: NodeRecord, kind: str, priority: int, now: float
+    ) -> float:
         """Estimate in seconds when an endpoint would answer a call."""
         view = self.view(record, now)
         own_s = self.service_time_s_by_kind.get(kind, FIRST_SERVICE_TIME_S)
         slots = max(1, record.endpoint.slots if record.endpoint else 1)
-        used = self._used(view, slots, now)
+        told = view.told_by_priority.get(priority, _NOTHING_TOLD)
+        used = _used(view, told, slots, now)
         blame = view.slowdown - 1.0 + FAILURE_PENALTY * view.failure_share
         blame *= math.exp2((view.last_used - now) / BLAME_HALVES_S)
         run_s = own_s * max(MIN_SLOWDOWN, 1.0 + blame)
@@ -303,19 +335,12 @@
         if record.endpoint and record.endpoint.state is EndpointState.COLD:
             run_s *= COLD_SLOWDOWN
         waits = max(0.0, used + 1.0 / slots - 1.0)
-        expected_s = run_s + waits * (view.load.service_time_s or own_s)
+        expected_s = run_s + waits * (told.load.service_time_s or own_s)
         expected_s += self._distance(record)
         if record.state is NodeState.SUSPECT:
             expected_s *= 1.0 + SUSPECT_PENALTY
         return expected_s * self.random.uniform(1.0, 1.0 + JITTER)
 
-    def _used(self, view: EndpointView, slots: int, now: float) -> float:
-        """Estimate the share of slots in use: as told, and what went there since."""
-        fresh = math.exp((view.load_at - now) / LOAD_FADES_S)
-        told = view.load.used * fresh
-        own = view.in_flight - view.in_flight_at_load * fresh
-        return max(view.in_flight / slots, told + own / slots)
-
     def _distance(self, record: NodeRecord) -> float:
         seen_s = self.distance_s(record)
         if seen_s is not None:
@@ -328,6 +353,13 @@
         return DISTANCE_S_OTHER_REGION
 
 
+def _used(view: EndpointView, told: _Told, slots: int, now: float) -> float:
+    """Estimate the share of slots in use: as told, and what went there since."""
+    fresh = math.exp((told.at - now) / LOAD_FADES_S)
+    own = view.in_flight - told.in_flight * fresh
+    return max(view.in_flight / slots, told.load.used * fresh + own / slots)
+
+
 _BLAMED = frozenset(
     {
         Kind.CONNECT_FAILED,
--- a/src/comfreytray/streamserver.py
+++ b/src/comfreytray/streamserver.py
@@ -137,7 +137,8 @@
             logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
             result = fail(Kind.INTERNAL, type(error).__name__)
         if isinstance(result, Outcome):
-            result.load = self.server.load()
+            if result.load is IDLE:
+                result.load = self.server.load()
             self.streams.refuse(self.stream, result)
             self.writer.flush()
             return
