Run what a caller sends ahead on one connection side by side

Ruled out: slow endpoints alone (the classes that use one connection a request were in time). Change: requests without a body run in greenlets of their own, answers are written in order, an answer that closes the connection ends what is behind it, and a caller that hangs up takes all its requests with it. Test: calls_pipelines.feature (the first scenario can't pass one after the other).

--- a/src/comfreytray/callers.py
+++ b/src/comfreytray/callers.py
@@ -24,7 +24,7 @@
         self.busy_sockets.discard(sock)
         self.idle_sockets.add(sock)
         if self.stopping:
-            _end_reading(sock)
+            end_reading(sock)
 
     def take_request(self, sock: Any) -> None:
         """Note that a connection carries a request."""
@@ -44,7 +44,7 @@
         self.stopping = True
         for sock in list(self.idle_sockets):
             if not _has_input(sock):
-                _end_reading(sock)
+                end_reading(sock)
         with eventlet.Timeout(timeout_s, False):
             while self.idle_sockets or self.busy_sockets:
                 eventlet.sleep(POLL_S)
@@ -93,6 +93,7 @@
         return False
 
 
-def _end_reading(sock: Any) -> None:
+def end_reading(sock: Any) -> None:
+    """Read nothing more from a connection; what is written still goes out."""
     with contextlib.suppress(OSError):
         sock.shutdown(plain_socket.SHUT_RD)
--- a/src/comfreytray/httpserver.py
+++ b/src/comfreytray/httpserver.py
@@ -1,6 +1,7 @@
 """Serve HTTP to callers: eventlet's WSGI server with strict heads."""
 
 import contextlib
+import copy
 import functools
 import re
 import socket as plain_socket
@@ -12,7 +13,8 @@
 import eventlet
 from eventlet import wsgi
 
-from comfreytray.callers import Callers
+from comfreytray import logs
+from comfreytray.callers import Callers, end_reading
 from comfreytray.errors import Failure, Kind
 from comfreytray.heads import (
     MAX_LINE_BYTES,
@@ -23,6 +25,8 @@
     read_fields,
 )
 from comfreytray.interfaces import Clock
+from comfreytray.pipelines import Pipeline, Turn
+from comfreytray.snapshots import SAFE_METHODS
 
 HEAD_TIMEOUT_S = 10.0
 KEEPALIVE_S = 75.0
@@ -60,6 +64,8 @@
         """Refuse heads that two readers could take in two ways."""
 
         headers: Any
+        pipeline: Pipeline
+        close_connection: Any
         lingers = False
         """Whether the caller may still be sending what will not be read."""
 
@@ -75,15 +81,53 @@
             return line
 
         def handle(self) -> None:
+            self.pipeline = Pipeline(
+                target=self.wfile,
+                on_idle=lambda: heads.callers.wait_for_request(self.connection),
+                on_close=lambda: end_reading(self.connection),
+            )
             try:
                 super().handle()
+                self._finish_pipeline()
             finally:
+                self.pipeline.close()
                 heads.callers.close(self.connection)
 
+        def _finish_pipeline(self) -> None:
+            """Wait for the answers under way unless their caller has gone."""
+            if self.raw_requestline or heads.callers.stopping:
+                self.pipeline.wait_until_empty()
+
         def handle_one_request(self) -> None:
-            heads.callers.wait_for_request(self.connection)
+            if self.pipeline.is_empty:
+                heads.callers.wait_for_request(self.connection)
             super().handle_one_request()
 
+        def handle_one_response(self) -> None:
+            """Answer a request; one without a body lets the next be read meanwhile."""
+            self.pipeline.wait_for_room()
+            once = copy.copy(self)
+            once.wfile = turn = self.pipeline.take()
+            once.environ["comfreytray.protocol"] = once
+            if self.command in SAFE_METHODS and not _has_body(self.headers):
+                turn.greenlet = eventlet.spawn(once._respond, turn)
+                return
+            turn.greenlet = eventlet.getcurrent()
+            once._respond(turn)
+            self.close_connection = once.close_connection
+            self.lingers = once.lingers
+
+        def _respond(self, turn: Turn) -> None:
+            """Write the answer of one request into its turn."""
+            closes = True
+            try:
+                super().handle_one_response()
+                closes = bool(self.close_connection)
+                turn.finish(closes=closes)
+            except OSError as error:
+                logs.log(logs.Event.CALLER_LOST, reason=type(error).__name__)
+                self.pipeline.close()
+
         def parse_request(self) -> bool:
             self.close_connection = True
             self.headers = None
@@ -208,6 +252,11 @@
             left -= len(part)
 
 
+def _has_body(headers: Fields) -> bool:
+    length = headers.get("content-length")
+    return headers.get("transfer-encoding") is not None or length not in (None, "0")
+
+
 def _check(version: str, headers: Fields) -> None:
     chunked, _ = body_framing(headers)
     if chunked and version == "HTTP/1.0":
--- a/src/comfreytray/logs.py
+++ b/src/comfreytray/logs.py
@@ -28,6 +28,7 @@
     MEMBER_REFUSED = "member-refused"
     HEARTBEAT_REFUSED = "heartbeat-refused"
     HEARTBEAT_STALE = "heartbeat-stale"
+    CALLER_LOST = "caller-lost"
     CALLS_CUT = "calls-cut"
     RECORD_NOT_STORED = "record-not-stored"
     SETTINGS_RELOADED = "settings-reloaded"
--- a/src/comfreytray/retries.py
+++ b/src/comfreytray/retries.py
@@ -10,6 +10,7 @@
 BUDGET_RESERVE = 10.0
 MAX_REDIRECTS = 3
 MAX_REDIRECTS_WHEN_FULL = 1
+"""Where one endpoint has no room, few others have."""
 MIN_TIME_LEFT_S = 0.002
 
 _MOVED = frozenset({Kind.LEAVING, Kind.WRONG_NODE})
@@ -74,9 +75,9 @@
     if proved and kind in _MOVED and redirects < MAX_REDIRECTS:
         return Decision.REDIRECT
     if proved and not outcome.sent and kind in _ELSEWHERE:
-        # Where one endpoint has no room, few others have: one more is asked.
-        elsewhere = redirects < MAX_REDIRECTS_WHEN_FULL
-        return Decision.REDIRECT if elsewhere else Decision.GIVE_UP
+        full = kind is Kind.OVERLOADED
+        most = MAX_REDIRECTS_WHEN_FULL if full else MAX_REDIRECTS
+        return Decision.REDIRECT if redirects < most else Decision.GIVE_UP
     if kind not in _ELSEWHERE or call.retried or not budget.spend():
         return Decision.GIVE_UP
     invariant(
