Log what became of a call, and show a node's numbers to scrapers

Change: one line for each failed or refused call at the entry and at the owner, with the tries, the time left and what decided; ordinary calls by a sample of their ids; 50 lines a second at most, with a count of those left out. Counters and latency quantiles in the text format of scrapers at 9464/metrics. The platform's process writes to standard output.

--- /dev/null
+++ b/src/comfreytray/calllog.py
@@ -0,0 +1,114 @@
+"""Log what became of calls: each failure, and all lines of a sample of the others."""
+
+import zlib
+
+from comfreytray import logs
+from comfreytray.budgets import TokenBucket
+from comfreytray.calls import Call, Outcome, Reply
+from comfreytray.errors import Failure
+from comfreytray.interfaces import Clock
+
+SAMPLE_ONE_IN = 256
+"""Ordinary calls of which one is logged; by their id, so that every node takes the
+same ones."""
+MAX_LINES_PER_S = 50.0
+BURST_LINES = 200.0
+MS_PER_S = 1000
+
+
+class CallLog:
+    """Write at most so many lines a second, and say how many were left out."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self.clock = clock
+        self.left_out = 0
+        self._budget = TokenBucket(
+            rate_per_s=MAX_LINES_PER_S,
+            capacity=BURST_LINES,
+            refilled_at_s=clock.monotonic(),
+        )
+
+    def refused_at_entry(self, call_id: str, failure: Failure, version: int) -> None:
+        """Log a request that never became a call."""
+        if self._has_room():
+            logs.log(
+                logs.Event.CALL_REFUSED,
+                id=call_id,
+                at="entry",
+                version=version,
+                kind=failure.kind.value,
+                reason=failure.detail,
+            )
+
+    def ended(self, call: Call, result: Reply | Outcome, version: int) -> None:
+        """Log how a call ended for its caller."""
+        failed = isinstance(result, Outcome)
+        if not (failed or _is_sampled(call.call_id)) or not self._has_room():
+            return
+        now = self.clock.monotonic()
+        fields: dict[str, object] = {
+            "id": call.call_id,
+            "route": call.kind,
+            "service": call.service,
+            "version": version,
+            "attempts": ",".join(call.attempts) or "none",
+            "left_ms": int((call.deadline - now) * MS_PER_S),
+            "due_ms": int((call.due - now) * MS_PER_S) if call.due else "",
+        }
+        if isinstance(result, Reply):
+            logs.log(logs.Event.CALL_ANSWERED, status=result.status, **fields)
+            return
+        logs.log(
+            logs.Event.CALL_FAILED,
+            kind=result.failure.kind.value,
+            reason=result.failure.detail,
+            ran=result.ran.value,
+            retry_after_s=result.failure.retry_after_s or 0,
+            **fields,
+        )
+
+    def refused_at_owner(
+        self, call: Call, failure: Failure, *, held: int, queued: int, slots: int
+    ) -> None:
+        """Log a call that the node beside the upstream did not let in."""
+        if self._has_room():
+            logs.log(
+                logs.Event.CALL_REFUSED,
+                id=call.call_id,
+                at="owner",
+                kind=failure.kind.value,
+                reason=failure.detail,
+                priority=call.priority,
+                held=held,
+                queued=queued,
+                slots=slots,
+            )
+
+    def lost_at_owner(self, call: Call, outcome: Outcome, *, instance: str) -> None:
+        """Log a call that the upstream failed."""
+        if self._has_room():
+            logs.log(
+                logs.Event.CALL_FAILED,
+                id=call.call_id,
+                at="owner",
+                instance=instance,
+                kind=outcome.failure.kind.value,
+                reason=outcome.failure.detail,
+                ran=outcome.ran.value,
+                sent=outcome.sent,
+            )
+
+    def _has_room(self) -> bool:
+        now = self.clock.monotonic()
+        if not self._budget.is_open(now):
+            self.left_out += 1
+            return False
+        self._budget.spend(1.0, now)
+        if self.left_out:
+            logs.log(logs.Event.LINES_LEFT_OUT, count=self.left_out)
+            self.left_out = 0
+        return True
+
+
+def _is_sampled(call_id: str) -> bool:
+    return bool(call_id) and zlib.crc32(call_id.encode()) % SAMPLE_ONE_IN == 0
--- a/src/comfreytray/calls.py
+++ b/src/comfreytray/calls.py
@@ -84,6 +84,8 @@
     """Rank of the route; 0 is the highest."""
     due: float = 0.0
     """When an answer is due to be of full use, as `deadline`; 0 if unstated."""
+    attempts: list[str] = field(factory=list)
+    """Nodes that were tried, with how each try ended, for the log."""
     max_attempts: int = 0
     """Most endpoints that may be tried; 0 leaves it to the retry policy."""
 
--- a/src/comfreytray/dispatch.py
+++ b/src/comfreytray/dispatch.py
@@ -12,6 +12,8 @@
 from comfreytray.retries import MIN_TIME_LEFT_S, Budget, Decision, decide
 from comfreytray.routing import EndpointView, Router
 
+MS_PER_S = 1000
+
 
 class Dispatcher:
     """Pick endpoints for a call and follow its attempts."""
@@ -98,6 +100,7 @@
             self.router.abandon(view)
             raise
         took_s = self.clock.monotonic() - started
+        _note_attempt(call, record, result, took_s)
         if isinstance(result, Outcome):
             result.node_id = record.node_id
             self.router.fail(
@@ -152,3 +155,12 @@
         reply.rest = follow()
         reply.close = close
         return reply
+
+
+def _note_attempt(
+    call: Call, record: NodeRecord, result: Reply | Outcome, took_s: float
+) -> None:
+    ended: object = result.status if isinstance(result, Reply) else None
+    if isinstance(result, Outcome):
+        ended = result.failure.kind.value
+    call.attempts.append(f"{record.node_id}:{ended}:{took_s * MS_PER_S:.0f}ms")
--- a/src/comfreytray/logs.py
+++ b/src/comfreytray/logs.py
@@ -2,6 +2,7 @@
 
 import json
 import logging as standard_logging
+import sys
 from datetime import UTC, datetime
 from enum import Enum
 
@@ -29,6 +30,8 @@
     HEARTBEAT_REFUSED = "heartbeat-refused"
     HEARTBEAT_STALE = "heartbeat-stale"
     CALLER_LOST = "caller-lost"
+    CALL_ANSWERED = "call-answered"
+    LINES_LEFT_OUT = "lines-left-out"
     CALLS_CUT = "calls-cut"
     RECORD_NOT_STORED = "record-not-stored"
     SETTINGS_RELOADED = "settings-reloaded"
@@ -91,10 +94,13 @@
         return f"time={stamp} level={record.levelname.lower()} {text}"
 
 
-def configure(level: str) -> None:
-    """Write events of a level and above to standard error."""
+def configure(level: str, *, to_standard_output: bool = False) -> None:
+    """Write events of a level and above to standard error, or standard output."""
     if not flags.FLAGS.is_parsed():
         flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
-    logging.get_absl_handler().setFormatter(_LineFormatter())
+    handler = logging.get_absl_handler()
+    handler.setFormatter(_LineFormatter())
+    if to_standard_output:
+        handler.python_handler.stream = sys.stdout
     logging.set_verbosity(level)
--- a/src/comfreytray/metrics.py
+++ b/src/comfreytray/metrics.py
@@ -5,7 +5,7 @@
 
 MAX_MICROSECONDS = 60_000_000
 SIGNIFICANT_DIGITS = 2
-_PERCENTILES = (50.0, 99.0, 99.9)
+PERCENTILES = (50.0, 99.0, 99.9)
 
 
 def _histogram() -> HdrHistogram:
@@ -56,7 +56,7 @@
                     "count": histogram.get_total_count(),
                     **{
                         f"p{share:g}": histogram.get_value_at_percentile(share)
-                        for share in _PERCENTILES
+                        for share in PERCENTILES
                     },
                 }
                 for name, histogram in sorted(self.histogram_by_name.items())
--- a/src/comfreytray/owner.py
+++ b/src/comfreytray/owner.py
@@ -5,6 +5,7 @@
 
 from attrs import evolve
 
+from comfreytray.calllog import CallLog
 from comfreytray.calls import Call, Load, Outcome, Reply, fail
 from comfreytray.dialect import NATIVE, Dialect
 from comfreytray.errors import Failure, Kind
@@ -31,11 +32,13 @@
         metrics: Metrics,
         tracer: Tracer | None = None,
         dialect: Dialect = NATIVE,
+        call_log: CallLog | None = None,
     ) -> None:
         self.local_upstream = local_upstream
         self.clock = clock
         self.metrics = metrics
         self.tracer = tracer
+        self.call_log = call_log or CallLog(clock=clock)
         self.admission = Admission(clock=clock, slots=0)
         self.pool = UpstreamPool(
             clock=clock, connections=0, dialect=dialect, metrics=metrics
@@ -82,9 +85,11 @@
             due=call.due,
         )
         if isinstance(ticket, Failure):
+            self._log_refused(call, ticket)
             return Outcome.of(ticket, load=self.admission.load_for(call.priority))
         failure = self._wait(ticket, call)
         if failure is not None:
+            self._log_refused(call, failure)
             return Outcome.of(failure, load=self.admission.load_for(call.priority))
         invariant(ticket.state is TicketState.HELD, "a call runs only with a slot")
         reply = self.pool.call(
@@ -92,6 +97,9 @@
             call,
             on_end=lambda: self.admission.release(ticket),
         )
+        if isinstance(reply, Outcome):
+            instance = upstream.endpoint.instance_id
+            self.call_log.lost_at_owner(call, reply, instance=instance)
         reply.load = evolve(
             self.admission.load_for(call.priority),
             held_s=self.clock.monotonic() - ticket.admitted_at,
@@ -102,6 +110,16 @@
         """Refuse new calls; calls in flight finish."""
         self.admission.leave()
 
+    def _log_refused(self, call: Call, failure: Failure) -> None:
+        self.metrics.count(f"owner_refused_{failure.kind.value}")
+        self.call_log.refused_at_owner(
+            call,
+            failure,
+            held=self.admission.held,
+            queued=self.admission.queued,
+            slots=self.admission.slots,
+        )
+
     def _follow(self, upstream: LocalUpstream) -> None:
         self.admission.resize(
             min(upstream.endpoint.slots, upstream.endpoint.connections)
--- a/src/comfreytray/platform/interfaces.py
+++ b/src/comfreytray/platform/interfaces.py
@@ -5,12 +5,15 @@
 from typing import Any
 from urllib.parse import unquote
 
+from comfreytray import exposition
 from comfreytray.heartbeats import InstanceRegister, Receipt
 from comfreytray.interfaces import Address
 from comfreytray.logs import Event, warn
+from comfreytray.metrics import Metrics
 from comfreytray.platform import instances
 
 READY_PATH = "/-/ready"
+METRICS_PATH = "/metrics"
 INSTANCES_PATH = "/-/instances/"
 
 Environ = dict[str, Any]
@@ -40,6 +43,24 @@
         return _answer(start_response, status)
 
 
+class Exposition:
+    """Show the node's numbers."""
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        if environ["PATH_INFO"] != METRICS_PATH:
+            return _answer(start_response, HTTPStatus.NOT_FOUND)
+        body = exposition.text(self._metrics).encode()
+        headers = [("Content-Type", exposition.CONTENT_TYPE)]
+        start_response("200 OK", headers)
+        return [body]
+
+
 class Heartbeats:
     """Take the heartbeats and departures of the instance beside the node."""
 
--- a/src/comfreytray/platform/main.py
+++ b/src/comfreytray/platform/main.py
@@ -12,15 +12,18 @@
 from comfreytray.exceptions import SettingError
 from comfreytray.platform import configuration
 from comfreytray.platform.headers import DIALECT
-from comfreytray.platform.interfaces import Heartbeats, Readiness
+from comfreytray.platform.interfaces import Exposition, Heartbeats, Readiness
 from comfreytray.platform.objectstore import PlatformStore
 from comfreytray.platform.settings import FILE_VARIABLE, PlatformSettings, load
 from comfreytray.proxynode import ProxyNode
 
+METRICS_PORT = 9464
+"""As in deploy/system.toml; outside the ports that the platform hands out."""
+
 
 def main() -> int:
     """Run a node until it is told to stop; return the exit code."""
-    logs.configure("info")
+    logs.configure("info", to_standard_output=True)
     path = Path(os.environ.get(FILE_VARIABLE, ""))
     try:
         settings = load(path)
@@ -60,6 +63,9 @@
                 upstream=settings.place.upstream,
             ),
         )
+        node.serve(
+            (settings.place.host, METRICS_PORT), Exposition(metrics=node.metrics)
+        )
         # What start-up made stays; without it a collection takes no time.
         gc.collect()
         gc.freeze()
--- a/src/comfreytray/proxy.py
+++ b/src/comfreytray/proxy.py
@@ -17,6 +17,7 @@
     whole_refusal,
 )
 from comfreytray.callers import Callers, Listener
+from comfreytray.calllog import CallLog
 from comfreytray.calls import (
     Call,
     CallCancelledError,
@@ -97,6 +98,7 @@
         self.leaving = False
         self.in_flight = 0
         self.dialect = dialect
+        self.call_log = CallLog(clock=clock)
         self.reader = requests.RequestReader(
             dialect=dialect, caller=caller, clock=clock, splitter=Splitter()
         )
@@ -109,6 +111,7 @@
             metrics=metrics,
             tracer=tracer,
             dialect=dialect,
+            call_log=self.call_log,
         )
         self.client = StreamClient(own_id=own_id, clock=clock, metrics=metrics)
         self.server = StreamServer(
@@ -243,7 +246,10 @@
         entry = self.sweeper.enter(environ)
         try:
             call = self.reader.read(environ, self.snapshot())
-            result = Outcome.of(call) if isinstance(call, Failure) else self._run(call)
+            if isinstance(call, Failure):
+                result = self._refuse_at_entry(environ, call)
+            else:
+                result = self._run(call)
             if isinstance(result, Reply) and requests.needs_whole(environ, result):
                 result = gather(result)
             if isinstance(result, Outcome):
@@ -270,7 +276,26 @@
         text = self.message_for(failure, accept_language)
         return whole_refusal(Outcome.of(failure), text, self.dialect)
 
+    @property
+    def _version(self) -> int:
+        snapshot = self.snapshot()
+        return 0 if snapshot is None else snapshot.head.version
+
+    def _refuse_at_entry(self, environ: Environ, failure: Failure) -> Reply | Outcome:
+        call_id = self.reader.call_id(environ)
+        self.call_log.refused_at_entry(call_id, failure, self._version)
+        return Outcome.of(failure)
+
     def _run(self, call: Call) -> Reply | Outcome:
+        started = self.clock.monotonic()
+        result = self._run_traced(call)
+        took_s = self.clock.monotonic() - started
+        ended = "answered" if isinstance(result, Reply) else "refused"
+        self.metrics.record_duration(f"calls_{ended}", took_s)
+        self.call_log.ended(call, result, self._version)
+        return result
+
+    def _run_traced(self, call: Call) -> Reply | Outcome:
         self.metrics.count("calls")
         run = self.dispatcher.run
         if call.key and self.keyed is not None:
