Test the platform's folder against a stand-in of our own; mend what that found

Found by the new features, each seen to fail first: a heartbeat whose state is no text ended in an unhandled error (500) in place of a refusal; settings without a list of bounds ended with a traceback; a store's answer with odd numbers or no JSON could end a task's round. Change: refused by name or read as malformed.

--- /dev/null
+++ b/features/steps/calls_overload_steps.py
@@ -0,0 +1,241 @@
+import heapq
+import random
+
+from attrs import evolve
+from behave import given, then, when
+from calls_routing_steps import record
+
+from comfreytray.calls import Load
+from comfreytray.errors import Failure
+from comfreytray.limits import Admission, Ticket, TicketState
+from comfreytray.platform.headers import DIALECT
+from comfreytray.records import MembershipView
+from comfreytray.requests import RequestReader
+from comfreytray.routing import Router
+from comfreytray.snapshots import Route
+from comfreytray.splits import Splitter
+from comfreytray.testing import FakeClock
+
+SLOTS = 6
+KINDS = {
+    # priority, mean run time, target, time limit, share of the load
+    "urgent": (1, 0.21, 0.8, 3.0, 0.35),
+    "other": (2, 0.16, 0.6, 2.5, 0.65),
+}
+
+
+class Overload:
+    """Offer calls to an admission on a fake clock and run what it lets in."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.clock = FakeClock(now=0.0)
+        self.admission = Admission(
+            clock=self.clock, slots=SLOTS, uniform=self.random.uniform
+        )
+        self.ends = []
+        self.timely = {name: 0 for name in KINDS}
+        self.ran = {name: 0 for name in KINDS}
+        self.offered = {name: 0 for name in KINDS}
+        self.refused = []
+        self.late_at = []
+        self.busy_s = 0.0
+
+    def run(self, load, until):
+        per_s = {
+            name: load * SLOTS * share / run_s
+            for name, (_, run_s, _, _, share) in KINDS.items()
+        }
+        arrivals = [
+            (self.clock.now + self.random.expovariate(rate), name)
+            for name, rate in per_s.items()
+        ]
+        heapq.heapify(arrivals)
+        while arrivals[0][0] < until:
+            at, name = heapq.heappop(arrivals)
+            self.end_until(at)
+            self.clock.now = at
+            self.offer(name)
+            heapq.heappush(arrivals, (at + self.random.expovariate(per_s[name]), name))
+
+    def end_until(self, at):
+        while self.ends and self.ends[0][0] <= at:
+            self.clock.now, _, ticket, name, due = heapq.heappop(self.ends)
+            late = self.clock.now > due
+            self.timely[name] += not late
+            if late:
+                self.late_at.append(self.clock.now)
+            self.admission.release(ticket)
+
+    def offer(self, name):
+        priority, _, target_s, limit_s, _ = KINDS[name]
+        self.offered[name] += 1
+        now = self.clock.now
+        due = now + target_s
+        result = self.admission.offer(
+            customer="",
+            share=1.0,
+            deadline=now + limit_s,
+            kind=name,
+            priority=priority,
+            due=due,
+        )
+        if isinstance(result, Failure):
+            self.refused.append((now, result.retry_after_s))
+            return
+        if result.state is TicketState.HELD:
+            self.start(result, name, due)
+            return
+        result.notify = lambda: self.start(result, name, due)
+
+    def start(self, ticket: Ticket, name, due):
+        if ticket.state is not TicketState.HELD:
+            self.refused.append((self.clock.now, ticket.failure.retry_after_s))
+            return
+        mean = KINDS[name][1]
+        run_s = mean * self.random.lognormvariate(-0.08, 0.4)
+        self.ran[name] += 1
+        self.busy_s += run_s
+        end = self.clock.now + run_s
+        heapq.heappush(self.ends, (end, id(ticket), ticket, name, due))
+
+
+@given("an upstream of 6 slots and two kinds of calls at {load:g} times its capacity")
+def make_overload(context, load):
+    context.load = load
+    context.overload = Overload(seed=5)
+
+
+@given("an upstream of 6 slots and two kinds of calls at half its capacity")
+def make_burst(context):
+    make_overload(context, 0.5)
+
+
+@when("the overload lasts 20 s")
+def run_overload(context):
+    context.overload.run(context.load, until=20.0)
+
+
+@then("nine in ten of the urgent calls and of the others that ran were in time")
+def check_timely(context):
+    seen = context.overload
+    assert seen.timely["urgent"] >= 0.9 * seen.offered["urgent"], vars(seen)
+    assert seen.timely["other"] >= 0.9 * seen.ran["other"], (seen.timely, seen.ran)
+
+
+@then("the slots were busy nine tenths of the time")
+def check_busy(context):
+    share = context.overload.busy_s / (SLOTS * 20.0)
+    assert share >= 0.9, share
+
+
+@then("what was refused was told to come back soon and not all at once")
+def check_retry_after(context):
+    waits = [wait_s for _, wait_s in context.overload.refused]
+    assert all(0.0 < wait_s < 1.0 for wait_s in waits), max(waits)
+    assert max(waits) > 1.5 * min(waits), (min(waits), max(waits))
+
+
+@when("three times as many come for 2 s")
+def run_burst(context):
+    seen = context.overload
+    seen.run(context.load, until=5.0)
+    seen.run(3 * context.load, until=7.0)
+    seen.run(context.load, until=15.0)
+
+
+@then("a second after the burst nothing is refused or late")
+def check_after_burst(context):
+    seen = context.overload
+    assert not [at for at, _ in seen.refused if at > 8.0], seen.refused[-3:]
+    # A few calls take longer than their target by themselves.
+    late = [at for at in seen.late_at if at > 8.0]
+    assert len(late) <= 0.02 * sum(seen.offered.values()), late
+
+
+@given("a slow endpoint here, a quick one in the next place and one abroad")
+def make_places(context):
+    own = record("own", place="r1-1", service="other")
+    context.records = [
+        record("here", place="r1-1"),
+        record("next", place="r1-2"),
+        record("abroad", place="r2-1"),
+    ]
+    context.clock = FakeClock()
+    context.router = Router(
+        node=lambda: own,
+        members=lambda: MembershipView(
+            by_id={r.node_id: r for r in context.records},
+            endpoints_by_service={"s": tuple(context.records)},
+        ),
+        clock=context.clock,
+        random=random.Random(4),
+    )
+    for name, held_s in (("here", 0.2), ("next", 0.1), ("abroad", 0.1)) * 20:
+        _answer(context, name, Load(used=0.2, service_time_s=0.15, held_s=held_s))
+
+
+def _answer(context, name, load):
+    by_id = {r.node_id: r for r in context.records}
+    view = context.router.begin(by_id[name])
+    context.router.finish(view, took_s=load.held_s, load=load, kind="k", priority=2)
+
+
+def _picks(context):
+    picks = [
+        context.router.pick("s", kind="k", priority=2, target_s=0.6).node_id
+        for _ in range(100)
+    ]
+    return {name: picks.count(name) for name in ("here", "next", "abroad")}
+
+
+@when("the load here is low, then beyond what the region can serve in time")
+def load_places(context):
+    context.calm = _picks(context)
+    full = Load(used=5.0, service_time_s=0.15, held_s=0.15)
+    for name in ("here", "next"):
+        _answer(context, name, full)
+    context.pressed = _picks(context)
+
+
+@then("nothing goes abroad at first, and what would be late goes there later")
+def check_places(context):
+    assert context.calm["abroad"] == 0, context.calm
+    assert context.pressed["abroad"] == 100, context.pressed
+
+
+@given("a route with a target of 0.6 s and callers with 2.5 s")
+def make_reader(context):
+    context.clock = FakeClock()
+    context.reader = RequestReader(
+        dialect=DIALECT,
+        caller=lambda: "s",
+        clock=context.clock,
+        splitter=Splitter(),
+    )
+    context.route = Route(
+        customer="",
+        name="r",
+        path="/",
+        methods=frozenset({"GET"}),
+        service="s",
+        target_latency_s=0.6,
+    )
+    _due(context, "2500")
+
+
+def _due(context, left_ms):
+    environ = {"HTTP_X_DEADLINE_MS": left_ms}
+    route = evolve(context.route)
+    return context.reader._due(route, context.clock.now, environ)
+
+
+@when("a caller comes back with 2.1 s left")
+def come_back(context):
+    context.due = [_due(context, left_ms) for left_ms in ("2500", "2100")]
+
+
+@then("its answer is due 0.4 s sooner")
+def check_due(context):
+    first, again = context.due
+    assert abs(first - again - 0.4) < 1e-6, context.due
--- /dev/null
+++ b/features/steps/platform_node_steps.py
@@ -0,0 +1,315 @@
+import copy
+import json
+import tempfile
+from pathlib import Path
+
+import eventlet
+from behave import given, then, when
+from calls_rig import Upstream, read_answer, until
+from eventlet import tpool
+from eventlet.green import socket
+from platform_stand_in import StoreStandIn
+
+from comfreytray.errors import EXIT_USAGE, Failure
+from comfreytray.exceptions import SettingError
+from comfreytray.heartbeats import Heartbeat
+from comfreytray.platform import configuration
+from comfreytray.platform.headers import DIALECT
+from comfreytray.platform.objectstore import PlatformStore
+from comfreytray.platform.settings import load
+from comfreytray.proxynode import Place, ProxyNode
+from comfreytray.records import Endpoint, LocalUpstream
+from comfreytray.snapshots import Route, ServiceShare
+from comfreytray.splits import Splitter
+
+HOST = "fields.example"
+
+
+def _configuration(version, prefix="/a/", **spec):
+    route = {
+        "hostname": HOST,
+        "path_prefix": prefix,
+        "type": "safe",
+        "timeout_s": 2.0,
+        "target_latency_s": 0.5,
+        "priority": 1,
+        "service": "s",
+        "max_attempts": 2,
+    }
+    return {
+        "version": version,
+        "resources": [
+            {
+                "resource_kind": "routes",
+                "metadata": {"name": "r"},
+                "spec": {**route, **spec},
+            },
+            {
+                "resource_kind": "services",
+                "metadata": {"name": "s"},
+                "spec": {"health_path": "/health", "max_connections": 8},
+            },
+            {"resource_kind": "limits", "metadata": {}, "spec": {}},
+        ],
+    }
+
+
+def _free_port():
+    sock = eventlet.listen(("127.0.0.1", 0))
+    port = sock.getsockname()[1]
+    sock.close()
+    return port
+
+
+def _answer(head, body):
+    call_id = head.decode().partition("X-Attempt-Id: ")[2].partition("\r\n")[0]
+    lines = [
+        "HTTP/1.1 200 Fine",
+        f"X-Attempt-Id: {call_id}",
+        "X-Response-Seal: s",
+        "Content-Length: 2",
+        "",
+        "ok",
+    ]
+    return "\r\n".join(lines).encode()
+
+
+@given("the platform's store, an endpoint and a node beside it")
+def make_node(context):
+    context.stand_in = StoreStandIn()
+    context.add_cleanup(context.stand_in.close)
+    context.upstream = Upstream(_answer)
+    context.add_cleanup(context.upstream.close)
+    place = Place(
+        node_id="n-1",
+        service="s",
+        region="r",
+        data_centre="d",
+        host="127.0.0.1",
+        upstream=("127.0.0.1", context.upstream.port),
+        call_port=_free_port(),
+        entry=("127.0.0.1", _free_port()),
+        heartbeat_s=1.5,
+        grace_s=6.0,
+    )
+    store = tpool.Proxy(PlatformStore(address=context.stand_in.address))
+    context.node = ProxyNode(
+        place=place,
+        store=store,
+        configuration_key=configuration.OBJECT_KEY,
+        decode_configuration=configuration.decode,
+        dialect=DIALECT,
+    )
+    context.node.__enter__()
+    context.add_cleanup(context.node.__exit__, None, None, None)
+
+
+def _call(context, path="/a/x"):
+    sock = socket.create_connection(context.node.place.entry)
+    head = f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: q\r\n"
+    sock.sendall((head + "X-Deadline-Ms: 2000\r\n\r\n").encode())
+    got = read_answer(sock)
+    sock.close()
+    return got
+
+
+def _version(context):
+    snapshot = context.node.snapshot
+    return snapshot.head.version if snapshot else 0
+
+
+@when("the node starts before there is a configuration")
+def start_bare(context):
+    assert until(lambda: context.node.members.heard_at is not None)
+    context.ready = context.node.is_ready
+    context.got = _call(context)
+
+
+@then("it is not ready and refuses calls as not run")
+def check_bare(context):
+    assert not context.ready and context.got.status == 503
+    assert float(context.got.headers["retry-after"]) > 0
+
+
+@when("the operator writes a configuration and the endpoint says that it is ready")
+def write_first(context):
+    context.stand_in.put("config", "main", _configuration(7))
+    endpoint = Endpoint(service="s", instance_id="i-1", slots=2, connections=4)
+    host, port = context.node.place.upstream
+    upstream = LocalUpstream(host=host, port=port, endpoint=endpoint)
+    heartbeat = Heartbeat(upstream=upstream, started_ms=1, sequence=1)
+    context.node.register.receive(heartbeat)
+    assert until(lambda: _version(context) == 7)
+
+
+@then("it is ready and serves the route, and no other")
+def check_serving(context):
+    assert context.node.is_ready
+    got = _call(context)
+    assert (got.status, got.body) == (200, b"ok"), (got.status, got.body)
+    assert got.headers["x-response-seal"] == "s"
+    assert _call(context, "/b/x").status == 404
+    assert _call(context, "/a").status == 404
+
+
+@when("versions come in order, late, broken and again")
+def write_versions(context):
+    context.seen = []
+    broken = _configuration(50)
+    del broken["resources"][0]["spec"]["timeout_s"]
+    for plain in (
+        _configuration(3),
+        _configuration(9),
+        _configuration(5),
+        broken,
+        {"version": "60", "resources": []},
+        _configuration(9, prefix="/other/"),
+        _configuration(11),
+    ):
+        context.node._apply_configuration([_stored(plain)])
+        context.seen.append(_version(context))
+
+
+def _stored(plain):
+    from comfreytray.interfaces import StoredObject
+
+    value = json.dumps(plain).encode()
+    return StoredObject(key="config/main", value=value, version=1)
+
+
+@then("only higher and whole ones were put in force")
+def check_versions(context):
+    assert context.seen == [3, 9, 9, 9, 9, 9, 11], context.seen
+
+
+@when("the store is away, forgets its history, cuts watches and loses answers")
+def break_store(context):
+    stand_in = context.stand_in
+    context.followed = []
+    version = 1
+    for fault in ("away", "forget", "cut", "lose"):
+        getattr(stand_in, fault)()
+        version += 2
+        stand_in.put("config", "main", _configuration(version))
+        context.node.register.receive(_ready(context, version))
+        eventlet.sleep(0.2)
+        stand_in.mend()
+        wanted = version
+        context.followed.append(
+            until(lambda: _version(context) == wanted)  # noqa: B023
+        )
+
+
+def _ready(context, sequence):
+    endpoint = Endpoint(
+        service="s", instance_id=f"i-{sequence}", slots=2, connections=4
+    )
+    host, port = context.node.place.upstream
+    upstream = LocalUpstream(host=host, port=port, endpoint=endpoint)
+    return Heartbeat(upstream=upstream, started_ms=sequence, sequence=1)
+
+
+@then("the node has the newest version each time and its own entry is true")
+def check_followed(context):
+    assert context.followed == [True] * 4, context.followed
+
+    def entry():
+        held = context.stand_in.object_by_name["members"].get("n-1")
+        return held and held["spec"]["endpoint"]["instance_id"]
+
+    assert until(lambda: entry() == "i-9"), entry()
+
+
+@given("a route split 90 to 10 and one split in three")
+def make_splits(context):
+    context.routes = [
+        _split(("s", 90), ("t", 10)),
+        _split(("s", 1), ("t", 1), ("u", 1)),
+    ]
+
+
+def _split(*parts):
+    shares = tuple(ServiceShare(service=s, weight=float(w)) for s, w in parts)
+    return Route(
+        customer="",
+        name="r",
+        path="/",
+        methods=frozenset({"GET"}),
+        service=shares[0].service,
+        shares=shares,
+    )
+
+
+@when("200 calls are dealt")
+def deal(context):
+    splitter = Splitter()
+    context.dealt = [
+        [splitter.pick(route) for _ in range(200)] for route in context.routes
+    ]
+
+
+@then("each part has its weight within one call")
+def check_dealt(context):
+    for route, dealt in zip(context.routes, context.dealt, strict=True):
+        total = sum(share.weight for share in route.shares)
+        for share in route.shares:
+            wanted = 200 * share.weight / total
+            assert abs(dealt.count(share.service) - wanted) <= 1, (share, dealt)
+
+
+SETTINGS = {
+    "node_name": "n",
+    "service": "s",
+    "ip": "127.0.0.1",
+    "zone": "d",
+    "region": "r",
+    "listen": {
+        "inbound": "127.0.0.1:1",
+        "outbound": "127.0.0.1:2",
+        "ready": "127.0.0.1:3",
+        "control": "127.0.0.1:4",
+    },
+    "heartbeat_s": 1.5,
+    "bounds": ["grace_s=6", "retry_budget_ratio=0.2", "retry_slack=56", "odd=true"],
+    "app_address": "127.0.0.1:5",
+    "platform": {"address": "127.0.0.1:6"},
+    "unknown": {"ignored": True},
+}
+
+
+@given("the platform's settings file with one field broken at a time")
+def make_settings(context):
+    context.cases = []
+    for name in set(SETTINGS) - {"unknown"}:
+        for value in (None, 7.5j, "no address", []):
+            if name in ("node_name", "service", "ip", "zone", "region"):
+                value = "" if isinstance(value, str) else value
+            plain = copy.deepcopy(SETTINGS)
+            plain[name] = None if isinstance(value, complex) else value
+            context.cases.append((name, plain))
+
+
+@when("a process starts with it")
+def load_settings(context):
+    context.results = []
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.json"
+        for name, plain in context.cases:
+            path.write_text(json.dumps(plain))
+            try:
+                load(path)
+                context.results.append((name, None))
+            except SettingError as error:
+                context.results.append((name, error))
+        path.write_text(json.dumps(SETTINGS))
+        context.good = load(path)
+
+
+@then("the field is named and the exit code is that of usage")
+def check_settings(context):
+    for name, error in context.results:
+        assert error is not None, name
+        failure = error.failure
+        assert isinstance(failure, Failure) and error.exit_code == EXIT_USAGE
+        assert name in failure.fields["setting"], (name, failure.fields)
+    assert context.good.place.grace_s == 6.0
--- a/src/comfreytray/platform/instances.py
+++ b/src/comfreytray/platform/instances.py
@@ -11,7 +11,7 @@
 MAX_BYTES = 4096
 UNKNOWN_CONNECTIONS = 64
 """Connections to use until the configuration says how many the service takes."""
-_STATES = frozenset({"ready", "draining"})
+_STATES = ("ready", "draining")
 
 
 def decode_heartbeat(
--- a/src/comfreytray/platform/objectstore.py
+++ b/src/comfreytray/platform/objectstore.py
@@ -20,6 +20,8 @@
 MAX_CONNECTIONS = 4
 MS_PER_S = 1000
 _NOT_SENT = (http_errors.NewConnectionError, http_errors.ConnectTimeoutError)
+_MALFORMED = (KeyError, TypeError, ValueError)
+"""What an answer raises that is not as the store promises."""
 _HISTORY_GONE = 410
 _KIND_BY_STATUS = {
     404: Kind.NOT_FOUND,
@@ -90,7 +92,7 @@
             return plain
         try:
             return _stored(kind, plain)
-        except (KeyError, TypeError) as error:
+        except _MALFORMED as error:
             return _unknown(f"malformed answer: {type(error).__name__}")
 
     def delete(self, key: str, *, expected_version: int | None) -> Failure | None:
@@ -119,7 +121,7 @@
                 if not event["removed"]
             ]
             return _batch(prefix, plain["store_revision"], objects)
-        except (KeyError, TypeError) as error:
+        except _MALFORMED as error:
             return _malformed(error)
 
     def _list(self, prefix: str) -> WatchBatch | Failure:
@@ -138,7 +140,7 @@
                 if revision is None:
                     revision = plain["store_revision"]
                 more = plain["more"]
-            except (KeyError, TypeError) as error:
+            except _MALFORMED as error:
                 return _malformed(error)
             objects.extend(page)
             if not more or not page:
@@ -168,7 +170,10 @@
         except (http_errors.HTTPError, OSError) as error:
             return _unknown(type(error).__name__)
         if response.status in (200, 201, 204):
-            return json.loads(response.data) if response.data else {}
+            try:
+                return json.loads(response.data) if response.data else {}
+            except ValueError as error:
+                return _unknown(f"malformed answer: {type(error).__name__}")
         kind = _KIND_BY_STATUS.get(response.status)
         if kind is None:
             return _unknown(f"status {response.status}")
@@ -204,7 +209,7 @@
 def _stored_or_failure(kind: str, plain: Any) -> StoredObject | Failure:
     try:
         return _stored(kind, plain)
-    except (KeyError, TypeError) as error:
+    except _MALFORMED as error:
         return _malformed(error)
 
 
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -71,8 +71,11 @@
 
 def _bounds(plain: Mapping[str, Any]) -> dict[str, float]:
     """Read the texts `name=value`; bounds that are not numbers are not used here."""
+    texts = plain.get("bounds")
+    if not isinstance(texts, list):
+        raise _refuse("bounds", texts, "a list of name=value")
     bounds: dict[str, float] = {}
-    for text in plain.get("bounds", ()):
+    for text in texts:
         name, _, value = str(text).partition("=")
         try:
             bounds[name] = float(value)
