--- a/features/steps/calls_http_steps.py
+++ b/features/steps/calls_http_steps.py
@@ -67,7 +67,19 @@
     yield head + b"".join(b"A%d: b\r\n" % n for n in range(200)), "head-too-large"
     yield head + b"Content-Length: 2000000\r\n\r\n", "body-too-large"
     yield head + b"Content-Length: 10\r\n\r\nabc", "body-too-slow"
-    yield head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", "bad-request"
+    for chunk in (
+        b"zz\r\n",
+        b"0x3\r\nabc\r\n0\r\n\r\n",
+        b"+3\r\nabc\r\n0\r\n\r\n",
+        b"-3\r\nabc\r\n0\r\n\r\n",
+        b"0_3\r\nabc\r\n0\r\n\r\n",
+        b" 3\r\nabc\r\n0\r\n\r\n",
+        b"\r\n",
+        b"3\nabc\r\n0\r\n\r\n",
+        b"3\r\nabcde\r\n0\r\n\r\n",
+        b"3\r\nabc\r\n0\r\nA: b\n\n",
+    ):
+        yield head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk, "bad-request"
     yield head + b"Comfreytray-Deadline-Ms: soon\r\n\r\n", "bad-request"
 
 
--- a/src/comfreytray/httpserver.py
+++ b/src/comfreytray/httpserver.py
@@ -14,6 +14,7 @@
 from eventlet import wsgi
 
 from comfreytray import logs
+from comfreytray.bodies import StrictInput
 from comfreytray.callers import Callers, end_reading
 from comfreytray.errors import Failure, Kind
 from comfreytray.heads import (
@@ -184,11 +185,11 @@
             environ["wsgi.input"] = environ["eventlet.input"] = self._input(environ)
             return environ
 
-        def _input(self, environ: dict[str, Any]) -> wsgi.Input:
+        def _input(self, environ: dict[str, Any]) -> StrictInput:
             chunked = "HTTP_TRANSFER_ENCODING" in environ
             length = environ.get("CONTENT_LENGTH")
             expects = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
-            return wsgi.Input(
+            return StrictInput(
                 self.rfile,
                 length if chunked or length is not None else "0",
                 self.connection,
