--- /dev/null
+++ b/features/steps/calls_log_steps.py
@@ -0,0 +1,179 @@
+import logging as standard_logging
+
+import eventlet
+from absl import logging
+from attrs import evolve
+from behave import given, then, when
+from calls_rig import RESET, Fleet, answer, until
+
+from comfreytray import calllog
+from comfreytray.calllog import BURST_LINES, CallLog
+from comfreytray.calls import Call, fail
+from comfreytray.errors import Failure, Kind
+from comfreytray.platform.headers import DIALECT
+from comfreytray.records import EndpointState
+from comfreytray.testing import FakeClock
+
+
+class Lines(standard_logging.Handler):
+    """Keep the lines that are logged."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        self.lines.append(record.getMessage())
+
+    def of(self, call_id):
+        return [line for line in self.lines if f"id={call_id} " in line + " "]
+
+
+def _keep_lines(context):
+    context.lines = Lines()
+    logger = logging.get_absl_logger()
+    verbosity = logging.get_verbosity()
+    logger.addHandler(context.lines)
+    logging.set_verbosity(logging.INFO)
+    context.add_cleanup(logger.removeHandler, context.lines)
+    context.add_cleanup(logging.set_verbosity, verbosity)
+
+
+@given("a node beside an upstream whose log is kept")
+def make_node(context):
+    _keep_lines(context)
+    context.fleet = Fleet(dialect=DIALECT, slots=1, connections=1)
+    context.add_cleanup(context.fleet.__exit__)
+    context.script = lambda head, body: answer(200, b"ok", "X-Response-Seal: s")
+    context.fleet.add("a", script=lambda head, body: context.script(head, body))
+    context.path = context.fleet.path_by_id["a"]
+
+
+def _call(context, call_id, *fields, target="/x", deadline_ms=2000):
+    context.fleet.call(
+        "a",
+        "POST",
+        target,
+        b"x",
+        [f"X-Attempt-Id: {call_id}", f"X-Deadline-Ms: {deadline_ms}", *fields],
+    )
+
+
+@when("calls fail in each way that a call can fail")
+def fail_each_way(context):
+    routes = context.fleet.routes
+    context.fleet.routes = ()
+    _call(context, "no-route")
+    context.fleet.routes = routes
+    _call(context, "bad", deadline_ms="soon")
+    _call(context, "spent", deadline_ms=0)
+    context.script = lambda head, body: [b"HTTP/1.1 200 Fine\r\n", RESET]
+    _call(context, "lost")
+    context.script = lambda head, body: answer(200, b"ok")
+    _call(context, "unproved")
+    context.script = lambda head, body: eventlet.sleep(10) or b""
+    _call(context, "slow", deadline_ms=100)
+    context.script = lambda head, body: answer(503, b"", "X-Not-Executed: 1")
+    _call(context, "full")
+    _fail_at_admission(context)
+    _fail_without_endpoint(context)
+
+
+def _fail_at_admission(context):
+    """Fill the one slot, so that a call with little time is refused at once."""
+    context.script = lambda head, body: (
+        eventlet.sleep(0.5) or answer(200, b"ok", "X-Response-Seal: s")
+    )
+    holder = eventlet.spawn(_call, context, "holder")
+    admission = context.path.owner.admission
+    assert until(lambda: admission.held == 1)
+    admission.service_time_s = 5.0
+    _call(context, "no-room", deadline_ms=1000)
+    holder.wait()
+
+
+def _fail_without_endpoint(context):
+    record = context.fleet.record_by_id["a"]
+    context.fleet.upstream_by_id["a"].close()
+    context.path.owner.pool.__exit__()
+    _call(context, "refused")
+    draining = evolve(record.endpoint, state=EndpointState.DRAINING)
+    context.fleet.record_by_id["a"] = evolve(record, endpoint=draining)
+    context.path.owner.leave()
+    context.path.router.view_by_id.clear()
+    _call(context, "leaving")
+    context.fleet.hidden = {"a"}
+    _call(context, "nowhere")
+
+
+DECIDED_BY_ID = {
+    "no-route": ("kind=no-route", "version=1"),
+    "bad": ("kind=bad-request", "reason="),
+    "spent": ("kind=deadline-before-run", "reason="),
+    "lost": ("kind=lost-after-send", "instance=a"),
+    "unproved": ("kind=answer-cut", 'reason="success without proof"'),
+    "slow": ("kind=deadline-while-running", "attempts=a:"),
+    "full": ("kind=overloaded", 'reason="upstream refused"'),
+    "no-room": ("kind=overloaded", "held=1 queued=0 slots=1"),
+    "refused": ("kind=connect-failed", "reason=ConnectionRefusedError"),
+    "leaving": ("kind=leaving", "slots=1"),
+    "nowhere": ("kind=no-endpoint", "attempts=none"),
+}
+
+
+@then("each has a line with its id, its kind and what decided it")
+def check_lines(context):
+    for call_id, wanted in DECIDED_BY_ID.items():
+        found = " ".join(context.lines.of(call_id))
+        for part in wanted:
+            assert part in found, (call_id, part, found)
+
+
+@when("a thousand calls fail within a second")
+def fail_many(context):
+    log = CallLog(clock=FakeClock())
+    call = Call(
+        service="s",
+        customer="",
+        share=1.0,
+        method="GET",
+        target="/",
+        headers=(),
+        body=b"",
+        deadline=1001.0,
+        idempotent=True,
+        call_id="many",
+    )
+    for _ in range(1000):
+        log.ended(call, fail(Kind.OVERLOADED), 1)
+    context.log = log
+    context.written = len(context.lines.of("many"))
+    log.clock.now += 10.0
+    log.refused_at_entry("later", Failure(kind=Kind.NO_ROUTE), 1)
+
+
+@then("no more lines are written than the bound and the rest is counted")
+def check_bound(context):
+    assert context.written <= BURST_LINES, context.written
+    left_out = [line for line in context.lines.lines if "lines-left-out" in line]
+    assert f"count={1000 - context.written}" in left_out[0], left_out
+    assert context.log.left_out == 0
+
+
+@given("ten thousand ids of calls")
+def make_ids(context):
+    context.ids = [f"{n * 7919:016x}" for n in range(10_000)]
+
+
+@when("two nodes choose which to log")
+def choose(context):
+    context.chosen = [
+        [call_id for call_id in context.ids if calllog._is_sampled(call_id)]
+        for _ in range(2)
+    ]
+
+
+@then("they choose the same, about one in 256")
+def check_chosen(context):
+    first, second = context.chosen
+    assert first == second and 15 <= len(first) <= 80, len(first)
