Take each node's part of the retry budget from the bounds that all nodes share

Cause: retry_budget_ratio and retry_slack were read and not used. Each node allowed itself a tenth and a reserve of 10: 130 at once on 13 machines, where the service of least traffic may get 64 and a fifth of its calls in ten seconds. Ruled out: a call for each retry (the budget holds without talking); the whole ratio (a repeated call makes its own calls again, at services with fewer of their own). Change: an eighth of the ratio and half of the slack over the nodes that are known; what recent calls earned may be saved for one window. A node of a mesh of its own keeps its tenth. Test first: calls_limits 'All nodes together': red with the limits before.

--- a/features/calls_limits.feature
+++ b/features/calls_limits.feature
@@ -15,3 +15,9 @@
     When attempts of every kind and outcome fail at random
     Then what may have run is tried again only if idempotent
     And retries stay within a tenth of the calls
+
+  Scenario: All nodes together stay within one budget of retries
+    Given nodes that share a budget by its ratio and its slack
+    When every call fails, in a calm, a surge and a calm again
+    Then no ten seconds hold more retries than the budget allows
+    And single failures are retried at once
--- a/features/steps/calls_limits_steps.py
+++ b/features/steps/calls_limits_steps.py
@@ -1,16 +1,16 @@
 import math
 import random
 
-from behave import then, when
+from behave import given, then, when
 from calls_rig import soak_seeds
 
 from comfreytray.calls.call import Call, Outcome
 from comfreytray.calls.limits import QUEUE_PER_SLOT, Admission
 from comfreytray.calls.retries import (
-    BUDGET_RESERVE,
-    RETRY_SHARE,
+    OWN_LIMITS,
     Budget,
     Decision,
+    RetryLimits,
     decide,
 )
 from comfreytray.calls.tickets import Ticket, TicketState
@@ -201,7 +201,7 @@
 @when("attempts of every kind and outcome fail at random")
 def fail_attempts(context):
     generator = random.Random(3)
-    budget = Budget()
+    budget = Budget(clock=FakeClock(), limits=lambda: OWN_LIMITS)
     context.decided = []
     context.calls = 5000
     for _ in range(context.calls):
@@ -239,4 +239,47 @@
 @then("retries stay within a tenth of the calls")
 def check_budget(context):
     retries = sum(1 for *_, decision in context.decided if decision is Decision.RETRY)
-    assert 0 < retries <= context.calls * RETRY_SHARE + BUDGET_RESERVE, retries
+    assert 0 < retries <= context.calls * OWN_LIMITS.share + OWN_LIMITS.reserve, retries
+
+
+RATIO, SLACK, NODES, WINDOW_S = 0.2, 64.0, 13, 10.0
+
+
+@given("nodes that share a budget by its ratio and its slack")
+def make_budgets(context):
+    context.clock = FakeClock()
+    limits = RetryLimits.part_of(ratio=RATIO, slack=SLACK, nodes=NODES)
+    context.budgets = [
+        Budget(clock=context.clock, limits=lambda: limits) for _ in range(NODES)
+    ]
+
+
+@when("every call fails, in a calm, a surge and a calm again")
+def spend_budgets(context):
+    generator = random.Random(4)
+    context.calls_at, context.retries_at = [], []
+    context.first = [budget.spend() for budget in context.budgets]
+    context.retries_at += [0.0] * sum(context.first)
+    for rate_per_s, seconds in ((20.0, 40), (400.0, 20), (20.0, 40)):
+        end = context.clock.now + seconds
+        while context.clock.now < end:
+            context.clock.now += generator.expovariate(rate_per_s)
+            budget = generator.choice(context.budgets)
+            budget.earn()
+            context.calls_at.append(context.clock.now)
+            if budget.spend():
+                context.retries_at.append(context.clock.now)
+
+
+@then("no ten seconds hold more retries than the budget allows")
+def check_windows(context):
+    for start in range(0, 100):
+        span = (float(start), start + WINDOW_S)
+        calls = sum(span[0] <= at < span[1] for at in context.calls_at)
+        retries = sum(span[0] <= at < span[1] for at in context.retries_at)
+        assert retries <= RATIO * calls + SLACK, (start, retries, calls)
+
+
+@then("single failures are retried at once")
+def check_first(context):
+    assert all(context.first)
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -16,7 +16,7 @@
 from comfreytray.common.records import Endpoint, LocalUpstream
 from comfreytray.configuration.snapshots import Route, ServiceShare
 from comfreytray.membership.heartbeats import Heartbeat
-from comfreytray.node.proxynode import Place, ProxyNode
+from comfreytray.node.proxynode import Place, ProxyNode, RetryBudget
 from comfreytray.platform import configuration
 from comfreytray.platform.headers import DIALECT
 from comfreytray.platform.objectstore import PlatformStore
@@ -91,6 +91,7 @@
         entry=("127.0.0.1", _free_port()),
         heartbeat_s=1.5,
         grace_s=6.0,
+        retries=RetryBudget(ratio=0.2, slack=56.0, window_s=10.0),
     )
     store = tpool.Proxy(PlatformStore(address=context.stand_in.address))
     context.node = ProxyNode(
@@ -270,7 +271,13 @@
         "control": "127.0.0.1:4",
     },
     "heartbeat_s": 1.5,
-    "bounds": ["grace_s=6", "retry_budget_ratio=0.2", "retry_slack=56", "odd=true"],
+    "bounds": [
+        "grace_s=6",
+        "retry_budget_ratio=0.2",
+        "retry_slack=56",
+        "budget_window_s=10",
+        "odd=true",
+    ],
     "app_address": "127.0.0.1:5",
     "platform": {"address": "127.0.0.1:6"},
     "unknown": {"ignored": True},
--- a/src/comfreytray/calls/dispatch.py
+++ b/src/comfreytray/calls/dispatch.py
@@ -6,7 +6,13 @@
 from comfreytray.calls.connections import StreamClient
 from comfreytray.calls.endpoints import EndpointView
 from comfreytray.calls.owner import Owner
-from comfreytray.calls.retries import MIN_TIME_LEFT_S, Budget, Decision, decide
+from comfreytray.calls.retries import (
+    MIN_TIME_LEFT_S,
+    Budget,
+    Decision,
+    RetryLimits,
+    decide,
+)
 from comfreytray.calls.routing import Router
 from comfreytray.common.errors import Failure, Ran
 from comfreytray.common.interfaces import Clock
@@ -28,6 +34,7 @@
         client: StreamClient,
         clock: Clock,
         metrics: Metrics,
+        retry_limits: Callable[[], RetryLimits],
     ) -> None:
         self.node = node
         self.router = router
@@ -35,7 +42,7 @@
         self.client = client
         self.clock = clock
         self.metrics = metrics
-        self.budget = Budget()
+        self.budget = Budget(clock=clock, limits=retry_limits)
 
     def run(self, call: Call) -> Reply | Outcome:
         """Run a call at an endpoint of its service."""
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -24,6 +24,7 @@
 from comfreytray.calls.dispatch import Dispatcher
 from comfreytray.calls.owner import Owner
 from comfreytray.calls.reaper import Reaper
+from comfreytray.calls.retries import OWN_LIMITS, RetryLimits
 from comfreytray.calls.routing import Router
 from comfreytray.calls.splits import Splitter
 from comfreytray.calls.streamserver import StreamServer
@@ -81,6 +82,7 @@
         metrics: Metrics,
         caller: Callable[[], str] = _no_caller,
         dialect: Dialect = NATIVE,
+        retry_limits: Callable[[], RetryLimits] = lambda: OWN_LIMITS,
         tracer: Tracer | None = None,
         message_for: MessageFor = plain_message,
     ) -> None:
@@ -122,6 +124,7 @@
             client=self.client,
             clock=clock,
             metrics=metrics,
+            retry_limits=retry_limits,
         )
         self.keyed = self._keyed_calls(node, members, store, random)
         self.reaper = Reaper(
--- a/src/comfreytray/calls/retries.py
+++ b/src/comfreytray/calls/retries.py
@@ -1,13 +1,21 @@
 """Retries: only on proof that a call did not run, or for idempotent calls."""
 
+import math
+from collections.abc import Callable
 from enum import Enum
 
+from attrs import frozen
+
 from comfreytray.calls.call import Call, Outcome
 from comfreytray.common.errors import Kind, Ran
 from comfreytray.common.exceptions import invariant
+from comfreytray.common.interfaces import Clock
 
-RETRY_SHARE = 0.1
-BUDGET_RESERVE = 10.0
+RATIO_PART = 0.125
+"""Of a shared ratio, what the nodes use: a repeated call makes its own calls again, and
+those count as repeats at services that may have far fewer calls."""
+SLACK_PART = 0.5
+"""Of a shared slack, what the nodes use at once; the rest is for those calls, too."""
 MAX_REDIRECTS = 3
 MAX_REDIRECTS_WHEN_FULL = 1
 """Where one endpoint has no room, few others have."""
@@ -35,24 +43,78 @@
     """Try another endpoint and spend from the budget."""
 
 
+@frozen(kw_only=True)
+class RetryLimits:
+    """Bound the retries of one node."""
+
+    share: float
+    """Retries that each call earns."""
+    reserve: float
+    """Retries that may be saved up, besides those that recent calls earned."""
+    window_s: float = 10.0
+    """Time for which what a call earned is kept."""
+
+    @classmethod
+    def part_of(
+        cls, *, ratio: float, slack: float, nodes: int, window_s: float = 10.0
+    ) -> "RetryLimits":
+        """Take one node's part of a budget that all nodes share without talking.
+
+        `ratio` is of the calls of a service, `slack` comes on top in each window.
+        """
+        return cls(
+            share=ratio * RATIO_PART,
+            reserve=max(1.0, slack * SLACK_PART / max(1, nodes)),
+            window_s=window_s,
+        )
+
+
+OWN_LIMITS = RetryLimits(share=0.1, reserve=10.0)
+"""What a node of a mesh of its own allows itself."""
+
+
 class Budget:
-    """Allow retries as a share of calls."""
+    """Allow retries as a share of calls.
+
+    Pattern: an upstream, or all of a service, fails for seconds. What was saved up in
+    the calm repeats the first failures at once; after that repeats are a share of the
+    calls, however many of them fail.
+    """
 
-    def __init__(self, *, share: float = RETRY_SHARE) -> None:
-        self.share = share
-        self.tokens = BUDGET_RESERVE
+    def __init__(self, *, clock: Clock, limits: Callable[[], RetryLimits]) -> None:
+        self._clock = clock
+        self._limits = limits
+        self._recent_calls = 0.0
+        self._counted_at = clock.monotonic()
+        self._saved = limits().reserve
+
+    @property
+    def tokens(self) -> float:
+        """Give the retries that may be made now."""
+        limits = self._limits()
+        most = limits.reserve + limits.share * self._recent(limits)
+        return min(most, self._saved)
 
     def earn(self) -> None:
         """Count a call."""
-        self.tokens = min(BUDGET_RESERVE, self.tokens + self.share)
+        limits = self._limits()
+        self._recent_calls = self._recent(limits) + 1.0
+        self._counted_at = self._clock.monotonic()
+        self._saved = self.tokens + limits.share
 
     def spend(self) -> bool:
         """Take one retry if the budget has it."""
-        if self.tokens < 1.0:
+        tokens = self.tokens
+        if tokens < 1.0:
             return False
-        self.tokens -= 1.0
+        self._saved = tokens - 1.0
         return True
 
+    def _recent(self, limits: RetryLimits) -> float:
+        """Count the calls of about one window."""
+        passed_s = self._clock.monotonic() - self._counted_at
+        return self._recent_calls * math.exp(-passed_s / limits.window_s)
+
 
 def decide(
     call: Call,
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -13,6 +13,7 @@
 
 from comfreytray.calls.dialect import Dialect
 from comfreytray.calls.proxy import CallPath
+from comfreytray.calls.retries import RetryLimits
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.errors import Failure
@@ -49,6 +50,17 @@
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
+@frozen(kw_only=True)
+class RetryBudget:
+    """Say how many retries all nodes may make together."""
+
+    ratio: float
+    """Retries for each call of a service, in any window."""
+    slack: float
+    """Retries of a service that come on top in any window."""
+    window_s: float
+
+
 @frozen(kw_only=True)
 class Place:
     """Say who a node is and where it listens."""
@@ -65,6 +77,7 @@
     heartbeat_s: float
     grace_s: float
     """Time between the signal to stop and the end by force."""
+    retries: RetryBudget
 
 
 class ProxyNode:
@@ -118,6 +131,7 @@
             metrics=self.metrics,
             caller=lambda: place.service,
             dialect=dialect,
+            retry_limits=self._retry_limits,
         )
         self.directory.put(self.record())
 
@@ -244,6 +258,15 @@
         endpoint = attrs.evolve(upstream.endpoint, connections=connections)
         return attrs.evolve(upstream, endpoint=endpoint)
 
+    def _retry_limits(self) -> RetryLimits:
+        budget = self.place.retries
+        return RetryLimits.part_of(
+            ratio=budget.ratio,
+            slack=budget.slack,
+            nodes=len(self.directory.view.by_id),
+            window_s=budget.window_s,
+        )
+
     def _apply_configuration(self, objects: Iterable[StoredObject]) -> None:
         for stored in objects:
             snapshot = self.decode_configuration(stored.value)
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -10,7 +10,7 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import SettingError
 from comfreytray.common.interfaces import Address
-from comfreytray.node.proxynode import Place
+from comfreytray.node.proxynode import Place, RetryBudget
 
 FILE_VARIABLE = "COMFREYTRAY_NODE_FILE"
 
@@ -25,8 +25,6 @@
     heartbeats: Address
     """Where the instance beside the node sends its heartbeats."""
     store: Address
-    retry_ratio: float
-    retry_slack: float
 
 
 def load(path: Path) -> PlatformSettings:
@@ -58,14 +56,17 @@
         entry=_address(listen, "outbound"),
         heartbeat_s=_number(plain, "heartbeat_s"),
         grace_s=_bound(bounds, "grace_s"),
+        retries=RetryBudget(
+            ratio=_bound(bounds, "retry_budget_ratio"),
+            slack=_bound(bounds, "retry_slack"),
+            window_s=_bound(bounds, "budget_window_s"),
+        ),
     )
     return PlatformSettings(
         place=place,
         ready=_address(listen, "ready"),
         heartbeats=_address(listen, "control"),
         store=_address(_table(plain, "platform"), "address"),
-        retry_ratio=_bound(bounds, "retry_budget_ratio"),
-        retry_slack=_bound(bounds, "retry_slack"),
     )
 
 
