Try calls elsewhere that an upstream answered with a failure, and log each of them

Cause: a sealed 500 went to the caller as it came, counted as success in routing and was logged by the sample only: an endpoint that fails part of its calls with good health (a grey one) kept its share of the calls and left no line. Ruled out: setting such an endpoint aside (its 500 may come from a call that it made); a repeat of what has no time left for as long as the first try took. Change: 500, 502 and 503 of an upstream count as failures where an endpoint is chosen, are logged always, and a call that may run twice is made once more elsewhere, within max_attempts and the budget. If nothing better comes, the caller gets the answer that was there. Answers that are passed on as they come are not repeated.

--- a/features/steps/calls_log_steps.py
+++ b/features/steps/calls_log_steps.py
@@ -75,6 +75,8 @@
     _call(context, "slow", deadline_ms=100)
     context.script = lambda head, body: answer(503, b"", "X-Not-Executed: 1")
     _call(context, "full")
+    context.script = lambda head, body: answer(500, b"", "X-Response-Seal: s")
+    _call(context, "broken")
     _fail_at_admission(context)
     _fail_without_endpoint(context)
 
@@ -114,6 +116,7 @@
     "unproved": ("kind=answer-cut", 'reason="success without proof"'),
     "slow": ("kind=deadline-while-running", "attempts=a:"),
     "full": ("kind=overloaded", 'reason="upstream refused"'),
+    "broken": ("status=500", "attempts=a:500:"),
     "no-room": ("kind=overloaded", "held=1 queued=0 slots=1"),
     "refused": ("kind=connect-failed", "reason=ConnectionRefusedError"),
     "leaving": ("kind=leaving", "slots=1"),
--- a/features/steps/calls_routing_steps.py
+++ b/features/steps/calls_routing_steps.py
@@ -40,6 +40,8 @@
         )
         self.running = []
         self.failure = LOST
+        self.answers_failure = False
+        """Whether bad endpoints answer, with a failure of their own."""
         self.count_by_id = {}
 
     def call(self, latency_by_id, failing=(), interval_s=0.002):
@@ -56,10 +58,10 @@
         self.running.append((self.clock.now + took, view, took, failed))
 
     def end(self, view, took, failed):
-        if failed:
+        if failed and not self.answers_failure:
             self.router.fail(view, self.failure, took_s=took, load=IDLE)
         else:
-            self.router.finish(view, took_s=took, load=IDLE)
+            self.router.finish(view, took_s=took, load=IDLE, failed=failed)
 
 
 def record(node_id, place="r1-1", service="s", state=EndpointState.READY, load=0.0):
@@ -127,6 +129,11 @@
         for _ in range(4000):
             picking.call(latency_by_id, failing)
         context.share_by_case[case] = picking.count_by_id.get("bad", 0) / 4000
+    answering = Picking([record("bad")] + [record(f"n{n}") for n in range(3)])
+    answering.answers_failure = True
+    for number in range(4000):
+        answering.call({"bad": 0.004}, ("bad",) if number % 2 else ())
+    context.share_by_case["answers failures"] = answering.count_by_id["bad"] / 4000
     quiet = Picking([record("bad")] + [record(f"n{n}") for n in range(3)])
     for _ in range(1000):
         quiet.call({"bad": 0.02}, interval_s=0.05)
--- a/src/comfreytray/calls/calllog.py
+++ b/src/comfreytray/calls/calllog.py
@@ -3,6 +3,7 @@
 import zlib
 
 from comfreytray.calls.call import Call, Outcome, Reply
+from comfreytray.calls.retries import FAILED_STATUSES
 from comfreytray.common import logs
 from comfreytray.common.budgets import TokenBucket
 from comfreytray.common.errors import Failure
@@ -42,7 +43,7 @@
 
     def ended(self, call: Call, result: Reply | Outcome, version: int) -> None:
         """Log how a call ended for its caller."""
-        failed = isinstance(result, Outcome)
+        failed = isinstance(result, Outcome) or result.status in FAILED_STATUSES
         if not (failed or _is_sampled(call.call_id)) or not self._has_room():
             return
         now = self.clock.monotonic()
--- a/src/comfreytray/calls/dispatch.py
+++ b/src/comfreytray/calls/dispatch.py
@@ -2,16 +2,20 @@
 
 from collections.abc import Callable, Iterator
 
+from attrs import define, field
+
 from comfreytray.calls.call import Call, Outcome, Reply, worse
 from comfreytray.calls.connections import StreamClient
 from comfreytray.calls.endpoints import EndpointView
 from comfreytray.calls.owner import Owner
 from comfreytray.calls.retries import (
+    FAILED_STATUSES,
     MIN_TIME_LEFT_S,
     Budget,
     Decision,
     RetryLimits,
     decide,
+    may_repeat,
 )
 from comfreytray.calls.routing import Router
 from comfreytray.common.errors import Failure, Ran
@@ -22,6 +26,20 @@
 MS_PER_S = 1000
 
 
+@define(kw_only=True, eq=False)
+class _Tries:
+    """Hold what the attempts at one call have shown."""
+
+    excluded: list[str] = field(factory=list)
+    redirects: int = 0
+    sent: int = 0
+    """Attempts that reached, or may have reached, an upstream."""
+    worst: Ran = Ran.NO
+    last: Reply | Outcome | None = None
+    """What the caller is told if nothing better comes; an upstream's own answer
+    goes before a failure of ours."""
+
+
 class Dispatcher:
     """Pick endpoints for a call and follow its attempts."""
 
@@ -47,44 +65,70 @@
     def run(self, call: Call) -> Reply | Outcome:
         """Run a call at an endpoint of its service."""
         self.budget.earn()
-        excluded: list[str] = []
-        redirects = 0
-        sent = 0
-        last: Outcome | None = None
-        worst = Ran.NO
+        tries = _Tries()
         while True:
             record = self.router.pick(
                 call.service,
-                exclude=excluded,
+                exclude=tries.excluded,
                 kind=call.kind,
                 priority=call.priority,
                 target_s=self._target_left_s(call),
             )
             if isinstance(record, Failure):
-                return last or Outcome.of(record)
+                return tries.last or Outcome.of(record)
+            started = self.clock.monotonic()
             result = self._attempt(record, call)
+            took_s = self.clock.monotonic() - started
+            tries.excluded.append(record.node_id)
             if isinstance(result, Reply):
-                return result
-            sent += result.sent
-            decision = decide(
-                call,
-                result,
-                redirects=redirects,
-                sent=sent,
-                time_left_s=call.deadline - self.clock.monotonic(),
-                budget=self.budget,
-            )
-            worst = result.ran = worse(worst, result.ran)
-            if decision is Decision.GIVE_UP:
-                return result
-            last = result
-            excluded.append(record.node_id)
-            if decision is Decision.REDIRECT:
-                redirects += 1
-                self.metrics.count("calls_redirected")
-                continue
-            call.retried = True
-            self.metrics.count("calls_retried")
+                if not self._may_repeat(call, result, tries, took_s):
+                    return result
+            elif self._gives_up(call, result, tries):
+                return tries.last or result
+
+    def _may_repeat(
+        self, call: Call, reply: Reply, tries: "_Tries", took_s: float
+    ) -> bool:
+        """Say whether to try elsewhere what the upstream answered with a failure."""
+        tries.sent += 1
+        # An answer that is passed on as it comes can't be taken back.
+        if reply.rest is not None or not may_repeat(
+            call,
+            reply.status,
+            sent=tries.sent,
+            took_s=took_s,
+            time_left_s=call.deadline - self.clock.monotonic(),
+            budget=self.budget,
+        ):
+            return False
+        tries.last = reply
+        call.retried = True
+        self.metrics.count("calls_retried")
+        return True
+
+    def _gives_up(self, call: Call, outcome: Outcome, tries: "_Tries") -> bool:
+        """Say whether a failed attempt was the last; keep what the caller is told."""
+        tries.sent += outcome.sent
+        decision = decide(
+            call,
+            outcome,
+            redirects=tries.redirects,
+            sent=tries.sent,
+            time_left_s=call.deadline - self.clock.monotonic(),
+            budget=self.budget,
+        )
+        tries.worst = outcome.ran = worse(tries.worst, outcome.ran)
+        if not isinstance(tries.last, Reply):
+            tries.last = outcome
+        if decision is Decision.GIVE_UP:
+            return True
+        if decision is Decision.REDIRECT:
+            tries.redirects += 1
+            self.metrics.count("calls_redirected")
+            return False
+        call.retried = True
+        self.metrics.count("calls_retried")
+        return False
 
     def _target_left_s(self, call: Call) -> float:
         """Give what is left of the time in which an answer is of full use."""
@@ -133,6 +177,7 @@
             load=reply.load,
             kind=call.kind,
             priority=call.priority,
+            failed=reply.status in FAILED_STATUSES,
         )
 
     def _follow(
--- a/src/comfreytray/calls/retries.py
+++ b/src/comfreytray/calls/retries.py
@@ -21,6 +21,9 @@
 """Where one endpoint has no room, few others have."""
 MIN_TIME_LEFT_S = 0.002
 
+FAILED_STATUSES = frozenset({500, 502, 503})
+"""Answers by which an upstream says that it failed; elsewhere the call may succeed."""
+
 _MOVED = frozenset({Kind.LEAVING, Kind.WRONG_NODE})
 _ELSEWHERE = frozenset(
     {
@@ -146,3 +149,24 @@
         proved or call.idempotent, "what may have run is retried only if idempotent"
     )
     return Decision.RETRY
+
+
+def may_repeat(
+    call: Call,
+    status: int,
+    *,
+    sent: int,
+    took_s: float,
+    time_left_s: float,
+    budget: Budget,
+) -> bool:
+    """Say whether a call that its upstream answered with a failure is made again.
+
+    Pattern: one endpoint fails part of its calls while its health says fine. A repeat
+    that could not end in time would only add to the load.
+    """
+    if status not in FAILED_STATUSES or not call.idempotent or call.retried:
+        return False
+    if call.max_attempts and sent >= call.max_attempts:
+        return False
+    return time_left_s > max(MIN_TIME_LEFT_S, took_s) and budget.spend()
--- a/src/comfreytray/calls/routing.py
+++ b/src/comfreytray/calls/routing.py
@@ -155,10 +155,14 @@
         load: Load,
         kind: str = "",
         priority: int = 0,
+        failed: bool = False,
     ) -> None:
-        """Count a call that was answered."""
+        """Count a call that was answered; `failed` if by a failure of the upstream."""
         view.in_flight -= 1
         self._take_load(view, load, priority)
+        if failed:
+            view.failure_share += FAILURE_WEIGHT * (1.0 - view.failure_share)
+            return
         self._learn(view, kind, load.held_s or took_s)
         view.failure_share -= FAILURE_WEIGHT * view.failure_share
         view.failures_in_row = 0
