Take an endpoint of which nothing is known to be as fast as the fastest known

A first call that was slow set the mean time of its kind high; the endpoint it went to then looked three times as fast as all others, which stood at the mean and got nothing for dozens of calls. Change: until a call was answered there, an endpoint counts as the fastest that is known. Test first: calls_routing 'nothing is known': one of four got 20 of 20.

--- a/features/calls_routing.feature
+++ b/features/calls_routing.feature
@@ -11,6 +11,10 @@
     When a bad one answers at once while the others are busy
     Then it does not draw the calls to itself
 
+  Scenario: An endpoint of which nothing is known is tried
+    When the first call to one of four was slow and calls follow one by one
+    Then each of the four gets a call within the next 20
+
   Scenario: Ejection has a cap and an end
     When endpoints fail call after call
     Then at most half of them are out, and all serve again later
--- a/src/comfreytray/calls/endpoints.py
+++ b/src/comfreytray/calls/endpoints.py
@@ -1,6 +1,7 @@
 """What a node has seen of each endpoint, and what the endpoint's owner told of it."""
 
 import math
+from collections.abc import Sequence
 
 from attrs import define, field
 
@@ -31,6 +32,8 @@
     incarnation: int
     last_used: float
     in_flight: int = 0
+    is_known: bool = False
+    """Whether a call was answered here."""
     slowdown: float = 1.0
     """Time that calls take here, against the same calls at all endpoints."""
     failure_share: float = 0.0
@@ -49,3 +52,13 @@
     fresh = math.exp((told.at - now) / LOAD_FADES_S)
     own = view.in_flight - told.in_flight * fresh
     return max(view.in_flight / slots, told.load.used * fresh + own / slots)
+
+
+def guess_unknown(views: Sequence[EndpointView]) -> None:
+    """Take endpoints of which nothing is known to be as fast as the fastest known."""
+    known = [view.slowdown for view in views if view.is_known]
+    if not known or len(known) == len(views):
+        return
+    for view in views:
+        if not view.is_known:
+            view.slowdown = min(1.0, *known)
--- a/src/comfreytray/calls/routing.py
+++ b/src/comfreytray/calls/routing.py
@@ -16,6 +16,7 @@
     NOTHING_TOLD,
     EndpointView,
     Told,
+    guess_unknown,
     used_share,
 )
 from comfreytray.calls.placement import CrossingCosts, Placement
@@ -121,8 +122,10 @@
             return Failure(kind=Kind.NO_ENDPOINT, fields={"service": service})
         healthy = self._without_ejected(usable, now)
         ready = [r for r in healthy if self.view(r, now).shed_until <= now]
+        candidates = ready or healthy
+        guess_unknown([self.view(record, now) for record in candidates])
         return min(
-            ready or healthy,
+            candidates,
             key=lambda r: self._cost(r, kind, priority, target_s, now),
         )
 
@@ -181,6 +184,7 @@
         """Split a call's time into that of its kind and the endpoint's slowness."""
         took_s = max(took_s, MIN_SERVICE_TIME_S)
         base_s = self.service_time_s_by_kind.setdefault(kind, took_s)
+        view.is_known = True
         view.slowdown += SLOWDOWN_WEIGHT * (took_s / base_s - view.slowdown)
         base_s += BASE_WEIGHT * (took_s - base_s)
         self.service_time_s_by_kind[kind] = base_s
