Let a departure bind that is the first a restarted node hears of an instance

Cause, found by reading: a node that restarted and heard only the departure of the instance beside it confirmed it and remembered nothing; a heartbeat from before it, seconds late, then made the node admit calls again. Change: a departure that tells when the instance started is followed like a heartbeat. Test first: platform_instances 'first a restarted node hears' red.

--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -10,6 +10,11 @@
     When the node hears nothing, then a draining heartbeat
     Then it takes no call at any moment
 
+  Scenario: A departure that is the first a restarted node hears binds too
+    Given a node that hears nothing of an instance but that it leaves
+    When heartbeats from before the departure come late and the instance starts anew
+    Then the late ones bring no calls and the new start does
+
   Scenario: A heartbeat of another writer names no instance
     Given the control address of a node
     When heartbeats come with fields missing, of other types, and unreadable
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -112,6 +112,31 @@
     assert before is None and after.endpoint.state is DRAINING
 
 
+@given("a node that hears nothing of an instance but that it leaves")
+def make_departed(context):
+    context.register = _register()
+    assert context.register.leave("i", 5) is Receipt.TAKEN
+
+
+@when("heartbeats from before the departure come late and the instance starts anew")
+def hear_late(context):
+    context.seen = []
+    for heartbeat in (
+        _heartbeat(5, 7, READY),
+        _heartbeat(4, 9, READY),
+        _heartbeat(6, 1, READY),
+    ):
+        context.register.receive(heartbeat)
+        context.seen.append(context.register.upstream)
+
+
+@then("the late ones bring no calls and the new start does")
+def check_departed(context):
+    *late, new = context.seen
+    assert late == [None, None], late
+    assert new is not None and new.endpoint.state is READY
+
+
 @given("the control address of a node")
 def make_control(context):
     context.register = _register()
--- a/src/comfreytray/membership/heartbeats.py
+++ b/src/comfreytray/membership/heartbeats.py
@@ -106,9 +106,13 @@
     def leave(self, instance_id: str, started_ms: int | None) -> Receipt:
         """Take in that an instance leaves, by its id and, if it tells, its start."""
         held = self._lifetime
-        if held is None or held.instance_id != instance_id:
-            return Receipt.STALE
-        if started_ms is not None and started_ms < held.started_ms:
+        if started_ms is not None:
+            # Also the first that a restarted node hears: what comes later from before
+            # the departure must find it.
+            lifetime = Lifetime(started_ms=started_ms, instance_id=instance_id)
+            if not self._follow(lifetime):
+                return Receipt.STALE
+        elif held is None or held.instance_id != instance_id:
             return Receipt.STALE
         endpoint = self._upstream.endpoint if self._upstream else None
         self._step("left", endpoint)
