Let changes of members gather for longer where there are many

Also, by reading: the store's record of an earlier process of this node replaced its own record in the member list until the next change. Ruled out: slower configuration (its bound is 3 s); stale reads (seconds old is too old). Change: a node pauses 0.02 s for each member after a change, 0.4 to 1.8 s; a node's own record is never taken from the store.

--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -18,6 +18,10 @@
 
 PREFIX = "members/"
 MAX_RECORD_BYTES = 4096
+MIN_PAUSE_S = 0.4
+MAX_PAUSE_S = 1.8
+"""Others must know of a change within about two seconds."""
+PAUSE_S_PER_MEMBER = 0.02
 
 
 def key_of(node_id: str) -> str:
@@ -89,8 +93,20 @@
     def __init__(self) -> None:
         self._revision_by_id: dict[str, int] = {}
         self._record_by_id: dict[str, NodeRecord] = {}
+        self._own_id = ""
         self.view = MembershipView()
 
+    @property
+    def pause_s(self) -> float:
+        """Give the time to let changes gather before they are read.
+
+        Pattern: a release or a scale-out changes members one after the other, and each
+        change that is read at once costs every node a call: calls grow with the square
+        of the members.
+        """
+        pause_s = PAUSE_S_PER_MEMBER * len(self._record_by_id)
+        return min(MAX_PAUSE_S, max(MIN_PAUSE_S, pause_s))
+
     def apply(self, objects: Iterable[StoredObject]) -> None:
         """Take in stored records; older ones than those that are held are skipped."""
         changed = False
@@ -101,6 +117,7 @@
 
     def put(self, record: NodeRecord) -> None:
         """Take in this node's own record ahead of the store."""
+        self._own_id = record.node_id
         self._record_by_id[record.node_id] = record
         self.view = _view(self._record_by_id)
 
@@ -113,6 +130,8 @@
         if record is None or record.node_id != node_id:
             logs.warn(logs.Event.MEMBER_REFUSED, key=stored.key, version=stored.version)
             return False
+        if node_id == self._own_id:
+            return False
         held = self._record_by_id.get(node_id)
         self._record_by_id[node_id] = record
         _log_change(held, record, stored.version)
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -37,7 +37,6 @@
 MEMBERS_WAIT_S = 8.0
 CONFIGURATION_GAP_S = 0.8
 """Pause after a change, so that a series of them is read as few."""
-MEMBERS_GAP_S = 0.4
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.7
 TICK_S = 0.25
@@ -110,11 +109,14 @@
         self.configuration = self._subscribe(
             configuration_key,
             CONFIGURATION_WAIT_S,
-            CONFIGURATION_GAP_S,
+            lambda: CONFIGURATION_GAP_S,
             self._apply_configuration,
         )
         self.members = self._subscribe(
-            MEMBERS_PREFIX, MEMBERS_WAIT_S, MEMBERS_GAP_S, self.directory.apply
+            MEMBERS_PREFIX,
+            MEMBERS_WAIT_S,
+            lambda: self.directory.pause_s,
+            self.directory.apply,
         )
         self.own_record = OwnRecord(store=store, backoff=self._backoff())
         self._record_changed = Signal()
@@ -229,7 +231,7 @@
         self,
         prefix: str,
         wait_s: float,
-        gap_s: float,
+        gap_s: Callable[[], float],
         on_objects: Callable[[Iterable[StoredObject]], None],
     ) -> Subscription:
         return Subscription(
--- a/src/comfreytray/store/subscriptions.py
+++ b/src/comfreytray/store/subscriptions.py
@@ -19,7 +19,7 @@
         clock: Clock,
         backoff: Backoff,
         wait_s: float,
-        gap_s: float,
+        gap_s: Callable[[], float],
         on_objects: Callable[[Iterable[StoredObject]], None],
     ) -> None:
         self._store = store
@@ -47,7 +47,7 @@
         self._regain()
         self._revision = batch.revision
         self._on_objects(batch.objects)
-        return self._gap_s if batch.objects else 0.0
+        return self._gap_s() if batch.objects else 0.0
 
     def _lose(self, failure: Failure) -> float:
         if self._lost_at is None:
