Read the newest configuration only, once, after an outage and in a storm

Logs: the members were heard again at 12.5 s, the configuration at 15.1 s. A watch brings each change as a whole configuration, eight of them by then; on links of 3.5 Mbit/s that is longer than the call may take, so each try ended by its time limit and began anew. Ruled out: the pause between tries (0.7 s at most); the store (members came at once). Change: a subscription to one object that lost the store, or got more than one change at once, reads the object itself and watches from there.

--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -17,6 +17,28 @@
     When it follows them
     Then it hears the last one in time and makes at most 12 calls
 
+  Scenario Outline: Changes of members cost each node few calls, however many there are
+    Given <members> members of whom one changes each 0.1 s
+    When a node follows them for 20 s
+    Then it makes at most <calls> calls and knows each change within <late> s
+
+    Examples:
+      | members | calls | late |
+      | 12      | 60    | 1.0  |
+      | 71      | 20    | 2.5  |
+      | 760     | 12    | 2.5  |
+
+  Scenario: A node's own record is never replaced by what an earlier process stored
+    Given a directory that holds this node's record
+    When the store brings the record of an earlier process of the node
+    Then the directory still holds its own
+
+  Scenario: Only the newest version is read after an outage and in a storm
+    Given a store whose configuration changes 10 times in an outage and 25 times in a storm
+    When a node on a slow link follows it
+    Then it reads the configuration once after the outage and at most twice a second
+    And it has the newest within 2.5 s of the outage and of the storm
+
   Scenario: A write that the store does late can't undo a later one
     Given a member's record whose first write is done late
     When the record changes meanwhile
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -13,6 +13,7 @@
 from comfreytray.node.proxynode import (
     CONFIGURATION_GAP_S,
     CONFIGURATION_WAIT_S,
+    MEMBERS_WAIT_S,
     RETRY_MAX_S,
     RETRY_MIN_S,
 )
@@ -68,7 +69,7 @@
         clock=clock,
         backoff=Backoff(random=random.Random(3), min_s=RETRY_MIN_S, max_s=RETRY_MAX_S),
         wait_s=CONFIGURATION_WAIT_S,
-        gap_s=CONFIGURATION_GAP_S,
+        gap_s=lambda: CONFIGURATION_GAP_S,
         on_objects=lambda objects: heard.extend(
             (clock.now, stored.version) for stored in objects
         ),
@@ -216,3 +217,187 @@
     assert view.by_id["a"].state is NodeState.LEAVING
     listed = [record.node_id for record in view.endpoints_by_service["s"]]
     assert listed == ["b"], listed
+
+
+@given("{members:d} members of whom one changes each 0.1 s")
+def make_members(context, members):
+    context.clock = FakeClock()
+    context.clock.now = 0.0
+    context.changes = [0.1 * (n + 1) for n in range(200)]
+    context.store = OutageStore(context.clock, context.changes)
+    context.directory = Directory()
+    objects = [
+        StoredObject(
+            key=directory.key_of(f"n{n}"),
+            value=directory.encode(_record_of(f"n{n}")),
+            version=1,
+        )
+        for n in range(members)
+    ]
+    context.directory.apply(objects)
+
+
+def _record_of(node_id, incarnation=1):
+    return NodeRecord(
+        node_id=node_id,
+        incarnation=incarnation,
+        region="r",
+        data_centre="d",
+        host="10.0.0.1",
+        control_port=0,
+        call_port=1,
+    )
+
+
+@when("a node follows them for 20 s")
+def follow_members(context):
+    clock, heard = context.clock, []
+    subscription = Subscription(
+        store=context.store,
+        prefix=directory.PREFIX,
+        clock=clock,
+        backoff=Backoff(random=random.Random(3), min_s=RETRY_MIN_S, max_s=RETRY_MAX_S),
+        wait_s=MEMBERS_WAIT_S,
+        gap_s=lambda: context.directory.pause_s,
+        on_objects=lambda objects: heard.extend(
+            (clock.now, stored.version - 1) for stored in objects
+        ),
+    )
+    while clock.now < 20.0:
+        wait_s = subscription.step()
+        clock.now += wait_s
+    context.heard = heard
+
+
+@then("it makes at most {calls:d} calls and knows each change within {late:f} s")
+def check_calls(context, calls, late):
+    assert context.store.calls <= calls, context.store.calls
+    for number, at in enumerate(context.changes[:-30], 1):
+        first = min(when for when, count in context.heard if count >= number)
+        assert first - at <= late, (number, first - at)
+
+
+@given("a directory that holds this node's record")
+def make_own(context):
+    context.directory = Directory()
+    context.own = _record_of("own", incarnation=2)
+    context.directory.put(context.own)
+
+
+@when("the store brings the record of an earlier process of the node")
+def hear_earlier(context):
+    earlier = directory.encode(_record_of("own", incarnation=1))
+    stored = StoredObject(key=directory.key_of("own"), value=earlier, version=9)
+    context.directory.apply([stored])
+
+
+@then("the directory still holds its own")
+def check_own(context):
+    assert context.directory.view.by_id["own"] == context.own
+
+
+class HeavyStore:
+    """A store whose every event brings a whole configuration over a slow link."""
+
+    OBJECT_S = 0.16
+    """Time that one configuration takes: 70 KB at 3.5 Mbit/s."""
+
+    def __init__(self, clock, changes, outage):
+        self.clock, self.changes, self.outage = clock, changes, outage
+        self.brought = []
+        """When each answer came, and with how many configurations."""
+
+    def _away(self, timeout_s):
+        start, end = self.outage
+        if not start <= self.clock.now < end:
+            return None
+        self.clock.now += timeout_s
+        return Failure(kind=Kind.STORE_UNAVAILABLE, detail="silent")
+
+    def _seen(self):
+        return sum(at <= self.clock.now for at in self.changes)
+
+    def _bring(self, versions, timeout_s):
+        took_s = self.OBJECT_S * len(versions)
+        self.clock.now += min(took_s, timeout_s) + 0.004
+        if took_s > timeout_s:
+            return Failure(kind=Kind.STORE_UNAVAILABLE, detail="too slow")
+        self.brought.append((self.clock.now, len(versions)))
+        return tuple(
+            StoredObject(key="config/main", value=b"", version=version)
+            for version in versions
+        )
+
+    def get(self, key):
+        away = self._away(CALL_TIMEOUT_S)
+        if away is not None:
+            return away
+        objects = self._bring([self._seen()], CALL_TIMEOUT_S)
+        return objects if isinstance(objects, Failure) else objects[0]
+
+    def watch(self, prefix, *, after_revision, timeout_s):
+        away = self._away(timeout_s + WATCH_MARGIN_S)
+        if away is not None:
+            return away
+        if self._seen() <= after_revision:
+            due = [at for at in self.changes if at > self.clock.now]
+            wake = min([*due, self.clock.now + timeout_s])
+            if self.clock.now < self.outage[0] < wake:
+                self.clock.now += timeout_s + WATCH_MARGIN_S
+                return Failure(kind=Kind.STORE_UNAVAILABLE, detail="cut off")
+            self.clock.now = wake
+        seen = self._seen()
+        versions = list(range(after_revision + 1, seen + 1))
+        if after_revision == 0:
+            versions = versions[-1:]
+        objects = self._bring(versions, CALL_TIMEOUT_S)
+        if isinstance(objects, Failure):
+            return objects
+        return WatchBatch(revision=seen, objects=objects)
+
+
+@given(
+    "a store whose configuration changes 10 times in an outage and 25 times in a storm"
+)
+def make_heavy(context):
+    context.clock = FakeClock(now=0.0)
+    context.outage = (2.5, 11.5)
+    in_outage = [4.0 + 0.7 * n for n in range(10)]
+    context.storm = [20.0 + 0.2 * n for n in range(25)]
+    changes = [0.0, *in_outage, *context.storm]
+    context.store = HeavyStore(context.clock, changes, context.outage)
+
+
+@when("a node on a slow link follows it")
+def follow_heavy(context):
+    clock, context.heard = context.clock, []
+    subscription = Subscription(
+        store=context.store,
+        prefix="config/main",
+        clock=clock,
+        backoff=Backoff(random=random.Random(3), min_s=RETRY_MIN_S, max_s=RETRY_MAX_S),
+        wait_s=CONFIGURATION_WAIT_S,
+        gap_s=lambda: CONFIGURATION_GAP_S,
+        newest_only=True,
+        on_objects=lambda objects: context.heard.extend(
+            (clock.now, stored.version) for stored in objects
+        ),
+    )
+    while clock.now < 30.0:
+        wait_s = subscription.step()
+        clock.now += wait_s
+
+
+@then("it reads the configuration once after the outage and at most twice a second")
+def check_brought(context):
+    after = [n for at, n in context.store.brought if 11.5 <= at < 20.0 and n]
+    assert after == [1], after
+    in_storm = [n for at, n in context.store.brought if 20.0 <= at < 26.0]
+    assert sum(in_storm) <= 2 * 6, in_storm
+
+
+@then("it has the newest within 2.5 s of the outage and of the storm")
+def check_heavy_heard(context):
+    for version, until in ((11, context.outage[1] + 2.5), (36, 24.8 + 2.5)):
+        first = min(at for at, heard in context.heard if heard >= version)
+        assert first <= until, (version, first)
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -111,6 +111,7 @@
             CONFIGURATION_WAIT_S,
             lambda: CONFIGURATION_GAP_S,
             self._apply_configuration,
+            newest_only=True,
         )
         self.members = self._subscribe(
             MEMBERS_PREFIX,
@@ -233,6 +234,8 @@
         wait_s: float,
         gap_s: Callable[[], float],
         on_objects: Callable[[Iterable[StoredObject]], None],
+        *,
+        newest_only: bool = False,
     ) -> Subscription:
         return Subscription(
             store=self.store,
@@ -242,6 +245,7 @@
             wait_s=wait_s,
             gap_s=gap_s,
             on_objects=on_objects,
+            newest_only=newest_only,
         )
 
     def _backoff(self) -> Backoff:
