Let a node that stops serve its instance for as long as callers may come

And, by reading: a node that stopped waited for its callers, not for calls of other nodes at its instance. Ruled out: asking the instance for its health at the start in place of a heartbeat (health may lie, and an instance that leaves must never be admitted again). Change: callers are told to close at once; other nodes hear that the node leaves 0.9 s before callers are gone; only then calls are refused, and those of other nodes are waited for as well. Test first: platform_node 'A node that stops': 503 at once before.

--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -17,6 +17,12 @@
     When the store is away, forgets its history, cuts watches and loses answers
     Then the node has the newest version each time and its own entry is true
 
+  Scenario: A node that stops serves its instance as long as callers come
+    Given the platform's store, an endpoint and a node beside it
+    When the node is told to stop and calls come from here and from another node
+    Then they are answered for as long as callers may come, and told to close
+    And a call of another node that still runs is answered before the end
+
   Scenario: A split keeps its weights in each short run
     Given a route split 90 to 10 and one split in three
     When 200 calls are dealt
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -10,13 +10,22 @@
 from eventlet.green import socket
 from platform_stand_in import StoreStandIn
 
+from comfreytray.calls.call import Call, Reply
+from comfreytray.calls.connections import StreamClient
 from comfreytray.calls.splits import Splitter
 from comfreytray.common.errors import EXIT_USAGE, Failure
 from comfreytray.common.exceptions import SettingError
+from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import Endpoint, LocalUpstream
 from comfreytray.configuration.snapshots import Route, ServiceShare
 from comfreytray.membership.heartbeats import Heartbeat
-from comfreytray.node.proxynode import Place, ProxyNode, RetryBudget
+from comfreytray.node.proxynode import (
+    NODES_MISS_S,
+    READY_MISSES_S,
+    Place,
+    ProxyNode,
+    RetryBudget,
+)
 from comfreytray.platform import configuration
 from comfreytray.platform.headers import DIALECT
 from comfreytray.platform.objectstore import PlatformStore
@@ -221,6 +230,64 @@
     assert until(lambda: entry() == "i-9"), entry()
 
 
+def _call_from_node(context, target):
+    call = Call(
+        service="s",
+        customer="",
+        share=1.0,
+        method="POST",
+        target=target,
+        headers=(("X-Attempt-Id", "far"),),
+        body=b"",
+        deadline=context.node.clock.monotonic() + 5.0,
+        idempotent=False,
+        call_id="far",
+    )
+    return context.far.call(context.node.record(), call)
+
+
+@when("the node is told to stop and calls come from here and from another node")
+def stop_under_calls(context):
+    write_first(context)
+    clock = context.node.clock
+    context.far = StreamClient(own_id="n-2", clock=clock, metrics=Metrics())
+    context.add_cleanup(context.far.__exit__, None, None, None)
+    running = eventlet.spawn(context.node.run)
+    context.node.ask_to_stop()
+    context.got, context.got_far = [], []
+    started = clock.monotonic()
+    while clock.monotonic() - started < READY_MISSES_S - 0.3:
+        context.ready = context.node.is_ready
+        if clock.monotonic() - started < READY_MISSES_S - NODES_MISS_S - 0.1:
+            context.got.append(_call(context))
+        context.got_far.append(_call_from_node(context, "/a/x"))
+        eventlet.sleep(0.2)
+    context.upstream.script = lambda head, body: (
+        eventlet.sleep(1.5) or _answer(head, body)
+    )
+    last = eventlet.spawn(_call_from_node, context, "/a/long")
+    context.last = last.wait()
+    running.wait()
+
+
+@then("they are answered for as long as callers may come, and told to close")
+def check_served_in_stop(context):
+    assert not context.ready, "ready"
+    statuses = {got.status for got in context.got}
+    assert statuses == {200}, statuses
+    told = {got.headers.get("connection") for got in context.got}
+    assert told == {"close"}, told
+    assert [type(got).__name__ for got in context.got_far] == ["Reply"] * len(
+        context.got_far
+    ), context.got_far
+
+
+@then("a call of another node that still runs is answered before the end")
+def check_last(context):
+    assert isinstance(context.last, Reply), context.last
+    assert context.last.status == 200
+
+
 @given("a route split 90 to 10 and one split in three")
 def make_splits(context):
     context.routes = [
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -194,6 +194,10 @@
         """Serve the call streams of other nodes until the listener is closed."""
         self.server.serve(listener)
 
+    def ask_to_close(self) -> None:
+        """Tell callers with each answer to close their connection."""
+        self.leaving = True
+
     def leave(self) -> None:
         """Refuse new work for the upstream; callers are served through other nodes."""
         self.leaving = True
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -42,6 +42,8 @@
 TICK_S = 0.25
 READY_MISSES_S = 2.4
 """Time in which callers learn that a node is no longer ready: two status checks."""
+NODES_MISS_S = 0.9
+"""Time in which most other nodes learn that a node leaves."""
 EXIT_MARGIN_S = 0.6
 """Part of the grace period that is left for ending the process."""
 
@@ -165,7 +167,7 @@
     def is_ready(self) -> bool:
         """Say whether the node can serve new callers."""
         known = self.snapshot is not None and self.members.heard_at is not None
-        return known and self.state is NodeState.ALIVE
+        return known and not self._stop.ready()
 
     def record(self) -> NodeRecord:
         """Return how this node describes itself now."""
@@ -203,20 +205,29 @@
             self._stop.send()
 
     def run(self) -> None:
-        """Serve until asked to stop, then leave and finish what runs."""
+        """Serve until asked to stop, then leave and finish what runs.
+
+        Pattern: nodes are restarted one after the other under load. The instance beside
+        a node can't be reached from its leaving to its return; a node that leaves only
+        when callers no longer come halves that time.
+        """
         self._stop.wait()
-        started = self.clock.monotonic()
+        stop_at = self.clock.monotonic() + self.place.grace_s - EXIT_MARGIN_S
         log(Event.NODE_STOPPING, node=self.place.node_id, grace_s=self.place.grace_s)
+        self.calls.ask_to_close()
+        eventlet.sleep(READY_MISSES_S - NODES_MISS_S)
         self.state = NodeState.LEAVING
         self._on_endpoint_change(None)
+        eventlet.sleep(NODES_MISS_S)
         self.calls.leave()
-        eventlet.sleep(READY_MISSES_S)
-        spent_s = self.clock.monotonic() - started
-        left_s = max(0.0, self.place.grace_s - EXIT_MARGIN_S - spent_s)
-        finished = self.calls.stop_http(left_s)
+        finished = self.calls.stop_http(self._left_s(stop_at))
+        finished = self.calls.drain(self._left_s(stop_at)) and finished
         if not finished:
             warn(Event.CALLS_CUT, in_flight=self.calls.in_flight)
 
+    def _left_s(self, until: float) -> float:
+        return max(0.0, until - self.clock.monotonic())
+
     def _open(self) -> None:
         place = self.place
         entry = eventlet.listen(place.entry, backlog=LISTEN_BACKLOG)
