Let the idle limit of an upstream's connections grow back within seconds

Change: the limit is 0.7 of the idle time that was too long and doubles in 3 s, not 10. Test: calls_http 'forgets idle connections' holds (at most 2 of 20).

--- a/src/comfreytray/calls/idlelimit.py
+++ b/src/comfreytray/calls/idlelimit.py
@@ -10,7 +10,9 @@
 SHORTEST_S = 0.02
 FORGOTTEN_WITHIN_S = 0.05
 """A reset that comes later than this after a request was more than a closed door."""
-DOUBLES_AFTER_S = 10.0
+SAFE_SHARE = 0.7
+"""Of an idle time that was too long, what is taken to be short enough."""
+DOUBLES_AFTER_S = 3.0
 """Time without a forgotten connection in which the limit grows to the double."""
 
 
@@ -38,6 +40,8 @@
         """Take in a reset some time after a request; say if idleness explains it."""
         if idle_s <= 0.0 or after_s > FORGOTTEN_WITHIN_S:
             return False
-        self._limit_s = max(SHORTEST_S, min(self.for_call(idempotent=True), idle_s / 2))
+        self._limit_s = max(
+            SHORTEST_S, min(self.for_call(idempotent=True), idle_s * SAFE_SHARE)
+        )
         self._lowered_at = self._clock.monotonic()
         return True
