--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -3,7 +3,6 @@
 import os
 import random
 import socket as plain_socket
-import struct
 import time
 
 import eventlet
@@ -23,100 +22,23 @@
 from comfreytray.configuration.content import Head
 from comfreytray.configuration.snapshots import Route, Snapshot
 from comfreytray.testing import MemoryStore
+from standins.scripted import RESET, Upstream, answer
 
 logging.set_verbosity(logging.ERROR)
 
 WAIT_S = 20.0
-RESET = object()
-"""Part of a scripted answer at which the connection is reset."""
-ALL_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "DELETE"})
-
-
-class Upstream:
-    """Log every request that ran and answer as `script` says."""
-
-    def __init__(self, script=None):
-        self.forget_after_s = float("inf")
-        """Idle time after which a connection is reset at its next request."""
-        self.ran = []
-        self.ended = []
-        self.script = script or (lambda head, body: answer(200, b"ok"))
-        self.listener = eventlet.listen(("127.0.0.1", 0))
-        self.port = self.listener.getsockname()[1]
-        self.open_connections = 0
-        self.running = 0
-        self.most_running = 0
-        self.greenlet = eventlet.spawn(self._accept)
-
-    def _accept(self):
-        while True:
-            sock, _ = self.listener.accept()
-            eventlet.spawn_n(self._serve, sock)
-
-    def _serve(self, sock):
-        self.open_connections += 1
-        try:
-            held = b""
-            answered_at = None
-            while True:
-                while b"\r\n\r\n" not in held:
-                    part = sock.recv(65536)
-                    if not part:
-                        return
-                    held += part
-                idle_s = time.monotonic() - (answered_at or time.monotonic())
-                if idle_s > self.forget_after_s:
-                    _reset_at_close(sock)
-                    return
-                head, _, held = held.partition(b"\r\n\r\n")
-                length = 0
-                for line in head.split(b"\r\n"):
-                    if line.lower().startswith(b"content-length:"):
-                        length = int(line.split(b":")[1])
-                while len(held) < length:
-                    part = sock.recv(65536)
-                    if not part:
-                        return
-                    held += part
-                body, held = held[:length], held[length:]
-                self.ran.append(head.split(b" ")[1].decode())
-                self.running += 1
-                self.most_running = max(self.most_running, self.running)
-                try:
-                    parts = self.script(head, body)
-                    for part in [parts] if isinstance(parts, bytes) else parts:
-                        if part is None:
-                            return
-                        if part is RESET:
-                            _reset_at_close(sock)
-                            return
-                        sock.sendall(part)
-                finally:
-                    answered_at = time.monotonic()
-                    self.running -= 1
-                    self.ended.append(head.split(b" ")[1].decode())
-        except OSError:
-            pass
-        finally:
-            self.open_connections -= 1
-            sock.close()
-
-    def close(self):
-        self.greenlet.kill()
-        self.listener.close()
-
+__all__ = [
+    "RESET",
+    "Answer",
+    "Fleet",
+    "Upstream",
+    "answer",
+    "read_answer",
+    "soak_seeds",
+    "until",
+]
 
-def _reset_at_close(sock):
-    linger = struct.pack("ii", 1, 0)
-    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
-
-
-def answer(status, body, *headers):
-    """Make a whole answer."""
-    lines = [f"HTTP/1.1 {status} Fine".encode()]
-    lines += [header.encode() for header in headers]
-    lines += [b"Content-Length: %d" % len(body), b"", b""]
-    return b"\r\n".join(lines) + body
+ALL_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "DELETE"})
 
 
 class Fleet:
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -8,7 +8,6 @@
 from calls_rig import Upstream, read_answer, until
 from eventlet import tpool
 from eventlet.green import socket
-from platform_stand_in import StoreStandIn
 
 from comfreytray.calls.call import Call, Reply
 from comfreytray.calls.connections import StreamClient
@@ -30,6 +29,7 @@
 from comfreytray.platform.headers import DIALECT
 from comfreytray.platform.objectstore import PlatformStore
 from comfreytray.platform.settings import load
+from standins.platform_store import StoreStandIn
 
 HOST = "fields.example"
 
--- /dev/null
+++ b/standins/scripted.py
@@ -0,0 +1,126 @@
+"""An upstream that answers as a script says, and logs every request that ran."""
+
+import socket as plain_socket
+import struct
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import eventlet
+
+RESET = object()
+"""Part of a scripted answer at which the connection is reset."""
+
+Script = Callable[[bytes, bytes], bytes | Iterable[Any]]
+"""Takes head and body of a request; gives the answer, or its parts.
+
+A part that is None ends the connection.
+"""
+
+
+def answer(status: int, body: bytes, *headers: str) -> bytes:
+    """Make a whole answer."""
+    lines = [f"HTTP/1.1 {status} Fine".encode()]
+    lines += [header.encode() for header in headers]
+    lines += [b"Content-Length: %d" % len(body), b"", b""]
+    return b"\r\n".join(lines) + body
+
+
+def _fine(_: bytes, __: bytes) -> bytes:
+    return answer(200, b"ok")
+
+
+class Upstream:
+    """Log every request that ran and answer as `script` says."""
+
+    def __init__(
+        self, script: Script | None = None, *, host: str = "127.0.0.1", port: int = 0
+    ) -> None:
+        self.forget_after_s = float("inf")
+        """Idle time after which a connection is reset at its next request."""
+        self.ran: list[str] = []
+        self.ended: list[str] = []
+        self.script = script or _fine
+        self.listener = eventlet.listen((host, port))
+        self.port: int = self.listener.getsockname()[1]
+        self.open_connections = 0
+        self.running = 0
+        self.most_running = 0
+        self.greenlet = eventlet.spawn(self._accept)
+
+    def close(self) -> None:
+        """Stop serving."""
+        self.greenlet.kill()
+        self.listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            eventlet.spawn_n(self._serve, sock)
+
+    def _serve(self, sock: Any) -> None:
+        self.open_connections += 1
+        try:
+            self._serve_requests(sock)
+        except OSError:
+            pass
+        finally:
+            self.open_connections -= 1
+            sock.close()
+
+    def _serve_requests(self, sock: Any) -> None:
+        held = b""
+        answered_at = None
+        while True:
+            while b"\r\n\r\n" not in held:
+                part = sock.recv(65536)
+                if not part:
+                    return
+                held += part
+            idle_s = time.monotonic() - (answered_at or time.monotonic())
+            if idle_s > self.forget_after_s:
+                _reset_at_close(sock)
+                return
+            head, _, held = held.partition(b"\r\n\r\n")
+            length = _length(head)
+            while len(held) < length:
+                part = sock.recv(65536)
+                if not part:
+                    return
+                held += part
+            body, held = held[:length], held[length:]
+            if not self._run(sock, head, body):
+                return
+            answered_at = time.monotonic()
+
+    def _run(self, sock: Any, head: bytes, body: bytes) -> bool:
+        """Run one request; false when its connection ends with it."""
+        target = head.split(b" ")[1].decode()
+        self.ran.append(target)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            parts = self.script(head, body)
+            for part in [parts] if isinstance(parts, bytes) else parts:
+                if part is None:
+                    return False
+                if part is RESET:
+                    _reset_at_close(sock)
+                    return False
+                sock.sendall(part)
+            return True
+        finally:
+            self.running -= 1
+            self.ended.append(target)
+
+
+def _length(head: bytes) -> int:
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            return int(line.split(b":")[1])
+    return 0
+
+
+def _reset_at_close(sock: Any) -> None:
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
