--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 export EVENTLET_NO_GREENDNS := yes
 SEED ?= 1
 SECONDS ?= 60
+SEEDS ?= 50
 
-.PHONY: all setup format lint test demo soak bench-calls bench-config bench-scale experiment catalogues
+.PHONY: all setup format lint test demo soak fault-soak bench-calls bench-config bench-scale experiment catalogues
 
 all: test
 
@@ -37,6 +38,9 @@
 	COMFREYTRAY_SOAK_SECONDS=$(SECONDS) COMFREYTRAY_SOAK_SEED=$(SEED) \
 	  $(PY) -m behave --format progress --no-color --tags=soak features
 
+fault-soak: setup
+	PYTHONPATH=src:. $(PY) -W ignore -m soak --seed=$(SEED) --seeds=$(SEEDS) --seconds=$(SECONDS)
+
 bench-calls: setup
 	$(PY) benchmarks/calls.py
 
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,296 @@
+"""A site on loopback: the store, nodes as processes, instances, and faults on each."""
+
+import http.client
+import json
+import os
+import random
+import re
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import eventlet
+from attrs import define
+
+from soak.faults import Fault
+from soak.instances import HEARTBEAT_S, Instance
+from soak.promises import Promises
+from soak.relay import Relay
+from standins.platform_store import StoreStandIn
+
+ROOT = Path(__file__).resolve().parent.parent
+SERVICE = "lichbay"
+HOST = "clubs.example"
+OUTBOUND, INBOUND, READY, CONTROL, APPLICATION = range(21_001, 21_006)
+METRICS_PORT = 9464
+GRACE_S = 6.0
+BOUNDS = ("grace_s=6", "retry_budget_ratio=0.2", "retry_slack=56", "budget_window_s=10")
+_LINK_MODES = {"link-silent": "silent", "link-one-way": "one-way", "link-slow": "slow"}
+
+
+@define(kw_only=True, eq=False)
+class NodeProcess:
+    """Own the process of one node; it is only ever ended by its own id."""
+
+    number: int
+    settings: Path
+    log: Path
+    popen: subprocess.Popen[bytes] | None = None
+    version_held: int = 0
+    busy: bool = False
+    """Whether a fault is ending or starting it now."""
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = {
+            **os.environ,
+            "COMFREYTRAY_NODE_FILE": str(self.settings),
+            "EVENTLET_NO_GREENDNS": "yes",
+        }
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "deploy/node.py"],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self.version_held = 0
+
+    def send(self, signal_number: int) -> None:
+        """Send a signal if the process runs."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.send_signal(signal_number)
+
+    def wait(self, timeout_s: float) -> None:
+        """Wait for the end, by force after a time."""
+        assert self.popen is not None
+        end = time.monotonic() + timeout_s
+        while self.popen.poll() is None and time.monotonic() < end:
+            eventlet.sleep(0.02)
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self.popen.wait()
+
+
+class Site:
+    """Own all parts of a run; a context manager that ends the processes it started.
+
+    What listens in this process goes with it: each run is a process of its own.
+    """
+
+    def __init__(self, *, nodes: int, seed: int, folder: Path) -> None:
+        self.random = random.Random(seed)
+        self.promises = Promises()
+        self.store = StoreStandIn()
+        self.version = 0
+        # Runs side by side must not meet: each takes a network of its own on loopback.
+        draw = random.SystemRandom()
+        network = f"127.{draw.randrange(1, 250)}.{draw.randrange(1, 250)}"
+        self.hosts = [f"{network}.{number + 1}" for number in range(nodes)]
+        self.links = [Relay(self.store.address) for _ in range(nodes)]
+        self.instances = [self._instance(number) for number in range(nodes)]
+        self.nodes = [self._node(number, folder) for number in range(nodes)]
+
+    def __enter__(self) -> "Site":
+        self.configure()
+        for node in self.nodes:
+            node.start()
+        for instance in self.instances:
+            eventlet.spawn(instance.beat)
+        eventlet.spawn(self._follow_versions)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for node in self.nodes:
+            node.wait(0.0)
+
+    def configure(self) -> None:
+        """Write the next version, as the operator does."""
+        self.version += self.random.randrange(1, 4)
+        routes = [("/safe/", "safe"), ("/unsafe/", "unsafe")]
+        resources: list[dict[str, Any]] = [
+            {
+                "resource_kind": "routes",
+                "metadata": {"name": kind},
+                "spec": {
+                    "hostname": HOST,
+                    "path_prefix": prefix,
+                    "type": kind,
+                    "timeout_s": 2.0,
+                    "target_latency_s": 0.5,
+                    "priority": 1,
+                    "max_attempts": 3,
+                    "service": SERVICE,
+                },
+            }
+            for prefix, kind in routes
+        ]
+        resources.append(
+            {
+                "resource_kind": "services",
+                "metadata": {"name": SERVICE},
+                "spec": {"health_path": "/health", "max_connections": 64},
+            }
+        )
+        self.store.put(
+            "config", "main", {"version": self.version, "resources": resources}
+        )
+
+    def apply(self, fault: Fault) -> None:
+        """Begin a fault, wait, and end it; runs in a greenlet of its own."""
+        match fault.kind.partition("-")[0]:
+            case "node":
+                self._harm_node(fault)
+            case "store":
+                self._harm_store(fault)
+            case "link":
+                self._harm_link(fault)
+            case "upstream":
+                self._harm_instance(fault)
+            case "configuration":
+                self.configure()
+
+    def calm(self) -> None:
+        """End all faults that last."""
+        self.store.mend()
+        for link in self.links:
+            link.mode = "open"
+        for instance in self.instances:
+            for name in list(instance.faults):
+                instance.set_fault(name, False)
+        for node in self.nodes:
+            node.send(signal.SIGCONT)
+
+    def versions(self) -> list[int]:
+        """Ask each node which version it has in force; 0 from one that is away."""
+        return [self._version_at(number) for number in range(len(self.nodes))]
+
+    def _harm_node(self, fault: Fault) -> None:
+        node = self.nodes[fault.node]
+        if fault.kind == "node-reload":
+            node.send(signal.SIGHUP)
+            return
+        if node.busy:
+            return
+        node.busy = True
+        try:
+            if fault.kind == "node-pause":
+                node.send(signal.SIGSTOP)
+                eventlet.sleep(fault.for_s)
+                node.send(signal.SIGCONT)
+                return
+            stop = fault.kind == "node-stop"
+            node.send(signal.SIGTERM if stop else signal.SIGKILL)
+            node.wait(GRACE_S)
+            eventlet.sleep(0.0 if stop else fault.for_s / 2)
+            node.start()
+        finally:
+            node.busy = False
+
+    def _harm_store(self, fault: Fault) -> None:
+        begin = {
+            "store-away": self.store.away,
+            "store-forgets": self.store.forget,
+            "store-cuts": self.store.cut,
+            "store-loses": self.store.lose,
+        }
+        begin[fault.kind]()
+        eventlet.sleep(fault.for_s)
+        self.store.mend()
+
+    def _harm_link(self, fault: Fault) -> None:
+        link = self.links[fault.node]
+        if fault.kind == "link-reset":
+            link.mode = "reset"
+            link.cut()
+        else:
+            link.mode = _LINK_MODES[fault.kind]
+        eventlet.sleep(fault.for_s)
+        if link.mode in ("silent", "one-way"):
+            # What a silent way swallowed is not delivered later.
+            link.cut()
+        link.mode = "open"
+
+    def _harm_instance(self, fault: Fault) -> None:
+        instance = self.instances[fault.node]
+        if fault.kind == "upstream-replaced":
+            instance.replace()
+            return
+        instance.set_fault(fault.kind, True)
+        eventlet.sleep(fault.for_s)
+        instance.set_fault(fault.kind, False)
+
+    def _follow_versions(self) -> None:
+        while True:
+            for node in self.nodes:
+                process = node.popen
+                version = self._version_at(node.number)
+                if version and process is node.popen:
+                    self.promises.knows(
+                        node.number, version=version, before=node.version_held
+                    )
+                    node.version_held = version
+            eventlet.sleep(0.2)
+
+    def _version_at(self, number: int) -> int:
+        connection = http.client.HTTPConnection(
+            self.hosts[number], METRICS_PORT, timeout=0.5
+        )
+        try:
+            connection.request("GET", "/metrics")
+            text = connection.getresponse().read().decode()
+        except (OSError, http.client.HTTPException):
+            return 0
+        finally:
+            connection.close()
+        found = re.search(r"^comfreytray_version_in_force (\d+)", text, re.MULTILINE)
+        return int(found[1]) if found else 0
+
+    def _instance(self, number: int) -> Instance:
+        host = self.hosts[number]
+        return Instance(
+            node=number,
+            host=host,
+            port=APPLICATION,
+            control=(host, CONTROL),
+            service=SERVICE,
+            promises=self.promises,
+            random=self.random,
+        )
+
+    def _node(self, number: int, folder: Path) -> NodeProcess:
+        host = self.hosts[number]
+        link = self.links[number].address
+        plain = {
+            "node_name": f"node-{number}",
+            "service": SERVICE,
+            "region": f"r{number % 2}",
+            "zone": f"z{number % 3}",
+            "ip": host,
+            "listen": {
+                "outbound": f"{host}:{OUTBOUND}",
+                "inbound": f"{host}:{INBOUND}",
+                "ready": f"{host}:{READY}",
+                "control": f"{host}:{CONTROL}",
+            },
+            "heartbeat_s": HEARTBEAT_S,
+            "bounds": list(BOUNDS),
+            "app_address": f"{host}:{APPLICATION}",
+            "platform": {"address": f"{link[0]}:{link[1]}"},
+        }
+        settings = folder / f"node-{number}.json"
+        settings.write_text(json.dumps(plain))
+        return NodeProcess(
+            number=number, settings=settings, log=folder / f"node-{number}.log"
+        )
