Ignore a signal to reload from the first line of a node's process on

Its log ends with the stop before; the process that followed wrote nothing. SIGHUP came 1.3 s after its start on a busy machine, before its handlers stood, and ended it, as it does by default. Ruled out: a crash (no traceback; a process that gets SIGHUP in its imports ends with -1 in a test of its own). Change: deploy/node.py ignores SIGHUP before it imports anything. A signal within the interpreter's own start (some 20 ms) still ends it; nothing in the process can help that.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,9 +1,13 @@
 """Start a node on the platform from a checkout, without installing the package."""
 
+import signal
 import sys
 import warnings
 from pathlib import Path
 
+# By default SIGHUP ends a process; one that comes during the imports must not.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -23,6 +23,10 @@
     Then they are answered for as long as callers may come, and told to close
     And a call of another node that still runs is answered before the end
 
+  Scenario: A node that is told to reload while it starts goes on starting
+    When a node's process begins to load what it needs
+    Then a signal to reload does not end it
+
   Scenario: A split keeps its weights in each short run
     Given a route split 90 to 10 and one split in three
     When 200 calls are dealt
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,6 +8,7 @@
       | seed |
       | 1    |
       | 4    |
+      | 7    |
 
   Scenario: A schedule is the same for a seed and holds each kind
     When schedules of ten seeds are drawn twice
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -1,5 +1,8 @@
 import copy
 import json
+import os
+import subprocess
+import sys
 import tempfile
 from pathlib import Path
 
@@ -30,6 +33,7 @@
 from comfreytray.platform.objectstore import PlatformStore
 from comfreytray.platform.settings import load
 from standins.platform_store import StoreStandIn
+from standins.processes import ROOT
 
 HOST = "fields.example"
 
@@ -288,6 +292,29 @@
     assert context.last.status == 200
 
 
+@when("a node's process begins to load what it needs")
+def begin_process(context):
+    with tempfile.TemporaryDirectory() as folder:
+        # The first import of the process says what it finds, and ends it.
+        stub = (
+            "import signal\nprint(signal.getsignal(signal.SIGHUP))\nraise SystemExit\n"
+        )
+        Path(folder, "eventlet.py").write_text(stub)
+        done = subprocess.run(
+            [sys.executable, "deploy/node.py"],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": folder},
+            capture_output=True,
+            text=True,
+        )
+    context.is_ignored = done.stdout.strip()
+
+
+@then("a signal to reload does not end it")
+def check_reload(context):
+    assert context.is_ignored == "True"
+
+
 @given("a route split 90 to 10 and one split in three")
 def make_splits(context):
     context.routes = [
--- a/soak/site.py
+++ b/soak/site.py
@@ -62,6 +62,16 @@
             )
         self.version_held = 0
 
+    @property
+    def takes_reload(self) -> bool:
+        """Say whether the process's own code runs; an interpreter just ends."""
+        if self.popen is None or self.popen.poll() is not None:
+            return False
+        status = Path(f"/proc/{self.popen.pid}/status").read_text()
+        masks = re.findall(r"^Sig(?:Ign|Cgt):\s*([0-9a-f]+)", status, re.MULTILINE)
+        bit = 1 << (signal.SIGHUP - 1)
+        return any(int(mask, 16) & bit for mask in masks)
+
     def send(self, signal_number: int) -> None:
         """Send a signal if the process runs."""
         if self.popen is not None and self.popen.poll() is None:
@@ -179,7 +189,8 @@
     def _harm_node(self, fault: Fault) -> None:
         node = self.nodes[fault.node]
         if fault.kind == "node-reload":
-            node.send(signal.SIGHUP)
+            if node.takes_reload:
+                node.send(signal.SIGHUP)
             return
         if node.busy:
             return
