--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -297,7 +297,9 @@
     with tempfile.TemporaryDirectory() as folder:
         # The first import of the process says what it finds, and ends it.
         stub = (
-            "import signal\nprint(signal.getsignal(signal.SIGHUP))\nraise SystemExit\n"
+            "from signal import *\n"
+            "print(getsignal(SIGHUP) is SIG_IGN)\n"
+            "raise SystemExit\n"
         )
         Path(folder, "eventlet.py").write_text(stub)
         done = subprocess.run(
