--- a/soak/relay.py
+++ b/soak/relay.py
@@ -2,11 +2,12 @@
 
 import contextlib
 import socket as plain_socket
-import struct
 from typing import Any
 
 import eventlet
 
+from standins.scripted import reset_at_close
+
 SLOW_S = 0.3
 CHUNK_BYTES = 65_536
 
@@ -77,10 +78,7 @@
 
 
 def _reset(sock: Any) -> None:
-    linger = struct.pack("ii", 1, 0)
-    try:
-        sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
-        # Whoever reads it closes it; a socket closed under its reader upsets the hub.
+    # Whoever reads it closes it; a socket closed under its reader upsets the hub.
+    with contextlib.suppress(OSError):
+        reset_at_close(sock)
         sock.shutdown(plain_socket.SHUT_RDWR)
-    except OSError:
-        return
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -79,7 +79,7 @@
                 held += part
             idle_s = time.monotonic() - (answered_at or time.monotonic())
             if idle_s > self.forget_after_s:
-                _reset_at_close(sock)
+                reset_at_close(sock)
                 return
             head, _, held = held.partition(b"\r\n\r\n")
             length = _length(head)
@@ -105,7 +105,7 @@
                 if part is None:
                     return False
                 if part is RESET:
-                    _reset_at_close(sock)
+                    reset_at_close(sock)
                     return False
                 sock.sendall(part)
             return True
@@ -121,6 +121,7 @@
     return 0
 
 
-def _reset_at_close(sock: Any) -> None:
+def reset_at_close(sock: Any) -> None:
+    """Have a connection end with a reset when it is closed."""
     linger = struct.pack("ii", 1, 0)
     sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
