Let two nodes of a data centre read the store and the others follow them

Cause: each node read the store for itself, about 40 calls a start, and each change of a member or the configuration cost a call on every node.

Change: a package replication/ by which nodes follow two watchers of their data centre, or of their region where a data centre has fewer than 8 members. Sources announce what they hold, followers pull what they lack, large objects travel as differences. The decision who watches lies in replication/sources, without input or output. A starting node reads the members first and takes the configuration from its sources; its own record is written on the revision that the list shows, which saves a read. The collector is off during the imports.

Ruled out: a second source that sends bodies as well (twice the bytes); a stale list as the start of a watch (its revision may be newer than its content); zlib with a dictionary (its window is smaller than the configuration).

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,10 +1,14 @@
 """Start a node on the platform from a checkout, without installing the package."""
 
+import gc
 import signal
 import sys
 import warnings
 from pathlib import Path
 
+# What the imports make lives until the end, so collections would find nothing.
+gc.disable()
+
 # Until its handler is set, a SIGHUP would end the process, also during the imports.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -21,12 +21,11 @@
 from comfreytray.common.records import Endpoint, LocalUpstream
 from comfreytray.configuration.snapshots import Route, ServiceShare
 from comfreytray.membership.heartbeats import Heartbeat
+from comfreytray.node.options import NodeOptions, RetryBudget
 from comfreytray.node.proxynode import (
     LEAVE_PROPAGATION_S,
     READINESS_PROPAGATION_S,
-    NodeOptions,
     ProxyNode,
-    RetryBudget,
 )
 from comfreytray.platform import configuration
 from comfreytray.platform.headers import DIALECT
@@ -101,7 +100,9 @@
         host="127.0.0.1",
         upstream=("127.0.0.1", context.upstream.port),
         call_port=_free_port(),
+        replication_port=_free_port(),
         http_address=("127.0.0.1", _free_port()),
+        capacity=86,
         heartbeat_s=1.5,
         grace_s=6.0,
         retries=RetryBudget(ratio=0.2, slack=56.0, window_s=10.0),
@@ -134,7 +135,7 @@
 
 @when("the node starts before there is a configuration")
 def start_without_configuration(context):
-    assert until(lambda: context.node.members.answered_at is not None)
+    assert until(lambda: context.node.members.is_known)
     context.ready = context.node.is_ready
     context.got = _call(context)
 
@@ -369,6 +370,8 @@
         "ready": "127.0.0.1:3",
         "control": "127.0.0.1:4",
     },
+    "port_range": [5, 9],
+    "limits": {"cpu_share": 0.43, "cores": 2},
     "heartbeat_s": 1.5,
     "bounds": [
         "grace_s=6",
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -10,7 +10,7 @@
 from comfreytray.membership import directory
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.ownrecord import OwnRecord
-from comfreytray.node.proxynode import (
+from comfreytray.node.storefeeds import (
     CONFIGURATION_BATCH_DELAY_S,
     CONFIGURATION_WAIT_S,
     MEMBERS_WAIT_S,
@@ -70,8 +70,8 @@
         backoff=Backoff(random=random.Random(3), min_s=RETRY_MIN_S, max_s=RETRY_MAX_S),
         wait_s=CONFIGURATION_WAIT_S,
         gap_s=lambda: CONFIGURATION_BATCH_DELAY_S,
-        on_objects=lambda objects: received.extend(
-            (clock.now, stored.version) for stored in objects
+        on_batch=lambda batch: received.extend(
+            (clock.now, stored.version) for stored in batch.objects
         ),
     )
     while clock.now < until_s:
@@ -259,8 +259,8 @@
         backoff=Backoff(random=random.Random(3), min_s=RETRY_MIN_S, max_s=RETRY_MAX_S),
         wait_s=MEMBERS_WAIT_S,
         gap_s=lambda: context.directory.batch_delay_s,
-        on_objects=lambda objects: received.extend(
-            (clock.now, stored.version - 1) for stored in objects
+        on_batch=lambda batch: received.extend(
+            (clock.now, stored.version - 1) for stored in batch.objects
         ),
     )
     while clock.now < 20.0:
@@ -379,8 +379,8 @@
         wait_s=CONFIGURATION_WAIT_S,
         gap_s=lambda: CONFIGURATION_BATCH_DELAY_S,
         newest_only=True,
-        on_objects=lambda objects: context.received.extend(
-            (clock.now, stored.version) for stored in objects
+        on_batch=lambda batch: context.received.extend(
+            (clock.now, stored.version) for stored in batch.objects
         ),
     )
     while clock.now < 30.0:
--- a/soak/site.py
+++ b/soak/site.py
@@ -25,7 +25,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SERVICE = "lichbay"
 HOST = "clubs.example"
-OUTBOUND, INBOUND, READY, CONTROL, APPLICATION = range(21_001, 21_006)
+OUTBOUND, INBOUND, READY, CONTROL, APPLICATION, REPLICATION = range(21_001, 21_007)
 METRICS_PORT = 9464
 GRACE_S = 6.0
 """Time that a node has to stop before it is killed."""
@@ -297,6 +297,8 @@
                 "ready": f"{host}:{READY}",
                 "control": f"{host}:{CONTROL}",
             },
+            "port_range": [REPLICATION, REPLICATION],
+            "limits": {"cpu_share": 1.0, "cores": 1},
             "heartbeat_s": HEARTBEAT_S,
             "bounds": list(BOUNDS),
             "app_address": f"{host}:{APPLICATION}",
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -43,6 +43,8 @@
     SELF_DOUBT = "self-doubt"
     STORE_UNAVAILABLE = "store-unavailable"
     STORE_BACK = "store-back"
+    SOURCES_CHOSEN = "sources-chosen"
+    SOURCE_LOST = "source-lost"
     FRAME_REFUSED = "frame-refused"
     STREAM_OPENED = "stream-opened"
     STREAM_CLOSED = "stream-closed"
--- a/src/comfreytray/distribution/deltas.py
+++ b/src/comfreytray/distribution/deltas.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 
-import zstandard
 from attrs import frozen
 
 from comfreytray.common.errors import Failure, Kind
@@ -14,11 +13,9 @@
     decode_page,
     digest_of,
 )
+from comfreytray.distribution.compression import compress, decompress
 
-COMPRESSION_LEVEL = 3
-"""Zstandard level."""
 MAX_BLOB_BYTES = 2 * MAX_BODY_BYTES
-READ_CHUNK_BYTES = 32 * 1024
 
 
 @frozen(kw_only=True)
@@ -38,22 +35,10 @@
     if blob is None:
         return None
     base_blob = content.get(base) if base else None
-    compressor = zstandard.ZstdCompressor(
-        dict_data=_dictionary(base_blob),
-        compression_params=zstandard.ZstdCompressionParameters.from_level(
-            COMPRESSION_LEVEL,
-            source_size=len(blob),
-            dict_size=len(base_blob or b""),
-            format=zstandard.FORMAT_ZSTD1_MAGICLESS,
-            write_content_size=1,
-            write_checksum=0,
-            write_dict_id=0,
-        ),
-    )
     return Delta(
         digest=digest,
         base=base if base_blob else b"",
-        data=compressor.compress(blob),
+        data=compress(blob, base_blob),
     )
 
 
@@ -61,33 +46,18 @@
     """Decompress a blob and check its size and digest."""
     if delta.base and base_blob is None:
         return Failure(kind=Kind.INCOMPLETE_VERSION, detail="base blob is not held")
-    decompressor = zstandard.ZstdDecompressor(
-        dict_data=_dictionary(base_blob if delta.base else None),
-        max_window_size=MAX_BLOB_BYTES,
-        format=zstandard.FORMAT_ZSTD1_MAGICLESS,
+    blob = decompress(
+        delta.data,
+        max_bytes=MAX_BLOB_BYTES,
+        base=base_blob if delta.base else None,
     )
-    try:
-        blob = _read_bounded(decompressor.stream_reader(delta.data))
-    except zstandard.ZstdError as error:
-        return Failure(kind=Kind.BAD_FRAME, detail=f"blob: {error}")
-    if len(blob) > MAX_BLOB_BYTES:
-        return Failure(kind=Kind.FRAME_TOO_LARGE, detail=f"blob of {len(blob)} bytes")
+    if isinstance(blob, Failure):
+        return blob
     if digest_of(blob) != delta.digest:
         return Failure(kind=Kind.DIGEST_MISMATCH, detail=delta.digest.hex())
     return blob
 
 
-def _read_bounded(reader: zstandard.ZstdDecompressionReader) -> bytes:
-    """Decompress in chunks and stop once the size limit is exceeded."""
-    blob = bytearray()
-    while len(blob) <= MAX_BLOB_BYTES:
-        chunk = reader.read(READ_CHUNK_BYTES)
-        if not chunk:
-            break
-        blob += chunk
-    return bytes(blob)
-
-
 def difference(content: Content, old: Head | None, new: Head) -> dict[bytes, bytes]:
     """Map the digest of each blob that `new` adds to the digest of its base in `old`.
 
@@ -154,9 +124,3 @@
             break
         deltas.append(delta)
     return tuple(deltas)
-
-
-def _dictionary(blob: bytes | None) -> zstandard.ZstdCompressionDict | None:
-    if not blob:
-        return None
-    return zstandard.ZstdCompressionDict(blob, dict_type=zstandard.DICT_TYPE_RAWCONTENT)
--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -18,6 +18,7 @@
 
 PREFIX = "members/"
 MAX_RECORD_BYTES = 4096
+_CAPACITY_FIELD = "capacity"
 MIN_BATCH_DELAY_S = 0.4
 MAX_BATCH_DELAY_S = 1.8
 """Kept below the two seconds or so within which a change must reach other nodes."""
@@ -29,19 +30,28 @@
     return PREFIX + node_id
 
 
-def encode(record: NodeRecord) -> bytes:
-    """Encode a member's record as JSON."""
+def encode(record: NodeRecord, *, capacity: int = 0) -> bytes:
+    """Encode a member's record as JSON, with the capacity of its machine."""
     plain = attrs.asdict(record, value_serializer=_plain)
+    plain[_CAPACITY_FIELD] = capacity
     return json.dumps(plain, separators=(",", ":"), sort_keys=True).encode()
 
 
 def decode(value: bytes) -> NodeRecord | None:
     """Decode a member's record; None if it is malformed."""
+    decoded = _decode(value)
+    return None if decoded is None else decoded[0]
+
+
+def _decode(value: bytes) -> tuple[NodeRecord, int] | None:
+    """Decode a record and the capacity of its machine, 0 if it is not stated."""
     if len(value) > MAX_RECORD_BYTES:
         return None
     try:
-        return _record(json.loads(value))
-    except (ValueError, TypeError, KeyError, RecursionError):
+        plain = json.loads(value)
+        capacity = _non_negative_int(plain.get(_CAPACITY_FIELD, 0))
+        return _record(plain), capacity
+    except (ValueError, TypeError, KeyError, AttributeError, RecursionError):
         return None
 
 
@@ -94,6 +104,8 @@
         self._revision_by_id: dict[str, int] = {}
         self._record_by_id: dict[str, NodeRecord] = {}
         self._own_id = ""
+        self.capacity_by_id: dict[str, int] = {}
+        """Processor share of each member's machine, in percent of a core."""
         self.view = MembershipView()
 
     @property
@@ -107,6 +119,10 @@
         batch_delay_s = BATCH_DELAY_S_PER_MEMBER * len(self._record_by_id)
         return min(MAX_BATCH_DELAY_S, max(MIN_BATCH_DELAY_S, batch_delay_s))
 
+    def stored_version(self, node_id: str) -> int:
+        """Return the version of a member's stored record; 0 if none is known."""
+        return self._revision_by_id.get(node_id, 0)
+
     def apply(self, objects: Iterable[StoredObject]) -> None:
         """Apply stored records, skipping those that are not newer than known ones."""
         changed = False
@@ -126,14 +142,16 @@
         if stored.version <= self._revision_by_id.get(node_id, 0):
             return False
         self._revision_by_id[node_id] = stored.version
-        record = decode(stored.value)
-        if record is None or record.node_id != node_id:
+        decoded = _decode(stored.value)
+        if decoded is None or decoded[0].node_id != node_id:
             logs.warn(logs.Event.MEMBER_REFUSED, key=stored.key, version=stored.version)
             return False
+        record, capacity = decoded
         if node_id == self._own_id:
             return False
         held = self._record_by_id.get(node_id)
         self._record_by_id[node_id] = record
+        self.capacity_by_id[node_id] = capacity
         _log_change(held, record, stored.version)
         return record != held
 
--- a/src/comfreytray/membership/ownrecord.py
+++ b/src/comfreytray/membership/ownrecord.py
@@ -1,5 +1,7 @@
 """Replication of this node's own record to the platform's store."""
 
+from collections.abc import Callable
+
 from comfreytray.common import logs
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure, Kind
@@ -18,9 +20,20 @@
     cannot undo a later one.
     """
 
-    def __init__(self, *, store: ObjectStore, backoff: Backoff) -> None:
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        backoff: Backoff,
+        listed_version: Callable[[], int | None] = lambda: None,
+        capacity: int = 0,
+    ) -> None:
+        """Create the writer; `listed_version` gives what the last list has shown."""
         self._store = store
         self._backoff = backoff
+        self._listed_version = listed_version
+        self._capacity = capacity
+        self._was_written = False
         self._version = UNKNOWN_VERSION
         self._written: NodeRecord | None = None
 
@@ -30,11 +43,11 @@
 
     def write(self, record: NodeRecord) -> float:
         """Make one store call towards writing a record; return the seconds to wait."""
-        if self._version == UNKNOWN_VERSION:
+        if self._version == UNKNOWN_VERSION and not self._use_listed_version():
             return self._read(record)
         stored = self._store.put(
             directory.key_of(record.node_id),
-            directory.encode(record),
+            directory.encode(record, capacity=self._capacity),
             expected_version=self._version,
         )
         if not isinstance(stored, Failure):
@@ -47,6 +60,17 @@
             return 0.0
         return self._back_off(stored, "write")
 
+    def _use_listed_version(self) -> bool:
+        """Save the first read if a list has shown the version; a later write may not.
+
+        A write that failed may have been applied since the list.
+        """
+        listed = None if self._was_written else self._listed_version()
+        self._was_written = True
+        if listed is not None:
+            self._version = listed
+        return listed is not None
+
     def _read(self, record: NodeRecord) -> float:
         held = self._store.get(directory.key_of(record.node_id))
         if not isinstance(held, Failure):
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -9,37 +9,35 @@
 import attrs
 import eventlet
 import eventlet.wsgi
-from attrs import frozen
 
 from comfreytray.calls.dialect import Dialect
 from comfreytray.calls.proxy import CallPath
 from comfreytray.calls.retries import RetryLimits
-from comfreytray.common.budgets import Backoff
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.errors import Failure
-from comfreytray.common.interfaces import Address, ObjectStore, StoredObject
+from comfreytray.common.interfaces import (
+    Address,
+    ObjectStore,
+    StoredObject,
+)
 from comfreytray.common.logs import Event, log, warn
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import Endpoint, LocalUpstream, NodeRecord, NodeState
 from comfreytray.common.signals import Signal
 from comfreytray.common.tasks import TaskGroup
 from comfreytray.configuration.snapshots import Snapshot
-from comfreytray.membership.directory import PREFIX as MEMBERS_PREFIX
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.heartbeats import InstanceRegister
 from comfreytray.membership.ownrecord import OwnRecord
-from comfreytray.store.subscriptions import Subscription
+from comfreytray.node.options import NodeOptions
+from comfreytray.node.storefeeds import MEMBERS_WAIT_S, StoreFeeds
+from comfreytray.replication.replicator import Replicator
 
 LISTEN_BACKLOG = 1024
 MAX_INTERFACE_CONNECTIONS = 64
-CONFIGURATION_WAIT_S = 4.0
-"""Longest wait of a watch; a silent store is noticed after it and a margin."""
-MEMBERS_WAIT_S = 8.0
-"""Longest wait of a watch of the members."""
-CONFIGURATION_BATCH_DELAY_S = 0.8
-"""Pause after a change, so that a series of changes takes few calls."""
-RETRY_MIN_S = 0.1
-RETRY_MAX_S = 0.7
+FIRST_LIST_TIMEOUT_S = 1.0
+"""Time in which the first list of members should show the stored own record."""
+FIRST_LIST_POLL_S = 0.02
 TICK_S = 0.25
 READINESS_PROPAGATION_S = 2.4
 """Time in which callers learn that a node is no longer ready: two readiness checks."""
@@ -52,39 +50,6 @@
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
-@frozen(kw_only=True)
-class RetryBudget:
-    """Limit the retries that all nodes make together."""
-
-    ratio: float
-    """Retries allowed for each call of a service, in any window."""
-    slack: float
-    """Retries of a service allowed beyond the ratio, in any window."""
-    window_s: float
-
-
-@frozen(kw_only=True)
-class NodeOptions:
-    """Hold the identity, the addresses and the limits of a node."""
-
-    node_id: str
-    service: str
-    """Service of the instance beside the node."""
-    region: str
-    data_centre: str
-    host: str
-    upstream: Address
-    """Where the instance beside the node serves."""
-    call_port: int
-    """Port for the call streams of other nodes."""
-    http_address: Address
-    """Where callers connect."""
-    heartbeat_s: float
-    grace_s: float
-    """Time between the signal to stop and the forced end of the process."""
-    retries: RetryBudget
-
-
 class ProxyNode:
     """Proxy calls by what the store holds; a context manager that owns all it opens."""
 
@@ -112,20 +77,25 @@
             heartbeat_s=options.heartbeat_s,
             on_change=self._on_endpoint_change,
         )
-        self.configuration = self._subscribe(
-            configuration_key,
-            CONFIGURATION_WAIT_S,
-            lambda: CONFIGURATION_BATCH_DELAY_S,
-            self._apply_configuration,
-            newest_only=True,
+        feeds = StoreFeeds(store=store, clock=self.clock, random=self.random)
+        self.configuration = feeds.configuration(
+            configuration_key, on_objects=self._apply_configuration
+        )
+        self.members = feeds.members(self.directory, plan=lambda: self.replicator.plan)
+        self.replicator = Replicator(
+            node=self.record,
+            view=lambda: self.directory.view,
+            capacity_by_id=self.directory.capacity_by_id,
+            feeds=(self.members, self.configuration),
+            clock=self.clock,
+            metrics=self.metrics,
         )
-        self.members = self._subscribe(
-            MEMBERS_PREFIX,
-            MEMBERS_WAIT_S,
-            lambda: self.directory.batch_delay_s,
-            self.directory.apply,
+        self.own_record = OwnRecord(
+            store=store,
+            backoff=feeds.backoff(),
+            listed_version=self._listed_version,
+            capacity=options.capacity,
         )
-        self.own_record = OwnRecord(store=store, backoff=self._backoff())
         self._record_changed = Signal()
         self._stop = eventlet.event.Event()
         self._stack = ExitStack()
@@ -143,12 +113,14 @@
             retry_limits=self._retry_limits,
         )
         self.directory.put(self.record())
+        self.directory.capacity_by_id[options.node_id] = options.capacity
 
     def __enter__(self) -> "ProxyNode":
         with ExitStack() as stack:
             stack.enter_context(self.calls)
             self._tasks = stack.enter_context(TaskGroup())
             self._open()
+            stack.enter_context(self.replicator)
             self._stack = stack.pop_all()
         log(
             Event.NODE_STARTED,
@@ -170,7 +142,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node can serve new callers."""
-        known = self.snapshot is not None and self.members.answered_at is not None
+        known = self.snapshot is not None and self.members.is_known
         return known and not self._stop.ready()
 
     def record(self) -> NodeRecord:
@@ -183,7 +155,7 @@
             region=options.region,
             data_centre=options.data_centre,
             host=options.host,
-            control_port=0,
+            control_port=options.replication_port,
             call_port=options.call_port,
             state=self.state,
             endpoint=None if upstream is None else upstream.endpoint,
@@ -242,33 +214,20 @@
         )
         self._tasks.spawn("entry", lambda: self.calls.serve_http(http_listener))
         self._tasks.spawn("streams", lambda: self.calls.serve_streams(streams_listener))
-        self._tasks.spawn("configuration", lambda: _repeat(self.configuration.step))
-        self._tasks.spawn("members", lambda: _repeat(self.members.step))
+        followers_listener = eventlet.listen(
+            (options.host, options.replication_port), backlog=LISTEN_BACKLOG
+        )
+        self._tasks.spawn(
+            "replication", lambda: self.replicator.serve(followers_listener)
+        )
         self._tasks.spawn("own-record", self._sync_record)
         self._tasks.run_every(TICK_S, {"register": self.register.tick})
 
-    def _subscribe(
-        self,
-        prefix: str,
-        wait_s: float,
-        gap_s: Callable[[], float],
-        on_objects: Callable[[Iterable[StoredObject]], None],
-        *,
-        newest_only: bool = False,
-    ) -> Subscription:
-        return Subscription(
-            store=self.store,
-            prefix=prefix,
-            clock=self.clock,
-            backoff=self._backoff(),
-            wait_s=wait_s,
-            gap_s=gap_s,
-            on_objects=on_objects,
-            newest_only=newest_only,
-        )
-
-    def _backoff(self) -> Backoff:
-        return Backoff(random=self.random, min_s=RETRY_MIN_S, max_s=RETRY_MAX_S)
+    def _listed_version(self) -> int | None:
+        """Return the version of the stored own record; None before the first list."""
+        if not self.members.is_known:
+            return None
+        return self.directory.stored_version(self.options.node_id)
 
     def _local_upstream(self) -> LocalUpstream | None:
         """Return the instance with the connections that the configuration allows it."""
@@ -324,6 +283,10 @@
         self._record_changed.fire()
 
     def _sync_record(self) -> None:
+        """Keep the stored record current, from the first list of members on."""
+        deadline = self.clock.monotonic() + FIRST_LIST_TIMEOUT_S
+        while not self.members.is_known and self.clock.monotonic() < deadline:
+            eventlet.sleep(FIRST_LIST_POLL_S)
         while True:
             record = self.record()
             if self.own_record.is_current(record):
@@ -340,9 +303,3 @@
             "calls": self.calls.report(),
             "metrics": self.metrics.report(),
         }
-
-
-def _repeat(step: Callable[[], float]) -> None:
-    """Call a step again and again, each time after the seconds it returned."""
-    while True:
-        eventlet.sleep(step())
--- /dev/null
+++ b/src/comfreytray/node/storefeeds.py
@@ -0,0 +1,82 @@
+"""The feeds of a node: how often and in what batches it reads the store."""
+
+import random
+from collections.abc import Callable, Iterable
+
+from comfreytray.common.budgets import Backoff
+from comfreytray.common.interfaces import Clock, ObjectStore, StoredObject, WatchBatch
+from comfreytray.membership.directory import PREFIX as MEMBERS_PREFIX
+from comfreytray.membership.directory import Directory
+from comfreytray.replication.feed import Feed
+from comfreytray.replication.sources import Plan
+from comfreytray.store.subscriptions import Subscription
+
+CONFIGURATION_WAIT_S = 4.0
+"""Longest wait of a watch; a silent store is noticed after it and a margin."""
+MEMBERS_WAIT_S = 8.0
+"""Longest wait of a watch of the members."""
+CONFIGURATION_BATCH_DELAY_S = 0.8
+"""Pause after a change, so that a series of changes takes few calls."""
+SHARED_BATCH_DELAY_S = 0.8
+"""Pause after changes of members where one node reads them for a group."""
+STANDBY_BATCH_DELAY_S = 3.0
+"""The same for the second watcher, which hears of them from the first."""
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 0.7
+
+
+class StoreFeeds:
+    """Makes the feeds of a node."""
+
+    def __init__(
+        self, *, store: ObjectStore, clock: Clock, random: random.Random
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._random = random
+
+    def configuration(
+        self, key: str, *, on_objects: Callable[[Iterable[StoredObject]], None]
+    ) -> Feed:
+        """Return the feed of the configuration, which is one object."""
+
+        def subscribe(on_batch: Callable[[WatchBatch], None]) -> Subscription:
+            return Subscription(
+                store=self._store,
+                prefix=key,
+                clock=self._clock,
+                backoff=self.backoff(),
+                wait_s=CONFIGURATION_WAIT_S,
+                gap_s=lambda: CONFIGURATION_BATCH_DELAY_S,
+                on_batch=on_batch,
+                newest_only=True,
+            )
+
+        return Feed(subscribe=subscribe, on_objects=on_objects)
+
+    def members(self, directory: Directory, *, plan: Callable[[], Plan]) -> Feed:
+        """Return the feed of the members' records, which go into a directory."""
+
+        def subscribe(on_batch: Callable[[WatchBatch], None]) -> Subscription:
+            return Subscription(
+                store=self._store,
+                prefix=MEMBERS_PREFIX,
+                clock=self._clock,
+                backoff=self.backoff(),
+                wait_s=MEMBERS_WAIT_S,
+                gap_s=lambda: members_batch_delay_s(plan(), directory),
+                on_batch=on_batch,
+            )
+
+        return Feed(subscribe=subscribe, on_objects=directory.apply)
+
+    def backoff(self) -> Backoff:
+        """Return the back-off of calls to the store."""
+        return Backoff(random=self._random, min_s=RETRY_MIN_S, max_s=RETRY_MAX_S)
+
+
+def members_batch_delay_s(plan: Plan, directory: Directory) -> float:
+    """Return the pause after changes of members; few nodes may read them sooner."""
+    if not plan.is_shared:
+        return directory.batch_delay_s
+    return SHARED_BATCH_DELAY_S if plan.rank == 0 else STANDBY_BATCH_DELAY_S
--- a/src/comfreytray/platform/main.py
+++ b/src/comfreytray/platform/main.py
@@ -70,6 +70,7 @@
         # Objects made at start-up live until the end, so the collector can skip them.
         gc.collect()
         gc.freeze()
+        gc.enable()
         node.run()
 
 
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -10,8 +10,9 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import SettingError
 from comfreytray.common.interfaces import Address
-from comfreytray.node.proxynode import NodeOptions, RetryBudget
+from comfreytray.node.options import NodeOptions, RetryBudget
 
+PERCENT = 100
 FILE_VARIABLE = "COMFREYTRAY_NODE_FILE"
 """Environment variable that holds the path of the settings file."""
 
@@ -55,7 +56,9 @@
         upstream=_address(document, "app_address"),
         # `inbound` is free for the streams between nodes, which are the project's own.
         call_port=_address(listen, "inbound")[1],
+        replication_port=_first_free_port(document),
         http_address=_address(listen, "outbound"),
+        capacity=_capacity(_json_object(document, "limits")),
         heartbeat_s=_number(document, "heartbeat_s"),
         grace_s=_bound(bounds, "grace_s"),
         retries=RetryBudget(
@@ -72,6 +75,19 @@
     )
 
 
+def _capacity(limits: Mapping[str, Any]) -> int:
+    """Return the processor share of the machine, in percent of a core."""
+    return round(PERCENT * _number(limits, "cpu_share") * _number(limits, "cores"))
+
+
+def _first_free_port(document: Mapping[str, Any]) -> int:
+    """Return the first of the ports that are free for traffic between nodes."""
+    ports = document.get("port_range")
+    if not isinstance(ports, list) or not ports or type(ports[0]) is not int:
+        raise _setting_error("port_range", ports, "[first, last]")
+    return int(ports[0])
+
+
 def _bounds(document: Mapping[str, Any]) -> dict[str, float]:
     """Parse the `name=value` bounds; those that are not numbers are ignored."""
     texts = document.get("bounds")
--- /dev/null
+++ b/src/comfreytray/replication/feed.py
@@ -0,0 +1,71 @@
+"""One prefix of the store, followed by calls to the store or by what sources send."""
+
+from collections.abc import Callable, Iterable
+
+from comfreytray.common.errors import Failure
+from comfreytray.common.interfaces import StoredObject, WatchBatch
+from comfreytray.replication.replica import ObjectChange, Progress, Replica
+from comfreytray.store.subscriptions import Subscription
+
+PULL_TIMEOUT_S = 1.0
+"""Time after which objects are asked for again, perhaps of another source."""
+
+
+class Feed:
+    """The replica of a prefix, and what is under way to keep it current."""
+
+    def __init__(
+        self,
+        *,
+        subscribe: Callable[[Callable[[WatchBatch], None]], Subscription],
+        on_objects: Callable[[Iterable[StoredObject]], None],
+    ) -> None:
+        """Create a feed; `subscribe` makes the subscription for a batch handler."""
+        self.replica = Replica()
+        self.subscription = subscribe(self.apply)
+        self.on_change: Callable[[], None] = lambda: None
+        self._on_objects = on_objects
+        self._pulled_at: float | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Whether all objects under the prefix were read once."""
+        return self.replica.progress.complete_to > 0
+
+    def apply(self, batch: WatchBatch) -> None:
+        """Take a batch of the store or of a source."""
+        before = self.replica.progress.newest
+        fresh = self.replica.apply(batch)
+        if fresh:
+            self._on_objects(fresh)
+        if self.replica.progress.newest != before:
+            self.on_change()
+
+    def receive(
+        self, changes: Iterable[ObjectChange], complete_to: int
+    ) -> Failure | None:
+        """Take what a source has sent; a Failure if it does not fit what is held."""
+        self._pulled_at = None
+        objects = self.replica.resolve(changes)
+        if isinstance(objects, Failure):
+            return objects
+        self.apply(WatchBatch(revision=complete_to, objects=tuple(objects)))
+        self.subscription.advance(complete_to)
+        return None
+
+    def wants(self, offered: Progress, now: float) -> bool:
+        """Whether to pull from a source that offers this; notes a pull under way.
+
+        If there is nothing to pull, the replica is as complete as the source's.
+        """
+        held = self.replica.progress
+        if offered.complete_to <= held.complete_to:
+            return False
+        if self.is_known and offered.newest <= held.complete_to:
+            self.replica.advance(offered.complete_to)
+            self.subscription.advance(offered.complete_to)
+            return False
+        if self._pulled_at is not None and now - self._pulled_at < PULL_TIMEOUT_S:
+            return False
+        self._pulled_at = now
+        return True
--- /dev/null
+++ b/src/comfreytray/replication/replicator.py
@@ -0,0 +1,333 @@
+"""Keeps a node's feeds current: from the store, from other nodes, or from both."""
+
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
+from types import TracebackType
+from typing import Any
+
+import eventlet
+
+from comfreytray.common import logs
+from comfreytray.common.errors import Failure
+from comfreytray.common.interfaces import Clock
+from comfreytray.common.metrics import Metrics
+from comfreytray.common.records import MembershipView, NodeRecord
+from comfreytray.common.signals import Signal
+from comfreytray.common.tasks import TaskGroup
+from comfreytray.replication import frames, links
+from comfreytray.replication.feed import Feed
+from comfreytray.replication.links import FollowerLinks, Link
+from comfreytray.replication.replica import Progress
+from comfreytray.replication.sources import Plan, Sources
+
+TICK_S = 0.25
+ANNOUNCE_PERIOD_S = 0.5
+"""Heartbeat of a source to its followers."""
+SILENCE_S = 1.6
+"""Time without a frame after which a source counts as lost."""
+MIN_TICKS_OF_SILENCE = 3
+"""Ticks without a frame before a source counts as lost, so that a node that was itself
+paused first reads what has arrived."""
+BLIND_S = 2.0
+"""Time after a failed call for which other nodes are preferred to the store."""
+MEMBERS_TIMEOUT_S = 1.0
+"""Time for which a starting node waits for the members before it reads other feeds."""
+MEMBERS_POLL_S = 0.01
+RESERVE_PERIOD_S = 2.0
+"""Pause between calls of a node that only probes a store that is down."""
+MAX_PACKED_BATCHES = 4
+"""Packed answers to pulls that are kept; followers mostly lack the same objects."""
+
+
+class _SourceLink:
+    """The connection to one source, from the attempt to connect to its end."""
+
+    def __init__(self) -> None:
+        self.link: Link | None = None
+        self.greenlet: Any = None
+        self.silent_ticks = 0
+
+
+class Replicator:
+    """Follows the store through few nodes; a context manager that owns its links.
+
+    Feeds must be listed in the same order on all nodes, that of the members first: it
+    tells which nodes the others may come from.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: Callable[[], NodeRecord],
+        view: Callable[[], MembershipView],
+        capacity_by_id: Mapping[str, int],
+        feeds: Sequence[Feed],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.plan = Plan()
+        self._node = node
+        self._view = view
+        self._capacity_by_id = capacity_by_id
+        self._feeds = feeds
+        self._clock = clock
+        self._metrics = metrics
+        self._sources = Sources()
+        self._source_link_by_id: dict[str, _SourceLink] = {}
+        self._followers = FollowerLinks(
+            clock=clock, on_frame=self._serve_pull, on_joined=self._greet
+        )
+        self._packed_by_pull: dict[tuple[int, Progress, int], bytes] = {}
+        self._blind_until = 0.0
+        self._announced_at = 0.0
+        self._announced: frames.Announce | None = None
+        self._wake_by_feed = [Signal() for _ in feeds]
+        self._tasks = TaskGroup()
+        for feed in feeds:
+            feed.on_change = self._announce
+
+    def __enter__(self) -> "Replicator":
+        for number, feed in enumerate(self._feeds):
+            self._tasks.spawn(
+                f"feed-{number}", partial(self._follow_store, number, feed)
+            )
+        self._tasks.run_every(TICK_S, {"sources": self.review})
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._tasks.close()
+        self._followers.__exit__(kind, error, trace)
+        for node_id in list(self._source_link_by_id):
+            self._unfollow(node_id)
+
+    @property
+    def is_known(self) -> bool:
+        """Whether every feed was read once."""
+        return all(feed.is_known for feed in self._feeds)
+
+    @property
+    def is_blind(self) -> bool:
+        """Whether this node's own calls to the store fail, or failed lately."""
+        failing = any(feed.subscription.is_failing for feed in self._feeds)
+        return failing or self._clock.monotonic() < self._blind_until
+
+    def serve(self, listener: Any) -> None:
+        """Accept followers until the listener is closed."""
+        self._followers.serve(listener)
+
+    def review(self) -> None:
+        """Choose the sources again, and open and close connections accordingly."""
+        now = self._clock.monotonic()
+        self._drop_silent(now)
+        plan = self._sources.plan(
+            own=self._node(),
+            view=self._view(),
+            capacity_by_id=self._capacity_by_id,
+            now=now,
+            is_blind=self.is_blind,
+            has_followers=bool(self._followers.link_by_id),
+        )
+        self._set_plan(plan)
+        wanted = {record.node_id for record in plan.follows}
+        for node_id in set(self._source_link_by_id) - wanted:
+            self._unfollow(node_id)
+        for record in plan.follows:
+            if record.node_id not in self._source_link_by_id:
+                self._follow(record, now)
+        self._announce()
+
+    def _set_plan(self, plan: Plan) -> None:
+        before, self.plan = self.plan, plan
+        if plan.watches and not before.watches:
+            for feed, wake in zip(self._feeds, self._wake_by_feed, strict=True):
+                feed.subscription.resume()
+                wake.fire()
+        if plan != before:
+            logs.log(
+                logs.Event.SOURCES_CHOSEN,
+                watches=plan.watches,
+                rank=plan.rank,
+                follows=",".join(record.node_id for record in plan.follows),
+                followers=len(self._followers.link_by_id),
+                reserve=plan.is_reserve,
+            )
+
+    def _follow_store(self, number: int, feed: Feed) -> None:
+        """Follow the store whenever the plan says so."""
+        if number > 0:
+            self._await_members()
+        while True:
+            if not self.plan.watches:
+                self._wake_by_feed[number].wait(TICK_S)
+                continue
+            if number > 0 and self._is_probed_by_first(feed):
+                eventlet.sleep(TICK_S)
+                continue
+            was_known, was_current = feed.is_known, self._is_current
+            pause_s = feed.subscription.step()
+            self._metrics.count("store_reads")
+            if feed.subscription.is_failing:
+                self._blind_until = self._clock.monotonic() + BLIND_S
+                if self.plan.is_reserve:
+                    pause_s = max(pause_s, RESERVE_PERIOD_S)
+            elif not was_current and self._is_current:
+                self._blind_until = 0.0
+            if number == 0 and not was_known and feed.is_known:
+                self.review()
+            if was_current != self._is_current:
+                self._announce()
+            eventlet.sleep(pause_s)
+
+    def _await_members(self) -> None:
+        """Wait for the first list of members, from which sources can be chosen."""
+        deadline = self._clock.monotonic() + MEMBERS_TIMEOUT_S
+        while not self._feeds[0].is_known and self._clock.monotonic() < deadline:
+            eventlet.sleep(MEMBERS_POLL_S)
+
+    def _is_probed_by_first(self, feed: Feed) -> bool:
+        """Whether the first feed finds out when the store answers again."""
+        first = self._feeds[0].subscription
+        return feed.subscription.is_failing and first.is_failing
+
+    @property
+    def _is_current(self) -> bool:
+        return self.plan.watches and all(
+            feed.subscription.is_current for feed in self._feeds
+        )
+
+    def _announce(self) -> None:
+        """Tell followers what this node holds, if it changed or as a heartbeat."""
+        now = self._clock.monotonic()
+        announce = frames.Announce(
+            is_current=self._is_current,
+            progress_by_feed=tuple(feed.replica.progress for feed in self._feeds),
+        )
+        if announce == self._announced and now - self._announced_at < ANNOUNCE_PERIOD_S:
+            return
+        self._announced, self._announced_at = announce, now
+        if self._followers.link_by_id:
+            self._followers.send(frames.pack_announce(announce))
+
+    def _greet(self, link: Link) -> None:
+        self._announced = None
+        self._announce()
+        self.review()
+
+    def _serve_pull(self, link: Link, frame: frames.Frame) -> None:
+        if not isinstance(frame, frames.Pull) or frame.feed >= len(self._feeds):
+            logs.warn(
+                logs.Event.FRAME_REFUSED,
+                peer=link.peer,
+                reason=f"expected a pull, got {type(frame).__name__}",
+            )
+            link.close()
+            return
+        link.send(self._packed(frame))
+
+    def _packed(self, pull: frames.Pull) -> bytes:
+        """Return the packed answer to a pull; several followers ask for the same."""
+        replica = self._feeds[pull.feed].replica
+        key = (pull.feed, pull.held, replica.progress.complete_to)
+        packed = self._packed_by_pull.get(key)
+        if packed is None:
+            objects = frames.Objects(
+                feed=pull.feed,
+                complete_to=replica.progress.complete_to,
+                changes=replica.changes_after(pull.held),
+            )
+            packed = frames.pack_objects(objects)
+            while len(self._packed_by_pull) >= MAX_PACKED_BATCHES:
+                del self._packed_by_pull[next(iter(self._packed_by_pull))]
+            self._packed_by_pull[key] = packed
+        return packed
+
+    def _follow(self, record: NodeRecord, now: float) -> None:
+        self._sources.connecting(record, now)
+        source = self._source_link_by_id[record.node_id] = _SourceLink()
+        source.greenlet = eventlet.spawn(self._read_source, record, source)
+
+    def _read_source(self, record: NodeRecord, source: _SourceLink) -> None:
+        link = links.follow(
+            record.control_address,
+            own_id=self._node().node_id,
+            source_id=record.node_id,
+            clock=self._clock,
+            on_frame=self._receive,
+        )
+        if not isinstance(link, Failure):
+            source.link = link
+            link.read()
+        if self._source_link_by_id.get(record.node_id) is source:
+            reason = link.detail if isinstance(link, Failure) else "connection ended"
+            self._lose(record.node_id, reason)
+            self.review()
+
+    def _receive(self, link: Link, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Announce):
+            self._compare(link, frame)
+        elif isinstance(frame, frames.Objects) and frame.feed < len(self._feeds):
+            self._take(link, frame)
+        else:
+            logs.warn(
+                logs.Event.FRAME_REFUSED,
+                peer=link.peer,
+                reason=f"unexpected {type(frame).__name__} from a source",
+            )
+            link.close()
+
+    def _take(self, link: Link, objects: frames.Objects) -> None:
+        """Apply the objects of a source, or ask for them whole if they don't fit."""
+        feed = self._feeds[objects.feed]
+        failure = feed.receive(objects.changes, objects.complete_to)
+        if failure is None:
+            return
+        logs.warn(
+            logs.Event.FRAME_REFUSED,
+            peer=link.peer,
+            kind=failure.kind.value,
+            reason=failure.detail,
+        )
+        link.send(frames.pack_pull(frames.Pull(feed=objects.feed, held=Progress())))
+
+    def _compare(self, link: Link, announce: frames.Announce) -> None:
+        """Pull from a source what it holds and this node lacks."""
+        now = self._clock.monotonic()
+        before = self._sources.state_of(link.peer, now)
+        self._sources.reported(link.peer, is_current=announce.is_current)
+        offers = zip(self._feeds, announce.progress_by_feed, strict=False)
+        for number, (feed, offered) in enumerate(offers):
+            if feed.wants(offered, now):
+                pull = frames.Pull(feed=number, held=feed.replica.progress)
+                link.send(frames.pack_pull(pull))
+        if self._sources.state_of(link.peer, now) is not before:
+            self.review()
+
+    def _drop_silent(self, now: float) -> None:
+        for node_id, source in list(self._source_link_by_id.items()):
+            if source.link is None or now - source.link.received_at < SILENCE_S:
+                source.silent_ticks = 0
+                continue
+            source.silent_ticks += 1
+            if source.silent_ticks >= MIN_TICKS_OF_SILENCE:
+                self._lose(node_id, f"silent for {SILENCE_S} s")
+
+    def _lose(self, node_id: str, reason: str) -> None:
+        logs.warn(logs.Event.SOURCE_LOST, source=node_id, reason=reason)
+        self._sources.lost(node_id, self._clock.monotonic())
+        self._close(node_id)
+
+    def _unfollow(self, node_id: str) -> None:
+        self._sources.closed(node_id)
+        self._close(node_id)
+
+    def _close(self, node_id: str) -> None:
+        source = self._source_link_by_id.pop(node_id)
+        if source.link is not None:
+            source.link.close()
+        elif source.greenlet is not eventlet.getcurrent():
+            source.greenlet.kill()
--- a/src/comfreytray/store/subscriptions.py
+++ b/src/comfreytray/store/subscriptions.py
@@ -1,11 +1,11 @@
 """Follow the store's objects under a prefix, with back-off while calls fail."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from comfreytray.common import logs
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure
-from comfreytray.common.interfaces import Clock, ObjectStore, StoredObject, WatchBatch
+from comfreytray.common.interfaces import Clock, ObjectStore, WatchBatch
 
 
 class Subscription:
@@ -29,7 +29,7 @@
         backoff: Backoff,
         wait_s: float,
         gap_s: Callable[[], float],
-        on_objects: Callable[[Iterable[StoredObject]], None],
+        on_batch: Callable[[WatchBatch], None],
         newest_only: bool = False,
     ) -> None:
         self._store = store
@@ -38,7 +38,7 @@
         self._backoff = backoff
         self._wait_s = wait_s
         self._gap_s = gap_s
-        self._on_objects = on_objects
+        self._on_batch = on_batch
         self._newest_only = newest_only
         self._revision = 0
         self._is_behind = False
@@ -47,6 +47,24 @@
         """Monotonic time of the first failure since the last success."""
         self.answered_at: float | None = None
         """Monotonic time of the last successful call, None before the first."""
+        self.is_current = False
+        """Whether the last call succeeded since the subscription began or resumed."""
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call failed."""
+        return self._failing_since is not None
+
+    def advance(self, revision: int) -> None:
+        """Continue from a revision up to which everything came from elsewhere."""
+        if revision > self._revision:
+            self._revision = revision
+            self._is_behind = False
+
+    def resume(self) -> None:
+        """Begin to follow the store again, after a time without calls."""
+        self.is_current = False
+        self._failing_since = None
 
     def step(self) -> float:
         """Make one store call; return the seconds to wait before the next step."""
@@ -55,15 +73,16 @@
         if isinstance(batch, Failure):
             return self._record_failure(batch)
         self._record_success()
-        self._revision = batch.revision
+        self._revision = max(batch.revision, self._revision)
         self._is_behind = not reads_newest and len(batch.objects) > 1
-        self._on_objects(batch.objects)
+        self._on_batch(batch)
         return self._gap_s() if batch.objects else 0.0
 
     def _watch(self) -> WatchBatch | Failure:
         # A call that a silent store has lost is never answered. Until the store
         # answers again, calls do not wait for changes, so that they end soon.
-        wait_s = self._wait_s if self._failing_since is None else 0.0
+        # The first call after a pause shows at once whether the store answers.
+        wait_s = self._wait_s if self.is_current else 0.0
         return self._store.watch(
             self._prefix, after_revision=self._revision, timeout_s=wait_s
         )
@@ -80,6 +99,7 @@
 
     def _record_failure(self, failure: Failure) -> float:
         self._is_behind = True
+        self.is_current = False
         if self._failing_since is None:
             self._failing_since = self._clock.monotonic()
             logs.warn(
@@ -93,6 +113,7 @@
     def _record_success(self) -> None:
         now = self._clock.monotonic()
         self.answered_at = now
+        self.is_current = True
         self._backoff.reset()
         if self._failing_since is None:
             return
