End each exchange with an upstream at the call's deadline, whatever arrives

Cause: each read of an answer started a new time-out, so a byte each 0.2 s kept a call past its deadline without end; interim answers, trailers and the bodies of answers to other calls had no bound; a reader that always found bytes never let the other greenlets run.

Change: the reader of a connection holds one deadline for the whole exchange, sends check it too; at most 16 interim answers, 100 trailer lines and 1 MiB of an answer to another call; a turn for the others after 8 reads without a wait.

Measured: features/calls_endless.feature, 23 kinds and speeds against a stand-in in a process of its own.

--- /dev/null
+++ b/features/calls_endless.feature
@@ -0,0 +1,34 @@
+Feature: Answers that never end hold up no other call
+
+  Scenario Outline: An upstream sends <kind> without end
+    Given a node beside an upstream whose answers may never end
+    When a call of 1 s gets <kind> without end, <speed>, while other calls come
+    Then the other calls are answered
+    And the call fails without a complete answer, and its connection is closed
+    And the node holds at most 16 MB more than before
+
+    Examples:
+      | kind          | speed |
+      | status-line   | fast  |
+      | header-line   | fast  |
+      | headers       | fast  |
+      | interim       | fast  |
+      | chunk-size    | fast  |
+      | chunks        | fast  |
+      | trailers      | fast  |
+      | body          | fast  |
+      | long-body     | fast  |
+      | other-answers | fast  |
+      | other-answer  | fast  |
+      | junk          | fast  |
+      | status-line   | slow  |
+      | header-line   | slow  |
+      | headers       | slow  |
+      | interim       | slow  |
+      | chunk-size    | slow  |
+      | chunks        | slow  |
+      | trailers      | slow  |
+      | body          | slow  |
+      | long-body     | slow  |
+      | other-answers | slow  |
+      | other-answer  | slow  |
--- /dev/null
+++ b/features/steps/calls_endless_steps.py
@@ -0,0 +1,100 @@
+import os
+import resource
+import signal
+import subprocess
+import sys
+
+import eventlet
+from behave import given, then, when
+from calls_rig import WAIT_S, Fleet
+
+from comfreytray.platform.headers import DIALECT
+from standins.processes import ROOT
+
+DEADLINE_MS = 1000
+HANG_S = 15
+"""Time after which the test gives up on a call far past its deadline."""
+
+
+def _memory_mb():
+    with open("/proc/self/statm") as statm:
+        return int(statm.read().split()[1]) * resource.getpagesize() / 1e6
+
+
+@given("a node beside an upstream whose answers may never end")
+def make_node(context):
+    process = subprocess.Popen(
+        [sys.executable, str(ROOT / "standins" / "endless_upstream.py")],
+        stdout=subprocess.PIPE,
+        env={**os.environ, "PYTHONUNBUFFERED": "1"},
+    )
+    context.add_cleanup(process.wait)
+    context.add_cleanup(process.kill)
+    port = int(process.stdout.readline())
+    context.fleet = Fleet(dialect=DIALECT, caller="s")
+    context.add_cleanup(context.fleet.__exit__)
+    context.fleet.add("a", upstream_port=port)
+
+
+def _call(context, target):
+    fields = [f"X-Deadline-Ms: {DEADLINE_MS}", "X-Attempt-Id: own"]
+    return context.fleet.call("a", "GET", target, headers=fields)
+
+
+def _call_endless(context, target):
+    """Make a call and drop its body; return the status and the last bytes."""
+    head = f"GET {target} HTTP/1.1\r\nHost: canhdieu.test\r\nX-Attempt-Id: own\r\n"
+    head += f"X-Deadline-Ms: {DEADLINE_MS}\r\nConnection: close\r\n\r\n"
+    sock = context.fleet.raw("a", head.encode())
+    received = sock.recv(65536)
+    status, last = int(received.split(b" ")[1]), received
+    while received:
+        last = received
+        received = sock.recv(65536)
+    sock.close()
+    return status, last
+
+
+def _fail_hung(*_):
+    raise AssertionError(f"a call of {DEADLINE_MS} ms took {HANG_S} s")
+
+
+@when("a call of 1 s gets {kind} without end, {speed}, while other calls come")
+def call_endless(context, kind, speed):
+    assert _call(context, "/warm").status == 200
+    context.memory_mb = _memory_mb()
+    # A greenlet would never run beside a node that is held up.
+    signal.signal(signal.SIGALRM, _fail_hung)
+    signal.alarm(HANG_S)
+    try:
+        endless = eventlet.spawn(_call_endless, context, f"/{kind}/{speed}")
+        context.others = []
+        for _ in range(5):
+            eventlet.sleep(0.1)
+            context.others.append(_call(context, "/other"))
+        with eventlet.Timeout(WAIT_S):
+            context.got = endless.wait()
+        context.after = _call(context, "/after")
+    finally:
+        signal.alarm(0)
+
+
+@then("the other calls are answered")
+def check_others(context):
+    answers = [*context.others, context.after]
+    assert [answer.status for answer in answers] == [200] * 6, answers
+
+
+@then("the call fails without a complete answer, and its connection is closed")
+def check_failed(context):
+    status, last = context.got
+    cut = status == 200 and not last.endswith(b"0\r\n\r\n")
+    assert status in (502, 504) or cut, context.got
+    pool = context.fleet.path_by_id["a"].owner.pool
+    assert pool.open_count == len(pool._idle), (pool.open_count, len(pool._idle))
+
+
+@then("the node holds at most {limit:d} MB more than before")
+def check_memory(context, limit):
+    grown_mb = _memory_mb() - context.memory_mb
+    assert grown_mb <= limit, grown_mb
--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -87,7 +87,16 @@
         for upstream in self.upstream_by_id.values():
             upstream.close()
 
-    def add(self, node_id, *, script=None, service="lichbay", place="mien-bac-1"):
+    def add(
+        self,
+        node_id,
+        *,
+        script=None,
+        service="lichbay",
+        place="mien-bac-1",
+        upstream_port=None,
+    ):
+        """Add a node; without the port of a running upstream it gets one of its own."""
         upstream = Upstream(script)
         streams = eventlet.listen(("127.0.0.1", 0))
         http = eventlet.listen(("127.0.0.1", 0))
@@ -107,7 +116,8 @@
             call_port=streams.getsockname()[1],
             endpoint=endpoint,
         )
-        local = LocalUpstream(host="127.0.0.1", port=upstream.port, endpoint=endpoint)
+        port = upstream_port or upstream.port
+        local = LocalUpstream(host="127.0.0.1", port=port, endpoint=endpoint)
         path = CallPath(
             node=lambda: self.record_by_id[node_id],
             members=self.members,
--- a/src/comfreytray/calls/heads.py
+++ b/src/comfreytray/calls/heads.py
@@ -14,6 +14,8 @@
 MAX_HEAD_BYTES = 65_536
 MAX_FIELDS = 100
 MAX_CHUNK_LINE_BYTES = 1024
+MAX_INTERIM_ANSWERS = 16
+"""Informational (1xx) answers that are skipped before the final one."""
 
 _FIELD = re.compile(
     rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r?\n"
@@ -118,10 +120,7 @@
 
     def begin(self) -> None:
         """Read the head, after any informational (1xx) responses."""
-        version, status, reason = self._read_status()
-        while 100 <= status < 200 and status != 101:
-            read_fields(self.fp)
-            version, status, reason = self._read_status()
+        version, status, reason = self._read_final_status()
         if not 200 <= status <= 599 or version not in ("HTTP/1.0", "HTTP/1.1"):
             raise HeadError("invalid status line")
         self.code = self.status = status
@@ -139,6 +138,14 @@
                 raise HeadError("body has neither a length nor chunks")
             self.will_close = True
 
+    def _read_final_status(self) -> tuple[str, int, str]:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
+            version, status, reason = self._read_status()
+            if not 100 <= status < 200 or status == 101:
+                return version, status, reason
+            read_fields(self.fp)
+        raise HeadError(f"more than {MAX_INTERIM_ANSWERS} interim answers")
+
     def _read_next_chunk_size(self) -> int:
         match = _CHUNK_LINE.fullmatch(self.fp.readline(MAX_CHUNK_LINE_BYTES))
         if match is None:
@@ -146,8 +153,10 @@
         return int(match[1], 16)
 
     def _read_and_discard_trailer(self) -> None:
-        line = b"-"
-        while line not in _BLANK_LINES:
+        for _ in range(MAX_FIELDS):
             line = self.fp.readline(MAX_CHUNK_LINE_BYTES)
+            if line in _BLANK_LINES:
+                return
             if not line.endswith(b"\n"):
-                raise IncompleteRead(b"")
+                break
+        raise IncompleteRead(b"")
--- a/src/comfreytray/calls/upstream.py
+++ b/src/comfreytray/calls/upstream.py
@@ -28,6 +28,8 @@
 """Size up to which an answer is buffered before any of it is passed on."""
 MAX_SKIPPED_ANSWERS = 4
 """Answers to earlier calls that may be skipped before the answer to a call."""
+MAX_SKIPPED_BYTES = 1_048_576
+"""Size up to which the body of such an answer is skipped."""
 
 
 @define(kw_only=True, eq=False)
@@ -226,7 +228,7 @@
             if answered is None or answered == call.call_id:
                 return response
             self.metrics.count("upstream_stray_answers")
-            response.read()
+            _skip_body(response)
             response = connection.read_head()
         raise HeadError("only answers to other calls received")
 
@@ -274,7 +276,6 @@
         expected = response.length
         if expected == 0:
             return self._finish(exchange, response, b"")
-        exchange.connection.set_timeout(left_s)
         try:
             if expected is None:
                 chunk = response.read1(size)
@@ -296,5 +297,14 @@
         return chunk
 
 
+def _skip_body(response: StrictResponse) -> None:
+    """Read the answer to another call to its end; raises HeadError if it is long."""
+    size = 0
+    while part := response.read(CHUNK_BYTES):
+        size += len(part)
+        if size > MAX_SKIPPED_BYTES:
+            raise HeadError(f"answer to another call exceeds {MAX_SKIPPED_BYTES} bytes")
+
+
 def _answer_cut(detail: str) -> Failure:
     return Failure(kind=Kind.ANSWER_CUT, detail=detail)
--- a/src/comfreytray/calls/upstreamconnection.py
+++ b/src/comfreytray/calls/upstreamconnection.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import errno
+import math
 import socket as plain_socket
 from collections.abc import Iterator
 from typing import Any
 
+import eventlet
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
@@ -17,6 +19,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 65_536
+READS_PER_TURN = 8
+"""Reads without a wait after which the other greenlets get a turn."""
 MIN_TIMEOUT_S = 0.001
 _PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
@@ -25,9 +29,13 @@
 class ResponseReader:
     """Buffered reader of a connection, shared by all answers on it."""
 
-    def __init__(self, sock: Any) -> None:
+    def __init__(self, sock: Any, *, clock: Clock) -> None:
+        self.deadline = math.inf
+        """Monotonic time at which reading ends, however many bytes still arrive."""
         self._sock = sock
+        self._clock = clock
         self._buffer = bytearray()
+        self._reads_in_turn = 0
 
     def makefile(self, mode: str) -> "ResponseReader":
         """Return itself: the standard library's response takes this for a socket."""
@@ -84,15 +92,32 @@
         Eventlet's own `recv` returns no bytes at a reset, as at an orderly end.
         """
         while True:
+            left_s = self.deadline - self._clock.monotonic()
+            if left_s <= 0:
+                raise TimeoutError("deadline of the exchange")
             try:
-                return self._sock.fd.recv(READ_BYTES)  # type: ignore[no-any-return]
+                part: bytes = self._sock.fd.recv(READ_BYTES)
             except BlockingIOError:
-                trampoline(
-                    self._sock.fd,
-                    read=True,
-                    timeout=self._sock.gettimeout(),
-                    timeout_exc=TimeoutError,
-                )
+                self._reads_in_turn = 0
+                self._wait_readable(left_s)
+                continue
+            self._let_others_run()
+            return part
+
+    def _wait_readable(self, left_s: float) -> None:
+        trampoline(
+            self._sock.fd,
+            read=True,
+            timeout=None if math.isinf(left_s) else max(MIN_TIMEOUT_S, left_s),
+            timeout_exc=TimeoutError,
+        )
+
+    def _let_others_run(self) -> None:
+        """Yield now and then to an upstream that always has more to read."""
+        self._reads_in_turn += 1
+        if self._reads_in_turn >= READS_PER_TURN:
+            self._reads_in_turn = 0
+            eventlet.sleep(0)
 
     def _consume(self, size: int) -> bytes:
         part = bytes(self._buffer[:size])
@@ -132,7 +157,7 @@
             sock.close()
             raise
         self._sock = sock
-        self._reader = ResponseReader(sock)
+        self._reader = ResponseReader(sock, clock=self.clock)
 
     def close(self) -> None:
         """Close the connection, if it was opened."""
@@ -155,10 +180,6 @@
             return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
         return False
 
-    def set_timeout(self, seconds: float) -> None:
-        """Limit how long each further read or write may block."""
-        self._sock.settimeout(max(MIN_TIMEOUT_S, seconds))
-
     def write_call(self, call: Call, instance_id: str) -> None:
         """Send a call with its remaining time; raises OSError, ValueError."""
         left_s = call.deadline - self.clock.monotonic()
@@ -168,9 +189,12 @@
         block = (
             _encode_head(call, self._node_fields(call, left_s, instance_id)) + call.body
         )
-        self.set_timeout(left_s)
+        if self._reader is not None:
+            self._reader.deadline = call.deadline
         view = memoryview(block)
         while self.sent_bytes < len(block):
+            left_s = call.deadline - self.clock.monotonic()
+            self._sock.settimeout(max(MIN_TIMEOUT_S, left_s))
             self.sent_bytes += self._sock.send(view[self.sent_bytes :])
 
     def read_head(self) -> StrictResponse:
--- /dev/null
+++ b/standins/endless_upstream.py
@@ -0,0 +1,77 @@
+"""An upstream whose answers never end, fast or a byte at a time; run as a process."""
+
+import itertools
+import socket
+import threading
+import time
+from collections.abc import Iterator
+
+SLOW_PAUSE_S = 0.2
+BLOCK_BYTES = 16_384
+SUCCESS = b"HTTP/1.1 200 Fine\r\nX-Response-Seal: s\r\n"
+ANSWER = SUCCESS + b"Content-Length: 2\r\n\r\nok"
+OTHER_ANSWER = (
+    b"HTTP/1.1 200 Fine\r\nX-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+PARTS_BY_KIND: dict[str, tuple[bytes, bytes]] = {
+    "status-line": (b"HTTP/1.1 200 ", b"f"),
+    "header-line": (SUCCESS + b"X-Long: ", b"a"),
+    "headers": (SUCCESS, b"X-More: a\r\n"),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "chunk-size": (SUCCESS + b"Transfer-Encoding: chunked\r\n\r\n", b"0"),
+    "chunks": (SUCCESS + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\na\r\n"),
+    "trailers": (SUCCESS + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X-T: a\r\n"),
+    "body": (SUCCESS + b"\r\n", b"a"),
+    "long-body": (SUCCESS + b"Content-Length: 900000000000\r\n\r\n", b"a"),
+    "other-answers": (b"", OTHER_ANSWER + b"1\r\na\r\n0\r\n\r\n"),
+    "other-answer": (OTHER_ANSWER, b"1\r\na\r\n"),
+    "junk": (b"", b"\x00\xff"),
+}
+"""What each kind of answer begins with, and what then repeats without end."""
+
+
+def _answer(target: str) -> Iterator[bytes]:
+    """Yield the answer to a target such as `/trailers/slow`."""
+    kind, _, speed = target.strip("/").partition("/")
+    if kind not in PARTS_BY_KIND:
+        yield ANSWER
+        return
+    first, repeated = PARTS_BY_KIND[kind]
+    yield first
+    if speed == "slow":
+        for byte in itertools.cycle(repeated):
+            time.sleep(SLOW_PAUSE_S)
+            yield bytes([byte])
+    while True:
+        yield repeated * (BLOCK_BYTES // len(repeated))
+
+
+def _serve(sock: socket.socket) -> None:
+    received = b""
+    with sock:
+        try:
+            while True:
+                while b"\r\n\r\n" not in received:
+                    part = sock.recv(BLOCK_BYTES)
+                    if not part:
+                        return
+                    received += part
+                head, _, received = received.partition(b"\r\n\r\n")
+                for part in _answer(head.decode("latin-1").split(" ")[1]):
+                    sock.sendall(part)
+        except OSError:
+            return
+
+
+def main() -> None:
+    """Serve on a free port of loopback, which is printed, until killed."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    print(listener.getsockname()[1], flush=True)
+    while True:
+        sock, _ = listener.accept()
+        threading.Thread(target=_serve, args=(sock,), daemon=True).start()
+
+
+if __name__ == "__main__":
+    main()
