Reuse unchanged routes and read the own record once for each pick

A profile of one node (10 s, 264 calls entered, 233 owned) shows 11% in Router.pick, a third of that in making the node's record for each endpoint that was compared, and 4% in decoding configurations of which few routes had changed.

--- a/src/comfreytray/calls/routing.py
+++ b/src/comfreytray/calls/routing.py
@@ -9,8 +9,6 @@
 import random
 from collections.abc import Callable, Sequence
 
-from attrs import define
-
 from comfreytray.calls.call import IDLE, Load
 from comfreytray.calls.endpoints import (
     NO_REPORTED_LOAD,
@@ -20,6 +18,7 @@
     estimate_used_share,
 )
 from comfreytray.calls.placement import CrossZoneCosts, Placement
+from comfreytray.calls.sampling import Sampler
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
@@ -50,9 +49,6 @@
 ROUND_TRIP_SAME_REGION_S = 0.003
 ROUND_TRIP_OTHER_REGION_S = 0.06
 """Round-trip times assumed until a connection has measured the real one."""
-MAX_NEAR = 6
-MAX_FAR = 4
-"""Endpoints that one pick compares, of the node's region and of other regions."""
 EJECT_AFTER_FAILURES = 5
 EJECT_BASE_S = 2.0
 EJECT_MAX_S = 30.0
@@ -65,15 +61,6 @@
 """Time without calls that halves an endpoint's penalty, so that it is tried again."""
 
 
-@define(kw_only=True, eq=False)
-class _RegionGroups:
-    """The endpoints of a service, grouped by whether they are in the node's region."""
-
-    records: tuple[NodeRecord, ...]
-    near: list[NodeRecord]
-    far: list[NodeRecord]
-
-
 class Router:
     """Picks endpoints and keeps the measurements of calls to them."""
 
@@ -99,7 +86,7 @@
         """Mean time of a kind of call at all endpoints."""
         self.panics = 0
         """Picks that ignored ejections, since too many endpoints were ejected."""
-        self._groups_by_service: dict[str, _RegionGroups] = {}
+        self._sampler = Sampler(random=random)
 
     def pick(
         self,
@@ -113,10 +100,11 @@
         """Return the endpoint of a service with the lowest expected cost."""
         records = self.members().endpoints_by_service.get(service, ())
         now = self.clock.monotonic()
-        own_id = self.node().node_id
+        own = self.node()
+        own_id = own.node_id
         usable = [
             record
-            for record in self._sample_records(service, records)
+            for record in self._sampler.sample(service, records, own.region)
             if record.node_id not in exclude
             and not (self.leaving and record.node_id == own_id)
             and self.view(record, now).excluded_until <= now
@@ -126,10 +114,11 @@
         healthy = self._not_ejected(usable, now)
         ready = [r for r in healthy if self.view(r, now).shed_until <= now]
         eligible = ready or healthy
-        region = self.node().region
-        near = [self.view(r, now) for r in eligible if r.region == region]
+        near = [self.view(r, now) for r in eligible if r.region == own.region]
         assume_unknown_are_fast(near, now)
-        return min(eligible, key=lambda r: self._cost(r, kind, priority, target_s, now))
+        return min(
+            eligible, key=lambda r: self._cost(r, own, kind, priority, target_s, now)
+        )
 
     def view(self, record: NodeRecord, now: float) -> EndpointView:
         """Return the view of an endpoint; a new incarnation starts with a new one."""
@@ -268,40 +257,24 @@
         # If most endpoints fail, the measurements themselves are unreliable.
         return self.random.sample(records, min(2, len(records)))
 
-    def _sample_records(
-        self, service: str, records: tuple[NodeRecord, ...]
-    ) -> Sequence[NodeRecord]:
-        """Return all endpoints if there are few, else a sample of mostly near ones."""
-        if len(records) <= MAX_NEAR + MAX_FAR:
-            return records
-        groups = self._groups_by_service.get(service)
-        if groups is None or groups.records is not records:
-            groups = self._group_by_region(records)
-            self._groups_by_service[service] = groups
-        near = self.random.sample(groups.near, min(MAX_NEAR, len(groups.near)))
-        return near + self.random.sample(groups.far, min(MAX_FAR, len(groups.far)))
-
-    def _group_by_region(self, records: tuple[NodeRecord, ...]) -> _RegionGroups:
-        region = self.node().region
-        return _RegionGroups(
-            records=records,
-            near=[record for record in records if record.region == region],
-            far=[record for record in records if record.region != region],
-        )
-
     def _cost(
-        self, record: NodeRecord, kind: str, priority: int, target_s: float, now: float
+        self,
+        record: NodeRecord,
+        own: NodeRecord,
+        kind: str,
+        priority: int,
+        target_s: float,
+        now: float,
     ) -> float:
-        own = self.node()
         return self.placement.cost(
-            expected_s=self._expected_s(record, kind, priority, now),
+            expected_s=self._expected_s(record, own, kind, priority, now),
             target_s=target_s,
             same_data_centre=record.data_centre == own.data_centre,
             same_region=record.region == own.region,
         )
 
     def _expected_s(
-        self, record: NodeRecord, kind: str, priority: int, now: float
+        self, record: NodeRecord, own: NodeRecord, kind: str, priority: int, now: float
     ) -> float:
         """Estimate the seconds until an endpoint would answer a call."""
         view = self.view(record, now)
@@ -317,16 +290,15 @@
             run_s *= COLD_SLOWDOWN
         waits = max(0.0, used + 1.0 / slots - 1.0)
         expected_s = run_s + waits * (load_report.load.service_time_s or service_s)
-        expected_s += self._round_trip_s(record)
+        expected_s += self._round_trip_s(record, own)
         if record.state is NodeState.SUSPECT:
             expected_s *= 1.0 + SUSPECT_PENALTY
         return expected_s * self.random.uniform(1.0, 1.0 + JITTER)
 
-    def _round_trip_s(self, record: NodeRecord) -> float:
+    def _round_trip_s(self, record: NodeRecord, own: NodeRecord) -> float:
         measured_s = self.distance_s(record)
         if measured_s is not None:
             return measured_s
-        own = self.node()
         if record.data_centre == own.data_centre:
             return ROUND_TRIP_SAME_DATA_CENTRE_S
         if record.region == own.region:
--- a/src/comfreytray/platform/configuration.py
+++ b/src/comfreytray/platform/configuration.py
@@ -11,42 +11,63 @@
 OBJECT_KEY = "config/main"
 """Key of the configuration in the object store."""
 _METHODS = frozenset({"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"})
+_MALFORMED_ERRORS = (ValueError, TypeError, KeyError, AttributeError, RecursionError)
+"""Raised when a configuration lacks a field or has one of another type."""
 _IDEMPOTENT_TYPE = "safe"
 """Type of the routes whose requests may run more than once."""
 
 
-def decode(value: bytes) -> Snapshot | Failure:
-    """Decode a whole configuration; a fault in any part refuses all of it."""
-    try:
-        return _snapshot(json.loads(value))
-    except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
-        detail = f"configuration: {type(error).__name__}: {error}"
-        return Failure(kind=Kind.INVALID_CONTENT, detail=detail)
+class Decoder:
+    """Decodes versions of the configuration, reusing the routes that did not change.
 
+    A configuration has thousands of routes, and one change of it a few.
+    """
 
-def _snapshot(document: Mapping[str, Any]) -> Snapshot:
-    version = document["version"]
-    if type(version) is not int:
-        raise TypeError(f"version must be an integer, got {type(version).__name__}")
-    routes_by_host: dict[str, list[Route]] = {}
-    connections_by_service: dict[str, int] = {}
-    for resource in document["resources"]:
-        kind, spec = resource["resource_kind"], resource["spec"]
-        if kind == "routes":
-            host = str(spec["hostname"]).lower()
-            route = _route(resource["metadata"]["name"], spec)
-            routes_by_host.setdefault(host, []).append(route)
-        elif kind == "services":
-            name = resource["metadata"]["name"]
-            connections_by_service[name] = int(spec["max_connections"])
-    return Snapshot(
-        head=Head(version=version, digest=b""),
-        routes_by_customer={
-            host: _longest_first(routes) for host, routes in routes_by_host.items()
-        },
-        customer_by_host={host: host for host in routes_by_host},
-        connections_by_service=connections_by_service,
-    )
+    def __init__(self) -> None:
+        self._route_by_name: dict[str, tuple[Mapping[str, Any], Route]] = {}
+
+    def __call__(self, value: bytes) -> Snapshot | Failure:
+        """Decode a whole configuration; a fault in any part refuses all of it."""
+        try:
+            return self._snapshot(json.loads(value))
+        except _MALFORMED_ERRORS as error:
+            detail = f"configuration: {type(error).__name__}: {error}"
+            return Failure(kind=Kind.INVALID_CONTENT, detail=detail)
+
+    def _snapshot(self, document: Mapping[str, Any]) -> Snapshot:
+        version = document["version"]
+        if type(version) is not int:
+            raise TypeError(f"version must be an integer, got {type(version).__name__}")
+        routes_by_host: dict[str, list[Route]] = {}
+        connections_by_service: dict[str, int] = {}
+        route_by_name: dict[str, tuple[Mapping[str, Any], Route]] = {}
+        for resource in document["resources"]:
+            kind, spec = resource["resource_kind"], resource["spec"]
+            if kind == "routes":
+                name = resource["metadata"]["name"]
+                route = self._route(name, spec)
+                route_by_name[name] = (spec, route)
+                routes_by_host.setdefault(str(spec["hostname"]).lower(), []).append(
+                    route
+                )
+            elif kind == "services":
+                name = resource["metadata"]["name"]
+                connections_by_service[name] = int(spec["max_connections"])
+        self._route_by_name = route_by_name
+        return Snapshot(
+            head=Head(version=version, digest=b""),
+            routes_by_customer={
+                host: _longest_first(routes) for host, routes in routes_by_host.items()
+            },
+            customer_by_host={host: host for host in routes_by_host},
+            connections_by_service=connections_by_service,
+        )
+
+    def _route(self, name: str, spec: Mapping[str, Any]) -> Route:
+        known = self._route_by_name.get(name)
+        if known is not None and known[0] == spec:
+            return known[1]
+        return _route(name, spec)
 
 
 def _longest_first(routes: Iterable[Route]) -> tuple[Route, ...]:
