Listen for callers before the imports and accept them with the configuration

Then calls were refused until the first configuration was read.

Change: the sockets for callers and heartbeats are opened before all imports but the standard library's; callers are accepted once the configuration is known, at most 0.6 s after the start. The package's public names load on first use.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -15,6 +15,10 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
+from comfreytray.platform import listeners  # noqa: E402
+
+early_listeners = listeners.open_early() if __name__ == "__main__" else {}
+
 import eventlet  # noqa: E402
 
 eventlet.monkey_patch()
@@ -22,4 +26,4 @@
 from comfreytray.platform.main import main  # noqa: E402
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(early_listeners))
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -112,7 +112,7 @@
         options=options,
         store=store,
         configuration_key=configuration.OBJECT_KEY,
-        decode_configuration=configuration.decode,
+        decode_configuration=configuration.Decoder(),
         dialect=DIALECT,
     )
     context.node.__enter__()
--- /dev/null
+++ b/features/steps/platform_start_steps.py
@@ -0,0 +1,190 @@
+import copy
+import itertools
+import json
+import os
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from calls_rig import Upstream, read_answer, until
+from eventlet import tpool
+from eventlet.green import socket
+from platform_node_steps import (
+    HOST,
+    _answer,
+    _configuration,
+    _free_port,
+    configure_and_send_heartbeat,
+)
+
+from comfreytray.common.exceptions import SettingError
+from comfreytray.node.options import NodeOptions, RetryBudget
+from comfreytray.node.proxynode import ProxyNode
+from comfreytray.platform import configuration, listeners
+from comfreytray.platform.headers import DIALECT
+from comfreytray.platform.objectstore import PlatformStore
+from comfreytray.platform.settings import load
+from standins.platform_store import StoreStandIn
+
+
+def _open_early(path):
+    before = os.environ.get(listeners.FILE_VARIABLE)
+    os.environ[listeners.FILE_VARIABLE] = str(path)
+    try:
+        return listeners.open_early()
+    finally:
+        del os.environ[listeners.FILE_VARIABLE]
+        if before is not None:
+            os.environ[listeners.FILE_VARIABLE] = before
+
+
+@given("the sockets of a node that has not made its imports yet")
+def open_sockets(context):
+    context.addresses = [("127.0.0.1", _free_port()) for _ in range(2)]
+    outbound, control = (f"{host}:{port}" for host, port in context.addresses)
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.json"
+        plain = {"listen": {"outbound": outbound, "control": control}}
+        path.write_text(json.dumps(plain))
+        context.early = _open_early(path)
+    assert set(context.early) == set(context.addresses)
+
+
+@when("a caller connects and sends a call before the node runs")
+def connect_early(context):
+    context.sock = socket.create_connection(context.addresses[0])
+    context.add_cleanup(context.sock.close)
+    head = f"GET /a/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: q\r\n"
+    context.sock.sendall((head + "X-Deadline-Ms: 5000\r\n\r\n").encode())
+
+
+@when("the node starts while the store holds no configuration yet")
+def start(context):
+    context.stand_in = StoreStandIn()
+    context.add_cleanup(context.stand_in.close)
+    context.upstream = Upstream(_answer)
+    context.add_cleanup(context.upstream.close)
+    options = NodeOptions(
+        node_id="n-1",
+        service="s",
+        region="r",
+        data_centre="d",
+        host="127.0.0.1",
+        upstream=("127.0.0.1", context.upstream.port),
+        call_port=_free_port(),
+        replication_port=_free_port(),
+        http_address=context.addresses[0],
+        capacity=86,
+        heartbeat_s=1.5,
+        grace_s=6.0,
+        retries=RetryBudget(ratio=0.2, slack=56.0, window_s=10.0),
+    )
+    context.node = ProxyNode(
+        options=options,
+        store=tpool.Proxy(PlatformStore(address=context.stand_in.address)),
+        configuration_key=configuration.OBJECT_KEY,
+        decode_configuration=configuration.Decoder(),
+        dialect=DIALECT,
+        listeners=context.early,
+    )
+    context.node.__enter__()
+    context.add_cleanup(context.node.__exit__, None, None, None)
+    assert until(lambda: context.node.members.is_known)
+
+
+@when("the configuration and the endpoint's heartbeat come")
+def configure(context):
+    configure_and_send_heartbeat(context)
+
+
+@then("the call is answered by the endpoint")
+def check_answered(context):
+    got = read_answer(context.sock)
+    assert (got.status, got.body) == (200, b"ok"), (got.status, got.body)
+
+
+@then("the call is refused as not run")
+def check_refused(context):
+    got = read_answer(context.sock)
+    assert got.status == 503 and float(got.headers["retry-after"]) > 0
+
+
+@given("settings files that are missing, malformed or without addresses")
+def make_settings(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    texts = ["{", "[]", "{}", '{"listen": 5}', '{"listen": {"outbound": "x"}}', "\x00"]
+    context.paths = [Path(folder.name) / "missing.json"]
+    for number, text in enumerate(texts):
+        path = Path(folder.name) / f"{number}.json"
+        path.write_text(text)
+        context.paths.append(path)
+
+
+@when("a node's process would open its sockets")
+def open_all(context):
+    context.opened = [_open_early(path) for path in context.paths]
+
+
+@then("none is open and the check of the settings names the fault")
+def check_none_open(context):
+    assert context.opened == [{}] * len(context.paths)
+    for path in context.paths:
+        try:
+            load(path)
+        except SettingError as error:
+            assert str(error)
+        else:
+            raise AssertionError(path)
+
+
+@given("a configuration of 2000 routes")
+def make_routes(context):
+    plain = _configuration(1)
+    route = plain["resources"][0]
+    plain["resources"] += [
+        {
+            **copy.deepcopy(route),
+            "metadata": {"name": f"r-{n}"},
+            "spec": {**route["spec"], "path_prefix": f"/{n}/"},
+        }
+        for n in range(1999)
+    ]
+    context.plain = plain
+
+
+@when("versions change, add, remove and restore routes")
+def decode_versions(context):
+    decoder = configuration.Decoder()
+    changed = copy.deepcopy(context.plain)
+    changed["version"] = 2
+    changed["resources"][5]["spec"]["timeout_s"] = 9.0
+    removed = copy.deepcopy(changed)
+    removed["version"] = 3
+    del removed["resources"][7]
+    restored = copy.deepcopy(context.plain)
+    restored["version"] = 4
+    context.snapshots = []
+    for plain in (context.plain, changed, removed, restored):
+        value = json.dumps(plain).encode()
+        fresh = configuration.Decoder()(value)
+        context.snapshots.append((decoder(value), fresh))
+
+
+def _routes(snapshot):
+    return {r.name: r for rs in snapshot.routes_by_customer.values() for r in rs}
+
+
+@then("each snapshot is the same as one decoded from nothing")
+def check_same(context):
+    for decoded, fresh in context.snapshots:
+        assert decoded == fresh
+
+
+@then("only the routes that changed were built again")
+def check_reused(context):
+    built = []
+    snapshots = [_routes(decoded) for decoded, _ in context.snapshots]
+    for before, after in itertools.pairwise(snapshots):
+        built.append(sum(before.get(name) is not after[name] for name in after))
+    assert built == [1, 0, 2], built
--- a/src/comfreytray/__init__.py
+++ b/src/comfreytray/__init__.py
@@ -3,34 +3,59 @@
 from importlib import import_module
 from typing import TYPE_CHECKING, Any
 
-from comfreytray.common.errors import ANSWER_BY_KIND, Answer, Failure, Kind, Ran, Retry
-from comfreytray.common.exceptions import ComfreytrayError, InvariantError, SettingError
-from comfreytray.common.interfaces import Clock, Network, ObjectStore
-from comfreytray.configuration.snapshots import Route, Snapshot
-
 if TYPE_CHECKING:
     from comfreytray.calls.proxy import CallPath
+    from comfreytray.common.errors import (
+        ANSWER_BY_KIND,
+        Answer,
+        Failure,
+        Kind,
+        Ran,
+        Retry,
+    )
+    from comfreytray.common.exceptions import (
+        ComfreytrayError,
+        InvariantError,
+        SettingError,
+    )
+    from comfreytray.common.interfaces import Clock, Network, ObjectStore
     from comfreytray.common.settings import Settings
     from comfreytray.configuration.compiler import Compiler
     from comfreytray.configuration.content import Content, Head
     from comfreytray.configuration.operations import ItemKind, Operations
+    from comfreytray.configuration.snapshots import Route, Snapshot
     from comfreytray.distribution.distribution import Distributor
     from comfreytray.membership.membership import Membership
     from comfreytray.node.node import Node
     from comfreytray.store.storeclient import StoreClient
 
-# Imported on first use: a command needs no event loop, a node no YAML parser.
+# Imported on first use: a command needs no event loop, a node no YAML parser, and a
+# node listens to callers before its other imports.
 _MODULE_BY_NAME = {
+    "ANSWER_BY_KIND": "common.errors",
+    "Answer": "common.errors",
     "CallPath": "calls.proxy",
+    "Clock": "common.interfaces",
+    "ComfreytrayError": "common.exceptions",
     "Compiler": "configuration.compiler",
     "Content": "configuration.content",
     "Distributor": "distribution.distribution",
+    "Failure": "common.errors",
     "Head": "configuration.content",
+    "InvariantError": "common.exceptions",
     "ItemKind": "configuration.operations",
+    "Kind": "common.errors",
     "Membership": "membership.membership",
+    "Network": "common.interfaces",
     "Node": "node.node",
+    "ObjectStore": "common.interfaces",
     "Operations": "configuration.operations",
+    "Ran": "common.errors",
+    "Retry": "common.errors",
+    "Route": "configuration.snapshots",
+    "SettingError": "common.exceptions",
     "Settings": "common.settings",
+    "Snapshot": "configuration.snapshots",
     "StoreClient": "store.storeclient",
 }
 
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -9,6 +9,7 @@
 import attrs
 import eventlet
 import eventlet.wsgi
+from eventlet.greenio import GreenSocket
 
 from comfreytray.calls.dialect import Dialect
 from comfreytray.calls.proxy import CallPath
@@ -37,7 +38,9 @@
 MAX_INTERFACE_CONNECTIONS = 64
 FIRST_LIST_TIMEOUT_S = 1.0
 """Time in which the first list of members should show the stored own record."""
-FIRST_LIST_POLL_S = 0.02
+FIRST_CONFIGURATION_TIMEOUT_S = 0.6
+"""Time in which the first configuration should be known; then callers are refused."""
+START_POLL_S = 0.02
 TICK_S = 0.25
 READINESS_PROPAGATION_S = 2.4
 """Time in which callers learn that a node is no longer ready: two readiness checks."""
@@ -61,8 +64,11 @@
         configuration_key: str,
         decode_configuration: DecodeConfiguration,
         dialect: Dialect,
+        listeners: Mapping[Address, Any] | None = None,
     ) -> None:
+        """Create a node; `listeners` are sockets that listen already."""
         self.options = options
+        self._listeners = listeners or {}
         self.store = store
         self.decode_configuration = decode_configuration
         self.clock = SystemClock()
@@ -71,6 +77,7 @@
         self.snapshot: Snapshot | None = None
         self.directory = Directory()
         self.state = NodeState.ALIVE
+        self._record: NodeRecord | None = None
         self.incarnation = int(self.clock.wall() * 1000)
         self.register = InstanceRegister(
             clock=self.clock,
@@ -148,6 +155,13 @@
     def record(self) -> NodeRecord:
         """Return the current record of this node, as the other nodes see it."""
         upstream = self.register.upstream
+        endpoint = None if upstream is None else upstream.endpoint
+        held = self._record
+        if held is None or (held.endpoint, held.state) != (endpoint, self.state):
+            self._record = held = self._make_record(endpoint)
+        return held
+
+    def _make_record(self, endpoint: Endpoint | None) -> NodeRecord:
         options = self.options
         return NodeRecord(
             node_id=options.node_id,
@@ -158,12 +172,12 @@
             control_port=options.replication_port,
             call_port=options.call_port,
             state=self.state,
-            endpoint=None if upstream is None else upstream.endpoint,
+            endpoint=endpoint,
         )
 
     def serve(self, address: Address, application: Application) -> None:
         """Serve a WSGI application, such as the metrics, on an address of its own."""
-        listener = eventlet.listen(address, backlog=LISTEN_BACKLOG)
+        listener = self._listen(address)
         self._tasks.spawn(
             f"http-{address[1]}",
             lambda: eventlet.wsgi.server(
@@ -208,21 +222,30 @@
 
     def _open(self) -> None:
         options = self.options
-        http_listener = eventlet.listen(options.http_address, backlog=LISTEN_BACKLOG)
-        streams_listener = eventlet.listen(
-            (options.host, options.call_port), backlog=LISTEN_BACKLOG
-        )
-        self._tasks.spawn("entry", lambda: self.calls.serve_http(http_listener))
+        http_listener = self._listen(options.http_address)
+        streams_listener = self._listen((options.host, options.call_port))
+        followers_listener = self._listen((options.host, options.replication_port))
+        self._tasks.spawn("entry", lambda: self._serve_callers(http_listener))
         self._tasks.spawn("streams", lambda: self.calls.serve_streams(streams_listener))
-        followers_listener = eventlet.listen(
-            (options.host, options.replication_port), backlog=LISTEN_BACKLOG
-        )
         self._tasks.spawn(
             "replication", lambda: self.replicator.serve(followers_listener)
         )
         self._tasks.spawn("own-record", self._sync_record)
         self._tasks.run_every(TICK_S, {"register": self.register.tick})
 
+    def _listen(self, address: Address) -> Any:
+        early = self._listeners.get(address)
+        if early is None:
+            return eventlet.listen(address, backlog=LISTEN_BACKLOG)
+        return GreenSocket(early)
+
+    def _serve_callers(self, listener: Any) -> None:
+        """Accept callers; those that come before the configuration wait a moment."""
+        deadline = self.clock.monotonic() + FIRST_CONFIGURATION_TIMEOUT_S
+        while self.snapshot is None and self.clock.monotonic() < deadline:
+            eventlet.sleep(START_POLL_S)
+        self.calls.serve_http(listener)
+
     def _listed_version(self) -> int | None:
         """Return the version of the stored own record; None before the first list."""
         if not self.members.is_known:
@@ -286,7 +309,7 @@
         """Keep the stored record current, from the first list of members on."""
         deadline = self.clock.monotonic() + FIRST_LIST_TIMEOUT_S
         while not self.members.is_known and self.clock.monotonic() < deadline:
-            eventlet.sleep(FIRST_LIST_POLL_S)
+            eventlet.sleep(START_POLL_S)
         while True:
             record = self.record()
             if self.own_record.is_current(record):
--- /dev/null
+++ b/src/comfreytray/platform/listeners.py
@@ -0,0 +1,48 @@
+"""Listening sockets that are opened before the imports of a node.
+
+The imports take a second on a small machine. Callers and the instance beside the node
+that connect meanwhile wait in the queue of the socket; without it they would be refused
+and use up their retries. Only the standard library is imported here.
+"""
+
+import json
+import os
+import socket
+
+FILE_VARIABLE = "COMFREYTRAY_NODE_FILE"
+"""Environment variable that holds the path of the settings file."""
+LISTEN_BACKLOG = 1024
+_FIELDS = ("outbound", "control")
+"""Addresses for callers, and for the heartbeats of the instance beside the node."""
+
+Address = tuple[str, int]
+
+
+def open_early() -> dict[Address, socket.socket]:
+    """Listen on the addresses in the settings file; skip what is missing or invalid.
+
+    The checks of the settings, with their error messages, follow after the imports.
+    """
+    listeners: dict[Address, socket.socket] = {}
+    try:
+        with open(os.environ[FILE_VARIABLE], encoding="utf-8") as file:
+            listen = json.load(file)["listen"]
+        for field in _FIELDS:
+            host, _, port = listen[field].rpartition(":")
+            address = (host, int(port))
+            listeners[address] = _listen(address)
+    except (OSError, ValueError, KeyError, TypeError, AttributeError):
+        return listeners
+    return listeners
+
+
+def _listen(address: Address) -> socket.socket:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(LISTEN_BACKLOG)
+    except BaseException:
+        listener.close()
+        raise
+    return listener
--- a/src/comfreytray/platform/main.py
+++ b/src/comfreytray/platform/main.py
@@ -3,6 +3,8 @@
 import gc
 import os
 import signal
+import socket
+from collections.abc import Mapping
 from pathlib import Path
 from types import FrameType
 
@@ -14,15 +16,19 @@
 from comfreytray.platform import configuration
 from comfreytray.platform.headers import DIALECT
 from comfreytray.platform.interfaces import Exposition, Heartbeats, Readiness
+from comfreytray.platform.listeners import FILE_VARIABLE, Address
 from comfreytray.platform.objectstore import PlatformStore
-from comfreytray.platform.settings import FILE_VARIABLE, PlatformSettings, load
+from comfreytray.platform.settings import PlatformSettings, load
 
 METRICS_PORT = 9464
 """As in deploy/system.toml; outside the range of ports that the platform assigns."""
 
 
-def main() -> int:
-    """Run a node until SIGTERM or SIGINT; return the exit code."""
+def main(listeners: Mapping[Address, socket.socket]) -> int:
+    """Run a node until SIGTERM or SIGINT; return the exit code.
+
+    `listeners` are sockets that listen already, by their address.
+    """
     logs.configure("info", to_standard_output=True)
     path = Path(os.environ.get(FILE_VARIABLE, ""))
     try:
@@ -31,17 +37,23 @@
         logs.warn(logs.Event.SETTING_REFUSED, reason=str(error))
         return error.exit_code
     with PlatformStore(address=settings.store_address) as store:
-        _run(settings, store, path)
+        _run(settings, store, path, listeners)
     return 0
 
 
-def _run(settings: PlatformSettings, store: PlatformStore, path: Path) -> None:
+def _run(
+    settings: PlatformSettings,
+    store: PlatformStore,
+    path: Path,
+    listeners: Mapping[Address, socket.socket],
+) -> None:
     node = ProxyNode(
         options=settings.node_options,
         store=store,
         configuration_key=configuration.OBJECT_KEY,
-        decode_configuration=configuration.decode,
+        decode_configuration=configuration.Decoder(),
         dialect=DIALECT,
+        listeners=listeners,
     )
 
     # A signal may interrupt any green thread, so the event loop does the work.
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -13,8 +13,6 @@
 from comfreytray.node.options import NodeOptions, RetryBudget
 
 PERCENT = 100
-FILE_VARIABLE = "COMFREYTRAY_NODE_FILE"
-"""Environment variable that holds the path of the settings file."""
 
 
 @frozen(kw_only=True)
