Write fewer records at starts and keep older connections for safe calls

Cause: starts made most of the calls to the store that are left (a write without an endpoint, one with it, one when it is no longer cold), and an unsafe call closed each connection that was idle for more than a second before it opened a new one.

Change: the first write of a record waits up to 0.6 s for the instance's first heartbeat; the end of a cold start is not written, readers count an instance as cold for 3 s; a connection that is too old for an unsafe call is kept for others unless the limit of connections is reached.

The test of the connections fails without the change (one connection left instead of two).

--- a/features/platform_calls.feature
+++ b/features/platform_calls.feature
@@ -19,3 +19,8 @@
     Given a node that uses the platform's header dialect, beside an upstream
     When the upstream is full, drops the connection, and is another instance
     Then the first and the last give status 503 and the dropped connection 502
+
+  Scenario: A connection that is too old for a call that may not run twice stays open
+    Given a node that uses the platform's header dialect, beside an upstream
+    When a safe call, after 1.2 s an unsafe call and then safe calls are made
+    Then two connections were opened and no call was lost
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -48,3 +48,9 @@
     Given records that are out of order, malformed or under another member's key
     When a directory receives them all
     Then it holds the newest record of each member and none of the invalid ones
+
+  Scenario: The end of an instance's cold start costs no write
+    Given a node whose instance has just started
+    When the instance becomes warm, drains and is replaced by another
+    Then the node writes its record once for each but the first
+    And another node counts the instance as cold for 3 s only
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -2,6 +2,7 @@
 from calls_rig import RESET, Fleet
 
 from comfreytray.platform.headers import DIALECT
+from comfreytray.testing import FakeClock
 
 SEAL = "X-Response-Seal: s"
 
@@ -119,3 +120,28 @@
     assert context.got["full"].status == 503, context.got["full"].status
     assert context.got["other"].status == 503, context.got["other"].status
     assert context.got["lost"].status == 502, context.got["lost"].status
+
+
+@when("a safe call, after 1.2 s an unsafe call and then safe calls are made")
+def make_calls_on_old_connections(context):
+    def script(head):
+        own = _field(head, "X-Attempt-Id")
+        return _head(200, own, SEAL, "Content-Length: 3") + b"own"
+
+    context.script = script
+    clock = context.fleet.path_by_id["a"].clock
+    context.got = [_call(context, "first", "GET")]
+    start = clock.monotonic()
+    # The pool reads the clock of the node, so that the test need not wait.
+    context.fleet.path_by_id["a"].owner.pool.clock = FakeClock(now=start + 1.2)
+    context.got += [_call(context, "second", "POST"), _call(context, "third", "GET")]
+
+
+@then("two connections were opened and no call was lost")
+def check_connections(context):
+    assert [got.status for got in context.got] == [200] * 3
+    pool = context.fleet.path_by_id["a"].owner.pool
+    assert pool.open_count == 2, pool.open_count
+    assert len(pool._idle) == 2, len(pool._idle)
+    report = context.fleet.path_by_id["a"].metrics.report()["counters"]
+    assert report["upstream_connections_opened"] == 2, report
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -6,7 +6,7 @@
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
-from comfreytray.common.records import Endpoint, NodeRecord, NodeState
+from comfreytray.common.records import Endpoint, EndpointState, NodeRecord, NodeState
 from comfreytray.membership import directory
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.ownrecord import OwnRecord
@@ -205,7 +205,7 @@
 
 @when("a directory receives them all")
 def receive_all(context):
-    context.directory = Directory()
+    context.directory = Directory(clock=FakeClock())
     for stored in context.objects:
         context.directory.apply([stored])
 
@@ -225,7 +225,7 @@
     context.clock.now = 0.0
     context.changes = [0.1 * (n + 1) for n in range(200)]
     context.store = OutageStore(context.clock, context.changes)
-    context.directory = Directory()
+    context.directory = Directory(clock=FakeClock())
     objects = [
         StoredObject(
             key=directory.key_of(f"n{n}"),
@@ -279,7 +279,7 @@
 
 @given("a directory that holds this node's record")
 def make_own(context):
-    context.directory = Directory()
+    context.directory = Directory(clock=FakeClock())
     context.own = _record_without_endpoint("own", incarnation=2)
     context.directory.put(context.own)
 
@@ -406,3 +406,57 @@
     for version, until in ((11, context.outage[1] + 2.5), (36, 24.8 + 2.5)):
         first = min(at for at, received in context.received if received >= version)
         assert first <= until, (version, first)
+
+
+def _record_with(state, instance_id="i"):
+    endpoint = Endpoint(
+        service="s", instance_id=instance_id, slots=1, connections=1, state=state
+    )
+    return _record(endpoint=endpoint)
+
+
+@given("a node whose instance has just started")
+def make_cold_record(context):
+    context.store = MemoryStore()
+    backoff = Backoff(random=random.Random(1), min_s=0.1, max_s=1.0)
+    context.own = OwnRecord(store=context.store, backoff=backoff)
+    context.cold = _record_with(EndpointState.COLD)
+    _write_until_current(context, context.cold)
+    assert context.own.is_current(context.cold)
+
+
+def _write_until_current(context, record):
+    writes = 0
+    while not context.own.is_current(record):
+        context.own.write(record)
+        writes += 1
+    return writes
+
+
+@when("the instance becomes warm, drains and is replaced by another")
+def change_instance(context):
+    context.clock = FakeClock()
+    context.directory = Directory(clock=context.clock)
+    context.directory.apply(context.store.list("members/"))
+    context.writes = [
+        _write_until_current(context, record)
+        for record in (
+            _record_with(EndpointState.READY),
+            _record_with(EndpointState.DRAINING),
+            _record_with(EndpointState.READY, "j"),
+        )
+    ]
+
+
+@then("the node writes its record once for each but the first")
+def check_writes(context):
+    assert context.writes == [0, 1, 1], context.writes
+
+
+@then("another node counts the instance as cold for 3 s only")
+def check_cold(context):
+    record = context.directory.view.by_id["a"]
+    context.clock.now += 2.9
+    assert context.directory.is_cold(record)
+    context.clock.now += 0.2
+    assert not context.directory.is_cold(record)
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -30,7 +30,7 @@
     find_group,
     preferred,
 )
-from comfreytray.testing import MemoryStore
+from comfreytray.testing import FakeClock, MemoryStore
 
 CONFIG_KEY = "config/main"
 POLL_S = 0.01
@@ -393,7 +393,7 @@
         self.store = _NodeStore(shared)
         self.listener = eventlet.listen(("127.0.0.1", 0))
         self.record = _record(number, port=self.listener.getsockname()[1])
-        self.directory = Directory()
+        self.directory = Directory(clock=FakeClock())
         self.directory.put(self.record)
         for record in members:
             self.directory.put(record)
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -25,7 +25,7 @@
 from comfreytray.calls.owner import Owner
 from comfreytray.calls.reaper import Reaper
 from comfreytray.calls.retries import DEFAULT_RETRY_LIMITS, RetryLimits
-from comfreytray.calls.routing import Router
+from comfreytray.calls.routing import Router, has_cold_endpoint
 from comfreytray.calls.splits import Splitter
 from comfreytray.calls.streamserver import StreamServer
 from comfreytray.calls.tracing import Tracer, traced
@@ -85,6 +85,7 @@
         retry_limits: Callable[[], RetryLimits] = lambda: DEFAULT_RETRY_LIMITS,
         tracer: Tracer | None = None,
         message_for: MessageFor = plain_message,
+        is_cold: Callable[[NodeRecord], bool] = has_cold_endpoint,
     ) -> None:
         self.node = node
         self.snapshot = snapshot
@@ -101,7 +102,9 @@
         )
         self.body_budget = self.reader.budget
         own_id = node().node_id
-        self.router = Router(node=node, members=members, clock=clock, random=random)
+        self.router = Router(
+            node=node, members=members, clock=clock, random=random, is_cold=is_cold
+        )
         self.owner = Owner(
             local_upstream=local_upstream,
             clock=clock,
--- a/src/comfreytray/calls/routing.py
+++ b/src/comfreytray/calls/routing.py
@@ -61,6 +61,11 @@
 """Time without calls that halves an endpoint's penalty, so that it is tried again."""
 
 
+def has_cold_endpoint(record: NodeRecord) -> bool:
+    """Whether the record of a member says that its instance is cold."""
+    return record.endpoint is not None and record.endpoint.state is EndpointState.COLD
+
+
 class Router:
     """Picks endpoints and keeps the measurements of calls to them."""
 
@@ -73,6 +78,7 @@
         random: random.Random,
         distance_s: Callable[[NodeRecord], float | None] = lambda _: None,
         placement: Placement | None = None,
+        is_cold: Callable[[NodeRecord], bool] = has_cold_endpoint,
     ) -> None:
         self.node = node
         self.members = members
@@ -80,6 +86,7 @@
         self.random = random
         self.distance_s = distance_s
         self.placement = placement or Placement(costs=CrossZoneCosts())
+        self.is_cold = is_cold
         self.leaving = False
         self.view_by_id: dict[str, EndpointView] = {}
         self.service_time_s_by_kind: dict[str, float] = {}
@@ -286,7 +293,7 @@
         penalty *= math.exp2((view.last_used - now) / PENALTY_HALF_LIFE_S)
         run_s = service_s * max(MIN_SLOWDOWN, 1.0 + penalty)
         run_s *= 1.0 + FULL_ENDPOINT_SLOWDOWN * min(1.0, used) ** 2
-        if record.endpoint and record.endpoint.state is EndpointState.COLD:
+        if self.is_cold(record):
             run_s *= COLD_SLOWDOWN
         waits = max(0.0, used + 1.0 / slots - 1.0)
         expected_s = run_s + waits * (load_report.load.service_time_s or service_s)
--- a/src/comfreytray/calls/upstream.py
+++ b/src/comfreytray/calls/upstream.py
@@ -131,16 +131,16 @@
         idle_s = self._idle_limit.max_idle_s(idempotent=call.idempotent)
         now = self.clock.monotonic()
         idle_since_limit = now - idle_s
-        while self._idle:
+        while self._idle and self._idle[-1].idle_since >= idle_since_limit:
             connection = self._idle.pop()
-            is_usable = (
-                connection.address == address
-                and connection.idle_since >= idle_since_limit
-            )
-            if is_usable and connection.is_reusable():
+            if connection.address == address and connection.is_reusable():
                 connection.idle_s = now - connection.idle_since
                 return connection
             self._discard(connection)
+        if self._idle and self.open_count >= self.connections:
+            # A connection that is too old for this call may serve others, if it can
+            # be kept beside a new one.
+            self._discard(self._idle.pop(0))
         if self.open_count >= self.connections:
             return Failure(
                 kind=Kind.OVERLOADED,
--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -7,7 +7,7 @@
 import attrs
 
 from comfreytray.common import logs
-from comfreytray.common.interfaces import StoredObject
+from comfreytray.common.interfaces import Clock, StoredObject
 from comfreytray.common.records import (
     Endpoint,
     EndpointState,
@@ -18,6 +18,8 @@
 
 PREFIX = "members/"
 MAX_RECORD_BYTES = 4096
+COLD_S = 3.0
+"""Time for which an instance counts as cold after its record says so."""
 _CAPACITY_FIELD = "capacity"
 MIN_BATCH_DELAY_S = 0.4
 MAX_BATCH_DELAY_S = 1.8
@@ -100,8 +102,10 @@
 class Directory:
     """Hold the newest stored revision of each member's record."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
         self._revision_by_id: dict[str, int] = {}
+        self._cold_until_by_id: dict[str, float] = {}
         self._record_by_id: dict[str, NodeRecord] = {}
         self._own_id = ""
         self.capacity_by_id: dict[str, int] = {}
@@ -119,6 +123,13 @@
         batch_delay_s = BATCH_DELAY_S_PER_MEMBER * len(self._record_by_id)
         return min(MAX_BATCH_DELAY_S, max(MIN_BATCH_DELAY_S, batch_delay_s))
 
+    def is_cold(self, record: NodeRecord) -> bool:
+        """Whether the instance of a member started a few seconds ago."""
+        endpoint = record.endpoint
+        if endpoint is None or endpoint.state is not EndpointState.COLD:
+            return False
+        return self._clock.monotonic() < self._cold_until_by_id.get(record.node_id, 0.0)
+
     def stored_version(self, node_id: str) -> int:
         """Return the version of a member's stored record; 0 if none is known."""
         return self._revision_by_id.get(node_id, 0)
@@ -152,6 +163,8 @@
         held = self._record_by_id.get(node_id)
         self._record_by_id[node_id] = record
         self.capacity_by_id[node_id] = capacity
+        if held is None or held.endpoint != record.endpoint:
+            self._cold_until_by_id[node_id] = self._clock.monotonic() + COLD_S
         _log_change(held, record, stored.version)
         return record != held
 
--- a/src/comfreytray/membership/ownrecord.py
+++ b/src/comfreytray/membership/ownrecord.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from comfreytray.common import logs
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import ObjectStore
-from comfreytray.common.records import NodeRecord
+from comfreytray.common.records import EndpointState, NodeRecord
 from comfreytray.membership import directory
 
 UNKNOWN_VERSION = -1
@@ -38,8 +40,12 @@
         self._written: NodeRecord | None = None
 
     def is_current(self, record: NodeRecord) -> bool:
-        """Whether the store is known to hold a record."""
-        return record == self._written
+        """Whether the store is known to hold a record.
+
+        That an instance is no longer cold is not written: readers know how long a
+        start takes, and each write is read by every node.
+        """
+        return self._written in (record, _as_cold(record))
 
     def write(self, record: NodeRecord) -> float:
         """Make one store call towards writing a record; return the seconds to wait."""
@@ -91,3 +97,11 @@
             reason=failure.detail,
         )
         return self._backoff.next_s()
+
+
+def _as_cold(record: NodeRecord) -> NodeRecord:
+    """Return a record as it was while its instance was cold."""
+    if record.endpoint is None or record.endpoint.state is not EndpointState.READY:
+        return record
+    cold = attrs.evolve(record.endpoint, state=EndpointState.COLD)
+    return attrs.evolve(record, endpoint=cold)
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -40,6 +40,8 @@
 """Time in which the first list of members should show the stored own record."""
 FIRST_CONFIGURATION_TIMEOUT_S = 0.6
 """Time in which the first configuration should be known; then callers are refused."""
+FIRST_HEARTBEAT_TIMEOUT_S = 0.6
+"""Time for which the first write of the own record waits for the instance."""
 START_POLL_S = 0.02
 TICK_S = 0.25
 READINESS_PROPAGATION_S = 2.4
@@ -75,7 +77,7 @@
         self.random = random.Random()
         self.metrics = Metrics()
         self.snapshot: Snapshot | None = None
-        self.directory = Directory()
+        self.directory = Directory(clock=self.clock)
         self.state = NodeState.ALIVE
         self._record: NodeRecord | None = None
         self.incarnation = int(self.clock.wall() * 1000)
@@ -118,6 +120,7 @@
             caller=lambda: options.service,
             dialect=dialect,
             retry_limits=self._retry_limits,
+            is_cold=self.directory.is_cold,
         )
         self.directory.put(self.record())
         self.directory.capacity_by_id[options.node_id] = options.capacity
@@ -241,11 +244,17 @@
 
     def _serve_callers(self, listener: Any) -> None:
         """Accept callers; those that come before the configuration wait a moment."""
-        deadline = self.clock.monotonic() + FIRST_CONFIGURATION_TIMEOUT_S
-        while self.snapshot is None and self.clock.monotonic() < deadline:
-            eventlet.sleep(START_POLL_S)
+        self._poll_until(
+            lambda: self.snapshot is not None, FIRST_CONFIGURATION_TIMEOUT_S
+        )
         self.calls.serve_http(listener)
 
+    def _poll_until(self, holds: Callable[[], bool], timeout_s: float) -> None:
+        """Wait until a condition of the start holds, but not beyond a time-out."""
+        deadline = self.clock.monotonic() + timeout_s
+        while not holds() and self.clock.monotonic() < deadline:
+            eventlet.sleep(START_POLL_S)
+
     def _listed_version(self) -> int | None:
         """Return the version of the stored own record; None before the first list."""
         if not self.members.is_known:
@@ -306,10 +315,14 @@
         self._record_changed.fire()
 
     def _sync_record(self) -> None:
-        """Keep the stored record current, from the first list of members on."""
-        deadline = self.clock.monotonic() + FIRST_LIST_TIMEOUT_S
-        while not self.members.is_known and self.clock.monotonic() < deadline:
-            eventlet.sleep(START_POLL_S)
+        """Keep the stored record current, from the first list of members on.
+
+        Mostly the first heartbeat comes soon enough for the first write.
+        """
+        self._poll_until(lambda: self.members.is_known, FIRST_LIST_TIMEOUT_S)
+        self._poll_until(
+            lambda: self.register.upstream is not None, FIRST_HEARTBEAT_TIMEOUT_S
+        )
         while True:
             record = self.record()
             if self.own_record.is_current(record):
