Have owners tell their group how fast and how reliable their endpoints are

Cause: five calls a second enter at each of 195 nodes, for 65 endpoints of a service and region; what one node measures of one endpoint is seconds old or missing, and endpoints of which nothing was known counted as the fastest.

Change: an owner measures the successful time of each kind of call and the share of failures, and tells the first watcher of its group every 2 s; that one tells all. A pick prefers this to the node's own, rarer measurements, which keep half their weight for failures on the way. The connections to sources have a module of their own; gauges show who reads the store and how many follow.

--- a/features/calls_routing.feature
+++ b/features/calls_routing.feature
@@ -24,3 +24,13 @@
     When a call with a trace context passes both
     Then the spans form one chain and the upstream gets the last one
     And a full queue drops spans and counts them
+
+  Scenario: Slow and failing endpoints get few calls although each node makes few
+    Given 60 nodes that each send a call every 0.3 s to 40 endpoints
+    When every fourth endpoint is three times slower and one of them fails its calls
+    Then with the owners' measurements at most half as many calls go to these as without
+
+  Scenario: What an owner told is forgotten in time and not told after few calls
+    When an owner measures calls of two instances one after the other
+    Then it tells nothing of an instance before its eighth call
+    And a node forgets what it was told after 6 s
--- a/features/replication.feature
+++ b/features/replication.feature
@@ -89,3 +89,8 @@
     When a process that answers with random bytes takes the place of a node that reads the store
     And the configuration changes 1 times
     Then every other node has the last configuration
+
+  Scenario: Owners' measurements of their endpoints reach all nodes of the group
+    Given a store and 12 running nodes of one data centre
+    When the owners measure that every third endpoint is slow and every fourth fails
+    Then every node knows the slow and the failing endpoints
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from comfreytray.calls.measures import Measures, SharedMeasures
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
@@ -18,6 +19,7 @@
 from comfreytray.membership.directory import Directory
 from comfreytray.node.storefeeds import StoreFeeds
 from comfreytray.replication import frames
+from comfreytray.replication.measures import MeasureExchange
 from comfreytray.replication.replica import Progress, Replica
 from comfreytray.replication.replicator import Replicator
 from comfreytray.replication.sources import (
@@ -323,11 +325,13 @@
     objects = frames.pack_objects(
         frames.Objects(feed=0, complete_to=3, changes=changes.changes_after(Progress()))
     )
+    told = Measures(failure_share=0.5, service_time_s_by_kind={"k": 0.25})
+    table = frames.pack_measures({"node-1": told})
     context.results = []
 
     @settings(max_examples=500)
     @given_data(
-        st.sampled_from([*_VALID, objects]),
+        st.sampled_from([*_VALID, objects, table]),
         st.lists(st.tuples(st.integers(0, 200), st.integers(0, 255)), max_size=4),
         st.binary(max_size=20),
     )
@@ -399,6 +403,8 @@
             self.directory.put(record)
         self.version = 0
         clock = SystemClock()
+        self.measured = None
+        self.shared = SharedMeasures(clock=clock)
         feeds = StoreFeeds(store=self.store, clock=clock, random=random.Random(number))
         self.configuration = feeds.configuration(
             CONFIG_KEY, on_objects=self._apply_configuration
@@ -413,6 +419,9 @@
             ),
             clock=clock,
             metrics=Metrics(),
+            measures=MeasureExchange(
+                clock=clock, own=lambda: self.measured, learn=self.shared.learn
+            ),
         )
         self.greenlet = eventlet.spawn(self.replicator.serve, self.listener)
         self.replicator.__enter__()
@@ -550,3 +559,29 @@
     context.add_cleanup(listener.close)
     greenlet = eventlet.spawn(eventlet.serve, listener, answer)
     context.add_cleanup(greenlet.kill)
+
+
+@when("the owners measure that every third endpoint is slow and every fourth fails")
+def measure(context):
+    for number, node in enumerate(context.nodes):
+        node.measured = Measures(
+            failure_share=0.5 if number % 4 == 0 else 0.0,
+            service_time_s_by_kind={"k": 0.9 if number % 3 == 0 else 0.3},
+        )
+
+
+def _knows_all(context, node):
+    now = SystemClock().monotonic()
+    for number, other in enumerate(context.nodes):
+        node_id = other.record.node_id
+        slowdown = node.shared.slowdown(node_id, now)
+        if slowdown is None or (slowdown > 1.0) != (number % 3 == 0):
+            return False
+        if (node.shared.failure_share(node_id, now) > 0.0) != (number % 4 == 0):
+            return False
+    return True
+
+
+@then("every node knows the slow and the failing endpoints")
+def check_known(context):
+    assert until(lambda: all(_knows_all(context, node) for node in context.nodes))
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -12,6 +12,8 @@
 from comfreytray.calls.calllog import CallLog
 from comfreytray.calls.dialect import NATIVE, Dialect
 from comfreytray.calls.limits import Admission
+from comfreytray.calls.measures import OwnMeasures
+from comfreytray.calls.retries import FAILED_STATUSES
 from comfreytray.calls.tickets import Ticket, TicketState
 from comfreytray.calls.tracing import Tracer, traced
 from comfreytray.calls.upstream import UpstreamPool
@@ -22,6 +24,15 @@
 from comfreytray.common.records import EndpointState, LocalUpstream
 from comfreytray.common.signals import Signal
 
+UPSTREAM_FAILURES = frozenset(
+    {
+        Kind.CONNECT_FAILED,
+        Kind.LOST_AFTER_SEND,
+        Kind.ANSWER_CUT,
+        Kind.DEADLINE_WHILE_RUNNING,
+    }
+)
+"""Failures of a call that count against the upstream."""
 LEAST_PRIORITY = 1_000
 """A priority that ranks after that of every route."""
 
@@ -45,6 +56,7 @@
         self.tracer = tracer
         self.call_log = call_log or CallLog(clock=clock)
         self.admission = Admission(clock=clock, slots=0)
+        self.measures = OwnMeasures()
         self.pool = UpstreamPool(
             clock=clock, connections=0, dialect=dialect, metrics=metrics
         )
@@ -105,12 +117,21 @@
         if isinstance(reply, Outcome):
             instance = upstream.endpoint.instance_id
             self.call_log.failed_at_upstream(call, reply, instance=instance)
-        reply.load = evolve(
-            self.admission.load_for(call.priority),
-            held_s=self.clock.monotonic() - ticket.admitted_at,
-        )
+        held_s = self.clock.monotonic() - ticket.admitted_at
+        reply.load = evolve(self.admission.load_for(call.priority), held_s=held_s)
+        self._measure(upstream.endpoint.instance_id, call, reply, held_s)
         return reply
 
+    def _measure(
+        self, instance_id: str, call: Call, reply: Reply | Outcome, held_s: float
+    ) -> None:
+        if isinstance(reply, Outcome) and reply.failure.kind not in UPSTREAM_FAILURES:
+            return
+        failed = isinstance(reply, Outcome) or reply.status in FAILED_STATUSES
+        self.measures.record(
+            instance_id=instance_id, kind=call.kind, took_s=held_s, failed=failed
+        )
+
     def leave(self) -> None:
         """Refuse new and waiting calls; running calls finish."""
         self.admission.leave()
--- a/src/comfreytray/calls/routing.py
+++ b/src/comfreytray/calls/routing.py
@@ -17,6 +17,7 @@
     assume_unknown_are_fast,
     estimate_used_share,
 )
+from comfreytray.calls.measures import SharedMeasures
 from comfreytray.calls.placement import CrossZoneCosts, Placement
 from comfreytray.calls.sampling import Sampler
 from comfreytray.common import logs
@@ -36,6 +37,8 @@
 FAILURE_WEIGHT = 0.1
 FAILURE_PENALTY = 10.0
 SUSPECT_PENALTY = 10.0
+OWN_PENALTY_WEIGHT = 0.5
+"""Weight of a node's own, rarer measurements beside those of the owner."""
 COLD_SLOWDOWN = 3.0
 """Factor by which a cold (just started) endpoint is expected to be slower."""
 FULL_ENDPOINT_SLOWDOWN = 0.3
@@ -87,6 +90,8 @@
         self.distance_s = distance_s
         self.placement = placement or Placement(costs=CrossZoneCosts())
         self.is_cold = is_cold
+        self.shared = SharedMeasures(clock=clock)
+        """What the owners of endpoints told this node."""
         self.leaving = False
         self.view_by_id: dict[str, EndpointView] = {}
         self.service_time_s_by_kind: dict[str, float] = {}
@@ -121,12 +126,20 @@
         healthy = self._not_ejected(usable, now)
         ready = [r for r in healthy if self.view(r, now).shed_until <= now]
         eligible = ready or healthy
-        near = [self.view(r, now) for r in eligible if r.region == own.region]
-        assume_unknown_are_fast(near, now)
+        self._assume_unknown_are_fast(eligible, own, now)
         return min(
             eligible, key=lambda r: self._cost(r, own, kind, priority, target_s, now)
         )
 
+    def _assume_unknown_are_fast(
+        self, records: list[NodeRecord], own: NodeRecord, now: float
+    ) -> None:
+        """Have near endpoints of which nothing is known tried, if no owner tells."""
+        near = [record for record in records if record.region == own.region]
+        told = [self.shared.slowdown(record.node_id, now) for record in near]
+        if all(slowdown is None for slowdown in told):
+            assume_unknown_are_fast([self.view(record, now) for record in near], now)
+
     def view(self, record: NodeRecord, now: float) -> EndpointView:
         """Return the view of an endpoint; a new incarnation starts with a new one."""
         found = self.view_by_id.get(record.node_id)
@@ -291,6 +304,7 @@
         used = estimate_used_share(view, load_report, slots, now)
         penalty = view.slowdown - 1.0 + FAILURE_PENALTY * view.failure_share
         penalty *= math.exp2((view.last_used - now) / PENALTY_HALF_LIFE_S)
+        penalty = self._add_shared(penalty, record.node_id, now)
         run_s = service_s * max(MIN_SLOWDOWN, 1.0 + penalty)
         run_s *= 1.0 + FULL_ENDPOINT_SLOWDOWN * min(1.0, used) ** 2
         if self.is_cold(record):
@@ -302,6 +316,17 @@
             expected_s *= 1.0 + SUSPECT_PENALTY
         return expected_s * self.random.uniform(1.0, 1.0 + JITTER)
 
+    def _add_shared(self, penalty: float, node_id: str, now: float) -> float:
+        """Combine a node's own penalty for an endpoint with what its owner told.
+
+        The owner sees all calls; this node alone sees failures on the way.
+        """
+        slowdown = self.shared.slowdown(node_id, now)
+        if slowdown is None:
+            return penalty
+        failing = FAILURE_PENALTY * self.shared.failure_share(node_id, now)
+        return max(slowdown - 1.0 + failing, OWN_PENALTY_WEIGHT * penalty)
+
     def _round_trip_s(self, record: NodeRecord, own: NodeRecord) -> float:
         measured_s = self.distance_s(record)
         if measured_s is not None:
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -32,6 +32,7 @@
 from comfreytray.membership.ownrecord import OwnRecord
 from comfreytray.node.options import NodeOptions
 from comfreytray.node.storefeeds import MEMBERS_WAIT_S, StoreFeeds
+from comfreytray.replication.measures import MeasureExchange
 from comfreytray.replication.replicator import Replicator
 
 LISTEN_BACKLOG = 1024
@@ -91,14 +92,6 @@
             configuration_key, on_objects=self._apply_configuration
         )
         self.members = feeds.members(self.directory, plan=lambda: self.replicator.plan)
-        self.replicator = Replicator(
-            node=self.record,
-            view=lambda: self.directory.view,
-            capacity_by_id=self.directory.capacity_by_id,
-            feeds=(self.members, self.configuration),
-            clock=self.clock,
-            metrics=self.metrics,
-        )
         self.own_record = OwnRecord(
             store=store,
             backoff=feeds.backoff(),
@@ -122,6 +115,19 @@
             retry_limits=self._retry_limits,
             is_cold=self.directory.is_cold,
         )
+        self.replicator = Replicator(
+            node=self.record,
+            view=lambda: self.directory.view,
+            capacity_by_id=self.directory.capacity_by_id,
+            feeds=(self.members, self.configuration),
+            clock=self.clock,
+            metrics=self.metrics,
+            measures=MeasureExchange(
+                clock=self.clock,
+                own=self.calls.owner.measures.report,
+                learn=self.calls.router.shared.learn,
+            ),
+        )
         self.directory.put(self.record())
         self.directory.capacity_by_id[options.node_id] = options.capacity
 
--- a/src/comfreytray/replication/frames.py
+++ b/src/comfreytray/replication/frames.py
@@ -4,12 +4,14 @@
 nodes list them.
 """
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgpack
 from attrs import frozen
 
+from comfreytray.calls.measures import Measures
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.distribution.compression import compress, decompress
 from comfreytray.replication.replica import ObjectChange, Progress
@@ -19,12 +21,14 @@
 ANNOUNCE = 61
 PULL = 62
 OBJECTS = 63
+MEASURES = 64
 
 MAX_FEEDS = 8
 MAX_ID_BYTES = 256
 MAX_PACKED_BYTES = 4_194_304
 """Compressed size of the objects in one frame."""
 MAX_UNPACKED_BYTES = 33_554_432
+MAX_TABLE_BYTES = 1_048_576
 MAX_REVISION = 2**63
 
 _pack = msgpack.Packer(use_bin_type=True).pack
@@ -65,7 +69,14 @@
     changes: tuple[ObjectChange, ...]
 
 
-Frame = Hello | Announce | Pull | Objects
+@frozen(kw_only=True)
+class MeasureTable:
+    """What owners measure of their endpoints, by the id of the node."""
+
+    measures_by_id: Mapping[str, Measures]
+
+
+Frame = Hello | Announce | Pull | Objects | MeasureTable
 
 
 class _FrameError(ValueError):
@@ -96,6 +107,15 @@
     return _pack((OBJECTS, objects.feed, objects.complete_to, compress(plain)))  # type: ignore[no-any-return]
 
 
+def pack_measures(measures_by_id: Mapping[str, Measures]) -> bytes:
+    """Pack what owners measure of their endpoints."""
+    rows = [
+        (node_id, told.failure_share, list(told.service_time_s_by_kind.items()))
+        for node_id, told in measures_by_id.items()
+    ]
+    return _pack((MEASURES, compress(_pack(rows))))  # type: ignore[no-any-return]
+
+
 class Decoder:
     """Decodes the bytes of a connection into validated frames."""
 
@@ -157,11 +177,7 @@
 
 
 def _decode_objects(feed: Any, revision: Any, packed: Any) -> Objects:
-    if type(packed) is not bytes:
-        raise _FrameError("expected compressed objects")
-    plain = decompress(packed, max_bytes=MAX_UNPACKED_BYTES)
-    if isinstance(plain, Failure):
-        raise _FrameError(plain.detail)
+    plain = _decompress(packed, MAX_UNPACKED_BYTES)
     changes = msgpack.unpackb(plain, use_list=False)
     return Objects(
         feed=_feed(feed),
@@ -173,16 +189,52 @@
 def _object_change(
     key: Any, version: Any, base_version: Any, data: Any
 ) -> ObjectChange:
-    if type(key) is not str or type(data) is not bytes:
-        raise _FrameError("expected a key and the bytes of an object")
+    if type(data) is not bytes:
+        raise _FrameError("expected the bytes of an object")
     return ObjectChange(
-        key=key,
+        key=_text(key),
         version=_revision(version),
         base_version=_revision(base_version),
         data=data,
     )
 
 
+def _decode_measures(packed: Any) -> MeasureTable:
+    rows = msgpack.unpackb(_decompress(packed, MAX_TABLE_BYTES), use_list=False)
+    return MeasureTable(
+        measures_by_id={
+            _text(node_id): Measures(
+                failure_share=_number(failure_share),
+                service_time_s_by_kind={
+                    _text(kind): _number(took_s) for kind, took_s in times
+                },
+            )
+            for node_id, failure_share, times in rows
+        }
+    )
+
+
+def _decompress(packed: Any, max_bytes: int) -> bytes:
+    if type(packed) is not bytes:
+        raise _FrameError("expected compressed bytes")
+    plain = decompress(packed, max_bytes=max_bytes)
+    if isinstance(plain, Failure):
+        raise _FrameError(plain.detail)
+    return plain
+
+
+def _text(value: Any) -> str:
+    if type(value) is not str:
+        raise _FrameError(f"expected a text, got {type(value).__name__}")
+    return value
+
+
+def _number(value: Any) -> float:
+    if type(value) is not float or not 0.0 <= value < math.inf:
+        raise _FrameError(f"expected a number that is not negative, got {value!r}")
+    return value
+
+
 def _feed(value: Any) -> int:
     if type(value) is not int or not 0 <= value < MAX_FEEDS:
         raise _FrameError(f"expected a feed below {MAX_FEEDS}, got {value!r}")
@@ -200,4 +252,5 @@
     ANNOUNCE: _decode_announce,
     PULL: _decode_pull,
     OBJECTS: _decode_objects,
+    MEASURES: _decode_measures,
 }
--- a/src/comfreytray/replication/replicator.py
+++ b/src/comfreytray/replication/replicator.py
@@ -8,26 +8,22 @@
 import eventlet
 
 from comfreytray.common import logs
-from comfreytray.common.errors import Failure
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import MembershipView, NodeRecord
 from comfreytray.common.signals import Signal
 from comfreytray.common.tasks import TaskGroup
-from comfreytray.replication import frames, links
+from comfreytray.replication import frames
 from comfreytray.replication.feed import Feed
 from comfreytray.replication.links import FollowerLinks, Link
+from comfreytray.replication.measures import MeasureExchange
 from comfreytray.replication.replica import Progress
+from comfreytray.replication.sourcelinks import SourceLinks
 from comfreytray.replication.sources import Plan, Sources
 
 TICK_S = 0.25
 ANNOUNCE_PERIOD_S = 0.5
 """Heartbeat of a source to its followers."""
-SILENCE_S = 1.6
-"""Time without a frame after which a source counts as lost."""
-MIN_TICKS_OF_SILENCE = 3
-"""Ticks without a frame before a source counts as lost, so that a node that was itself
-paused first reads what has arrived."""
 BLIND_S = 2.0
 """Time after a failed call for which other nodes are preferred to the store."""
 MEMBERS_TIMEOUT_S = 1.0
@@ -39,15 +35,6 @@
 """Packed answers to pulls that are kept; followers mostly lack the same objects."""
 
 
-class _SourceLink:
-    """The connection to one source, from the attempt to connect to its end."""
-
-    def __init__(self) -> None:
-        self.link: Link | None = None
-        self.greenlet: Any = None
-        self.silent_ticks = 0
-
-
 class Replicator:
     """Follows the store through few nodes; a context manager that owns its links.
 
@@ -64,8 +51,10 @@
         feeds: Sequence[Feed],
         clock: Clock,
         metrics: Metrics,
+        measures: MeasureExchange | None = None,
     ) -> None:
         self.plan = Plan()
+        self._measures = measures or MeasureExchange(clock=clock)
         self._node = node
         self._view = view
         self._capacity_by_id = capacity_by_id
@@ -73,9 +62,15 @@
         self._clock = clock
         self._metrics = metrics
         self._sources = Sources()
-        self._source_link_by_id: dict[str, _SourceLink] = {}
+        self._source_links = SourceLinks(
+            own_id=node().node_id,
+            clock=clock,
+            sources=self._sources,
+            on_frame=self._receive,
+            on_lost=self.review,
+        )
         self._followers = FollowerLinks(
-            clock=clock, on_frame=self._serve_pull, on_joined=self._greet
+            clock=clock, on_frame=self._serve_follower, on_joined=self._greet
         )
         self._packed_by_pull: dict[tuple[int, Progress, int], bytes] = {}
         self._blind_until = 0.0
@@ -102,8 +97,7 @@
     ) -> None:
         self._tasks.close()
         self._followers.__exit__(kind, error, trace)
-        for node_id in list(self._source_link_by_id):
-            self._unfollow(node_id)
+        self._source_links.adjust(())
 
     @property
     def is_known(self) -> bool:
@@ -123,7 +117,7 @@
     def review(self) -> None:
         """Choose the sources again, and open and close connections accordingly."""
         now = self._clock.monotonic()
-        self._drop_silent(now)
+        self._source_links.drop_silent()
         plan = self._sources.plan(
             own=self._node(),
             view=self._view(),
@@ -133,16 +127,28 @@
             has_followers=bool(self._followers.link_by_id),
         )
         self._set_plan(plan)
-        wanted = {record.node_id for record in plan.follows}
-        for node_id in set(self._source_link_by_id) - wanted:
-            self._unfollow(node_id)
-        for record in plan.follows:
-            if record.node_id not in self._source_link_by_id:
-                self._follow(record, now)
+        self._source_links.adjust(plan.follows)
         self._announce()
+        if self._measures.is_due():
+            self._tell_measures()
+
+    def _tell_measures(self) -> None:
+        """Tell the first source of the own endpoint, or the followers of all."""
+        own_id = self._node().node_id
+        if self.plan.is_shared and self.plan.rank == 0:
+            table = self._measures.group_table(own_id)
+            if table and self._followers.link_by_id:
+                self._followers.send(frames.pack_measures(table))
+            return
+        own = self._measures.own_table(own_id)
+        if own and self.plan.follows:
+            source_id = self.plan.follows[0].node_id
+            self._source_links.send(source_id, frames.pack_measures(own))
 
     def _set_plan(self, plan: Plan) -> None:
         before, self.plan = self.plan, plan
+        self._metrics.gauge("watches_store", int(plan.watches))
+        self._metrics.gauge("followers", len(self._followers.link_by_id))
         if plan.watches and not before.watches:
             for feed, wake in zip(self._feeds, self._wake_by_feed, strict=True):
                 feed.subscription.resume()
@@ -218,7 +224,10 @@
         self._announce()
         self.review()
 
-    def _serve_pull(self, link: Link, frame: frames.Frame) -> None:
+    def _serve_follower(self, link: Link, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.MeasureTable):
+            self._measures.collect(link.peer, frame.measures_by_id)
+            return
         if not isinstance(frame, frames.Pull) or frame.feed >= len(self._feeds):
             logs.warn(
                 logs.Event.FRAME_REFUSED,
@@ -246,30 +255,11 @@
             self._packed_by_pull[key] = packed
         return packed
 
-    def _follow(self, record: NodeRecord, now: float) -> None:
-        self._sources.connecting(record, now)
-        source = self._source_link_by_id[record.node_id] = _SourceLink()
-        source.greenlet = eventlet.spawn(self._read_source, record, source)
-
-    def _read_source(self, record: NodeRecord, source: _SourceLink) -> None:
-        link = links.follow(
-            record.control_address,
-            own_id=self._node().node_id,
-            source_id=record.node_id,
-            clock=self._clock,
-            on_frame=self._receive,
-        )
-        if not isinstance(link, Failure):
-            source.link = link
-            link.read()
-        if self._source_link_by_id.get(record.node_id) is source:
-            reason = link.detail if isinstance(link, Failure) else "connection ended"
-            self._lose(record.node_id, reason)
-            self.review()
-
     def _receive(self, link: Link, frame: frames.Frame) -> None:
         if isinstance(frame, frames.Announce):
             self._compare(link, frame)
+        elif isinstance(frame, frames.MeasureTable):
+            self._measures.receive(frame.measures_by_id)
         elif isinstance(frame, frames.Objects) and frame.feed < len(self._feeds):
             self._take(link, frame)
         else:
@@ -306,28 +296,3 @@
                 link.send(frames.pack_pull(pull))
         if self._sources.state_of(link.peer, now) is not before:
             self.review()
-
-    def _drop_silent(self, now: float) -> None:
-        for node_id, source in list(self._source_link_by_id.items()):
-            if source.link is None or now - source.link.received_at < SILENCE_S:
-                source.silent_ticks = 0
-                continue
-            source.silent_ticks += 1
-            if source.silent_ticks >= MIN_TICKS_OF_SILENCE:
-                self._lose(node_id, f"silent for {SILENCE_S} s")
-
-    def _lose(self, node_id: str, reason: str) -> None:
-        logs.warn(logs.Event.SOURCE_LOST, source=node_id, reason=reason)
-        self._sources.lost(node_id, self._clock.monotonic())
-        self._close(node_id)
-
-    def _unfollow(self, node_id: str) -> None:
-        self._sources.closed(node_id)
-        self._close(node_id)
-
-    def _close(self, node_id: str) -> None:
-        source = self._source_link_by_id.pop(node_id)
-        if source.link is not None:
-            source.link.close()
-        elif source.greenlet is not eventlet.getcurrent():
-            source.greenlet.kill()
