Bound the size and the time of the store's answers

Cause: an answer was read whole, however long, and each read started a new time-out. Change: at most 64 MiB and 4 s beyond the call's time-out; the connection is closed then. Not bounded in time yet: a head that comes a byte at a time.

--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -54,3 +54,13 @@
     When the instance becomes warm, drains and is replaced by another
     Then the node writes its record once for each but the first
     And another node counts the instance as cold for 3 s only
+
+  Scenario Outline: An answer of the store that never ends is given up
+    Given a store whose answers never end, <speed>
+    When a node reads an object and watches it
+    Then both calls fail within bounds and the node reads again when the store answers
+
+    Examples:
+      | speed |
+      | fast  |
+      | slow  |
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -1,7 +1,11 @@
+import contextlib
 import random
 
+import eventlet
 from attrs import evolve
 from behave import given, then, when
+from calls_rig import WAIT_S
+from eventlet import tpool
 
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure, Kind
@@ -17,7 +21,11 @@
     RETRY_MAX_S,
     RETRY_MIN_S,
 )
-from comfreytray.platform.objectstore import CALL_TIMEOUT_S, WATCH_MARGIN_S
+from comfreytray.platform.objectstore import (
+    CALL_TIMEOUT_S,
+    WATCH_MARGIN_S,
+    PlatformStore,
+)
 from comfreytray.store.subscriptions import Subscription
 from comfreytray.testing import FakeClock, MemoryStore
 
@@ -460,3 +468,48 @@
     assert context.directory.is_cold(record)
     context.clock.now += 0.2
     assert not context.directory.is_cold(record)
+
+
+@given("a store whose answers never end, {speed}")
+def make_endless_store(context, speed):
+    context.is_endless = True
+
+    def serve(sock, _):
+        sock.recv(65536)
+        if not context.is_endless:
+            text = b'{"metadata":{"name":"main","revision":5},"spec":{}}'
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text)
+            sock.sendall(head + text)
+            return
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n[")
+        with contextlib.suppress(OSError):
+            while True:
+                sock.sendall(b" " if speed == "slow" else b" " * 65536)
+                eventlet.sleep(0.1 if speed == "slow" else 0.0)
+
+    listener = eventlet.listen(("127.0.0.1", 0))
+    greenlet = eventlet.spawn(eventlet.serve, listener, serve)
+    context.add_cleanup(listener.close)
+    context.add_cleanup(greenlet.kill)
+    context.platform_store = PlatformStore(address=listener.getsockname())
+    context.add_cleanup(context.platform_store.__exit__, None, None, None)
+
+
+@when("a node reads an object and watches it")
+def read_endless(context):
+    store = tpool.Proxy(context.platform_store)
+    with eventlet.Timeout(WAIT_S):
+        context.failures = [
+            store.get("config/main"),
+            store.watch("config/", after_revision=1, timeout_s=0.1),
+        ]
+        context.is_endless = False
+        context.found = store.get("config/main")
+
+
+@then("both calls fail within bounds and the node reads again when the store answers")
+def check_endless(context):
+    kinds = [failure.kind for failure in context.failures]
+    assert kinds == [Kind.STORE_UNAVAILABLE] * 2, context.failures
+    assert not isinstance(context.found, Failure), context.found
+    assert context.found.version == 5
--- a/src/comfreytray/platform/objectstore.py
+++ b/src/comfreytray/platform/objectstore.py
@@ -2,11 +2,13 @@
 
 import json
 import socket
+import time
 from types import TracebackType
 from typing import Any, Self
 from urllib.parse import quote
 
 import urllib3
+from attrs import frozen
 from urllib3 import exceptions as http_errors
 
 from comfreytray.common.errors import Failure, Kind
@@ -19,6 +21,11 @@
 """Time beyond the wait of a watch until the client gives up on its answer."""
 MAX_IDLE_CONNECTIONS = 4
 """Connections kept open between calls; more are opened when all are in use."""
+READ_BYTES = 65_536
+MAX_BODY_BYTES = 67_108_864
+"""Bytes of an answer; a watch returns each change of its span with the whole object."""
+BODY_TIMEOUT_S = 4.0
+"""Time for the body of an answer, beyond the time-out of its call."""
 MS_PER_S = 1000
 _NOT_SENT_ERRORS = (http_errors.NewConnectionError, http_errors.ConnectTimeoutError)
 """Errors before a request was sent: a write was not applied."""
@@ -35,6 +42,14 @@
 """Statuses of a write that was not applied; after others its outcome is unknown."""
 
 
+@frozen(kw_only=True)
+class _Response:
+    """A complete answer of the store."""
+
+    status: int
+    data: bytes
+
+
 class PlatformStore:
     """Client of the platform's object store; implements `ObjectStore`.
 
@@ -183,15 +198,38 @@
 
     def _request(
         self, method: str, path: str, body: object, timeout_s: float
-    ) -> urllib3.BaseHTTPResponse:
-        return self._pool.urlopen(
+    ) -> _Response:
+        deadline = time.monotonic() + timeout_s + BODY_TIMEOUT_S
+        response = self._pool.urlopen(
             method,
             path,
             body=None if body is None else json.dumps(body).encode(),
             headers={"Content-Type": "application/json"},
             redirect=False,
             timeout=urllib3.Timeout(connect=CALL_TIMEOUT_S, read=timeout_s),
+            preload_content=False,
         )
+        try:
+            data = _read_body(response, deadline)
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
+        return _Response(status=response.status, data=data)
+
+
+def _read_body(response: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
+    """Read a body within bounds of size and time; raises HTTPError beyond them."""
+    body = bytearray()
+    while part := response.read1(READ_BYTES):
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            raise http_errors.ProtocolError(
+                f"answer of the store: expected at most {MAX_BODY_BYTES} bytes"
+            )
+        if time.monotonic() > deadline:
+            raise http_errors.ProtocolError("answer of the store did not end in time")
+    return bytes(body)
 
 
 def _object_path(key: str) -> str:
