Show help for a command with the settings it takes

The three examples of features/shell.feature fail without the change.

The check of the public names asked that the names loaded on first use are part of all names; since all are loaded so, it now asks that they are the same.

--- a/features/shell.feature
+++ b/features/shell.feature
@@ -33,3 +33,13 @@
   Scenario: The library can be used without a node
     Then every public name loads
     And the example "examples/embedded.py" prints "modèle: dat-san"
+
+  Scenario Outline: Help is shown for a command with the settings it takes
+    When the command line is called with "<arguments>"
+    Then it shows "<shown>" and every setting with its default, and ends with success
+
+    Examples:
+      | arguments       | shown                            |
+      | node --help     | Run the node of an upstream      |
+      | status -h       | comfreytray status               |
+      | --help          | configuration for a service mesh |
--- a/features/steps/shell_steps.py
+++ b/features/steps/shell_steps.py
@@ -3,6 +3,8 @@
 import json
 import runpy
 import shlex
+import subprocess
+import sys
 from urllib.parse import quote
 
 from behave import given, then, when
@@ -14,6 +16,7 @@
 from comfreytray.common import settings
 from comfreytray.common.exceptions import SettingError
 from comfreytray.common.logs import Event, format_event
+from standins.processes import python_environment
 
 
 @when('the setting "{name}" is given as "{value}"')
@@ -155,7 +158,7 @@
 
 @then("every public name loads")
 def check_public_names(context):
-    assert set(comfreytray._MODULE_BY_NAME) < set(comfreytray.__all__)
+    assert set(comfreytray._MODULE_BY_NAME) == set(comfreytray.__all__)
     for name in comfreytray.__all__:
         assert getattr(comfreytray, name) is not None
 
@@ -166,3 +169,25 @@
     with contextlib.redirect_stdout(printed):
         runpy.run_path(path, run_name="__main__")
     assert text in printed.getvalue()
+
+
+@when('the command line is called with "{arguments}"')
+def call_command_line(context, arguments):
+    environment = {**python_environment(), "PAGER": "cat"}
+    context.process = subprocess.run(
+        [sys.executable, "-W", "ignore", "-m", "comfreytray", *shlex.split(arguments)],
+        env=environment,
+        capture_output=True,
+        text=True,
+        stdin=subprocess.DEVNULL,
+    )
+
+
+@then('it shows "{shown}" and every setting with its default, and ends with success')
+def check_help(context, shown):
+    process = context.process
+    text = process.stdout + process.stderr
+    assert process.returncode == 0, text
+    assert shown in text, text
+    for name, default, _ in settings.describe():
+        assert f"--{name}={default}" in process.stdout, (name, text)
--- a/src/comfreytray/commands/cli.py
+++ b/src/comfreytray/commands/cli.py
@@ -4,6 +4,7 @@
 `--json` for machine-readable output. Exit codes are listed in docs/OPERATORS.md.
 """
 
+import contextlib
 import json
 import os
 import sys
@@ -298,8 +299,24 @@
         session.print(settings.effective(session.settings), display.tree)
 
 
+_HELP_FLAGS = frozenset({"--help", "-h"})
+
+
+def _show_help(words: list[str]) -> NoReturn:
+    """Show the help of a command, then the settings that every command takes."""
+    with contextlib.suppress(SystemExit):
+        fire.Fire(Commands, command=[*words, "--", "--help"], name="comfreytray")
+    print("SETTINGS")
+    for name, default, text in settings.describe():
+        print(f"    --{name}={default}  {text}".rstrip())
+    raise SystemExit(0)
+
+
 def main() -> None:
     """Run the command line."""
+    arguments = sys.argv[1:]
+    if _HELP_FLAGS & set(arguments):
+        _show_help([word for word in arguments if not word.startswith("-")])
     try:
         fire.Fire(Commands, name="comfreytray")
     except SettingError as error:
--- a/src/comfreytray/common/settings.py
+++ b/src/comfreytray/common/settings.py
@@ -14,6 +14,8 @@
 PREFIX = "COMFREYTRAY"
 MAX_PORT = 65535
 MASK = "***"
+_ENTRY = "environ_config"
+"""Key under which the settings library keeps the default and help of a setting."""
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -128,6 +130,15 @@
     return [attribute.name for attribute in attrs.fields(cast(Any, Settings))]
 
 
+def describe() -> list[tuple[str, str, str]]:
+    """Return name, default and help text of each setting."""
+    described: list[tuple[str, str, str]] = []
+    for attribute in attrs.fields(cast(Any, Settings)):
+        entry = attribute.metadata[_ENTRY]
+        described.append((attribute.name, str(entry.default), entry.help or ""))
+    return described
+
+
 def load(flags: Mapping[str, object], environment: Mapping[str, str]) -> Settings:
     """Merge flags over the environment and check every value.
 
