Give other greenlets a turn while a peer sends without end, and bound its answers

Cause: a read that finds bytes waiting returns without a switch, so each loop that reads a connection could hold the process; the answers to pings of a peer that does not read piled up without bound.

--- a/features/calls_endless.feature
+++ b/features/calls_endless.feature
@@ -32,3 +32,10 @@
       | long-body     | slow  |
       | other-answers | slow  |
       | other-answer  | slow  |
+
+  Scenario: A peer that sends without end and reads nothing is disconnected
+    Given a node beside an upstream whose answers may never end
+    When a process sends pings to the node without end, while other calls come
+    Then the other calls are answered
+    And the process is disconnected
+    And the node holds at most 64 MB more than before
--- a/features/steps/calls_endless_steps.py
+++ b/features/steps/calls_endless_steps.py
@@ -9,7 +9,7 @@
 from calls_rig import WAIT_S, Fleet
 
 from comfreytray.platform.headers import DIALECT
-from standins.processes import ROOT
+from standins.processes import ROOT, python_environment
 
 DEADLINE_MS = 1000
 HANG_S = 15
@@ -98,3 +98,49 @@
 def check_memory(context, limit):
     grown_mb = _memory_mb() - context.memory_mb
     assert grown_mb <= limit, grown_mb
+
+
+_FLOOD = """
+import socket, sys
+from comfreytray.calls import callframes
+sock = socket.create_connection(("127.0.0.1", int(sys.argv[1])))
+sock.sendall(callframes.pack_hello(caller_id="x", expected_id="a"))
+pings = callframes.pack_ping(1) * 10_000
+try:
+    while True:
+        sock.sendall(pings)
+except OSError:
+    print("disconnected", flush=True)
+"""
+
+
+@when("a process sends pings to the node without end, while other calls come")
+def flood(context):
+    assert _call(context, "/warm").status == 200
+    context.memory_mb = _memory_mb()
+    port = context.fleet.record_by_id["a"].call_port
+    context.flood = subprocess.Popen(
+        [sys.executable, "-W", "ignore", "-c", _FLOOD, str(port)],
+        stdout=subprocess.PIPE,
+        env=python_environment(),
+    )
+    context.add_cleanup(context.flood.wait)
+    context.add_cleanup(context.flood.kill)
+    signal.signal(signal.SIGALRM, _fail_hung)
+    signal.alarm(4 * HANG_S)
+    try:
+        context.others = []
+        for _ in range(5):
+            eventlet.sleep(0.2)
+            context.others.append(_call(context, "/other"))
+        with eventlet.Timeout(2 * WAIT_S):
+            while context.flood.poll() is None:
+                eventlet.sleep(0.05)
+        context.after = _call(context, "/after")
+    finally:
+        signal.alarm(0)
+
+
+@then("the process is disconnected")
+def check_disconnected(context):
+    assert context.flood.stdout.read() == b"disconnected\n"
--- a/src/comfreytray/calls/connections.py
+++ b/src/comfreytray/calls/connections.py
@@ -18,6 +18,7 @@
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import NodeRecord
 from comfreytray.common.signals import Signal
+from comfreytray.common.turns import Turns
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 65_536
@@ -129,11 +130,13 @@
     def read(self) -> None:
         """Receive frames until the connection ends."""
         reason = "end"
+        turns = Turns()
         try:
             while not self.streams.closed:
                 received = self.sock.recv(READ_BYTES)
                 if not received:
                     break
+                turns.take()
                 self.last_received_at = self.clock.monotonic()
                 failure = self.streams.receive(received)
                 if failure is not None:
--- a/src/comfreytray/calls/streamserver.py
+++ b/src/comfreytray/calls/streamserver.py
@@ -21,6 +21,10 @@
 from comfreytray.common.interfaces import Address, Clock
 from comfreytray.common.keepalive import enable_keepalive
 from comfreytray.common.signals import Signal
+from comfreytray.common.turns import Turns
+
+MAX_UNREAD_BYTES = 4 * MAX_OUTBOX_BYTES
+"""Unsent bytes at which a caller that sends but does not read is disconnected."""
 
 
 class Handler(Protocol):
@@ -80,12 +84,17 @@
             shut_down_socket(sock)
 
         writer = Writer(sock=sock, outbox=streams.outbox, on_lost=close)
+        turns = Turns()
         try:
             while not streams.closed:
                 received = sock.recv(READ_BYTES)
                 if not received:
                     return
+                turns.take()
                 opened = streams.receive(received)
+                if streams.outbox.size > MAX_UNREAD_BYTES:
+                    detail = f"{streams.outbox.size} bytes not read by the peer"
+                    opened = Failure(kind=Kind.FRAME_TOO_LARGE, detail=detail)
                 if isinstance(opened, Failure):
                     self._log_refused(opened, address)
                     return
--- a/src/comfreytray/calls/upstreamconnection.py
+++ b/src/comfreytray/calls/upstreamconnection.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterator
 from typing import Any
 
-import eventlet
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
@@ -16,11 +15,10 @@
 from comfreytray.calls.heads import StrictResponse
 from comfreytray.common.interfaces import Address, Clock
 from comfreytray.common.keepalive import enable_keepalive
+from comfreytray.common.turns import Turns
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 65_536
-READS_PER_TURN = 8
-"""Reads without a wait after which the other greenlets get a turn."""
 MIN_TIMEOUT_S = 0.001
 _PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
@@ -35,7 +33,7 @@
         self._sock = sock
         self._clock = clock
         self._buffer = bytearray()
-        self._reads_in_turn = 0
+        self._turns = Turns()
 
     def makefile(self, mode: str) -> "ResponseReader":
         """Return itself: the standard library's response takes this for a socket."""
@@ -98,10 +96,9 @@
             try:
                 part: bytes = self._sock.fd.recv(READ_BYTES)
             except BlockingIOError:
-                self._reads_in_turn = 0
                 self._wait_readable(left_s)
                 continue
-            self._let_others_run()
+            self._turns.take()
             return part
 
     def _wait_readable(self, left_s: float) -> None:
@@ -112,13 +109,6 @@
             timeout_exc=TimeoutError,
         )
 
-    def _let_others_run(self) -> None:
-        """Yield now and then to an upstream that always has more to read."""
-        self._reads_in_turn += 1
-        if self._reads_in_turn >= READS_PER_TURN:
-            self._reads_in_turn = 0
-            eventlet.sleep(0)
-
     def _consume(self, size: int) -> bytes:
         part = bytes(self._buffer[:size])
         del self._buffer[:size]
--- a/src/comfreytray/replication/links.py
+++ b/src/comfreytray/replication/links.py
@@ -13,6 +13,7 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock
 from comfreytray.common.keepalive import enable_keepalive
+from comfreytray.common.turns import Turns
 from comfreytray.replication import frames
 
 CONNECT_TIMEOUT_S = 1.0
@@ -59,11 +60,13 @@
     def read(self) -> None:
         """Handle received frames until the connection ends."""
         decoder = frames.Decoder()
+        turns = Turns()
         try:
             while not self.is_closed:
                 received = self._sock.recv(READ_BYTES)
                 if not received:
                     return
+                turns.take()
                 self.received_at = self._clock.monotonic()
                 decoded = decoder.feed(received)
                 if isinstance(decoded, Failure):
