Keep following the store after an unexpected error, and sooner after a lost source

Cause, found by reading: an error in applying one change ended the greenlet of a feed for good; a pull that a lost source would not answer blocked further pulls for a second; a node that read the store again while an earlier watch still waited counted as not current for up to 8 s, so its followers went elsewhere.

Change: an error is logged and the feed goes on; a lost source frees the pull; a waiting watch counts as contact.

--- a/features/replication.feature
+++ b/features/replication.feature
@@ -94,3 +94,13 @@
     Given a store and 12 running nodes of one data centre
     When the owners measure that every third endpoint is slow and every fourth fails
     Then every node knows the slow and the failing endpoints
+
+  Scenario: An unexpected error in applying a change doesn't end the following
+    Given a store and 12 running nodes of one data centre
+    When applying the next change raises an error on every node, and others follow
+    Then every node has the last configuration
+
+  Scenario: A node that reads the store again while a watch still waits counts as current
+    Given a store and 12 running nodes of one data centre
+    When a node that reads the store stops doing so for a moment during a watch
+    Then it counts as current without another call
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -401,7 +401,7 @@
         self.directory.put(self.record)
         for record in members:
             self.directory.put(record)
-        self.version = 0
+        self.version = self.faulty_version = 0
         clock = SystemClock()
         self.measured = None
         self.shared = SharedMeasures(clock=clock)
@@ -429,6 +429,8 @@
     def _apply_configuration(self, objects):
         for stored in objects:
             version = int(stored.value)
+            if version == self.faulty_version:
+                raise LookupError(version)
             assert version > self.version, (version, self.version)
             self.version = version
 
@@ -585,3 +587,31 @@
 @then("every node knows the slow and the failing endpoints")
 def check_known(context):
     assert until(lambda: all(_knows_all(context, node) for node in context.nodes))
+
+
+@when("applying the next change raises an error on every node, and others follow")
+def raise_errors(context):
+    faulty_version = context.version + 1
+    for node in context.nodes:
+        node.faulty_version = faulty_version
+    _change_configuration(context)
+    eventlet.sleep(1.0)
+    for _ in range(2):
+        _change_configuration(context)
+        eventlet.sleep(0.2)
+
+
+@when("a node that reads the store stops doing so for a moment during a watch")
+def resume_during_watch(context):
+    node = _watchers(context)[0]
+    context.feed = node.configuration
+    assert until(lambda: context.feed.subscription._is_calling)
+    context.calls = node.store.calls
+    context.feed.subscription.resume()
+    context.node = node
+
+
+@then("it counts as current without another call")
+def check_still_current(context):
+    assert context.feed.subscription.is_current
+    assert context.node.store.calls == context.calls
--- a/src/comfreytray/replication/feed.py
+++ b/src/comfreytray/replication/feed.py
@@ -53,6 +53,10 @@
         self.subscription.advance(complete_to)
         return None
 
+    def forget_pull(self) -> None:
+        """Note that a pull under way may not be answered."""
+        self._pulled_at = None
+
     def wants(self, offered: Progress, now: float) -> bool:
         """Whether to pull from a source that offers this; notes a pull under way.
 
--- a/src/comfreytray/replication/replicator.py
+++ b/src/comfreytray/replication/replicator.py
@@ -31,6 +31,8 @@
 MEMBERS_POLL_S = 0.01
 RESERVE_PERIOD_S = 2.0
 """Pause between calls of a node that only probes a store that is down."""
+ERROR_PAUSE_S = 0.5
+"""Pause after an unexpected error, so that it does not repeat without end."""
 MAX_PACKED_BATCHES = 4
 """Packed answers to pulls that are kept; followers mostly lack the same objects."""
 
@@ -67,7 +69,7 @@
             clock=clock,
             sources=self._sources,
             on_frame=self._receive,
-            on_lost=self.review,
+            on_lost=self._on_source_lost,
         )
         self._followers = FollowerLinks(
             clock=clock, on_frame=self._serve_follower, on_joined=self._greet
@@ -99,11 +101,6 @@
         self._followers.__exit__(kind, error, trace)
         self._source_links.adjust(())
 
-    @property
-    def is_known(self) -> bool:
-        """Whether every feed was read once."""
-        return all(feed.is_known for feed in self._feeds)
-
     @property
     def is_blind(self) -> bool:
         """Whether this node's own calls to the store fail, or failed lately."""
@@ -132,6 +129,11 @@
         if self._measures.is_due():
             self._tell_measures()
 
+    def _on_source_lost(self) -> None:
+        for feed in self._feeds:
+            feed.forget_pull()
+        self.review()
+
     def _tell_measures(self) -> None:
         """Tell the first source of the own endpoint, or the followers of all."""
         own_id = self._node().node_id
@@ -174,20 +176,29 @@
             if number > 0 and self._is_probed_by_first(feed):
                 eventlet.sleep(TICK_S)
                 continue
-            was_known, was_current = feed.is_known, self._is_current
+            eventlet.sleep(self._step(number, feed))
+
+    def _step(self, number: int, feed: Feed) -> float:
+        """Make one call to the store; return the seconds to wait after it."""
+        was_known, was_current = feed.is_known, self._is_current
+        try:
             pause_s = feed.subscription.step()
-            self._metrics.count("store_reads")
-            if feed.subscription.is_failing:
-                self._blind_until = self._clock.monotonic() + BLIND_S
-                if self.plan.is_reserve:
-                    pause_s = max(pause_s, RESERVE_PERIOD_S)
-            elif not was_current and self._is_current:
-                self._blind_until = 0.0
-            if number == 0 and not was_known and feed.is_known:
-                self.review()
-            if was_current != self._is_current:
-                self._announce()
-            eventlet.sleep(pause_s)
+        except Exception as error:
+            # The next change may be one that can be applied.
+            logs.warn(logs.Event.INTERNAL_ERROR, feed=number, error=repr(error))
+            return ERROR_PAUSE_S
+        self._metrics.count("store_reads")
+        if feed.subscription.is_failing:
+            self._blind_until = self._clock.monotonic() + BLIND_S
+            if self.plan.is_reserve:
+                pause_s = max(pause_s, RESERVE_PERIOD_S)
+        elif not was_current and self._is_current:
+            self._blind_until = 0.0
+        if number == 0 and not was_known and feed.is_known:
+            self.review()
+        if was_current != self._is_current:
+            self._announce()
+        return pause_s
 
     def _await_members(self) -> None:
         """Wait for the first list of members, from which sources can be chosen."""
--- a/src/comfreytray/store/subscriptions.py
+++ b/src/comfreytray/store/subscriptions.py
@@ -41,6 +41,7 @@
         self._on_batch = on_batch
         self._newest_only = newest_only
         self._revision = 0
+        self._is_calling = False
         self._is_behind = False
         """Whether there may be more than one change since the revision."""
         self._failing_since: float | None = None
@@ -62,14 +63,23 @@
             self._is_behind = False
 
     def resume(self) -> None:
-        """Begin to follow the store again, after a time without calls."""
+        """Begin to follow the store again, after a time without calls.
+
+        A watch that still waits since then shows that the store can be reached.
+        """
+        if self._is_calling:
+            return
         self.is_current = False
         self._failing_since = None
 
     def step(self) -> float:
         """Make one store call; return the seconds to wait before the next step."""
         reads_newest = self._newest_only and self._is_behind and self._revision > 0
-        batch = self._read_newest() if reads_newest else self._watch()
+        self._is_calling = True
+        try:
+            batch = self._read_newest() if reads_newest else self._watch()
+        finally:
+            self._is_calling = False
         if isinstance(batch, Failure):
             return self._record_failure(batch)
         self._record_success()
