--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -86,27 +86,32 @@
     return "\r\n".join(lines).encode()
 
 
-@given("the platform's store, an endpoint and a node beside it")
-def make_node(context):
-    context.stand_in = StoreStandIn()
-    context.add_cleanup(context.stand_in.close)
-    context.upstream = Upstream(_answer)
-    context.add_cleanup(context.upstream.close)
-    options = NodeOptions(
+def node_options(upstream_port, http_address):
+    """Return the options of a node on loopback, on free ports."""
+    return NodeOptions(
         node_id="n-1",
         service="s",
         region="r",
         data_centre="d",
         host="127.0.0.1",
-        upstream=("127.0.0.1", context.upstream.port),
+        upstream=("127.0.0.1", upstream_port),
         call_port=_free_port(),
         replication_port=_free_port(),
-        http_address=("127.0.0.1", _free_port()),
+        http_address=http_address,
         capacity=86,
         heartbeat_s=1.5,
         grace_s=6.0,
         retries=RetryBudget(ratio=0.2, slack=56.0, window_s=10.0),
     )
+
+
+@given("the platform's store, an endpoint and a node beside it")
+def make_node(context):
+    context.stand_in = StoreStandIn()
+    context.add_cleanup(context.stand_in.close)
+    context.upstream = Upstream(_answer)
+    context.add_cleanup(context.upstream.close)
+    options = node_options(context.upstream.port, ("127.0.0.1", _free_port()))
     store = tpool.Proxy(PlatformStore(address=context.stand_in.address))
     context.node = ProxyNode(
         options=options,
--- a/features/steps/platform_start_steps.py
+++ b/features/steps/platform_start_steps.py
@@ -15,10 +15,10 @@
     _configuration,
     _free_port,
     configure_and_send_heartbeat,
+    node_options,
 )
 
 from comfreytray.common.exceptions import SettingError
-from comfreytray.node.options import NodeOptions, RetryBudget
 from comfreytray.node.proxynode import ProxyNode
 from comfreytray.platform import configuration, listeners
 from comfreytray.platform.headers import DIALECT
@@ -64,21 +64,7 @@
     context.add_cleanup(context.stand_in.close)
     context.upstream = Upstream(_answer)
     context.add_cleanup(context.upstream.close)
-    options = NodeOptions(
-        node_id="n-1",
-        service="s",
-        region="r",
-        data_centre="d",
-        host="127.0.0.1",
-        upstream=("127.0.0.1", context.upstream.port),
-        call_port=_free_port(),
-        replication_port=_free_port(),
-        http_address=context.addresses[0],
-        capacity=86,
-        heartbeat_s=1.5,
-        grace_s=6.0,
-        retries=RetryBudget(ratio=0.2, slack=56.0, window_s=10.0),
-    )
+    options = node_options(context.upstream.port, context.addresses[0])
     context.node = ProxyNode(
         options=options,
         store=tpool.Proxy(PlatformStore(address=context.stand_in.address)),
