--- a/src/comfreytray/platform/listeners.py
+++ b/src/comfreytray/platform/listeners.py
@@ -16,6 +16,7 @@
 """Addresses for callers, and for the heartbeats of the instance beside the node."""
 
 Address = tuple[str, int]
+"""As in `common.interfaces`, which imports more than the standard library."""
 
 
 def open_early() -> dict[Address, socket.socket]:
