Answer the callers that wait when a node is told to stop during its start

Cause: since callers may connect before the imports, a SIGTERM in that time would end the process and reset them.

Change: signals to stop are kept from the first moment on; the node starts, answers who waits and stops in order. The module is named for all that happens before the imports. The scenario fails without the handler (connection reset).

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -15,9 +15,9 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
-from comfreytray.platform import listeners  # noqa: E402
+from comfreytray.platform import earlystart  # noqa: E402
 
-early_listeners = listeners.open_early() if __name__ == "__main__" else {}
+early = earlystart.begin() if __name__ == "__main__" else None
 
 import eventlet  # noqa: E402
 
@@ -25,5 +25,5 @@
 
 from comfreytray.platform.main import main  # noqa: E402
 
-if __name__ == "__main__":
-    sys.exit(main(early_listeners))
+if early is not None:
+    sys.exit(main(early))
--- a/features/platform_start.feature
+++ b/features/platform_start.feature
@@ -23,3 +23,9 @@
     When versions change, add, remove and restore routes
     Then each snapshot is the same as one decoded from nothing
     And only the routes that changed were built again
+
+  Scenario: A planned stop during the start answers the callers that wait
+    Given the settings of a node whose store can't be reached
+    When its process is told to stop while it makes its imports and a caller waits
+    Then the caller gets an answer that says the call has not run
+    And the process ends with success
--- a/features/steps/platform_start_steps.py
+++ b/features/steps/platform_start_steps.py
@@ -2,6 +2,9 @@
 import itertools
 import json
 import os
+import signal
+import subprocess
+import sys
 import tempfile
 from pathlib import Path
 
@@ -20,22 +23,23 @@
 
 from comfreytray.common.exceptions import SettingError
 from comfreytray.node.proxynode import ProxyNode
-from comfreytray.platform import configuration, listeners
+from comfreytray.platform import configuration, earlystart
 from comfreytray.platform.headers import DIALECT
 from comfreytray.platform.objectstore import PlatformStore
 from comfreytray.platform.settings import load
 from standins.platform_store import StoreStandIn
+from standins.processes import ROOT, python_environment
 
 
 def _open_early(path):
-    before = os.environ.get(listeners.FILE_VARIABLE)
-    os.environ[listeners.FILE_VARIABLE] = str(path)
+    before = os.environ.get(earlystart.FILE_VARIABLE)
+    os.environ[earlystart.FILE_VARIABLE] = str(path)
     try:
-        return listeners.open_early()
+        return earlystart.open_early()
     finally:
-        del os.environ[listeners.FILE_VARIABLE]
+        del os.environ[earlystart.FILE_VARIABLE]
         if before is not None:
-            os.environ[listeners.FILE_VARIABLE] = before
+            os.environ[earlystart.FILE_VARIABLE] = before
 
 
 @given("the sockets of a node that has not made its imports yet")
@@ -174,3 +178,75 @@
     for before, after in itertools.pairwise(snapshots):
         built.append(sum(before.get(name) is not after[name] for name in after))
     assert built == [1, 0, 2], built
+
+
+@given("the settings of a node whose store can't be reached")
+def make_process_settings(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    names = ("outbound", "inbound", "ready", "control")
+    context.address_by_name = {name: ("127.0.0.1", _free_port()) for name in names}
+    plain = {
+        "node_name": "n",
+        "service": "s",
+        "ip": "127.0.0.1",
+        "zone": "d",
+        "region": "r",
+        "listen": {n: f"{h}:{p}" for n, (h, p) in context.address_by_name.items()},
+        "port_range": [_free_port(), 65535],
+        "limits": {"cpu_share": 1.0, "cores": 1},
+        "heartbeat_s": 1.5,
+        "bounds": [
+            "grace_s=6",
+            "retry_budget_ratio=0.2",
+            "retry_slack=56",
+            "budget_window_s=10",
+        ],
+        "app_address": f"127.0.0.1:{_free_port()}",
+        "platform": {"address": f"127.0.0.1:{_free_port()}"},
+    }
+    context.settings_path = Path(folder.name) / "node.json"
+    context.settings_path.write_text(json.dumps(plain))
+
+
+@when("its process is told to stop while it makes its imports and a caller waits")
+def stop_during_start(context):
+    context.process = subprocess.Popen(
+        [sys.executable, str(ROOT / "deploy" / "node.py")],
+        env={
+            **python_environment(),
+            earlystart.FILE_VARIABLE: str(context.settings_path),
+        },
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+    context.add_cleanup(context.process.wait)
+    context.add_cleanup(context.process.kill)
+    address = context.address_by_name["outbound"]
+    assert until(lambda: _connects(context, address))
+    head = f"GET /a/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: q\r\n"
+    context.sock.sendall((head + "X-Deadline-Ms: 5000\r\n\r\n").encode())
+    context.process.send_signal(signal.SIGTERM)
+
+
+def _connects(context, address):
+    try:
+        context.sock = socket.create_connection(address)
+    except OSError:
+        return False
+    context.add_cleanup(context.sock.close)
+    return True
+
+
+@then("the caller gets an answer that says the call has not run")
+def check_not_run(context):
+    got = read_answer(context.sock)
+    assert got.status == 503, (got.status, got.body)
+
+
+@then("the process ends with success")
+def check_ended(context):
+    assert until(lambda: context.process.poll() is not None)
+    output = context.process.stdout.read().decode()
+    assert context.process.returncode == 0, output
+    assert "event=node-stopped" in output
--- a/src/comfreytray/platform/listeners.py
+++ b/src/comfreytray/platform/earlystart.py
@@ -1,13 +1,16 @@
-"""Listening sockets that are opened before the imports of a node.
+"""What a node does before its imports, which take a second on a small machine.
 
-The imports take a second on a small machine. Callers and the instance beside the node
-that connect meanwhile wait in the queue of the socket; without it they would be refused
-and use up their retries. Only the standard library is imported here.
+Callers and the instance beside the node that connect meanwhile wait in the queue of a
+socket; without it they would be refused and use up their retries. A signal to stop that
+comes meanwhile is kept, so that these callers are answered before the node ends. Only
+the standard library is imported here.
 """
 
 import json
 import os
+import signal
 import socket
+from types import FrameType
 
 FILE_VARIABLE = "COMFREYTRAY_NODE_FILE"
 """Environment variable that holds the path of the settings file."""
@@ -19,6 +22,27 @@
 """As in `common.interfaces`, which imports more than the standard library."""
 
 
+class EarlyStart:
+    """The sockets that listen already, and whether the node was told to stop."""
+
+    def __init__(self) -> None:
+        self.listeners: dict[Address, socket.socket] = {}
+        self.is_stop_requested = False
+
+    def request_stop(self, _: int, __: FrameType | None) -> None:
+        """Handle a signal to stop."""
+        self.is_stop_requested = True
+
+
+def begin() -> EarlyStart:
+    """Keep signals to stop and open the listening sockets."""
+    early = EarlyStart()
+    signal.signal(signal.SIGTERM, early.request_stop)
+    signal.signal(signal.SIGINT, early.request_stop)
+    early.listeners = open_early()
+    return early
+
+
 def open_early() -> dict[Address, socket.socket]:
     """Listen on the addresses in the settings file; skip what is missing or invalid.
 
--- a/src/comfreytray/platform/main.py
+++ b/src/comfreytray/platform/main.py
@@ -3,8 +3,6 @@
 import gc
 import os
 import signal
-import socket
-from collections.abc import Mapping
 from pathlib import Path
 from types import FrameType
 
@@ -14,9 +12,9 @@
 from comfreytray.common.exceptions import SettingError
 from comfreytray.node.proxynode import ProxyNode
 from comfreytray.platform import configuration
+from comfreytray.platform.earlystart import FILE_VARIABLE, EarlyStart
 from comfreytray.platform.headers import DIALECT
 from comfreytray.platform.interfaces import Exposition, Heartbeats, Readiness
-from comfreytray.platform.listeners import FILE_VARIABLE, Address
 from comfreytray.platform.objectstore import PlatformStore
 from comfreytray.platform.settings import PlatformSettings, load
 
@@ -24,11 +22,8 @@
 """As in deploy/system.toml; outside the range of ports that the platform assigns."""
 
 
-def main(listeners: Mapping[Address, socket.socket]) -> int:
-    """Run a node until SIGTERM or SIGINT; return the exit code.
-
-    `listeners` are sockets that listen already, by their address.
-    """
+def main(early: EarlyStart) -> int:
+    """Run a node until SIGTERM or SIGINT; return the exit code."""
     logs.configure("info", to_standard_output=True)
     path = Path(os.environ.get(FILE_VARIABLE, ""))
     try:
@@ -37,7 +32,7 @@
         logs.warn(logs.Event.SETTING_REFUSED, reason=str(error))
         return error.exit_code
     with PlatformStore(address=settings.store_address) as store:
-        _run(settings, store, path, listeners)
+        _run(settings, store, path, early)
     return 0
 
 
@@ -45,7 +40,7 @@
     settings: PlatformSettings,
     store: PlatformStore,
     path: Path,
-    listeners: Mapping[Address, socket.socket],
+    early: EarlyStart,
 ) -> None:
     node = ProxyNode(
         options=settings.node_options,
@@ -53,7 +48,7 @@
         configuration_key=configuration.OBJECT_KEY,
         decode_configuration=configuration.Decoder(),
         dialect=DIALECT,
-        listeners=listeners,
+        listeners=early.listeners,
     )
 
     # A signal may interrupt any green thread, so the event loop does the work.
@@ -66,6 +61,8 @@
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     signal.signal(signal.SIGHUP, reload)
+    if early.is_stop_requested:
+        node.ask_to_stop()
     with node:
         node.serve(settings.ready_address, Readiness(is_ready=lambda: node.is_ready))
         node.serve(
