Answer a request that arrives as a planned stop shuts its idle connection

A caller that hangs up on such a connection is noticed at the deadline only.

Measured: the new scenario of planned_stop fails without the change (499) and passes with it.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -17,3 +17,8 @@
     When the stop begins while a slow request runs
     Then the request runs once and its whole answer arrives
     And the connection is closed and a new connection is refused
+
+  Scenario: A request that arrives as its idle connection is shut is answered
+    Given a node whose caller has an idle connection and whose upstream takes 0.3 s
+    When the stop begins and a request arrives before the end of input is noticed
+    Then the request runs once and is answered by the upstream
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -1,13 +1,15 @@
 import eventlet
 from behave import given, then, when
+from calls_rig import Fleet, answer, read_answer
 from eventlet.green import socket
 
-from comfreytray.calls import httpserver
+from comfreytray.calls import callers, httpserver
 from comfreytray.calls.callers import CallerConnections, Listener
 from comfreytray.common.clock import SystemClock
 
 REQUEST = b"GET /%s HTTP/1.1\r\nHost: a.example\r\n\r\n"
 ANSWER = b"x" * 100_000
+_NODE_REQUEST = b"GET /%s HTTP/1.1\r\nHost: canhdieu.test\r\n\r\n"
 
 
 class _CallPathStub:
@@ -118,3 +120,40 @@
         raise AssertionError("a new connection was accepted")
     context.listener.end()
     context.server.wait()
+
+
+@given("a node whose caller has an idle connection and whose upstream takes 0.3 s")
+def make_node(context):
+    def script(head, body):
+        eventlet.sleep(0.3)
+        return answer(200, b"ok")
+
+    context.fleet = Fleet()
+    context.add_cleanup(context.fleet.__exit__)
+    context.fleet.add("a", script=script)
+    context.sock = context.fleet.raw("a", _NODE_REQUEST % b"first")
+    assert read_answer(context.sock).status == 200
+
+
+@when("the stop begins and a request arrives before the end of input is noticed")
+def stop_at_request(context):
+    shut_down = callers.shut_down_reading
+
+    def shut_down_then_send(sock):
+        shut_down(sock)
+        context.sock.fd.sendall(_NODE_REQUEST % b"second")
+
+    callers.shut_down_reading = shut_down_then_send
+    try:
+        path = context.fleet.path_by_id["a"]
+        context.finished = eventlet.spawn(path.callers.stop, 5.0)
+        context.got = read_answer(context.sock)
+    finally:
+        callers.shut_down_reading = shut_down
+
+
+@then("the request runs once and is answered by the upstream")
+def check_answered(context):
+    assert (context.got.status, context.got.body) == (200, b"ok"), context.got.status
+    assert context.fleet.upstream_by_id["a"].ran == ["/first", "/second"]
+    assert context.finished.wait()
--- a/src/comfreytray/calls/callers.py
+++ b/src/comfreytray/calls/callers.py
@@ -17,6 +17,10 @@
     def __init__(self) -> None:
         self.idle_sockets: set[Any] = set()
         self.busy_sockets: set[Any] = set()
+        self.shut_sockets: set[Any] = set()
+        """Connections whose read side this node has shut down; a request that arrived
+        meanwhile still runs, and an end of input there does not mean that the caller
+        has hung up."""
         self.stopping = False
 
     def mark_idle(self, sock: Any) -> None:
@@ -24,7 +28,12 @@
         self.busy_sockets.discard(sock)
         self.idle_sockets.add(sock)
         if self.stopping:
-            shut_down_reading(sock)
+            self.shut_reading(sock)
+
+    def shut_reading(self, sock: Any) -> None:
+        """Read no further request from a connection."""
+        self.shut_sockets.add(sock)
+        shut_down_reading(sock)
 
     def mark_busy(self, sock: Any) -> None:
         """Record that a connection carries a request."""
@@ -35,6 +44,7 @@
         """Stop tracking a connection."""
         self.idle_sockets.discard(sock)
         self.busy_sockets.discard(sock)
+        self.shut_sockets.discard(sock)
 
     def stop(self, timeout_s: float) -> bool:
         """Close idle connections and wait for busy ones; false if some did not finish.
@@ -44,7 +54,7 @@
         self.stopping = True
         for sock in list(self.idle_sockets):
             if not _has_pending_input(sock):
-                shut_down_reading(sock)
+                self.shut_reading(sock)
         with eventlet.Timeout(timeout_s, False):
             while self.idle_sockets or self.busy_sockets:
                 eventlet.sleep(POLL_S)
--- a/src/comfreytray/calls/httpserver.py
+++ b/src/comfreytray/calls/httpserver.py
@@ -14,7 +14,7 @@
 from eventlet import wsgi
 
 from comfreytray.calls.bodies import StrictInput
-from comfreytray.calls.callers import CallerConnections, shut_down_reading
+from comfreytray.calls.callers import CallerConnections
 from comfreytray.calls.heads import (
     MAX_LINE_BYTES,
     Fields,
@@ -86,7 +86,7 @@
             self.pipeline = Pipeline(
                 target=self.wfile,
                 on_idle=lambda: context.callers.mark_idle(self.connection),
-                on_close=lambda: shut_down_reading(self.connection),
+                on_close=lambda: context.callers.shut_reading(self.connection),
             )
             try:
                 super().handle()
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -130,8 +130,10 @@
             retry_limits=retry_limits,
         )
         self.keyed = self._build_keyed_calls(node, members, store, random)
+        self.callers = CallerConnections()
         self.reaper = Reaper(
             clock=clock,
+            callers=self.callers,
             owner=self.owner,
             client=self.client,
             router=self.router,
@@ -139,7 +141,6 @@
         )
         self.head_started_by_socket = self.reaper.head_started_by_socket
         self._reaper_greenlet: Any = None
-        self.callers = CallerConnections()
         self._listener: Listener | None = None
 
     def _build_keyed_calls(
--- a/src/comfreytray/calls/reaper.py
+++ b/src/comfreytray/calls/reaper.py
@@ -7,6 +7,7 @@
 from attrs import define
 
 from comfreytray.calls.call import CallCancelledError
+from comfreytray.calls.callers import CallerConnections
 from comfreytray.calls.connections import StreamClient
 from comfreytray.calls.httpserver import HEAD_TIMEOUT_S
 from comfreytray.calls.owner import Owner
@@ -42,12 +43,14 @@
         self,
         *,
         clock: Clock,
+        callers: CallerConnections,
         owner: Owner,
         client: StreamClient,
         router: Router,
         keyed: "KeyedCalls | None",
     ) -> None:
         self.clock = clock
+        self.callers = callers
         self.owner = owner
         self.client = client
         self.router = router
@@ -92,9 +95,11 @@
         """Cancel calls whose callers hung up and close connections with slow heads."""
         now = self.clock.monotonic()
         for tracked in list(self.tracked_calls):
-            if now - tracked.started_at >= CALLER_CHECK_DELAY_S and _has_hung_up(
-                tracked.sock
-            ):
+            if now - tracked.started_at < CALLER_CHECK_DELAY_S:
+                continue
+            if tracked.sock in self.callers.shut_sockets:
+                continue
+            if _has_hung_up(tracked.sock):
                 self.tracked_calls.discard(tracked)
                 eventlet.kill(tracked.greenlet, CallCancelledError())
         for sock, started_at in list(self.head_started_by_socket.items()):
