--- a/features/replication.feature
+++ b/features/replication.feature
@@ -104,3 +104,8 @@
     Given a store and 12 running nodes of one data centre
     When a node that reads the store stops doing so for a moment during a watch
     Then it counts as current without another call
+
+  Scenario: A choice that stays the same is not logged again
+    Given a store and 12 running nodes of one data centre
+    When the records of all nodes change 5 times
+    Then no node has logged another choice of its sources
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -1,5 +1,6 @@
 import random
 import zlib
+from functools import partial
 
 import attrs
 import eventlet
@@ -13,12 +14,13 @@
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
+from comfreytray.common.logs import Event
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import MembershipView, NodeRecord
 from comfreytray.membership import directory
 from comfreytray.membership.directory import Directory
 from comfreytray.node.storefeeds import StoreFeeds
-from comfreytray.replication import frames
+from comfreytray.replication import frames, replicator
 from comfreytray.replication.measures import MeasureExchange
 from comfreytray.replication.replica import Progress, Replica
 from comfreytray.replication.replicator import Replicator
@@ -615,3 +617,37 @@
 def check_still_current(context):
     assert context.feed.subscription.is_current
     assert context.node.store.calls == context.calls
+
+
+@when("the records of all nodes change {count:d} times")
+def change_records(context, count):
+    context.logged = []
+    log = replicator.logs.log
+    replicator.logs.log = lambda event, **fields: context.logged.append(event)
+    try:
+        for revision in range(1, count + 1):
+            for node in context.nodes:
+                record = attrs.evolve(node.record, endpoint_revision=revision)
+                context.shared.put(
+                    directory.key_of(record.node_id),
+                    directory.encode(record),
+                    expected_version=None,
+                )
+            assert until(partial(_has_revision, context, revision))
+            eventlet.sleep(0.3)
+    finally:
+        replicator.logs.log = log
+
+
+def _has_revision(context, revision):
+    return all(
+        record.endpoint_revision == revision
+        for node in context.nodes
+        for node_id, record in node.directory.view.by_id.items()
+        if node_id != node.record.node_id
+    )
+
+
+@then("no node has logged another choice of its sources")
+def check_not_logged(context):
+    assert Event.SOURCES_CHOSEN not in context.logged, context.logged
--- a/src/comfreytray/replication/replicator.py
+++ b/src/comfreytray/replication/replicator.py
@@ -155,7 +155,7 @@
             for feed, wake in zip(self._feeds, self._wake_by_feed, strict=True):
                 feed.subscription.resume()
                 wake.fire()
-        if plan != before:
+        if plan.summary != before.summary:
             logs.log(
                 logs.Event.SOURCES_CHOSEN,
                 watches=plan.watches,
--- a/src/comfreytray/replication/sources.py
+++ b/src/comfreytray/replication/sources.py
@@ -83,6 +83,12 @@
     is_reserve: bool = False
     """Whether the store counts as down and the node only probes it now and then."""
 
+    @property
+    def summary(self) -> tuple[object, ...]:
+        """Return what was decided, without the state of the nodes that are followed."""
+        ids = tuple(record.node_id for record in self.follows)
+        return (ids, self.watches, self.rank, self.is_reserve)
+
 
 class Sources:
     """Chooses sources from the members and from what connections have shown."""
