Believe an owner whose endpoint fails every call

Cause, found by reading: an endpoint that never succeeds has no times, and what its owner told of it was passed over as a whole. Change: it counts as of average speed, so that its failures count. The scenario fails without the change.

--- a/features/calls_routing.feature
+++ b/features/calls_routing.feature
@@ -34,3 +34,8 @@
     When an owner measures calls of two instances one after the other
     Then it tells nothing of an instance before its eighth call
     And a node forgets what it was told after 6 s
+
+  Scenario: An endpoint that fails every call is avoided by what its owner told
+    Given 2 endpoints of a service of which one fails every call
+    When the owners tell a node that has called neither
+    Then each of 50 picks is the endpoint that works
--- a/features/steps/calls_measures_steps.py
+++ b/features/steps/calls_measures_steps.py
@@ -154,3 +154,23 @@
     shared.learn({"n": context.reports[-1]})
     assert shared.slowdown("n", clock.now + VALID_S) == 1.0
     assert shared.slowdown("n", clock.now + VALID_S + 0.1) is None
+
+
+@given("{endpoints:d} endpoints of a service of which one fails every call")
+def make_failing(context, endpoints):
+    context.group = _Group(1, endpoints, shares=True)
+    for number, own in enumerate(context.group.owner_by_id.values()):
+        for _ in range(MIN_CALLS):
+            own.record(instance_id="i", kind="k", took_s=0.3, failed=number == 0)
+
+
+@when("the owners tell a node that has called neither")
+def tell(context):
+    context.group._share()
+
+
+@then("each of {count:d} picks is the endpoint that works")
+def check_picks(context, count):
+    router = context.group.routers[0]
+    picks = [router.pick("s", kind="k", target_s=1.0).node_id for _ in range(count)]
+    assert picks == ["n-1"] * count, picks
--- a/src/comfreytray/calls/measures.py
+++ b/src/comfreytray/calls/measures.py
@@ -94,16 +94,19 @@
         return 0.0 if told is None else told.failure_share
 
     def slowdown(self, node_id: str, now: float) -> float | None:
-        """Return an endpoint's mean time relative to all; None if nothing was told."""
+        """Return an endpoint's mean time relative to all; None if nothing was told.
+
+        An endpoint that fails all its calls has no times and counts as an average one.
+        """
         told = self._told(node_id, now)
-        if told is None or not told.service_time_s_by_kind:
+        if told is None:
             return None
         ratios = [
             took_s / self._mean_s_by_kind[kind]
             for kind, took_s in told.service_time_s_by_kind.items()
             if self._mean_s_by_kind.get(kind, 0.0) > 0.0
         ]
-        return sum(ratios) / len(ratios) if ratios else None
+        return sum(ratios) / len(ratios) if ratios else 1.0
 
     def _told(self, node_id: str, now: float) -> Measures | None:
         told_at, measures = self._told_by_id.get(node_id, (-VALID_S, None))
