--- a/src/comfreytray/replication/frames.py
+++ b/src/comfreytray/replication/frames.py
@@ -126,6 +126,7 @@
             max_buffer_size=MAX_PACKED_BYTES + 1024,
             max_bin_len=MAX_PACKED_BYTES,
             max_str_len=MAX_ID_BYTES,
+            # No frame has more fields than a source may have feeds.
             max_array_len=MAX_FEEDS,
             max_map_len=0,
             max_ext_len=0,
