Show that a departure without a start time is acknowledged and forgotten

The older test of a departure that is the first message gave it a start time, which departures on the wire don't carry.

--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -15,6 +15,11 @@
     When heartbeats from before the departure arrive and the instance starts again
     Then only the heartbeat of the new start lets the instance accept calls
 
+  Scenario: A delayed heartbeat after an acknowledged departure brings no instance back
+    Given nodes that hold no instance, an earlier instance or a lapsed one
+    When a departure without a start time is acknowledged and an earlier heartbeat arrives
+    Then the instance accepts no calls until it has started again
+
   Scenario: Malformed heartbeats are refused and change nothing
     Given the control address of a node
     When heartbeats arrive that lack fields, have wrong types or are unreadable
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -137,6 +137,44 @@
     assert new is not None and new.endpoint.state is READY
 
 
+@given("nodes that hold no instance, an earlier instance or a lapsed one")
+def make_nodes(context):
+    context.clock = FakeClock()
+    context.registers = [_register(context.clock) for _ in range(3)]
+    _, after_another, after_lapse = context.registers
+    after_another.receive(_heartbeat(1, 1, READY, instance_id="another"))
+    after_lapse.receive(_heartbeat(1000, 2, READY))
+    after_lapse.replaced("i")
+
+
+@when(
+    "a departure without a start time is acknowledged and an earlier heartbeat arrives"
+)
+def acknowledge_departures(context):
+    context.late, context.restarted = [], []
+    apps = [
+        Heartbeats(register=register, service="s", upstream=UPSTREAM)
+        for register in context.registers
+    ]
+    for app in apps:
+        assert _ask(app, "DELETE", "/-/instances/i") == 200
+    context.clock.now += 3.0
+    for app, register in zip(apps, context.registers, strict=True):
+        assert _ask(app, "PUT", "/-/instances/i", HEARTBEAT) == 200
+        context.late.append(register.upstream)
+    started_ms = int(context.clock.wall() * 1000)
+    restart = {**HEARTBEAT, "sequence": 1, "born": started_ms}
+    for app, register in zip(apps, context.registers, strict=True):
+        assert _ask(app, "PUT", "/-/instances/i", restart) == 200
+        context.restarted.append(register.upstream)
+
+
+@then("the instance accepts no calls until it has started again")
+def check_after_departures(context):
+    assert context.late == [None] * 3, context.late
+    assert all(up.endpoint.state is READY for up in context.restarted)
+
+
 @given("the control address of a node")
 def make_control(context):
     context.register = _register()
