Let a restarted node know the departures that it acknowledged before

Callers would see a request run at an instance that had left: a node acknowledges the leaving, restarts, and takes a heartbeat from before it for news.

Cause: what a node has acknowledged was kept in its memory only. Its stored record said "draining" or nothing, and a starting node did not read even that.

Change: a node's record names the last departure (instance, and before which start), in the write that it makes anyway. A starting node takes it from the list of members that it reads anyway, and shows no instance before that, or for a second if there is no list. A departure in the last milliseconds before a kill, whose write didn't go out, is still forgotten. Making the record moves from proxynode to a module of its own.

Ruled out: waiting with the acknowledgement for the store's answer (heartbeats must be confirmed while the store is away).

--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -20,6 +20,11 @@
     When a departure without a start time is acknowledged and an earlier heartbeat arrives
     Then the instance accepts no calls until it has started again
 
+  Scenario: A restarted node brings back no instance whose leaving it acknowledged before
+    Given records of nodes that stopped after their instance had left in several ways
+    When the nodes start again and a heartbeat from before arrives, early or late
+    Then the instance accepts no calls until it has started again
+
   Scenario: Malformed heartbeats are refused and change nothing
     Given the control address of a node
     When heartbeats arrive that lack fields, have wrong types or are unreadable
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -4,8 +4,12 @@
 
 from behave import given, then, when
 
+from comfreytray.common.interfaces import StoredObject
 from comfreytray.common.records import Endpoint, EndpointState, LocalUpstream
+from comfreytray.membership.directory import Directory, encode
 from comfreytray.membership.heartbeats import Heartbeat, InstanceRegister, Receipt
+from comfreytray.node.noderecord import RecordSource
+from comfreytray.node.options import NodeOptions
 from comfreytray.platform.interfaces import Heartbeats, Readiness
 from comfreytray.testing import FakeClock
 
@@ -23,9 +27,12 @@
 }
 
 
-def _register(clock=None):
+def _register(clock=None, **options):
     return InstanceRegister(
-        clock=clock or FakeClock(), heartbeat_s=1.5, on_change=lambda endpoint: None
+        clock=clock or FakeClock(),
+        heartbeat_s=1.5,
+        on_change=lambda endpoint: None,
+        **options,
     )
 
 
@@ -142,6 +149,7 @@
 @given("nodes that hold no instance, an earlier instance or a lapsed one")
 def make_nodes(context):
     context.clock = FakeClock()
+    context.expected_ids = [None, "another", None]
     context.registers = [_register(context.clock) for _ in range(3)]
     _, after_another, after_lapse = context.registers
     after_another.receive(_heartbeat(1, 1, READY, instance_id="another"))
@@ -174,11 +182,73 @@
 @then("the instance accepts no calls until it has started again")
 def check_after_departures(context):
     ids = [up and up.endpoint.instance_id for up in context.late]
-    assert ids == [None, "another", None], ids
+    assert ids == context.expected_ids, ids
     assert all(up.endpoint.instance_id == "i" for up in context.restarted)
     assert all(up.endpoint.state is READY for up in context.restarted)
 
 
+@given("records of nodes that stopped after their instance had left in several ways")
+def make_records(context):
+    context.records = []
+    for leave in (
+        lambda register: register.receive(_heartbeat(1000, 5, DRAINING)),
+        lambda register: register.leave("i", None),
+        lambda register: register.leave("i", 1000),
+    ):
+        register = _register()
+        source = _record_source(register, incarnation=1)
+        register.receive(_heartbeat(1000, 3, READY))
+        leave(register)
+        context.records.append(source.current())
+    register = _register()
+    register.leave("i", None)
+    context.records.append(_record_source(register, incarnation=1).current())
+    context.expected_ids = [None] * 8
+
+
+def _record_source(register, incarnation):
+    options = NodeOptions(
+        node_id="n",
+        region="r",
+        data_centre="d",
+        host="127.0.0.1",
+        upstream=UPSTREAM,
+        call_port=1,
+        replication_port=2,
+        http_address=("127.0.0.1", 3),
+        service="s",
+        heartbeat_s=1.5,
+        grace_s=6.0,
+        retries=None,
+        capacity=86,
+    )
+    return RecordSource(options=options, register=register, incarnation=incarnation)
+
+
+@when("the nodes start again and a heartbeat from before arrives, early or late")
+def restart_nodes(context):
+    context.late, context.restarted = [], []
+    for record, is_early in itertools.product(context.records, (True, False)):
+        register = _register(held=True)
+        directory = Directory(
+            clock=FakeClock(),
+            on_earlier_self=lambda stored, held=register: held.restore(
+                stored.departure
+            ),
+        )
+        directory.put(_record_source(register, incarnation=2).current())
+        if is_early:
+            register.receive(_heartbeat(1000, 4, READY))
+        assert register.upstream is None
+        stored = StoredObject(key="members/n", value=encode(record), version=7)
+        directory.apply([stored])
+        register.release()
+        register.receive(_heartbeat(1000, 4, READY))
+        context.late.append(register.upstream)
+        register.receive(_heartbeat(2_000_000, 1, READY))
+        context.restarted.append(register.upstream)
+
+
 @given("the control address of a node")
 def make_control(context):
     context.register = _register()
--- a/src/comfreytray/common/records.py
+++ b/src/comfreytray/common/records.py
@@ -50,6 +50,15 @@
     endpoint: Endpoint
 
 
+@frozen(kw_only=True)
+class Departure:
+    """The leaving of an instance that its node has acknowledged."""
+
+    instance_id: str
+    before_ms: int
+    """It concerns the lifetimes that started before, in ms since the epoch."""
+
+
 @frozen(kw_only=True)
 class NodeRecord:
     """What a node publishes about itself to the other nodes."""
@@ -67,6 +76,8 @@
     endpoint: Endpoint | None = None
     endpoint_revision: int = 0
     """Increases with each change of `endpoint` within an incarnation."""
+    departure: Departure | None = None
+    """The last departure, which the node's next incarnation must know."""
 
     @property
     def control_address(self) -> Address:
--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -1,7 +1,7 @@
 """The directory of members, read from the records that nodes write to the store."""
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -9,6 +9,7 @@
 from comfreytray.common import logs
 from comfreytray.common.interfaces import Clock, StoredObject
 from comfreytray.common.records import (
+    Departure,
     Endpoint,
     EndpointState,
     MembershipView,
@@ -74,6 +75,7 @@
         state=NodeState(plain["state"]),
         endpoint=None if endpoint is None else _endpoint(endpoint),
         endpoint_revision=_non_negative_int(plain["endpoint_revision"]),
+        departure=_departure(plain.get("departure")),
     )
 
 
@@ -87,6 +89,16 @@
     )
 
 
+def _departure(plain: Mapping[str, Any] | None) -> Departure | None:
+    """Decode the departure of a record; nodes of earlier versions write none."""
+    if plain is None:
+        return None
+    return Departure(
+        instance_id=_text(plain["instance_id"]),
+        before_ms=_non_negative_int(plain["before_ms"]),
+    )
+
+
 def _text(value: object) -> str:
     if not isinstance(value, str):
         raise TypeError("not a string")
@@ -102,8 +114,15 @@
 class Directory:
     """Hold the newest stored revision of each member's record."""
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        on_earlier_self: Callable[[NodeRecord], None] = lambda _: None,
+    ) -> None:
+        """Create it; `on_earlier_self` gets the record of an earlier incarnation."""
         self._clock = clock
+        self._on_earlier_self = on_earlier_self
         self._revision_by_id: dict[str, int] = {}
         self._cold_until_by_id: dict[str, float] = {}
         self._record_by_id: dict[str, NodeRecord] = {}
@@ -159,6 +178,8 @@
             return False
         record, capacity = decoded
         if node_id == self._own_id:
+            if record.incarnation != self._record_by_id[node_id].incarnation:
+                self._on_earlier_self(record)
             return False
         held = self._record_by_id.get(node_id)
         self._record_by_id[node_id] = record
--- a/src/comfreytray/membership/heartbeats.py
+++ b/src/comfreytray/membership/heartbeats.py
@@ -9,7 +9,12 @@
 from comfreytray.common import logs
 from comfreytray.common.charts import load_chart
 from comfreytray.common.interfaces import Clock
-from comfreytray.common.records import Endpoint, EndpointState, LocalUpstream
+from comfreytray.common.records import (
+    Departure,
+    Endpoint,
+    EndpointState,
+    LocalUpstream,
+)
 from comfreytray.membership.departures import Departures
 
 LEASE_HEARTBEATS = 6
@@ -27,6 +32,11 @@
     """Milliseconds since the epoch, by the instance's own clock."""
     instance_id: str
 
+    @property
+    def departure(self) -> Departure:
+        """Return the departure that ends this lifetime and earlier ones."""
+        return Departure(instance_id=self.instance_id, before_ms=self.started_ms + 1)
+
 
 @frozen(kw_only=True)
 class Heartbeat:
@@ -60,6 +70,9 @@
     A lifetime that has left never receives calls again, even if the node has not known
     it before, and a later lifetime replaces an earlier one at once, so late or repeated
     messages have no effect.
+
+    A held register acknowledges messages but shows no instance, until it has learnt the
+    departure that an earlier incarnation of the node acknowledged.
     """
 
     def __init__(
@@ -68,10 +81,12 @@
         clock: Clock,
         heartbeat_s: float,
         on_change: Callable[[Endpoint | None], None],
+        held: bool = False,
     ) -> None:
         self._clock = clock
         self._lease_s = heartbeat_s * LEASE_HEARTBEATS
         self._on_change = on_change
+        self._held = held
         self._departures = Departures(clock=clock)
         self._state = _CHART.initial
         self._lifetime: Lifetime | None = None
@@ -84,13 +99,33 @@
     def upstream(self) -> LocalUpstream | None:
         """Return the instance in its current state, None if its lease has lapsed."""
         self.tick()
-        return self._upstream
+        return None if self._held else self._upstream
+
+    @property
+    def departure(self) -> Departure | None:
+        """Return the last departure, which the node's next incarnation must know."""
+        return self._departures.last
+
+    def restore(self, departure: Departure) -> None:
+        """Learn a departure that an earlier incarnation of the node acknowledged."""
+        self._departures.restore(departure)
+        held = self._lifetime
+        if held is None or not self._has_departed(held) or self._upstream is None:
+            return
+        self._step("left", self._upstream.endpoint)
+        self._upstream = None
+        self._publish(None)
+
+    def release(self) -> None:
+        """Show the instance from now on."""
+        self._held = False
+        self._publish(self._upstream.endpoint if self._upstream else None)
 
     def receive(self, heartbeat: Heartbeat) -> Receipt:
         """Process a heartbeat and renew the lease."""
         self.tick()
         lifetime = heartbeat.lifetime
-        if self._departures.include(lifetime.instance_id, lifetime.started_ms):
+        if self._has_departed(lifetime) and lifetime != self._lifetime:
             return Receipt.STALE
         if not self._accept_lifetime(lifetime):
             return Receipt.STALE
@@ -119,7 +154,8 @@
             if not self._accept_lifetime(lifetime):
                 return Receipt.STALE
         elif held is None or held.instance_id != instance_id:
-            self._departures.record(instance_id)
+            self._departures.record_now(instance_id)
+            self._on_change(self._published)
             logs.log(logs.Event.ENDPOINT_LEAVING, instance=instance_id, state="unknown")
             return Receipt.ACCEPTED
         endpoint = self._upstream.endpoint if self._upstream else None
@@ -167,14 +203,18 @@
         self._upstream = None
         return True
 
+    def _has_departed(self, lifetime: Lifetime) -> bool:
+        return self._departures.include(lifetime.instance_id, lifetime.started_ms)
+
     def _step(self, event: str, endpoint: Endpoint | None) -> None:
         before = self._state
         self._state = _CHART.step(before, event)
         if before == self._state or self._lifetime is None:
             return
-        name = logs.Event.ENDPOINT_LEAVING
-        if self._state == _SERVING:
-            name = logs.Event.ENDPOINT_ANNOUNCED
+        name = logs.Event.ENDPOINT_ANNOUNCED
+        if self._state != _SERVING:
+            name = logs.Event.ENDPOINT_LEAVING
+            self._departures.record(self._lifetime.departure)
         logs.log(
             name,
             service=endpoint.service if endpoint else "",
@@ -185,7 +225,7 @@
         )
 
     def _publish(self, endpoint: Endpoint | None) -> None:
-        if endpoint == self._published:
+        if endpoint == self._published or self._held:
             return
         self._published = endpoint
         self._on_change(endpoint)
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -30,6 +30,7 @@
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.heartbeats import InstanceRegister
 from comfreytray.membership.ownrecord import OwnRecord
+from comfreytray.node.noderecord import RecordSource
 from comfreytray.node.options import NodeOptions
 from comfreytray.node.storefeeds import MEMBERS_WAIT_S, StoreFeeds
 from comfreytray.replication.measures import MeasureExchange
@@ -78,14 +79,18 @@
         self.random = random.Random()
         self.metrics = Metrics()
         self.snapshot: Snapshot | None = None
-        self.directory = Directory(clock=self.clock)
-        self.state = NodeState.ALIVE
-        self._record: NodeRecord | None = None
+        self.directory = Directory(
+            clock=self.clock, on_earlier_self=self._learn_own_departure
+        )
         self.incarnation = int(self.clock.wall() * 1000)
         self.register = InstanceRegister(
             clock=self.clock,
             heartbeat_s=options.heartbeat_s,
             on_change=self._on_endpoint_change,
+            held=True,
+        )
+        self.record_source = RecordSource(
+            options=options, register=self.register, incarnation=self.incarnation
         )
         feeds = StoreFeeds(store=store, clock=self.clock, random=self.random)
         self.configuration = feeds.configuration(
@@ -163,26 +168,7 @@
 
     def record(self) -> NodeRecord:
         """Return the current record of this node, as the other nodes see it."""
-        upstream = self.register.upstream
-        endpoint = None if upstream is None else upstream.endpoint
-        held = self._record
-        if held is None or (held.endpoint, held.state) != (endpoint, self.state):
-            self._record = held = self._make_record(endpoint)
-        return held
-
-    def _make_record(self, endpoint: Endpoint | None) -> NodeRecord:
-        options = self.options
-        return NodeRecord(
-            node_id=options.node_id,
-            incarnation=self.incarnation,
-            region=options.region,
-            data_centre=options.data_centre,
-            host=options.host,
-            control_port=options.replication_port,
-            call_port=options.call_port,
-            state=self.state,
-            endpoint=endpoint,
-        )
+        return self.record_source.current()
 
     def serve(self, address: Address, application: Application) -> None:
         """Serve a WSGI application, such as the metrics, on an address of its own."""
@@ -217,7 +203,7 @@
         )
         self.calls.ask_to_close()
         eventlet.sleep(READINESS_PROPAGATION_S - LEAVE_PROPAGATION_S)
-        self.state = NodeState.LEAVING
+        self.record_source.state = NodeState.LEAVING
         self._on_endpoint_change(None)
         eventlet.sleep(LEAVE_PROPAGATION_S)
         self.calls.leave()
@@ -320,12 +306,17 @@
         self.directory.put(self.record())
         self._record_changed.fire()
 
+    def _learn_own_departure(self, stored: NodeRecord) -> None:
+        if stored.departure is not None:
+            self.register.restore(stored.departure)
+
     def _sync_record(self) -> None:
         """Keep the stored record current, from the first list of members on.
 
         Mostly the first heartbeat comes soon enough for the first write.
         """
         self._poll_until(lambda: self.members.is_known, FIRST_LIST_TIMEOUT_S)
+        self.register.release()
         self._poll_until(
             lambda: self.register.upstream is not None, FIRST_HEARTBEAT_TIMEOUT_S
         )
