--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -7,6 +7,7 @@
 
 import eventlet
 from absl import logging
+from attrs import evolve
 from eventlet.green import socket
 
 from comfreytray.calls.dialect import NATIVE
@@ -15,6 +16,7 @@
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import (
     Endpoint,
+    EndpointState,
     LocalUpstream,
     MembershipView,
     NodeRecord,
@@ -62,6 +64,8 @@
         self.clock = clock or SystemClock()
         self.store = store or MemoryStore()
         self.record_by_id = {}
+        self.local_by_id = {}
+        """The instance beside each node, as the node knows it."""
         self.hidden = set()
         self.path_by_id, self.upstream_by_id, self.http_by_id = {}, {}, {}
         self.greenlets = []
@@ -117,12 +121,14 @@
             endpoint=endpoint,
         )
         port = upstream_port or upstream.port
-        local = LocalUpstream(host="127.0.0.1", port=port, endpoint=endpoint)
+        self.local_by_id[node_id] = LocalUpstream(
+            host="127.0.0.1", port=port, endpoint=endpoint
+        )
         path = CallPath(
             node=lambda: self.record_by_id[node_id],
             members=self.members,
             snapshot=self.snapshot,
-            local_upstream=lambda: local,
+            local_upstream=lambda: self.local_by_id[node_id],
             clock=self.clock,
             random=random.Random(7),
             store=self.store,
@@ -139,6 +145,12 @@
         self.http_by_id[node_id] = http.getsockname()
         return path
 
+    def forget_state(self, node_id):
+        """Have a node forget what it learnt of its instance, as after a restart."""
+        local = self.local_by_id[node_id]
+        endpoint = evolve(local.endpoint, state=EndpointState.READY)
+        self.local_by_id[node_id] = evolve(local, endpoint=endpoint)
+
     def members(self):
         records = [r for i, r in self.record_by_id.items() if i not in self.hidden]
         services = {r.endpoint.service for r in records}
