--- a/features/steps/calls_log_steps.py
+++ b/features/steps/calls_log_steps.py
@@ -89,7 +89,7 @@
     running = eventlet.spawn(_call, context, "holder")
     admission = context.path.owner.admission
     assert until(lambda: admission.held == 1)
-    admission.service_time_s = 5.0
+    admission.run_times.mean_s = 5.0
     _call(context, "no-room", deadline_ms=1000)
     running.wait()
 
--- a/src/comfreytray/calls/limits.py
+++ b/src/comfreytray/calls/limits.py
@@ -16,6 +16,7 @@
 
 from comfreytray.calls.call import Load
 from comfreytray.calls.demand import Demand
+from comfreytray.calls.runtimes import RunTimes
 from comfreytray.calls.tickets import CustomerQueue, Rank, Ticket, TicketState
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import invariant
@@ -27,14 +28,8 @@
 """Calls whose answer will be late that may wait, for each slot."""
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0
-MAX_KINDS = 512
-"""Kinds of calls whose mean service times are kept."""
 MIN_SPARE_SHARE = 0.1
 """Share of the slots assumed to be free of more urgent calls, however many come."""
-SERVICE_TIME_WEIGHT = 0.1
-"""Weight of the newest call in the moving averages of service times."""
-FIRST_SERVICE_TIME_S = 0.005
-"""Service time assumed before the first call ends."""
 
 
 class Admission:
@@ -51,12 +46,10 @@
         self.slots = slots
         self._uniform = uniform
         self._demand = Demand()
-        self._service_time_s_by_kind: dict[str, float] = {}
+        self.run_times = RunTimes()
         self.held = 0
         """Number of slots in use, one for each running call."""
         self.queued = 0
-        self.service_time_s = FIRST_SERVICE_TIME_S
-        """Moving average over the calls of all kinds."""
         self.leaving = False
         """Whether new calls are refused because the node is leaving."""
         self._queue_by_customer: dict[str, CustomerQueue] = {}
@@ -103,7 +96,7 @@
             priority=priority,
             due=due,
         )
-        self._demand.count(priority, self._mean_run_s(ticket), now)
+        self._demand.count(priority, self.run_times.mean_of(ticket.kind), now)
         queue = self._queue_by_customer.get(customer)
         if queue is None:
             queue = self._queue_by_customer[customer] = CustomerQueue()
@@ -137,7 +130,7 @@
         queue.held -= 1
         invariant(self.held >= 0 and queue.held >= 0, "no slot is freed twice")
         took_s = self.clock.monotonic() - ticket.admitted_at
-        self._record_service_time(ticket.kind, took_s)
+        self.run_times.record(ticket.kind, took_s)
         self._drop_if_empty(ticket.customer, queue)
         self._admit_queued()
 
@@ -180,14 +173,6 @@
         self.held += 1
         queue.held += 1
 
-    def _record_service_time(self, kind: str, took_s: float) -> None:
-        self.service_time_s += SERVICE_TIME_WEIGHT * (took_s - self.service_time_s)
-        by_kind = self._service_time_s_by_kind
-        if kind not in by_kind and len(by_kind) >= MAX_KINDS:
-            by_kind.clear()
-        mean_s = by_kind.get(kind, took_s)
-        by_kind[kind] = mean_s + SERVICE_TIME_WEIGHT * (took_s - mean_s)
-
     def load_for(self, priority: int) -> Load:
         """Return the load that a further call of a priority would meet."""
         slots = max(1, self.slots)
@@ -195,18 +180,15 @@
         spare = self._spare_slots(priority, self.clock.monotonic())
         return Load(
             used=(self.held + self._queued_before(last)) / slots,
-            service_time_s=self.service_time_s * slots / spare,
+            service_time_s=self.run_times.mean_s * slots / spare,
         )
 
-    def _mean_run_s(self, ticket: Ticket) -> float:
-        return self._service_time_s_by_kind.get(ticket.kind, self.service_time_s)
-
     def _rank(self, ticket: Ticket, now: float) -> Rank:
         if not ticket.due:
             return Rank(late=False, priority=ticket.priority, until=ticket.deadline)
         timely = Rank(late=False, priority=ticket.priority, until=ticket.due)
         wait_s = self._expected_wait_s(timely, now)
-        late = now + wait_s + self._mean_run_s(ticket) > ticket.due
+        late = now + wait_s + self.run_times.mean_of(ticket.kind) > ticket.due
         return evolve(timely, late=late)
 
     def _spare_slots(self, priority: int, now: float) -> float:
@@ -227,7 +209,7 @@
 
     def _retry_after_s(self) -> float:
         """Return the queue's drain time, with jitter so few callers return at once."""
-        drain_s = self.queued / max(1, self.slots) * self.service_time_s
+        drain_s = self.queued / max(1, self.slots) * self.run_times.mean_s
         wait_s = max(MIN_RETRY_AFTER_S, drain_s)
         return min(MAX_RETRY_AFTER_S, wait_s * self._uniform(0.75, 1.75))
 
@@ -259,7 +241,7 @@
     def _expected_wait_s(self, rank: Rank, now: float) -> float:
         before = self._queued_before(rank)
         spare = self._spare_slots(rank.priority, now)
-        return (before + 1) / spare * self.service_time_s
+        return (before + 1) / spare * self.run_times.mean_s
 
     def _evict_for(self, newcomer: CustomerQueue, rank: Rank, delay_s: float) -> bool:
         """Refuse the last call of the customer with the longest queue to make room.
@@ -320,7 +302,11 @@
     def _demote(self, queue: CustomerQueue, now: float) -> bool:
         """Rank a queue's first call as late, or refuse it, once it can't be in time."""
         rank, sequence, ticket = queue.heap[0]
-        if rank.late or not ticket.due or now + self._mean_run_s(ticket) <= ticket.due:
+        if (
+            rank.late
+            or not ticket.due
+            or now + self.run_times.mean_of(ticket.kind) <= ticket.due
+        ):
             return False
         if self.queued > self.slots * LATE_QUEUE_PER_SLOT:
             failure = Failure(
