Keep the calls to an instance within the limit that it names

Cause: no node read the limit. Class of fault: the state of the shared thing is told, and nobody who decides hears it. All calls for an instance pass the node beside it, so that node alone counts them, and no share of a limit has to move between nodes.

Change: the owner reads the limit from the head of each answer into a token bucket (callrates). The admission sends a waiting call when there is a slot and a token; waits, refusals and Retry-After count both, so a call that the rate would make late is refused at once and placed elsewhere; the wait is reported to the callers' nodes with each answer. A node that has just started, or whose instance is new, sends two calls until the first answer has told. Two calls at a new instance cost up to one run time each.

Demand tells calls a second beside slots; held_by_customer had no user.

calls_overload, calls_limits, calls_log and layout pass.

--- a/features/steps/calls_rates_steps.py
+++ b/features/steps/calls_rates_steps.py
@@ -14,7 +14,7 @@
     context.clock = FakeClock()
     context.fleet = Fleet(dialect=DIALECT, clock=context.clock, slots=SLOTS)
     context.add_cleanup(context.fleet.__exit__)
-    context.arrivals = []
+    context.arrivals, context.calls = [], []
     context.hold_answers = False
 
     def script(head, body):
@@ -27,12 +27,17 @@
 
 
 def _spawn_call(context, node_id="a"):
-    """Start a call and wait until it has ended or waits at the owner."""
-    admission = context.fleet.path_by_id["a"].owner.admission
-    queued = admission.queued
+    """Start a call and wait until the owner has sent, queued or refused it."""
+    decided = _count_decided(context)
     call = eventlet.spawn(context.fleet.call, node_id, "GET", "/x")
-    assert until(lambda: call.dead or admission.queued > queued)
-    return call
+    context.calls.append(call)
+    assert until(lambda: _count_decided(context) > decided)
+
+
+def _count_decided(context):
+    admission = context.fleet.path_by_id["a"].owner.admission
+    ended = sum(1 for call in context.calls if call.dead)
+    return len(context.arrivals) + admission.queued + ended
 
 
 def _most_in_window(arrivals):
@@ -51,9 +56,8 @@
 
 @when("50 calls a second come for 8 s")
 def send_calls(context):
-    context.calls = []
     for _ in range(400):
-        context.calls.append(_spawn_call(context))
+        _spawn_call(context)
         context.clock.now += 0.02
 
 
--- a/src/comfreytray/calls/dialect.py
+++ b/src/comfreytray/calls/dialect.py
@@ -74,6 +74,8 @@
     """Header with the id of the instance that a call is meant for; others refuse it."""
     proof: str = ""
     """Header that an upstream adds to a success; one without it counts as a failure."""
+    limit: str = ""
+    """Header in which an upstream in need names the calls a second that it takes."""
     not_run: NotRun = _native_not_run
     status_of: StatusOf = _status_by_kind
     accepts_close_delimited: bool = False
--- a/src/comfreytray/calls/limits.py
+++ b/src/comfreytray/calls/limits.py
@@ -15,6 +15,7 @@
 from attrs import evolve
 
 from comfreytray.calls.call import Load
+from comfreytray.calls.callrates import CallRate
 from comfreytray.calls.demand import Demand
 from comfreytray.calls.runtimes import RunTimes
 from comfreytray.calls.tickets import CustomerQueue, Rank, Ticket, TicketState
@@ -28,8 +29,6 @@
 """Calls whose answer will be late that may wait, for each slot."""
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0
-MIN_SPARE_SHARE = 0.1
-"""Share of the slots assumed to be free of more urgent calls, however many come."""
 
 
 class Admission:
@@ -40,10 +39,12 @@
         *,
         clock: Clock,
         slots: int,
+        rate: CallRate | None = None,
         uniform: Callable[[float, float], float] = random.uniform,
     ) -> None:
         self.clock = clock
         self.slots = slots
+        self.rate = rate or CallRate(clock=clock)
         self._uniform = uniform
         self._demand = Demand()
         self.run_times = RunTimes()
@@ -70,7 +71,7 @@
         if slots == self.slots:
             return
         self.slots = slots
-        self._admit_queued()
+        self.admit_queued()
 
     def offer(
         self,
@@ -97,14 +98,12 @@
             due=due,
         )
         self._demand.count(priority, self.run_times.mean_of(ticket.kind), now)
+        self.admit_queued()
         queue = self._queue_by_customer.get(customer)
         if queue is None:
             queue = self._queue_by_customer[customer] = CustomerQueue()
-        if (
-            self.held < self.slots
-            and not queue.queued
-            and queue.held < self._slot_cap(share)
-        ):
+        has_room = self._may_admit() and queue.held < self._slot_cap(share)
+        if has_room and not queue.queued:
             self._admit(ticket, queue, now)
             return ticket
         rank = self._rank(ticket, now)
@@ -132,7 +131,7 @@
         took_s = self.clock.monotonic() - ticket.admitted_at
         self.run_times.record(ticket.kind, took_s)
         self._drop_if_empty(ticket.customer, queue)
-        self._admit_queued()
+        self.admit_queued()
 
     def holds(self, ticket: Ticket) -> bool:
         """Whether a call holds a slot."""
@@ -154,9 +153,14 @@
                 if ticket.state is TicketState.QUEUED:
                     self._refuse(ticket, Failure(kind=Kind.LEAVING))
 
-    def held_by_customer(self) -> dict[str, int]:
-        """Return the number of slots that each customer holds."""
-        return {name: queue.held for name, queue in self._queue_by_customer.items()}
+    def admit_in_s(self) -> float | None:
+        """Return when the rate lets a waiting call run; None if none waits for it."""
+        if not self.queued or self.held >= self.rate.slots(self.slots):
+            return None
+        return self.rate.wait_s() or None
+
+    def _may_admit(self) -> bool:
+        return self.held < self.rate.slots(self.slots) and self.rate.wait_s() <= 0.0
 
     def _slot_cap(self, share: float) -> int:
         return max(1, math.floor(self.slots * min(1.0, share) + 1e-9))
@@ -170,18 +174,24 @@
         invariant(ticket.state is TicketState.QUEUED, "a call is admitted once")
         ticket.state = TicketState.HELD
         ticket.admitted_at = now
+        self.rate.take()
         self.held += 1
         queue.held += 1
 
     def load_for(self, priority: int) -> Load:
         """Return the load that a further call of a priority would meet."""
+        now = self.clock.monotonic()
         slots = max(1, self.slots)
         last = Rank(late=False, priority=priority, until=math.inf)
-        spare = self._spare_slots(priority, self.clock.monotonic())
-        return Load(
-            used=(self.held + self._queued_before(last)) / slots,
-            service_time_s=self.run_times.mean_s * slots / spare,
-        )
+        ahead = self._queued_before(last)
+        spare = self._demand.spare_slots(slots, priority, now)
+        service_time_s = self.run_times.mean_s * slots / spare
+        # A caller's node reckons the wait from the share of slots in use. A wait for
+        # the rate is reported as the share that makes the same wait.
+        wait_s = self._rate_wait_s(ahead, priority, now)
+        as_used = 1.0 - 1.0 / slots + wait_s / service_time_s if wait_s else 0.0
+        used = max((self.held + ahead) / slots, as_used)
+        return Load(used=used, service_time_s=service_time_s)
 
     def _rank(self, ticket: Ticket, now: float) -> Rank:
         if not ticket.due:
@@ -191,12 +201,6 @@
         late = now + wait_s + self.run_times.mean_of(ticket.kind) > ticket.due
         return evolve(timely, late=late)
 
-    def _spare_slots(self, priority: int, now: float) -> float:
-        """Return the slots left by more urgent calls, which keep arriving."""
-        slots = max(1, self.slots)
-        more_urgent = self._demand.slots_needed_above(priority, now)
-        return max(slots * MIN_SPARE_SHARE, slots - more_urgent)
-
     def _queued_before(self, rank: Rank) -> int:
         """Return the number of waiting calls that go before a call of a rank."""
         if not self.queued:
@@ -210,6 +214,7 @@
     def _retry_after_s(self) -> float:
         """Return the queue's drain time, with jitter so few callers return at once."""
         drain_s = self.queued / max(1, self.slots) * self.run_times.mean_s
+        drain_s = max(drain_s, self.rate.wait_s(self.queued))
         wait_s = max(MIN_RETRY_AFTER_S, drain_s)
         return min(MAX_RETRY_AFTER_S, wait_s * self._uniform(0.75, 1.75))
 
@@ -240,8 +245,15 @@
 
     def _expected_wait_s(self, rank: Rank, now: float) -> float:
         before = self._queued_before(rank)
-        spare = self._spare_slots(rank.priority, now)
-        return (before + 1) / spare * self.run_times.mean_s
+        spare = self._demand.spare_slots(self.slots, rank.priority, now)
+        wait_s = (before + 1) / spare * self.run_times.mean_s
+        return max(wait_s, self._rate_wait_s(before, rank.priority, now))
+
+    def _rate_wait_s(self, ahead: int, priority: int, now: float) -> float:
+        if not self.rate.is_limited:
+            return 0.0
+        more_urgent_per_s = self._demand.calls_per_s_above(priority, now)
+        return self.rate.wait_s(ahead, taken_per_s=more_urgent_per_s)
 
     def _evict_for(self, newcomer: CustomerQueue, rank: Rank, delay_s: float) -> bool:
         """Refuse the last call of the customer with the longest queue to make room.
@@ -280,9 +292,10 @@
         if not queue.held and not queue.queued:
             self._queue_by_customer.pop(customer, None)
 
-    def _admit_queued(self) -> None:
+    def admit_queued(self) -> None:
+        """Admit waiting calls, as far as slots and the rate allow."""
         now = self.clock.monotonic()
-        while self.queued and self.held < self.slots:
+        while self.queued and self._may_admit():
             queue = self._next_queue()
             if queue is None:
                 return
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -5,12 +5,15 @@
 
 from collections.abc import Callable
 from types import TracebackType
+from typing import Any
 
+import eventlet
 from attrs import evolve
 
 from comfreytray.calls.call import Call, Load, Outcome, Reply, fail
 from comfreytray.calls.calllog import CallLog
-from comfreytray.calls.dialect import NATIVE, Dialect
+from comfreytray.calls.callrates import CallRate, parse_limit
+from comfreytray.calls.dialect import NATIVE, Dialect, FieldLookup
 from comfreytray.calls.limits import Admission
 from comfreytray.calls.measures import OwnMeasures
 from comfreytray.calls.retries import FAILED_STATUSES
@@ -55,10 +58,17 @@
         self.metrics = metrics
         self.tracer = tracer
         self.call_log = call_log or CallLog(clock=clock)
-        self.admission = Admission(clock=clock, slots=0)
+        self.dialect = dialect
+        rate = CallRate(clock=clock, is_told=bool(dialect.limit))
+        self.admission = Admission(clock=clock, slots=0, rate=rate)
         self.measures = OwnMeasures()
+        self._admit_timer: Any = None
         self.pool = UpstreamPool(
-            clock=clock, connections=0, dialect=dialect, metrics=metrics
+            clock=clock,
+            connections=0,
+            dialect=dialect,
+            metrics=metrics,
+            on_head=self._learn,
         )
 
     def __enter__(self) -> "Owner":
@@ -70,6 +80,8 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        if self._admit_timer is not None:
+            self._admit_timer.cancel()
         self.pool.__exit__(kind, error, trace)
 
     @property
@@ -112,7 +124,7 @@
         reply = self.pool.call(
             upstream,
             call,
-            on_end=lambda: self.admission.release(ticket),
+            on_end=lambda: self._release(ticket),
         )
         if isinstance(reply, Outcome):
             instance = upstream.endpoint.instance_id
@@ -122,6 +134,28 @@
         self._measure(upstream.endpoint.instance_id, call, reply, held_s)
         return reply
 
+    def _release(self, ticket: Ticket) -> None:
+        self.admission.release(ticket)
+        self._schedule_admission()
+
+    def _learn(self, instance_id: str, fields: FieldLookup) -> None:
+        """Take what an instance says of itself in the head of an answer."""
+        if self.dialect.limit:
+            limit_per_s = parse_limit(fields.get(self.dialect.limit))
+            self.admission.rate.learn(instance_id, limit_per_s)
+            self.admission.admit_queued()
+
+    def _schedule_admission(self) -> None:
+        """Admit waiting calls again once the rate of the instance allows it."""
+        wait_s = self.admission.admit_in_s()
+        if wait_s is not None and self._admit_timer is None:
+            self._admit_timer = eventlet.spawn_after(wait_s, self._admit_waiting)
+
+    def _admit_waiting(self) -> None:
+        self._admit_timer = None
+        self.admission.admit_queued()
+        self._schedule_admission()
+
     def _measure(
         self, instance_id: str, call: Call, reply: Reply | Outcome, held_s: float
     ) -> None:
@@ -150,12 +184,14 @@
         self.admission.resize(
             min(upstream.endpoint.slots, upstream.endpoint.connections)
         )
+        self.admission.rate.follow(upstream.endpoint.instance_id)
         self.pool.connections = upstream.endpoint.connections
 
     def _wait(self, ticket: Ticket, call: Call) -> Failure | None:
         """Wait until a call holds a slot; return the failure if it gets none."""
         if ticket.state is TicketState.HELD:
             return None
+        self._schedule_admission()
         signal = Signal()
         ticket.notify = signal.fire
         try:
--- a/src/comfreytray/calls/upstream.py
+++ b/src/comfreytray/calls/upstream.py
@@ -13,7 +13,7 @@
     answer_headers,
     fail,
 )
-from comfreytray.calls.dialect import NATIVE, Dialect, Refusal
+from comfreytray.calls.dialect import NATIVE, Dialect, FieldLookup, Refusal
 from comfreytray.calls.heads import HeadError, StrictResponse
 from comfreytray.calls.idlelimit import IdleLimit
 from comfreytray.calls.upstreamconnection import UpstreamConnection
@@ -56,6 +56,10 @@
         self.end(reusable=False)
 
 
+def _ignore_head(instance_id: str, fields: FieldLookup) -> None:
+    del instance_id, fields
+
+
 class UpstreamPool:
     """Pools connections to the upstream, up to the number that it accepts."""
 
@@ -66,8 +70,11 @@
         connections: int,
         metrics: Metrics,
         dialect: Dialect = NATIVE,
+        on_head: Callable[[str, FieldLookup], None] = _ignore_head,
     ) -> None:
+        """Create it; `on_head` gets each answer's instance and fields."""
         self.clock = clock
+        self._on_head = on_head
         self.connections = connections
         self.metrics = metrics
         self.dialect = dialect
@@ -179,6 +186,9 @@
         except (OSError, EOFError, ValueError, http.client.HTTPException) as error:
             return self._fail_lost(connection, error)
         exchange.response = response
+        refusal = self.dialect.not_run(response.status, response.headers)
+        if refusal is not Refusal.ANOTHER_INSTANCE:
+            self._on_head(instance_id, response.headers)
         return self._build_reply(exchange, call, response)
 
     def _fail_lost(self, connection: UpstreamConnection, error: Exception) -> Outcome:
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -38,6 +38,7 @@
     ENDPOINT_ANNOUNCED = "endpoint-announced"
     ENDPOINT_LAPSED = "endpoint-lapsed"
     ENDPOINT_LEAVING = "endpoint-leaving"
+    ENDPOINT_LIMITED = "endpoint-limited"
     ENDPOINT_EJECTED = "endpoint-ejected"
     ENDPOINT_RESTORED = "endpoint-restored"
     SELF_DOUBT = "self-doubt"
--- a/src/comfreytray/platform/headers.py
+++ b/src/comfreytray/platform/headers.py
@@ -38,6 +38,7 @@
     instance="X-Expect-Instance",
     # The upstream sets it on each complete success.
     proof="X-Response-Seal",
+    limit="Server-Limit",
     not_run=read_refusal,
     status_of=status_of,
     accepts_close_delimited=True,
