Send no more calls to an instance whose answers say that it leaves

Cause: the header was passed on and not read. The node beside an instance learnt of its leaving from heartbeats alone, which may be late or lost.

Change: the owner takes the header for the instance's word: the register goes to draining and keeps the departure for the node's next start; a later "ready" changes nothing.

--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -25,6 +25,11 @@
     When the nodes start again and a heartbeat from before arrives, early or late
     Then the instance accepts no calls until it has started again
 
+  Scenario: Heartbeats don't undo what an instance said in an answer
+    Given an instance that says in an answer that it leaves
+    When a heartbeat that says ready arrives afterwards
+    Then the instance stays draining and the node's next start will know
+
   Scenario: Malformed heartbeats are refused and change nothing
     Given the control address of a node
     When heartbeats arrive that lack fields, have wrong types or are unreadable
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from comfreytray.common.interfaces import StoredObject
-from comfreytray.common.records import Endpoint, EndpointState, LocalUpstream
+from comfreytray.common.records import Departure, Endpoint, EndpointState, LocalUpstream
 from comfreytray.membership.directory import Directory, encode
 from comfreytray.membership.heartbeats import Heartbeat, InstanceRegister, Receipt
 from comfreytray.node.noderecord import RecordSource
@@ -249,6 +249,27 @@
         context.restarted.append(register.upstream)
 
 
+@given("an instance that says in an answer that it leaves")
+def make_draining(context):
+    context.register = _register()
+    context.register.drain("i")
+    context.register.receive(_heartbeat(1, 1, READY))
+    context.register.drain("another")
+    assert context.register.upstream.endpoint.state is READY
+    context.register.drain("i")
+
+
+@when("a heartbeat that says ready arrives afterwards")
+def receive_ready(context):
+    context.register.receive(_heartbeat(1, 2, READY))
+
+
+@then("the instance stays draining and the node's next start will know")
+def check_draining(context):
+    assert context.register.upstream.endpoint.state is DRAINING
+    assert context.register.departure == Departure(instance_id="i", before_ms=2)
+
+
 @given("the control address of a node")
 def make_control(context):
     context.register = _register()
--- a/src/comfreytray/calls/call.py
+++ b/src/comfreytray/calls/call.py
@@ -45,6 +45,21 @@
 """Request headers that are not forwarded, since the node frames the body itself."""
 
 
+class HeaderLookup:
+    """Looks up headers by name, regardless of case."""
+
+    def __init__(self, headers: Headers) -> None:
+        self._headers = headers
+
+    def get(self, name: str, default: str | None = None) -> str | None:
+        """Return the first value of a header, or the default."""
+        lower = name.lower()
+        for found, value in self._headers:
+            if found.lower() == lower:
+                return value
+        return default
+
+
 class CallCutError(ComfreytrayError):
     """Raised when an answer breaks off after its head was passed on."""
 
--- a/src/comfreytray/calls/dialect.py
+++ b/src/comfreytray/calls/dialect.py
@@ -76,6 +76,8 @@
     """Header that an upstream adds to a success; one without it counts as a failure."""
     limit: str = ""
     """Header in which an upstream in need names the calls a second that it takes."""
+    leaving: str = ""
+    """Header by which an upstream says that it leaves; its value is then 1."""
     not_run: NotRun = _native_not_run
     status_of: StatusOf = _status_by_kind
     accepts_close_delimited: bool = False
@@ -99,6 +101,10 @@
         )
         return frozenset(name.lower() for name in names if name)
 
+    def says_leaving(self, fields: FieldLookup) -> bool:
+        """Whether an answer says that its upstream leaves."""
+        return bool(self.leaving) and (fields.get(self.leaving) or "").strip() == "1"
+
 
 NATIVE = Dialect(
     deadline=DEADLINE_HEADER,
--- a/src/comfreytray/calls/dispatch.py
+++ b/src/comfreytray/calls/dispatch.py
@@ -4,8 +4,9 @@
 
 from attrs import define, field
 
-from comfreytray.calls.call import Call, Outcome, Reply, combine_ran
+from comfreytray.calls.call import Call, HeaderLookup, Outcome, Reply, combine_ran
 from comfreytray.calls.connections import StreamClient
+from comfreytray.calls.dialect import NATIVE, Dialect
 from comfreytray.calls.endpoints import EndpointView
 from comfreytray.calls.owner import Owner
 from comfreytray.calls.retries import (
@@ -55,6 +56,7 @@
         clock: Clock,
         metrics: Metrics,
         retry_limits: Callable[[], RetryLimits],
+        dialect: Dialect = NATIVE,
     ) -> None:
         self.node = node
         self.router = router
@@ -62,6 +64,7 @@
         self.client = client
         self.clock = clock
         self.metrics = metrics
+        self.dialect = dialect
         self.budget = RetryBudget(clock=clock, limits=retry_limits)
 
     def run(self, call: Call) -> Reply | Outcome:
@@ -165,6 +168,8 @@
                 priority=call.priority,
             )
             return result
+        if self.dialect.says_leaving(HeaderLookup(result.headers)):
+            self.router.exclude_leaving(record)
         if result.rest is None:
             self._finish(view, call, result, took_s)
             return result
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -52,7 +52,9 @@
         tracer: Tracer | None = None,
         dialect: Dialect = NATIVE,
         call_log: CallLog | None = None,
+        on_leaving: Callable[[str], None] = lambda _: None,
     ) -> None:
+        """Create it; `on_leaving` gets an instance that says in an answer it leaves."""
         self.local_upstream = local_upstream
         self.clock = clock
         self.metrics = metrics
@@ -62,6 +64,7 @@
         rate = CallRate(clock=clock, is_told=bool(dialect.limit))
         self.admission = Admission(clock=clock, slots=0, rate=rate)
         self.measures = OwnMeasures()
+        self._on_leaving = on_leaving
         self._admit_timer: Any = None
         self.pool = UpstreamPool(
             clock=clock,
@@ -140,6 +143,8 @@
 
     def _learn(self, instance_id: str, fields: FieldLookup) -> None:
         """Take what an instance says of itself in the head of an answer."""
+        if self.dialect.says_leaving(fields):
+            self._on_leaving(instance_id)
         if self.dialect.limit:
             limit_per_s = parse_limit(fields.get(self.dialect.limit))
             self.admission.rate.learn(instance_id, limit_per_s)
--- a/src/comfreytray/calls/placement.py
+++ b/src/comfreytray/calls/placement.py
@@ -9,11 +9,26 @@
 
 from attrs import frozen
 
+from comfreytray.common.records import NodeRecord
+
 ANSWER_TIME_SPREAD = 0.18
 """Scale of the logistic spread of answer times, as a share of the target."""
 SPEED_WEIGHT = 0.02
 """Weight of the answer time itself, to order endpoints all in time or all late."""
 
+ROUND_TRIP_SAME_DATA_CENTRE_S = 0.0005
+ROUND_TRIP_SAME_REGION_S = 0.003
+ROUND_TRIP_OTHER_REGION_S = 0.06
+
+
+def guess_round_trip_s(record: NodeRecord, own: NodeRecord) -> float:
+    """Return the round trip assumed until a connection has measured the real one."""
+    if record.data_centre == own.data_centre:
+        return ROUND_TRIP_SAME_DATA_CENTRE_S
+    if record.region == own.region:
+        return ROUND_TRIP_SAME_REGION_S
+    return ROUND_TRIP_OTHER_REGION_S
+
 
 @frozen(kw_only=True)
 class CrossZoneCosts:
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -86,6 +86,7 @@
         tracer: Tracer | None = None,
         message_for: MessageFor = plain_message,
         is_cold: Callable[[NodeRecord], bool] = has_cold_endpoint,
+        on_leaving: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.node = node
         self.snapshot = snapshot
@@ -112,6 +113,7 @@
             tracer=tracer,
             dialect=dialect,
             call_log=self.call_log,
+            on_leaving=on_leaving,
         )
         self.client = StreamClient(own_id=own_id, clock=clock, metrics=metrics)
         self.server = StreamServer(
@@ -128,6 +130,7 @@
             clock=clock,
             metrics=metrics,
             retry_limits=retry_limits,
+            dialect=dialect,
         )
         self.keyed = self._build_keyed_calls(node, members, store, random)
         self.callers = CallerConnections()
--- a/src/comfreytray/calls/routing.py
+++ b/src/comfreytray/calls/routing.py
@@ -17,8 +17,9 @@
     assume_unknown_are_fast,
     estimate_used_share,
 )
+from comfreytray.calls.leavinginstances import LeavingInstances
 from comfreytray.calls.measures import SharedMeasures
-from comfreytray.calls.placement import CrossZoneCosts, Placement
+from comfreytray.calls.placement import CrossZoneCosts, Placement, guess_round_trip_s
 from comfreytray.calls.sampling import Sampler
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
@@ -48,10 +49,6 @@
 MIN_SLOWDOWN = 0.1
 JITTER = 0.1
 """Random share added to expected times, to spread nodes that see the same loads."""
-ROUND_TRIP_SAME_DATA_CENTRE_S = 0.0005
-ROUND_TRIP_SAME_REGION_S = 0.003
-ROUND_TRIP_OTHER_REGION_S = 0.06
-"""Round-trip times assumed until a connection has measured the real one."""
 EJECT_AFTER_FAILURES = 5
 EJECT_BASE_S = 2.0
 EJECT_MAX_S = 30.0
@@ -99,6 +96,7 @@
         self.panics = 0
         """Picks that ignored ejections, since too many endpoints were ejected."""
         self._sampler = Sampler(random=random)
+        self._leaving = LeavingInstances()
 
     def pick(
         self,
@@ -120,6 +118,7 @@
             if record.node_id not in exclude
             and not (self.leaving and record.node_id == own_id)
             and self.view(record, now).excluded_until <= now
+            and not self._leaving.excludes(record, now)
         ]
         if not usable:
             return Failure(kind=Kind.NO_ENDPOINT, fields={"service": service})
@@ -151,6 +150,10 @@
         self.view_by_id[record.node_id] = made
         return made
 
+    def exclude_leaving(self, record: NodeRecord) -> None:
+        """Send no more calls to an instance that says in its answers that it leaves."""
+        self._leaving.add(record, self.clock.monotonic())
+
     def begin(self, record: NodeRecord) -> EndpointView:
         """Count a call to an endpoint as in flight."""
         now = self.clock.monotonic()
@@ -311,7 +314,10 @@
             run_s *= COLD_SLOWDOWN
         waits = max(0.0, used + 1.0 / slots - 1.0)
         expected_s = run_s + waits * (load_report.load.service_time_s or service_s)
-        expected_s += self._round_trip_s(record, own)
+        measured_s = self.distance_s(record)
+        expected_s += (
+            guess_round_trip_s(record, own) if measured_s is None else measured_s
+        )
         if record.state is NodeState.SUSPECT:
             expected_s *= 1.0 + SUSPECT_PENALTY
         return expected_s * self.random.uniform(1.0, 1.0 + JITTER)
@@ -327,16 +333,6 @@
         failing = FAILURE_PENALTY * self.shared.failure_share(node_id, now)
         return max(slowdown - 1.0 + failing, OWN_PENALTY_WEIGHT * penalty)
 
-    def _round_trip_s(self, record: NodeRecord, own: NodeRecord) -> float:
-        measured_s = self.distance_s(record)
-        if measured_s is not None:
-            return measured_s
-        if record.data_centre == own.data_centre:
-            return ROUND_TRIP_SAME_DATA_CENTRE_S
-        if record.region == own.region:
-            return ROUND_TRIP_SAME_REGION_S
-        return ROUND_TRIP_OTHER_REGION_S
-
 
 _COUNTED_FAILURES = frozenset(
     {
--- a/src/comfreytray/membership/heartbeats.py
+++ b/src/comfreytray/membership/heartbeats.py
@@ -164,6 +164,19 @@
         self._publish(None)
         return Receipt.ACCEPTED
 
+    def drain(self, instance_id: str) -> None:
+        """Process what an instance says in an answer: that it leaves."""
+        held = self._lifetime
+        if held is None or held.instance_id != instance_id or self._upstream is None:
+            return
+        endpoint = self._upstream.endpoint
+        if endpoint.state is EndpointState.DRAINING:
+            return
+        endpoint = attrs.evolve(endpoint, state=EndpointState.DRAINING)
+        self._step("draining", endpoint)
+        self._upstream = attrs.evolve(self._upstream, endpoint=endpoint)
+        self._publish(endpoint)
+
     def replaced(self, instance_id: str) -> None:
         """Withdraw an instance because another one answers at its address."""
         held = self._lifetime
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -119,6 +119,7 @@
             dialect=dialect,
             retry_limits=self._retry_limits,
             is_cold=self.directory.is_cold,
+            on_leaving=self.register.drain,
         )
         self.replicator = Replicator(
             node=self.record,
--- a/src/comfreytray/platform/headers.py
+++ b/src/comfreytray/platform/headers.py
@@ -39,6 +39,7 @@
     # The upstream sets it on each complete success.
     proof="X-Response-Seal",
     limit="Server-Limit",
+    leaving="Server-Leaving",
     not_run=read_refusal,
     status_of=status_of,
     accepts_close_delimited=True,
