Ask again whether the instance takes a call after the call has waited

Callers would see a call run at an instance that had left while the call waited in the owner's queue: up to the call's deadline, which may lie past the drain time.

Cause: the owner checked the instance's state before the wait and sent by that check. Class of fault: a decision on a state that was read before a wait. The same pattern was looked for at the entry and in streams; both send at once, and the owner checks on arrival.

Change: the owner checks again with the slot in hand, frees the slot and answers that the instance leaves, so that the call goes elsewhere; the rest of the queue follows at once.

--- a/features/calls_rates.feature
+++ b/features/calls_rates.feature
@@ -17,6 +17,11 @@
     When calls come through its own node and through another one
     Then only one call reaches the instance
 
+  Scenario: A call that waited while its instance left is not sent to it
+    Given an instance of one slot with a call that runs and a call that waits
+    When the instance leaves and the call that runs ends
+    Then the call that waited is refused as not run and did not reach the instance
+
   Scenario: A node that has passed on the news of a leaving instance needs no owner for it
     Given an instance whose answers say that it leaves
     When the node beside it forgets that and calls come through another one
--- a/features/steps/calls_rates_steps.py
+++ b/features/steps/calls_rates_steps.py
@@ -2,6 +2,7 @@
 from behave import given, then, when
 from calls_rig import Fleet, until
 
+from comfreytray.common.records import EndpointState
 from comfreytray.platform.headers import DIALECT
 from comfreytray.testing import FakeClock
 from standins.scripted import answer
@@ -10,9 +11,9 @@
 WINDOW_S = 4.0
 
 
-def _add_fleet(context, field):
+def _add_fleet(context, field, slots=SLOTS):
     context.clock = FakeClock()
-    context.fleet = Fleet(dialect=DIALECT, clock=context.clock, slots=SLOTS)
+    context.fleet = Fleet(dialect=DIALECT, clock=context.clock, slots=slots)
     context.add_cleanup(context.fleet.__exit__)
     context.arrivals, context.calls = [], []
     context.hold_answers = False
@@ -120,10 +121,32 @@
     assert context.statuses == [200, 503, 503, 503], context.statuses
 
 
+@given("an instance of one slot with a call that runs and a call that waits")
+def make_waiting(context):
+    _add_fleet(context, "X-Any: 1", slots=1)
+    context.hold_answers = True
+    _spawn_call(context)
+    _spawn_call(context)
+    assert context.fleet.path_by_id["a"].owner.admission.queued == 1
+
+
+@when("the instance leaves and the call that runs ends")
+def leave_while_waiting(context):
+    context.fleet.set_state("a", EndpointState.DRAINING)
+    context.hold_answers = False
+    context.statuses = [call.wait().status for call in context.calls]
+
+
+@then("the call that waited is refused as not run and did not reach the instance")
+def check_waited(context):
+    assert len(context.arrivals) == 1, context.arrivals
+    assert context.statuses == [200, 503], context.statuses
+
+
 @when("the node beside it forgets that and calls come through another one")
 def forget_leaving(context):
     context.statuses = [context.fleet.call("b", "GET", "/x").status]
-    context.fleet.forget_state("a")
+    context.fleet.set_state("a", EndpointState.READY)
     context.statuses += [context.fleet.call("b", "GET", "/x").status for _ in "xx"]
 
 
--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -136,7 +136,7 @@
             tracer=None,
             dialect=self.dialect,
             caller=lambda: self.caller,
-            on_leaving=lambda _: self._set_state(node_id, EndpointState.DRAINING),
+            on_leaving=lambda _: self.set_state(node_id, EndpointState.DRAINING),
         )
         path.__enter__()
         self.greenlets.append(eventlet.spawn(path.serve_streams, streams))
@@ -146,11 +146,8 @@
         self.http_by_id[node_id] = http.getsockname()
         return path
 
-    def forget_state(self, node_id):
-        """Have a node forget what it learnt of its instance, as after a restart."""
-        self._set_state(node_id, EndpointState.READY)
-
-    def _set_state(self, node_id, state):
+    def set_state(self, node_id, state):
+        """Set what a node knows of the state of its instance."""
         local = self.local_by_id[node_id]
         endpoint = evolve(local.endpoint, state=state)
         self.local_by_id[node_id] = evolve(local, endpoint=endpoint)
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -102,11 +102,9 @@
         return traced(self.tracer, "owner", call, self._run)
 
     def _run(self, call: Call) -> Reply | Outcome:
-        upstream = self.local_upstream()
-        if upstream is None or upstream.endpoint.service != call.service:
-            return fail(Kind.WRONG_NODE, "no such service here")
-        if upstream.endpoint.state is EndpointState.DRAINING:
-            return fail(Kind.LEAVING, "upstream is draining")
+        upstream = self._upstream_for(call)
+        if isinstance(upstream, Outcome):
+            return upstream
         self._apply_limits(upstream)
         ticket = self.admission.offer(
             customer=call.customer,
@@ -124,6 +122,11 @@
             self._log_refused(call, failure)
             return Outcome.of(failure, load=self.admission.load_for(call.priority))
         invariant(ticket.state is TicketState.HELD, "a call runs only with a slot")
+        # The instance may have left, or another one come, while the call waited.
+        upstream = self._upstream_for(call)
+        if isinstance(upstream, Outcome):
+            self._release(ticket)
+            return upstream
         reply = self.pool.call(
             upstream,
             call,
@@ -137,6 +140,15 @@
         self._measure(upstream.endpoint.instance_id, call, reply, held_s)
         return reply
 
+    def _upstream_for(self, call: Call) -> LocalUpstream | Outcome:
+        """Return the instance if it takes a call now, else the refusal."""
+        upstream = self.local_upstream()
+        if upstream is None or upstream.endpoint.service != call.service:
+            return fail(Kind.WRONG_NODE, "no such service here")
+        if upstream.endpoint.state is EndpointState.DRAINING:
+            return fail(Kind.LEAVING, "upstream is draining")
+        return upstream
+
     def _release(self, ticket: Ticket) -> None:
         self.admission.release(ticket)
         self._schedule_admission()
