Hold many small frames in little more memory than their bytes

Cause: the limit of 16 MB counts bytes, but each pong of 3 bytes waited as an object of its own, about 47 bytes. Class of fault: a limit that counts something else than it protects.

Change: an outbox joins what is queued while a block is being sent.

--- a/features/calls_streams.feature
+++ b/features/calls_streams.feature
@@ -13,3 +13,8 @@
   Scenario: Malformed and out-of-order frames
     When frames are malformed, repeated, reordered or forged
     Then the connection is refused with a reason and no further call is run
+
+  Scenario: Many small frames that wait to be sent take little more memory than their bytes
+    Given an outbox whose peer reads nothing
+    When 100000 pongs are queued
+    Then the outbox holds less than three times their bytes and sends them in order
--- a/features/steps/calls_streams_steps.py
+++ b/features/steps/calls_streams_steps.py
@@ -1,7 +1,8 @@
 import random
+import tracemalloc
 
 import msgpack
-from behave import then, when
+from behave import given, then, when
 from calls_rig import soak_seeds
 from hypothesis import given as given_data
 from hypothesis import strategies as st
@@ -9,7 +10,7 @@
 from comfreytray.calls import callframes
 from comfreytray.calls.call import Call, Load
 from comfreytray.calls.ownerstreams import OwnerStreams
-from comfreytray.calls.streams import CallStreams
+from comfreytray.calls.streams import CallStreams, Outbox
 from comfreytray.common.errors import Failure, Kind, Ran
 from comfreytray.testing import FakeClock
 
@@ -298,3 +299,32 @@
         assert isinstance(decoded, Failure | list)
 
     fuzz()
+
+
+@given("an outbox whose peer reads nothing")
+def make_outbox(context):
+    context.outbox = Outbox()
+    context.outbox.push(callframes.pack_pong(1))
+    context.outbox.peek_all()
+
+
+@when("100000 pongs are queued")
+def queue_pongs(context):
+    context.pongs = [callframes.pack_pong(number) for number in range(2, 100_002)]
+    tracemalloc.start()
+    for pong in context.pongs:
+        # A copy: the test's own pongs must not be what the outbox holds.
+        context.outbox.push(bytes(bytearray(pong)))
+    context.held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+
+
+@then("the outbox holds less than three times their bytes and sends them in order")
+def check_held(context):
+    sent = callframes.pack_pong(1) + b"".join(context.pongs)
+    assert context.held_bytes < 3 * len(sent), (context.held_bytes, len(sent))
+    assert context.outbox.peek_all() == sent
+    context.outbox.discard_sent(5)
+    assert (
+        context.outbox.peek_all() == sent[5:] and context.outbox.size == len(sent) - 5
+    )
--- a/src/comfreytray/calls/streams.py
+++ b/src/comfreytray/calls/streams.py
@@ -19,7 +19,9 @@
     """Bytes still to be written, and counts of the bytes queued and sent so far."""
 
     def __init__(self) -> None:
-        self.pending: deque[bytes] = deque()
+        self.pending: deque[bytes | bytearray] = deque()
+        """A block that is being sent, then what was queued meanwhile, joined: a frame
+        of a few bytes as an object of its own would take ten times its size."""
         self.enqueued = 0
         self.sent = 0
 
@@ -30,17 +32,24 @@
 
     def push(self, packed: bytes) -> int:
         """Queue bytes; return the offset of their end in the connection."""
-        self.pending.append(packed)
+        last = self.pending[-1] if self.pending else None
+        if isinstance(last, bytearray):
+            last += packed
+        else:
+            self.pending.append(bytearray(packed))
         self.enqueued += len(packed)
         return self.enqueued
 
     def peek_all(self) -> bytes:
         """Return all pending bytes as one block, without removing them."""
-        if len(self.pending) > 1:
+        if not self.pending:
+            return b""
+        block = self.pending[0]
+        if len(self.pending) > 1 or isinstance(block, bytearray):
             block = b"".join(self.pending)
             self.pending.clear()
             self.pending.append(block)
-        return self.pending[0] if self.pending else b""
+        return block
 
     def discard_sent(self, size: int) -> None:
         """Remove `size` bytes, which the kernel has accepted, from the front."""
