Have the soak's instances leave as on the wire, send late heartbeats and name limits

Instances now leave with an empty DELETE or by a draining heartbeat, a heartbeat from before arrives up to 4 s late, answers say that they leave, and two new faults delay heartbeats and name a limit of 5 calls a second. New promise: no more calls in 4 s than one and a half times the limit, + 5.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,6 +23,8 @@
     "upstream-loses-answers",
     "upstream-resets-idle",
     "upstream-replaced",
+    "upstream-late-heartbeats",
+    "upstream-limited",
     "configuration",
 )
 FLEET_WIDE_KINDS = frozenset(
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -21,6 +21,10 @@
 """Share of calls that `upstream-fails` and `upstream-loses-answers` affect."""
 SERVE_AFTER_LEAVING_S = 5.0
 """Time for which an instance still serves after it has asked its node to leave."""
+LIMIT_PER_S = 5.0
+"""Calls a second that an instance names while `upstream-limited` is on."""
+LATE_RANGE_S = (0.2, 4.0)
+"""Delay of late heartbeats."""
 MAX_IDLE_S = 0.1
 """Idle time after which `upstream-resets-idle` resets a connection."""
 
@@ -62,18 +66,28 @@
         while True:
             if not self.leaving:
                 self.sequence += 1
-                self._call_node("PUT", self._description())
+                late = "upstream-late-heartbeats" in self.faults
+                self._send(self.random.uniform(*LATE_RANGE_S) if late else 0.0)
             eventlet.sleep(HEARTBEAT_S)
 
     def replace(self) -> None:
-        """Leave, keep serving for SERVE_AFTER_LEAVING_S, then start a new instance."""
+        """Leave, keep serving for SERVE_AFTER_LEAVING_S, then start a new instance.
+
+        Some instances first say that they drain, and a heartbeat from before is late.
+        """
         if self.leaving:
             return
+        self._send(self.random.uniform(*LATE_RANGE_S))
         self.leaving = True
-        status = self._call_node("DELETE", {"born": self.started_ms})
-        if status == 200:
+        self.sequence += 2
+        draining = json.dumps({**self._description(), "state": "draining"})
+        drains = self.random.random() < 0.5
+        path = f"/-/instances/{self.instance_id}"
+        method, body = ("PUT", draining) if drains else ("DELETE", "")
+        if self._call_node(method, path, body) == 200:
             self.promises.record_departure(self.instance_id, time.monotonic())
         eventlet.sleep(SERVE_AFTER_LEAVING_S)
+        self._call_node("DELETE", path, "")
         self.generation += 1
         self.sequence = 0
         self.started_ms = int(time.time() * 1000)
@@ -92,11 +106,19 @@
             "born": self.started_ms,
         }
 
-    def _call_node(self, method: str, body: dict[str, Any]) -> int:
+    def _send(self, delay_s: float) -> None:
+        """Send the heartbeat that describes the instance now, after a delay."""
+        path = f"/-/instances/{self.instance_id}"
+        body = json.dumps(self._description())
+        if delay_s:
+            eventlet.spawn_after(delay_s, self._call_node, "PUT", path, body)
+        else:
+            self._call_node("PUT", path, body)
+
+    def _call_node(self, method: str, path: str, body: str) -> int:
         connection = http.client.HTTPConnection(*self.control, timeout=1.0)
         try:
-            path = f"/-/instances/{self.instance_id}"
-            connection.request(method, path, body=json.dumps(body))
+            connection.request(method, path, body=body)
             return connection.getresponse().status
         except (OSError, http.client.HTTPException):
             return 0
@@ -120,9 +142,15 @@
         if faulty and "upstream-loses-answers" in self.faults:
             return [RESET]
         status = 500 if faulty and "upstream-fails" in self.faults else 200
-        return answer(
-            status, call_id.encode(), f"X-Attempt-Id: {call_id}", "X-Response-Seal: s"
-        )
+        fields = [f"X-Attempt-Id: {call_id}", "X-Response-Seal: s"]
+        if self.leaving:
+            fields.append("Server-Leaving: 1")
+        if "upstream-limited" in self.faults:
+            fields.append(f"Server-Limit: {LIMIT_PER_S}")
+            self.promises.record_limit(self.instance_id, LIMIT_PER_S, time.monotonic())
+        else:
+            self.promises.record_limit(self.instance_id, None, time.monotonic())
+        return answer(status, call_id.encode(), *fields)
 
 
 def _parse_headers(head: bytes) -> dict[str, str]:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,15 +2,20 @@
 
 These guarantees, called promises here: a call that is not idempotent runs at most
 once, and never if it was refused as not executed; callers get the answer to their own
-call; an instance that has left gets no more calls; versions never go back.
+call; an instance that has left gets no more calls; one that names a limit gets no more
+calls than about that; versions never go back.
 """
 
-from collections import Counter
+from collections import Counter, deque
 
 from attrs import define, field
 
 MAX_DRAIN_S = 2.5
 """Time after a confirmed departure for which calls may still reach an instance."""
+LIMIT_WINDOW_S = 4.0
+"""Window in which calls are counted, and time after which a named limit binds."""
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK_CALLS = 5
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses with which a node states that a call did not run."""
 
@@ -24,7 +29,9 @@
     runs_by_id: Counter[str] = field(factory=Counter)
     not_executed_ids: set[str] = field(factory=set)
     departed_at_by_instance: dict[str, float] = field(factory=dict)
-    paused_until_by_node: dict[int, float] = field(factory=dict)
+    limit_by_instance: dict[str, tuple[float, float]] = field(factory=dict)
+    """The calls a second that an instance names, and since when."""
+    runs_at_by_instance: dict[str, deque[float]] = field(factory=dict)
 
     def record_run(
         self, call_id: str, *, idempotent: bool, instance: str, at_s: float
@@ -43,6 +50,29 @@
             self.violations.append(
                 f"{call_id} ran {late_s:.1f} s after {instance} left"
             )
+        self._check_limit(instance, at_s)
+
+    def record_limit(
+        self, instance: str, limit_per_s: float | None, at_s: float
+    ) -> None:
+        """Record what an instance names in an answer; None if it names no limit."""
+        if limit_per_s is None:
+            self.limit_by_instance.pop(instance, None)
+        else:
+            self.limit_by_instance.setdefault(instance, (limit_per_s, at_s))
+
+    def _check_limit(self, instance: str, at_s: float) -> None:
+        runs_at = self.runs_at_by_instance.setdefault(instance, deque())
+        runs_at.append(at_s)
+        while runs_at[0] < at_s - LIMIT_WINDOW_S:
+            runs_at.popleft()
+        limit_per_s, since = self.limit_by_instance.get(instance, (0.0, at_s))
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit_per_s + LIMIT_SLACK_CALLS
+        if at_s - since >= LIMIT_WINDOW_S and len(runs_at) > allowed:
+            self.violations.append(
+                f"{instance} got {len(runs_at)} calls in {LIMIT_WINDOW_S} s, "
+                f"{allowed:g} allowed at {limit_per_s:g} a second"
+            )
 
     def record_answer(
         self,
--- a/soak/site.py
+++ b/soak/site.py
@@ -18,7 +18,7 @@
 
 from soak.faults import Fault
 from soak.instances import HEARTBEAT_S, Instance
-from soak.promises import PromiseChecker
+from soak.promises import LIMIT_WINDOW_S, PromiseChecker
 from soak.relay import Relay
 from standins.platform_store import StoreStandIn
 
@@ -242,6 +242,8 @@
             return
         instance.set_fault(fault.kind, True)
         eventlet.sleep(fault.duration_s)
+        if fault.kind == "upstream-limited":
+            eventlet.sleep(LIMIT_WINDOW_S)
         instance.set_fault(fault.kind, False)
 
     def _poll_versions(self) -> None:
