--- a/features/steps/calls_log_steps.py
+++ b/features/steps/calls_log_steps.py
@@ -117,7 +117,7 @@
     "slow": ("kind=deadline-while-running", "attempts=a:"),
     "full": ("kind=overloaded", 'reason="upstream refused"'),
     "broken": ("status=500", "attempts=a:500:"),
-    "no-room": ("kind=overloaded", "held=1 queued=0 slots=1"),
+    "no-room": ("kind=overloaded", "held=1 queued=0 slots=1 limit_per_s=inf"),
     "refused": ("kind=connect-failed", "reason=ConnectionRefusedError"),
     "leaving": ("kind=leaving", "slots=1"),
     "nowhere": ("kind=no-endpoint", "attempts=none"),
--- a/src/comfreytray/calls/calllog.py
+++ b/src/comfreytray/calls/calllog.py
@@ -69,7 +69,14 @@
         )
 
     def refused_at_owner(
-        self, call: Call, failure: Failure, *, held: int, queued: int, slots: int
+        self,
+        call: Call,
+        failure: Failure,
+        *,
+        held: int,
+        queued: int,
+        slots: int,
+        limit_per_s: float,
     ) -> None:
         """Log a call that the node beside the upstream did not admit."""
         if self._take_line():
@@ -83,6 +90,7 @@
                 held=held,
                 queued=queued,
                 slots=slots,
+                limit_per_s=limit_per_s,
             )
 
     def failed_at_upstream(
--- a/src/comfreytray/calls/callrates.py
+++ b/src/comfreytray/calls/callrates.py
@@ -53,6 +53,11 @@
         self._filled_at = 0.0
         self._named_at = 0.0
 
+    @property
+    def limit_per_s(self) -> float:
+        """Return the calls a second that the instance takes; infinite if any."""
+        return self._rate_per_s
+
     @property
     def is_limited(self) -> bool:
         """Whether the instance has named a limit that still holds."""
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -195,6 +195,7 @@
             held=self.admission.held,
             queued=self.admission.queued,
             slots=self.admission.slots,
+            limit_per_s=self.admission.rate.limit_per_s,
         )
 
     def _apply_limits(self, upstream: LocalUpstream) -> None:
