Read an upstream's Retry-After as a decimal number

Callers got an internal error with an unknown outcome where the upstream had said that the call did not run, if Retry-After held a digit that int() does not take ("²"); times with fractions were dropped.

Cause: isdigit() as the check before int(). A decimal is parsed by one function now, which the limits that instances name use as well; float() alone would take "inf" and "1_0".

--- a/features/platform_calls.feature
+++ b/features/platform_calls.feature
@@ -20,6 +20,11 @@
     When the upstream is full, drops the connection, and is another instance
     Then the first and the last give status 503 and the dropped connection 502
 
+  Scenario: An upstream's Retry-After is passed on if it is a number of seconds
+    Given a node that uses the platform's header dialect, beside an upstream
+    When the upstream refuses calls with a Retry-After of 2, 0.25, ², -1, inf and 1_0
+    Then each call is refused as not run, and the first two with the upstream's time
+
   Scenario: A connection that is too old for a call that may not run twice stays open
     Given a node that uses the platform's header dialect, beside an upstream
     When a safe call, after 1.2 s an unsafe call and then safe calls are made
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -9,7 +9,7 @@
 
 def _head(status, call_id, *lines):
     fields = [f"HTTP/1.1 {status} Fine", f"X-Attempt-Id: {call_id}", *lines, "", ""]
-    return "\r\n".join(fields).encode()
+    return "\r\n".join(fields).encode("latin-1")
 
 
 def _field(head, name):
@@ -145,3 +145,26 @@
     assert len(pool._idle) == 2, len(pool._idle)
     report = context.fleet.path_by_id["a"].metrics.report()["counters"]
     assert report["upstream_connections_opened"] == 2, report
+
+
+@when("the upstream refuses calls with a Retry-After of 2, 0.25, ², -1, inf and 1_0")
+def refuse_with_times(context):
+    context.got = []
+    for text in ("2", "0.25", "²", "-1", "inf", "1_0"):
+        line = f"Retry-After: {text}"
+        context.script = lambda head, line=line: _head(
+            503,
+            _field(head, "X-Attempt-Id"),
+            "X-Not-Executed: 1",
+            line,
+            "Content-Length: 0",
+        )
+        context.got.append(_call(context, "refused"))
+
+
+@then("each call is refused as not run, and the first two with the upstream's time")
+def check_times(context):
+    assert [got.status for got in context.got] == [503] * 6, context.got
+    times = [got.headers.get("retry-after") for got in context.got]
+    assert times[:2] == ["2", "0.25"], times
+    assert len(set(times[2:])) == 1 and times[2] not in times[:2], times
--- a/src/comfreytray/calls/callrates.py
+++ b/src/comfreytray/calls/callrates.py
@@ -30,15 +30,6 @@
 """Calls that may run before the first answer of an instance."""
 
 
-def parse_limit(text: str | None) -> float | None:
-    """Parse the calls a second that an answer names; None if there is no number."""
-    try:
-        limit = float(text or "")
-    except ValueError:
-        return None
-    return limit if math.isfinite(limit) and limit >= 0 else None
-
-
 class CallRate:
     """A token bucket by the limit that an instance names in its answers."""
 
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -12,7 +12,7 @@
 
 from comfreytray.calls.call import Call, Load, Outcome, Reply, fail
 from comfreytray.calls.calllog import CallLog
-from comfreytray.calls.callrates import CallRate, parse_limit
+from comfreytray.calls.callrates import CallRate
 from comfreytray.calls.dialect import NATIVE, Dialect, FieldLookup
 from comfreytray.calls.limits import Admission
 from comfreytray.calls.measures import OwnMeasures
@@ -20,6 +20,7 @@
 from comfreytray.calls.tickets import Ticket, TicketState
 from comfreytray.calls.tracing import Tracer, traced
 from comfreytray.calls.upstream import UpstreamPool
+from comfreytray.common.decimals import parse_decimal
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import invariant
 from comfreytray.common.interfaces import Clock
@@ -158,7 +159,7 @@
         if self.dialect.says_leaving(fields):
             self._on_leaving(instance_id)
         if self.dialect.limit:
-            limit_per_s = parse_limit(fields.get(self.dialect.limit))
+            limit_per_s = parse_decimal(fields.get(self.dialect.limit))
             self.admission.rate.learn(instance_id, limit_per_s)
             self.admission.admit_queued()
 
--- a/src/comfreytray/calls/upstream.py
+++ b/src/comfreytray/calls/upstream.py
@@ -17,6 +17,7 @@
 from comfreytray.calls.heads import HeadError, StrictResponse
 from comfreytray.calls.idlelimit import IdleLimit
 from comfreytray.calls.upstreamconnection import UpstreamConnection
+from comfreytray.common.decimals import parse_decimal
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import invariant
 from comfreytray.common.interfaces import Address, Clock
@@ -256,8 +257,7 @@
             return None
         if refusal is Refusal.ANOTHER_INSTANCE:
             return fail(Kind.WRONG_NODE, "another instance has the address")
-        retry_after = response.headers.get("Retry-After", "").strip()
-        retry_after_s = int(retry_after) if retry_after.isdigit() else None
+        retry_after_s = parse_decimal(response.headers.get("Retry-After"))
         return fail(Kind.OVERLOADED, "upstream refused", retry_after_s)
 
     def _read_buffered(self, exchange: _Exchange, call: Call) -> bytes:
