Send news of leaving to other regions as often as other changes

Cause: the most urgent priority has the value 0, and `or` took it for none, so that it got the few sends of background news.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -65,3 +65,8 @@
   Scenario: Malformed membership frames change nothing
     When a member receives random, truncated and wrongly typed claims
     Then its view is unchanged and the claims are counted as malformed
+
+  Scenario: News that a member leaves goes to other regions as often as other changes
+    Given a disseminator with members near by and in another region
+    When news of each priority is queued and rounds of it are sent
+    Then leaving and changed members cross regions alike, background news far less
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -18,15 +18,22 @@
 
 from comfreytray.common.records import EndpointState, NodeState
 from comfreytray.membership import gossip
-from comfreytray.membership.dissemination import BURST_BYTES, BYTES_PER_S
+from comfreytray.membership.dissemination import (
+    BURST_BYTES,
+    BYTES_PER_S,
+    Disseminator,
+)
 from comfreytray.membership.members import Members
+from comfreytray.membership.peers import Peers
 from comfreytray.membership.suspicions import SILENT_ZONE_TIMEOUT_S
 from comfreytray.membership.updates import (
     Accusation,
+    Priority,
     UpdateQueue,
     pack_claim,
     unpack_claim,
 )
+from comfreytray.testing import FakeClock
 
 SETTLE_S = 45.0
 
@@ -477,3 +484,37 @@
     assert dict(member.view.by_id) == context.before
     counted = member._metrics.count_by_name["membership.bad_claims"]
     assert counted >= context.bad > 100, (counted, context.bad)
+
+
+@given("a disseminator with members near by and in another region")
+def make_disseminator_members(context):
+    context.mesh = Mesh(count=0, seed=3)
+    context.records = [context.mesh.record(number) for number in range(41)]
+
+
+@when("news of each priority is queued and rounds of it are sent")
+def send_news(context):
+    context.far_by_priority = {}
+    for priority in Priority:
+        me, *others = context.records
+        peers = Peers(node_id=me.node_id, region=me.region)
+        for record in others:
+            near = record.region == me.region
+            for group in (
+                (peers.near, peers.near_alive) if near else (peers.far, peers.far_alive)
+            ):
+                group.put(record)
+        disseminator = Disseminator(
+            peers=peers, clock=FakeClock(), random=random.Random(5), network=None
+        )
+        disseminator.queue.put("k", b"update", sends=9, priority=priority)
+        targets = [r for _ in range(400) for r in disseminator._pick_targets()]
+        far = sum(record.region != me.region for record in targets)
+        context.far_by_priority[priority] = far / len(targets)
+
+
+@then("leaving and changed members cross regions alike, background news far less")
+def check_crossings(context):
+    share = context.far_by_priority
+    assert share[Priority.LEAVING] >= 0.9 * share[Priority.CHANGED], share
+    assert share[Priority.BACKGROUND] <= 0.5 * share[Priority.CHANGED], share
--- a/src/comfreytray/membership/dissemination.py
+++ b/src/comfreytray/membership/dissemination.py
@@ -122,7 +122,8 @@
         if near == 0:
             return 1.0
         sends = SENDS_PER_DECADE * math.log10(near + far + 2)
-        crossings = CROSS_REGION_SENDS_BY_PRIORITY[
-            self.queue.most_urgent or Priority.BACKGROUND
-        ]
+        urgent = self.queue.most_urgent
+        if urgent is None:
+            urgent = Priority.BACKGROUND
+        crossings = CROSS_REGION_SENDS_BY_PRIORITY[urgent]
         return min(MAX_CROSS_REGION_SHARE, crossings / ((near + 1) * sends))
