--- a/features/calls_rates.feature
+++ b/features/calls_rates.feature
@@ -1,4 +1,4 @@
-Feature: An instance in need names what it takes, and one that leaves says so in its answers
+Feature: Instances advertise a rate limit, or that they leave, in their answers
 
   Scenario: An instance gets no more calls than the rate that it names
     Given an instance that names a limit of 10 calls a second in its answers
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -229,7 +229,7 @@
 def restart_nodes(context):
     context.late, context.restarted = [], []
     for record, is_early in itertools.product(context.records, (True, False)):
-        register = _register(held=True)
+        register = _register(hidden=True)
         directory = Directory(
             clock=FakeClock(),
             on_earlier_self=lambda stored, held=register: held.restore(
@@ -242,7 +242,7 @@
         assert register.upstream is None
         stored = StoredObject(key="members/n", value=encode(record), version=7)
         directory.apply([stored])
-        register.release()
+        register.show()
         register.receive(_heartbeat(1000, 4, READY))
         context.late.append(register.upstream)
         register.receive(_heartbeat(2_000_000, 1, READY))
--- a/src/comfreytray/calls/callrates.py
+++ b/src/comfreytray/calls/callrates.py
@@ -1,13 +1,13 @@
-"""The rate of calls that an upstream in need takes, kept by its owner.
+"""The rate limit that an upstream advertises in its answers, enforced by its owner.
 
-Load pattern: some instances of a service are in need and name the calls a second that
-they take from all nodes together, while more calls come than that. They still answer,
-so neither slots nor run times show the need. All calls for an instance pass its owner,
-so the owner alone counts them; a share for each node would be exceeded, or lie unused,
-whenever nodes start, stop or get other calls than before.
+Load pattern: some instances of a service advertise the calls a second that they accept
+from all nodes together, while more calls arrive. They still answer as quickly, so
+neither slots nor run times show the limit. All calls for an instance pass its owner, so
+the owner alone counts them; a share of the limit for each node would be exceeded, or
+lie unused, whenever nodes start, stop or get other calls than before.
 
-An owner that has just started doesn't know what the instance needs. It sends few calls
-until an answer has told.
+An owner that has just started doesn't know the limit, so it sends few calls until the
+first answer.
 """
 
 import math
@@ -18,25 +18,25 @@
 BURST_S = 0.25
 """Time for which unused calls of the rate are kept; they may then come at once."""
 MIN_RATE_PER_S = 0.5
-"""Rate at which calls are sent at the least, since only answers tell a new limit."""
+"""Lowest rate at which calls are sent, since only answers can lift a limit of 0."""
 LIFT_AFTER_S = 0.5
-"""Time without a limit in the answers after which it no longer holds; answers of a
-broken instance may lack it."""
+"""Time after the last answer with a limit from which an answer without one lifts it;
+single answers, such as errors, may lack the header."""
 LOGGED_CHANGE = 0.1
-"""Share by which a limit changes at the least before it is logged again."""
+"""Smallest relative change of a limit that is logged."""
 MIN_LEFT_SHARE = 0.1
 """Share of the rate assumed to be free of more urgent calls, however many come."""
 FIRST_CALLS = 2
-"""Calls that may run before the first answer of an instance."""
+"""Calls that may run at once before the first answer of an instance."""
 
 
 class CallRate:
-    """A token bucket by the limit that an instance names in its answers."""
+    """A token bucket whose rate is the limit that an instance advertises."""
 
-    def __init__(self, *, clock: Clock, is_told: bool = False) -> None:
-        """Create it; `is_told` if answers can name a limit."""
+    def __init__(self, *, clock: Clock, advertised: bool = False) -> None:
+        """Create it; `advertised` if upstreams can advertise limits at all."""
         self._clock = clock
-        self._is_told = is_told
+        self._advertised = advertised
         self._instance_id = ""
         self._answered = False
         self._rate_per_s = self._logged_per_s = math.inf
@@ -46,16 +46,16 @@
 
     @property
     def limit_per_s(self) -> float:
-        """Return the calls a second that the instance takes; infinite if any."""
+        """Return the limit in calls a second; infinite if there is none."""
         return self._rate_per_s
 
     @property
     def is_limited(self) -> bool:
-        """Whether the instance has named a limit that still holds."""
+        """Whether a limit is in force."""
         return self._rate_per_s < math.inf
 
     def follow(self, instance_id: str) -> None:
-        """Begin anew if another instance takes the calls from now on."""
+        """Start without a limit if the calls go to another instance from now on."""
         if instance_id == self._instance_id:
             return
         self._instance_id = instance_id
@@ -64,12 +64,12 @@
 
     def slots(self, slots: int) -> int:
         """Return the slots that may be used, of those that the instance has."""
-        if self._answered or not self._is_told:
+        if self._answered or not self._advertised:
             return slots
         return min(slots, FIRST_CALLS)
 
     def learn(self, instance_id: str, limit_per_s: float | None) -> None:
-        """Take what an answer says: the limit, or None if it names none."""
+        """Update the limit from an answer; None if the answer has no limit."""
         if instance_id != self._instance_id:
             return
         now = self._clock.monotonic()
@@ -89,7 +89,7 @@
     def wait_s(self, ahead: int = 0, *, taken_per_s: float = 0.0) -> float:
         """Return the seconds until a call may be sent after `ahead` others.
 
-        `taken_per_s` is what calls that come later, but go first, take of the rate.
+        `taken_per_s` is the part of the rate that more urgent calls will take.
         """
         if not self.is_limited:
             return 0.0
--- a/src/comfreytray/calls/dialect.py
+++ b/src/comfreytray/calls/dialect.py
@@ -75,7 +75,7 @@
     proof: str = ""
     """Header that an upstream adds to a success; one without it counts as a failure."""
     limit: str = ""
-    """Header in which an upstream in need names the calls a second that it takes."""
+    """Header in which an upstream advertises the calls a second that it accepts."""
     leaving: str = ""
     """Header by which an upstream says that it leaves; its value is then 1."""
     not_run: NotRun = _native_not_run
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -62,7 +62,7 @@
         self.tracer = tracer
         self.call_log = call_log or CallLog(clock=clock)
         self.dialect = dialect
-        rate = CallRate(clock=clock, is_told=bool(dialect.limit))
+        rate = CallRate(clock=clock, advertised=bool(dialect.limit))
         self.admission = Admission(clock=clock, slots=0, rate=rate)
         self.measures = OwnMeasures()
         self._on_leaving = on_leaving
@@ -155,7 +155,7 @@
         self._schedule_admission()
 
     def _learn(self, instance_id: str, fields: FieldLookup) -> None:
-        """Take what an instance says of itself in the head of an answer."""
+        """Process what an instance says of itself in the head of an answer."""
         if self.dialect.says_leaving(fields):
             self._on_leaving(instance_id)
         if self.dialect.limit:
--- a/src/comfreytray/membership/heartbeats.py
+++ b/src/comfreytray/membership/heartbeats.py
@@ -71,8 +71,8 @@
     it before, and a later lifetime replaces an earlier one at once, so late or repeated
     messages have no effect.
 
-    A held register acknowledges messages but shows no instance, until it has learnt the
-    departure that an earlier incarnation of the node acknowledged.
+    A hidden register processes messages but shows no instance. A starting node keeps it
+    hidden until it has learnt what its earlier incarnation acknowledged.
     """
 
     def __init__(
@@ -81,12 +81,12 @@
         clock: Clock,
         heartbeat_s: float,
         on_change: Callable[[Endpoint | None], None],
-        held: bool = False,
+        hidden: bool = False,
     ) -> None:
         self._clock = clock
         self._lease_s = heartbeat_s * LEASE_HEARTBEATS
         self._on_change = on_change
-        self._held = held
+        self._hidden = hidden
         self._departures = Departures(clock=clock)
         self._state = _CHART.initial
         self._lifetime: Lifetime | None = None
@@ -99,7 +99,7 @@
     def upstream(self) -> LocalUpstream | None:
         """Return the instance in its current state, None if its lease has lapsed."""
         self.tick()
-        return None if self._held else self._upstream
+        return None if self._hidden else self._upstream
 
     @property
     def departure(self) -> Departure | None:
@@ -116,9 +116,9 @@
         self._upstream = None
         self._publish(None)
 
-    def release(self) -> None:
+    def show(self) -> None:
         """Show the instance from now on."""
-        self._held = False
+        self._hidden = False
         self._publish(self._upstream.endpoint if self._upstream else None)
 
     def receive(self, heartbeat: Heartbeat) -> Receipt:
@@ -238,7 +238,7 @@
         )
 
     def _publish(self, endpoint: Endpoint | None) -> None:
-        if endpoint == self._published or self._held:
+        if endpoint == self._published or self._hidden:
             return
         self._published = endpoint
         self._on_change(endpoint)
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -87,7 +87,7 @@
             clock=self.clock,
             heartbeat_s=options.heartbeat_s,
             on_change=self._on_endpoint_change,
-            held=True,
+            hidden=True,
         )
         self.record_source = RecordSource(
             options=options, register=self.register, incarnation=self.incarnation
@@ -317,7 +317,7 @@
         Mostly the first heartbeat comes soon enough for the first write.
         """
         self._poll_until(lambda: self.members.is_known, FIRST_LIST_TIMEOUT_S)
-        self.register.release()
+        self.register.show()
         self._poll_until(
             lambda: self.register.upstream is not None, FIRST_HEARTBEAT_TIMEOUT_S
         )
