--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -277,3 +277,25 @@
     while time.monotonic() < end:
         yield seed
         seed += 1
+
+
+def add_fleet(context, node_ids, script=None, **options):
+    """Start nodes of one service, which end with the scenario."""
+    context.fleet = Fleet(**options)
+    context.add_cleanup(context.fleet.__exit__)
+    for node_id in node_ids:
+        context.fleet.add(node_id, script=script)
+    return context.fleet
+
+
+def count_runs(fleet, target):
+    """Count how often a target ran at any upstream."""
+    return sum(u.ran.count(target) for u in fleet.upstream_by_id.values())
+
+
+def are_slots_free(fleet):
+    """Whether no call holds a slot or waits for one."""
+    return all(
+        path.owner.admission.held == 0 and path.owner.admission.queued == 0
+        for path in fleet.path_by_id.values()
+    )
