--- a/features/soak.feature
+++ b/features/soak.feature
@@ -9,6 +9,7 @@
       | 1    |
       | 4    |
       | 7    |
+      | 507  |
 
   Scenario: A seed always gives the same fault schedule, and schedules hold every kind
     When the fault schedules of ten seeds are drawn twice
