Log the store's era and objects that are ignored as not newer

Change: store-restored names the eras, object-ignored and version-ignored what is held and what came. Ruled out: a watch that never resumes (lists succeed), a refused version (no line).

--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -292,6 +292,12 @@
     def _activate(self, snapshot: Snapshot, revision: int) -> None:
         current = self.snapshot
         if current is not None and snapshot.head.version <= current.head.version:
+            log(
+                Event.VERSION_IGNORED,
+                version=snapshot.head.version,
+                in_force=current.head.version,
+                revision=revision,
+            )
             return
         self.snapshot = snapshot
         self.metrics.gauge("version_in_force", snapshot.head.version)
--- a/src/comfreytray/platform/objectstore.py
+++ b/src/comfreytray/platform/objectstore.py
@@ -11,6 +11,7 @@
 from attrs import frozen
 from urllib3 import exceptions as http_errors
 
+from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, StoredObject, WatchBatch
 from comfreytray.common.keepalive import OPTIONS as KEEPALIVE_OPTIONS
@@ -27,6 +28,8 @@
 BODY_TIMEOUT_S = 4.0
 """Time for the body of an answer, beyond the time-out of its call."""
 MS_PER_S = 1000
+ERA_HEADER = "Store-Era"
+"""Number of times that the store came back from an older copy."""
 _NOT_SENT_ERRORS = (http_errors.NewConnectionError, http_errors.ConnectTimeoutError)
 """Errors before a request was sent: a write was not applied."""
 _MALFORMED_ERRORS = (KeyError, TypeError, ValueError)
@@ -58,6 +61,7 @@
     """
 
     def __init__(self, *, address: Address) -> None:
+        self._era = 0
         self._pool = urllib3.HTTPConnectionPool(
             address[0],
             address[1],
@@ -215,8 +219,20 @@
             response.close()
             raise
         response.release_conn()
+        self._note_era(_decode_era(response))
         return _Response(status=response.status, data=data)
 
+    def _note_era(self, era: int) -> None:
+        if era > self._era > 0:
+            logs.warn(logs.Event.STORE_RESTORED, era=era, before=self._era)
+        self._era = max(era, self._era)
+
+
+def _decode_era(response: urllib3.BaseHTTPResponse) -> int:
+    """Return the era of an answer; 0 if it names none."""
+    text = response.headers.get(ERA_HEADER, "")
+    return int(text) if text.isdecimal() else 0
+
 
 def _read_body(response: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
     """Read a body within bounds of size and time; raises HTTPError beyond them."""
--- a/src/comfreytray/replication/replica.py
+++ b/src/comfreytray/replication/replica.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
 from comfreytray.distribution.compression import compress, decompress
@@ -61,6 +62,8 @@
         for stored in batch.objects:
             if self._hold(stored):
                 fresh[stored.key] = stored
+            else:
+                self._log_ignored(stored)
         self.advance(batch.revision)
         return tuple(fresh.values())
 
@@ -109,6 +112,17 @@
             del bases[:-MAX_BASES]
         return True
 
+    def _log_ignored(self, stored: StoredObject) -> None:
+        """Log an object that is not newer, unless it is the one that is held."""
+        held = self._object_by_key[stored.key]
+        if held.value != stored.value:
+            logs.log(
+                logs.Event.OBJECT_IGNORED,
+                key=stored.key,
+                revision=stored.version,
+                held=held.version,
+            )
+
     def _change(self, stored: StoredObject, base_version: int) -> ObjectChange:
         base = self._base(stored.key, base_version)
         return ObjectChange(
