Show that a store that comes back older keeps confirmed changes out

Callers are handled by a version that the operator has replaced, or get 404 for a route that was added. The returns of the soak are drawn apart from the other faults, so earlier seeds keep their schedules.

--- /dev/null
+++ b/features/store_restored.feature
@@ -0,0 +1,21 @@
+Feature: Nothing that was confirmed is lost when the store comes back from an older copy
+
+  Scenario Outline: A version confirmed after the store came back older is put in force
+    Given the platform's store, an endpoint and a node beside it
+    When the store comes back older <times> times and the configuration changes after each
+    Then the node has the newest version each time
+
+    Examples:
+      | times |
+      | 1     |
+      | 3     |
+
+  Scenario: A node's record that the store lost is written again
+    Given the platform's store, an endpoint and a node beside it
+    When the store comes back from a copy made before the node's record was written
+    Then the store holds the node's record again
+
+  Scenario: Nodes that follow others get what was confirmed after the store came back older
+    Given a store and 12 running nodes of one data centre
+    When the store comes back from an older copy and the configuration changes
+    Then every node has the last configuration
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,11 +1,12 @@
 """Draw a random schedule of faults from a seed, without applying it."""
 
+import heapq
 import random
 from collections.abc import Iterator
 
 from attrs import frozen
 
-KINDS = (
+_COMMON_KINDS = (
     "node-kill",
     "node-stop",
     "node-pause",
@@ -27,8 +28,12 @@
     "upstream-limited",
     "configuration",
 )
+RESTORED = "store-restored"
+"""Drawn apart from the others, so that earlier seeds keep their schedules."""
+KINDS = (*_COMMON_KINDS, RESTORED)
 FLEET_WIDE_KINDS = frozenset(
     {
+        RESTORED,
         "store-unavailable",
         "store-drops-history",
         "store-cuts-watches",
@@ -41,6 +46,8 @@
 MAX_DURATION_S = 4.0
 MEAN_GAP_S = 0.7
 """Mean time between faults; shorter than most faults, so that they overlap."""
+MEAN_RESTORED_GAP_S = 5.0
+"""Mean time between two returns of the store from an older copy."""
 REPEAT_SHARE = 0.3
 """Share of faults that are soon followed by another of the same kind and node."""
 
@@ -57,12 +64,29 @@
 
 def draw_schedule(seed: int, *, nodes: int, seconds: float) -> Iterator[Fault]:
     """Yield the faults of a run in order of time; a seed always yields the same."""
+    return heapq.merge(
+        _draw_faults(seed, nodes=nodes, seconds=seconds),
+        _draw_restored(seed, seconds=seconds),
+        key=lambda fault: fault.at_s,
+    )
+
+
+def _draw_restored(seed: int, *, seconds: float) -> Iterator[Fault]:
+    generator = random.Random(f"{seed} {RESTORED}")
+    at_s = generator.expovariate(1.0 / MEAN_RESTORED_GAP_S)
+    while at_s < seconds:
+        duration_s = generator.uniform(0.0, MAX_DURATION_S / 2)
+        yield Fault(at_s=at_s, kind=RESTORED, node=0, duration_s=duration_s)
+        at_s += generator.expovariate(1.0 / MEAN_RESTORED_GAP_S)
+
+
+def _draw_faults(seed: int, *, nodes: int, seconds: float) -> Iterator[Fault]:
     generator = random.Random(seed)
     at_s = 0.5
     while at_s < seconds:
         fault = Fault(
             at_s=at_s,
-            kind=generator.choice(KINDS),
+            kind=generator.choice(_COMMON_KINDS),
             node=generator.randrange(nodes),
             duration_s=generator.uniform(MIN_DURATION_S, MAX_DURATION_S),
         )
--- a/soak/site.py
+++ b/soak/site.py
@@ -16,7 +16,7 @@
 import eventlet
 from attrs import define
 
-from soak.faults import Fault
+from soak.faults import RESTORED, Fault
 from soak.instances import HEARTBEAT_S, Instance
 from soak.promises import LIMIT_WINDOW_S, PromiseChecker
 from soak.relay import Relay
@@ -29,6 +29,8 @@
 METRICS_PORT = 9464
 GRACE_S = 6.0
 """Time that a node has to stop before it is killed."""
+MAX_COPY_AGE_S = 9.0
+"""Age of the oldest copy from which the store comes back."""
 BOUNDS = ("grace_s=6", "retry_budget_ratio=0.2", "retry_slack=56", "budget_window_s=10")
 _LINK_MODES = {"link-silent": "silent", "link-one-way": "one-way", "link-slow": "slow"}
 
@@ -212,6 +214,9 @@
             node.busy = False
 
     def _apply_store_fault(self, fault: Fault) -> None:
+        if fault.kind == RESTORED:
+            self._restore_store(fault.duration_s)
+            return
         begin = {
             "store-unavailable": self.store.refuse_calls,
             "store-drops-history": self.store.drop_history,
@@ -222,6 +227,15 @@
         eventlet.sleep(fault.duration_s)
         self.store.clear_faults()
 
+    def _restore_store(self, away_s: float) -> None:
+        """Take the store away and bring it back from an older copy."""
+        age_s = self.random.uniform(0.0, MAX_COPY_AGE_S)
+        self.store.refuse_calls()
+        revision = self.store.revision_before(age_s)
+        eventlet.sleep(away_s)
+        self.store.restore(min(revision, self.store.revision))
+        self.store.clear_faults()
+
     def _apply_link_fault(self, fault: Fault) -> None:
         link = self.links[fault.node]
         if fault.kind == "link-reset":
--- a/src/comfreytray/testing.py
+++ b/src/comfreytray/testing.py
@@ -43,6 +43,15 @@
     object_by_key: dict[str, StoredObject] = field(factory=dict)
     previous_by_key: dict[str, StoredObject | None] = field(factory=dict)
     revision: int = 0
+    era: int = 1
+    """Increases each time that the store comes back from an older copy."""
+
+    def restore(self, copy: "MemoryStore") -> None:
+        """Come back from an older copy, one made with `copy.deepcopy`."""
+        self.object_by_key = dict(copy.object_by_key)
+        self.previous_by_key = dict(copy.previous_by_key)
+        self.revision = copy.revision
+        self.era += 1
 
     def _count_call(self, kind: str) -> Failure | None:
         self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's object store, with faults on request."""
 
 import json
+import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -8,23 +9,43 @@
 
 import eventlet
 import eventlet.wsgi
+from attrs import frozen
 
 PREFIX = "/-/objects/"
+ERA_HEADER = "Store-Era"
 POLL_S = 0.01
 MS_PER_S = 1000
+FIRST_REVISION = 10
 
 Stored = dict[str, Any]
 Answer = tuple[int | None, Any]
 """A status and a body; status None cuts the connection instead."""
 
 
+@frozen(kw_only=True)
+class Change:
+    """One write of an object."""
+
+    revision: int
+    kind: str
+    stored: Stored
+    by_operator: bool
+    """Whether it came from outside the system, which keeps a copy of its own."""
+    at: float
+    """Monotonic time of the write."""
+
+
 class StoreStandIn:
-    """Serve objects by kind and name, with revisions, conditions and watches."""
+    """Serve objects by kind and name, with revisions, conditions and watches.
+
+    `restore` makes it come back from an older copy of itself.
+    """
 
     def __init__(self) -> None:
         self.object_by_name: dict[str, dict[str, Stored]] = defaultdict(dict)
-        self.events: list[tuple[int, str, Stored]] = []
-        self.revision = 10
+        self.changes: list[Change] = []
+        self.revision = FIRST_REVISION
+        self.era = 1
         self.oldest_revision = 0
         self.refuses_calls = False
         self.loses_answers = False
@@ -62,7 +83,44 @@
         """Answer calls again."""
         self.refuses_calls = self.loses_answers = False
 
-    def put(self, kind: str, name: str, spec: Any, status: Any = None) -> Stored:
+    def revision_before(self, age_s: float) -> int:
+        """Return the revision that the store had some seconds ago."""
+        at = time.monotonic() - age_s
+        older = [change.revision for change in self.changes if change.at <= at]
+        return older[-1] if older else FIRST_REVISION
+
+    def restore(self, revision: int) -> None:
+        """Come back from the copy of a revision, with what operators wrote since.
+
+        Revisions go back too and are given out again; waiting watches are cut.
+        """
+        kept = [change for change in self.changes if change.revision <= revision]
+        lost = self.changes[len(kept) :]
+        self.changes = kept
+        self.object_by_name.clear()
+        for change in kept:
+            name = change.stored["metadata"]["name"]
+            self.object_by_name[change.kind][name] = change.stored
+        self.revision = revision
+        self.era += 1
+        self.cut_count += 1
+        again = {
+            (change.kind, change.stored["metadata"]["name"]): change.stored
+            for change in lost
+            if change.by_operator
+        }
+        for (kind, name), stored in again.items():
+            self.put(kind, name, stored["spec"], stored["status"])
+
+    def put(
+        self,
+        kind: str,
+        name: str,
+        spec: Any,
+        status: Any = None,
+        *,
+        by_operator: bool = True,
+    ) -> Stored:
         """Write an object unconditionally and return it."""
         self.revision += 1
         stored = {
@@ -71,7 +129,15 @@
             "status": status,
         }
         self.object_by_name[kind][name] = stored
-        self.events.append((self.revision, kind, stored))
+        self.changes.append(
+            Change(
+                revision=self.revision,
+                kind=kind,
+                stored=stored,
+                by_operator=by_operator,
+                at=time.monotonic(),
+            )
+        )
         return stored
 
     def _app(
@@ -82,7 +148,8 @@
             environ["eventlet.input"].get_socket().shutdown(2)
             status = 503
         data = json.dumps(body).encode()
-        start_response(f"{status} Status", [("Content-Type", "application/json")])
+        headers = [("Content-Type", "application/json"), (ERA_HEADER, str(self.era))]
+        start_response(f"{status} Status", headers)
         return [data]
 
     def _answer(self, environ: dict[str, Any]) -> Answer:
@@ -110,17 +177,17 @@
     def _watch(self, kind: str, after: int, wait_ms: int) -> Answer:
         cut_count, left_s = self.cut_count, wait_ms / MS_PER_S
         while True:
-            if after < self.oldest_revision - 1:
+            if self.cut_count != cut_count:
+                return None, {}
+            if not self.oldest_revision - 1 <= after <= self.revision:
                 return 410, {}
             events = [
-                {"removed": False, "object": stored}
-                for revision, event_kind, stored in self.events
-                if event_kind == kind and revision > after
+                {"removed": False, "object": change.stored}
+                for change in self.changes
+                if change.kind == kind and change.revision > after
             ]
             if events or left_s <= 0:
                 return 200, {"events": events, "store_revision": self.revision}
-            if self.cut_count != cut_count:
-                return None, {}
             eventlet.sleep(POLL_S)
             left_s -= POLL_S
 
@@ -140,5 +207,5 @@
             and (current or {})["metadata"]["revision"] != expected_revision
         ):
             return 409, current
-        stored = self.put(kind, name, body["spec"])
+        stored = self.put(kind, name, body["spec"], by_operator=False)
         return (None, {}) if self.loses_answers else (200, stored)
