Number a node's records, and ignore one that the node has replaced

Callers could be sent to an instance that had left: a store that comes back from an older copy delivers a record that its node has replaced since, as a change with a higher revision once revisions hold across the return. Change: a record carries a number that its node raises with each change; the directory ignores a lower one of the same incarnation. Records without a number, of nodes of the version before, count by the store's order as they did. Ruled out: endpoint_revision, which gossip uses and which does not count departures or the node's own leaving.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -1,10 +1,18 @@
 import copy
 
-from behave import then, when
+from attrs import evolve
+from behave import given, then, when
 from calls_rig import until
 from platform_node_steps import _configuration, _heartbeat, _version
+from platform_store_steps import _record
 from replication_steps import _change_configuration, _is_settled
 
+from comfreytray.common.interfaces import StoredObject
+from comfreytray.common.records import EndpointState
+from comfreytray.membership import directory
+from comfreytray.membership.directory import Directory
+from comfreytray.testing import FakeClock
+
 MEMBERS, NODE = "members", "n-1"
 
 
@@ -65,3 +73,39 @@
         assert until(lambda: _is_settled(context))
     context.shared.restore(older)
     _change_configuration(context)
+
+
+def _deliver(context, record, version):
+    key, value = directory.key_of(record.node_id), directory.encode(record)
+    stored = StoredObject(key=key, value=value, version=version)
+    context.directory.apply([stored])
+
+
+def _takes_calls(context):
+    return "s" in context.directory.view.endpoints_by_service
+
+
+@given("a directory that knows an instance as draining by its node's second record")
+def make_directory_with_draining(context):
+    context.directory = Directory(clock=FakeClock())
+    context.first = _record(revision=1)
+    draining = evolve(context.first.endpoint, state=EndpointState.DRAINING)
+    second = evolve(context.first, endpoint=draining, revision=2)
+    _deliver(context, second, 7)
+    assert not _takes_calls(context)
+
+
+@when("the store delivers the first record of that node again, and then a third one")
+def deliver_first_again(context):
+    context.took_calls = []
+    for version, record in (
+        (9, context.first),
+        (10, evolve(context.first, revision=3)),
+    ):
+        _deliver(context, record, version)
+        context.took_calls.append(_takes_calls(context))
+
+
+@then("the instance gets no calls after the first record and the third one counts")
+def check_first_ignored(context):
+    assert context.took_calls == [False, True], context.took_calls
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -19,3 +19,8 @@
     Given a store and 12 running nodes of one data centre
     When the store comes back from an older copy and the configuration changes
     Then every node has the last configuration
+
+  Scenario: A record that a node has replaced since doesn't count again
+    Given a directory that knows an instance as draining by its node's second record
+    When the store delivers the first record of that node again, and then a third one
+    Then the instance gets no calls after the first record and the third one counts
--- a/src/comfreytray/common/records.py
+++ b/src/comfreytray/common/records.py
@@ -78,6 +78,15 @@
     """Increases with each change of `endpoint` within an incarnation."""
     departure: Departure | None = None
     """The last departure, which the node's next incarnation must know."""
+    revision: int = 0
+    """Increases with each change of the record within an incarnation; 0 if the node
+    does not number its records."""
+
+    def precedes(self, other: "NodeRecord") -> bool:
+        """Whether the node itself has replaced this record by another one."""
+        if self.incarnation != other.incarnation:
+            return self.incarnation < other.incarnation
+        return self.revision < other.revision
 
     @property
     def control_address(self) -> Address:
--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -76,6 +76,7 @@
         endpoint=None if endpoint is None else _endpoint(endpoint),
         endpoint_revision=_non_negative_int(plain["endpoint_revision"]),
         departure=_departure(plain.get("departure")),
+        revision=_non_negative_int(plain.get("revision", 0)),
     )
 
 
@@ -182,6 +183,9 @@
                 self._on_earlier_self(record)
             return False
         held = self._record_by_id.get(node_id)
+        if held is not None and _is_outdated(record, held):
+            _log_outdated(stored, record, held)
+            return False
         self._record_by_id[node_id] = record
         self.capacity_by_id[node_id] = capacity
         if held is None or held.endpoint != record.endpoint:
@@ -190,6 +194,15 @@
         return record != held
 
 
+def _is_outdated(record: NodeRecord, held: NodeRecord) -> bool:
+    """Whether a stored record is one that its node has replaced since.
+
+    Incarnations are told apart by the store's order alone: the clock from which they
+    are taken may be set back between two starts of a node.
+    """
+    return record.incarnation == held.incarnation and record.precedes(held)
+
+
 def _view(record_by_id: Mapping[str, NodeRecord]) -> MembershipView:
     by_id = {
         node_id: record
@@ -211,6 +224,18 @@
     )
 
 
+def _log_outdated(stored: StoredObject, record: NodeRecord, held: NodeRecord) -> None:
+    logs.log(
+        logs.Event.OBJECT_IGNORED,
+        key=stored.key,
+        revision=stored.version,
+        incarnation=record.incarnation,
+        record_revision=record.revision,
+        held_incarnation=held.incarnation,
+        held_record_revision=held.revision,
+    )
+
+
 def _log_change(held: NodeRecord | None, record: NodeRecord, version: int) -> None:
     event = logs.Event.MEMBER_JOINED
     if record.state in (NodeState.LEAVING, NodeState.LEFT):
--- a/src/comfreytray/membership/ownrecord.py
+++ b/src/comfreytray/membership/ownrecord.py
@@ -45,7 +45,10 @@
         That an instance is no longer cold is not written: readers know how long a
         start takes, and each write is read by every node.
         """
-        return self._written in (record, _as_cold(record))
+        if self._written is None:
+            return False
+        written = attrs.evolve(self._written, revision=record.revision)
+        return written in (record, _as_cold(record))
 
     def write(self, record: NodeRecord) -> float:
         """Make one store call towards writing a record; return the seconds to wait."""
--- a/src/comfreytray/node/noderecord.py
+++ b/src/comfreytray/node/noderecord.py
@@ -16,6 +16,7 @@
         self._register = register
         self._incarnation = incarnation
         self._made: NodeRecord | None = None
+        self._revision = 0
 
     def current(self) -> NodeRecord:
         """Return the record as the other nodes should see it now."""
@@ -26,6 +27,7 @@
         shown = (endpoint, self.state, departure)
         if made is not None and (made.endpoint, made.state, made.departure) == shown:
             return made
+        self._revision += 1
         options = self._options
         self._made = NodeRecord(
             node_id=options.node_id,
@@ -38,5 +40,6 @@
             state=self.state,
             endpoint=endpoint,
             departure=departure,
+            revision=self._revision,
         )
         return self._made
