Put the store's era before its revisions

Callers were handled by a version that the operator had replaced, or got 404 for a route that was added. Cause: after the store comes back from an older copy it gives its revisions out again, and nodes compared them with those from before: subscriptions watched from a number that meant something else, replicas and the directory dropped objects as not newer, peers counted themselves complete. Change: a revision is the era and the number in one integer, in order across returns, wherever one is kept, compared or passed on; numbers go to the store only within their era. A watch from an earlier era reads everything; answers of an earlier era are out of date; a condition of an earlier era is a conflict, unsent, and one that the store applied across the return an unknown outcome. Across eras a member's record counts by its own numbers. Nodes of the protocol without eras aren't followed. Ruled out: a typed pair of era and number, which every message, table and comparison would have to carry.

--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from comfreytray.common import logs
+from comfreytray.common import logs, revisions
 from comfreytray.common.interfaces import Clock, StoredObject
 from comfreytray.common.records import (
     Departure,
@@ -170,12 +170,17 @@
 
     def _apply_one(self, stored: StoredObject) -> bool:
         node_id = stored.key.removeprefix(PREFIX)
-        if stored.version <= self._revision_by_id.get(node_id, 0):
+        seen = self._revision_by_id.get(node_id, 0)
+        if stored.version <= seen:
             return False
         self._revision_by_id[node_id] = stored.version
         decoded = _decode(stored.value)
         if decoded is None or decoded[0].node_id != node_id:
-            logs.warn(logs.Event.MEMBER_REFUSED, key=stored.key, version=stored.version)
+            logs.warn(
+                logs.Event.MEMBER_REFUSED,
+                key=stored.key,
+                version=revisions.text_of(stored.version),
+            )
             return False
         record, capacity = decoded
         if node_id == self._own_id:
@@ -183,7 +188,8 @@
                 self._on_earlier_self(record)
             return False
         held = self._record_by_id.get(node_id)
-        if held is not None and _is_outdated(record, held):
+        in_same_era = revisions.era_of(stored.version) == revisions.era_of(seen)
+        if held is not None and _is_outdated(record, held, in_same_era=in_same_era):
             _log_outdated(stored, record, held)
             return False
         self._record_by_id[node_id] = record
@@ -194,13 +200,15 @@
         return record != held
 
 
-def _is_outdated(record: NodeRecord, held: NodeRecord) -> bool:
+def _is_outdated(record: NodeRecord, held: NodeRecord, *, in_same_era: bool) -> bool:
     """Whether a stored record is one that its node has replaced since.
 
-    Incarnations are told apart by the store's order alone: the clock from which they
-    are taken may be set back between two starts of a node.
+    Incarnations are taken from a clock that may be set back between two starts of a
+    node, so within an era the store's order is the better one.
     """
-    return record.incarnation == held.incarnation and record.precedes(held)
+    if in_same_era and record.incarnation != held.incarnation:
+        return False
+    return record.precedes(held)
 
 
 def _view(record_by_id: Mapping[str, NodeRecord]) -> MembershipView:
@@ -228,7 +236,7 @@
     logs.log(
         logs.Event.OBJECT_IGNORED,
         key=stored.key,
-        revision=stored.version,
+        revision=revisions.text_of(stored.version),
         incarnation=record.incarnation,
         record_revision=record.revision,
         held_incarnation=held.incarnation,
@@ -249,5 +257,5 @@
         state=record.state.value,
         instance=endpoint.instance_id if endpoint else "",
         instance_state=endpoint.state.value if endpoint else "",
-        version=version,
+        version=revisions.text_of(version),
     )
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -14,6 +14,7 @@
 from comfreytray.calls.dialect import Dialect
 from comfreytray.calls.proxy import CallPath
 from comfreytray.calls.retries import RetryLimits
+from comfreytray.common import revisions
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.errors import Failure
 from comfreytray.common.interfaces import (
@@ -283,7 +284,7 @@
                 warn(
                     Event.VERSION_REFUSED,
                     key=stored.key,
-                    revision=stored.version,
+                    revision=revisions.text_of(stored.version),
                     reason=snapshot.detail,
                 )
                 continue
@@ -296,7 +297,7 @@
                 Event.VERSION_IGNORED,
                 version=snapshot.head.version,
                 in_force=current.head.version,
-                revision=revision,
+                revision=revisions.text_of(revision),
             )
             return
         self.snapshot = snapshot
@@ -305,7 +306,7 @@
             Event.VERSION_APPLIED,
             version=snapshot.head.version,
             before=current.head.version if current else 0,
-            revision=revision,
+            revision=revisions.text_of(revision),
         )
 
     def _on_endpoint_change(self, endpoint: Endpoint | None) -> None:
--- a/src/comfreytray/platform/objectstore.py
+++ b/src/comfreytray/platform/objectstore.py
@@ -11,7 +11,7 @@
 from attrs import frozen
 from urllib3 import exceptions as http_errors
 
-from comfreytray.common import logs
+from comfreytray.common import logs, revisions
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, StoredObject, WatchBatch
 from comfreytray.common.keepalive import OPTIONS as KEEPALIVE_OPTIONS
@@ -51,17 +51,27 @@
 
     status: int
     data: bytes
+    era: int
+
+
+@frozen(kw_only=True)
+class _Answer:
+    """The decoded body of a successful answer, and the era in which it was given."""
+
+    era: int
+    body: Any
 
 
 class PlatformStore:
     """Client of the platform's object store; implements `ObjectStore`.
 
     A key is `kind/name`, a prefix `kind/` or a whole key; the value is the JSON text
-    of the object's spec.
+    of the object's spec. Versions and revisions are those of `common.revisions`.
     """
 
     def __init__(self, *, address: Address) -> None:
         self._era = 0
+        """The latest era that is known; answers of earlier ones are out of date."""
         self._pool = urllib3.HTTPConnectionPool(
             address[0],
             address[1],
@@ -87,10 +97,13 @@
 
     def get(self, key: str) -> StoredObject | Failure:
         """Read one object."""
-        decoded = self._read(_object_path(key), CALL_TIMEOUT_S)
-        if isinstance(decoded, Failure):
-            return decoded
-        return _decode_object_or_failure(key.partition("/")[0], decoded)
+        answer = self._read(_object_path(key), CALL_TIMEOUT_S)
+        if isinstance(answer, Failure):
+            return answer
+        try:
+            return _decode_object(key.partition("/")[0], answer.body, answer.era)
+        except _MALFORMED_ERRORS as error:
+            return _malformed_answer(error)
 
     def list(self, prefix: str) -> tuple[StoredObject, ...] | Failure:
         """Read all objects under a prefix, in key order."""
@@ -101,47 +114,68 @@
         self, key: str, value: bytes, *, expected_version: int | None
     ) -> StoredObject | Failure:
         """Write an object if its version is as expected; 0 means absent, None any."""
+        if self._is_outdated(expected_version):
+            return self._conflict(key, expected_version)
         kind, _, name = key.partition("/")
         metadata: dict[str, Any] = {"name": name, "finalizers": []}
         if expected_version:
-            metadata["revision"] = expected_version
+            metadata["revision"] = revisions.number_of(expected_version)
         body = {"metadata": metadata, "spec": json.loads(value)}
         creating = expected_version == 0
         path = f"{OBJECTS_PATH}/{quote(kind)}" if creating else _object_path(key)
-        decoded = self._write("POST" if creating else "PUT", path, body)
-        if isinstance(decoded, Failure):
-            return decoded
+        answer = self._write("POST" if creating else "PUT", path, body)
+        if isinstance(answer, Failure):
+            return answer
+        if self._is_outdated(expected_version):
+            return self._unmet_condition(key, expected_version)
         try:
-            return _decode_object(kind, decoded)
+            return _decode_object(kind, answer.body, answer.era)
         except _MALFORMED_ERRORS as error:
             return _outcome_unknown(f"malformed answer: {type(error).__name__}")
 
     def delete(self, key: str, *, expected_version: int | None) -> Failure | None:
         """Delete an object if its version is as expected; None means any."""
-        condition = "" if expected_version is None else f"?revision={expected_version}"
-        decoded = self._write("DELETE", _object_path(key) + condition, None)
-        return decoded if isinstance(decoded, Failure) else None
+        if self._is_outdated(expected_version):
+            return self._conflict(key, expected_version)
+        condition = ""
+        if expected_version is not None:
+            condition = f"?revision={revisions.number_of(expected_version)}"
+        answer = self._write("DELETE", _object_path(key) + condition, None)
+        if isinstance(answer, Failure):
+            return answer
+        if self._is_outdated(expected_version):
+            return self._unmet_condition(key, expected_version)
+        return None
 
     def watch(
         self, prefix: str, *, after_revision: int, timeout_s: float
     ) -> WatchBatch | Failure:
-        """Wait for changes under a prefix; read all of it if their history is gone."""
-        if after_revision <= 0:
+        """Wait for changes under a prefix; read all of it if their history is gone.
+
+        The history of a revision from before the store's return is gone, even if the
+        store has given out its number again.
+        """
+        era = revisions.era_of(after_revision)
+        self._note_era(era)
+        if after_revision <= 0 or era < self._era:
             return self._list(prefix)
         kind = prefix.partition("/")[0]
-        wait_ms = int(timeout_s * MS_PER_S)
-        path = f"{OBJECTS_PATH}/{quote(kind)}?watch={after_revision}&wait_ms={wait_ms}"
-        decoded = self._read(path, timeout_s + WATCH_MARGIN_S)
-        if isinstance(decoded, Failure):
-            is_history_gone = decoded.kind is Kind.NOT_FOUND
-            return self._list(prefix) if is_history_gone else decoded
+        after, wait_ms = revisions.number_of(after_revision), int(timeout_s * MS_PER_S)
+        path = f"{OBJECTS_PATH}/{quote(kind)}?watch={after}&wait_ms={wait_ms}"
+        answer = self._read(path, timeout_s + WATCH_MARGIN_S)
+        if isinstance(answer, Failure):
+            is_history_gone = answer.kind is Kind.NOT_FOUND
+            return self._list(prefix) if is_history_gone else answer
+        if answer.era != era:
+            return self._list(prefix)
         try:
             objects = [
-                _decode_object(kind, event["object"])
-                for event in decoded["events"]
+                _decode_object(kind, event["object"], era)
+                for event in answer.body["events"]
                 if not event["removed"]
             ]
-            return _build_batch(prefix, decoded["store_revision"], objects)
+            number = answer.body["store_revision"]
+            return _build_batch(prefix, revisions.in_era(era, number), objects)
         except _MALFORMED_ERRORS as error:
             return _malformed_answer(error)
 
@@ -153,48 +187,78 @@
         after = ""
         while True:
             query = f"?after={quote(after)}" if after else ""
-            decoded = self._read(f"{OBJECTS_PATH}/{quote(kind)}{query}", CALL_TIMEOUT_S)
-            if isinstance(decoded, Failure):
-                return decoded
+            answer = self._read(f"{OBJECTS_PATH}/{quote(kind)}{query}", CALL_TIMEOUT_S)
+            if isinstance(answer, Failure):
+                return answer
             try:
-                page = [_decode_object(kind, item) for item in decoded["items"]]
+                items, more = answer.body["items"], answer.body["more"]
+                page = [_decode_object(kind, item, answer.era) for item in items]
                 if revision is None:
-                    revision = decoded["store_revision"]
-                more = decoded["more"]
+                    number = answer.body["store_revision"]
+                    revision = revisions.in_era(answer.era, number)
             except _MALFORMED_ERRORS as error:
                 return _malformed_answer(error)
+            if answer.era != revisions.era_of(revision):
+                detail = f"pages of eras {revisions.era_of(revision)} and {answer.era}"
+                return Failure(kind=Kind.STORE_UNAVAILABLE, detail=detail)
             objects.extend(page)
             if not more or not page:
                 return _build_batch(prefix, revision, objects)
             after = page[-1].key.partition("/")[2]
 
-    def _read(self, path: str, timeout_s: float) -> Any:
+    def _is_outdated(self, expected_version: int | None) -> bool:
+        """Whether the condition of a write is a version from before a return."""
+        return (
+            bool(expected_version)
+            and revisions.era_of(expected_version or 0) < self._era
+        )
+
+    def _conflict(self, key: str, expected_version: int | None) -> Failure:
+        """Refuse a write unsent: the store may have given out the number again."""
+        version = revisions.text_of(expected_version or 0)
+        detail = f"{key}: version {version} is from before era {self._era}"
+        return Failure(kind=Kind.CONFLICT, detail=detail)
+
+    def _unmet_condition(self, key: str, expected_version: int | None) -> Failure:
+        """Report a write that the store applied on a number of another era."""
+        version = revisions.text_of(expected_version or 0)
+        return _outcome_unknown(f"{key}: applied on {version} in era {self._era}")
+
+    def _read(self, path: str, timeout_s: float) -> _Answer | Failure:
         try:
             response = self._request("GET", path, None, timeout_s)
         except (http_errors.HTTPError, OSError) as error:
             return Failure(kind=Kind.STORE_UNAVAILABLE, detail=type(error).__name__)
+        if response.era < self._era:
+            detail = f"answer of era {response.era}, expected {self._era}"
+            return Failure(kind=Kind.STORE_UNAVAILABLE, detail=detail)
         if response.status == _STATUS_HISTORY_GONE:
             return Failure(kind=Kind.NOT_FOUND, detail="history of changes is gone")
         if response.status != 200:
             kind = _KIND_BY_STATUS.get(response.status, Kind.STORE_UNAVAILABLE)
             return Failure(kind=kind, detail=f"status {response.status}")
         try:
-            return json.loads(response.data)
+            return _Answer(era=response.era, body=json.loads(response.data))
         except ValueError as error:
             return _malformed_answer(error)
 
-    def _write(self, method: str, path: str, body: object) -> Any:
+    def _write(self, method: str, path: str, body: object) -> _Answer | Failure:
         try:
             response = self._request(method, path, body, CALL_TIMEOUT_S)
         except _NOT_SENT_ERRORS as error:
             return Failure(kind=Kind.STORE_UNAVAILABLE, detail=type(error).__name__)
         except (http_errors.HTTPError, OSError) as error:
             return _outcome_unknown(type(error).__name__)
+        if response.era < self._era:
+            return _outcome_unknown(
+                f"answer of era {response.era}, expected {self._era}"
+            )
         if response.status in (200, 201, 204):
             try:
-                return json.loads(response.data) if response.data else {}
+                decoded = json.loads(response.data) if response.data else {}
             except ValueError as error:
                 return _outcome_unknown(f"malformed answer: {type(error).__name__}")
+            return _Answer(era=response.era, body=decoded)
         kind = _KIND_BY_STATUS.get(response.status)
         if kind is None:
             return _outcome_unknown(f"status {response.status}")
@@ -219,8 +283,11 @@
             response.close()
             raise
         response.release_conn()
-        self._note_era(_decode_era(response))
-        return _Response(status=response.status, data=data)
+        era = _decode_era(response)
+        if era is None:
+            era = self._era
+        self._note_era(era)
+        return _Response(status=response.status, data=data, era=era)
 
     def _note_era(self, era: int) -> None:
         if era > self._era > 0:
@@ -228,10 +295,16 @@
         self._era = max(era, self._era)
 
 
-def _decode_era(response: urllib3.BaseHTTPResponse) -> int:
-    """Return the era of an answer; 0 if it names none."""
-    text = response.headers.get(ERA_HEADER, "")
-    return int(text) if text.isdecimal() else 0
+def _decode_era(response: urllib3.BaseHTTPResponse) -> int | None:
+    """Return the era of an answer, None if it names none; raises HTTPError."""
+    text = response.headers.get(ERA_HEADER)
+    if text is None:
+        return None
+    if not text.isdecimal() or int(text) > revisions.MAX_ERA:
+        raise http_errors.ProtocolError(
+            f"{ERA_HEADER}: expected a number up to {revisions.MAX_ERA}, got {text!r}"
+        )
+    return int(text)
 
 
 def _read_body(response: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
@@ -253,25 +326,18 @@
     return f"{OBJECTS_PATH}/{quote(kind)}/{quote(name, safe='')}"
 
 
-def _decode_object(kind: str, decoded: Any) -> StoredObject:
+def _decode_object(kind: str, decoded: Any, era: int) -> StoredObject:
     metadata = decoded["metadata"]
     return StoredObject(
         key=f"{kind}/{metadata['name']}",
         value=json.dumps(decoded["spec"]).encode(),
-        version=int(metadata["revision"]),
+        version=revisions.in_era(era, int(metadata["revision"])),
     )
 
 
-def _decode_object_or_failure(kind: str, decoded: Any) -> StoredObject | Failure:
-    try:
-        return _decode_object(kind, decoded)
-    except _MALFORMED_ERRORS as error:
-        return _malformed_answer(error)
-
-
-def _build_batch(prefix: str, revision: Any, objects: list[StoredObject]) -> WatchBatch:
+def _build_batch(prefix: str, revision: int, objects: list[StoredObject]) -> WatchBatch:
     wanted = tuple(stored for stored in objects if stored.key.startswith(prefix))
-    return WatchBatch(revision=int(revision), objects=wanted)
+    return WatchBatch(revision=revision, objects=wanted)
 
 
 def _malformed_answer(error: Exception) -> Failure:
--- a/src/comfreytray/replication/frames.py
+++ b/src/comfreytray/replication/frames.py
@@ -16,7 +16,8 @@
 from comfreytray.distribution.compression import compress, decompress
 from comfreytray.replication.replica import ObjectChange, Progress
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
+"""Version 1 had revisions without the store's era; its nodes are not followed."""
 HELLO = 60
 ANNOUNCE = 61
 PULL = 62
--- a/src/comfreytray/replication/replica.py
+++ b/src/comfreytray/replication/replica.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from comfreytray.common import logs
+from comfreytray.common import logs, revisions
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
 from comfreytray.distribution.compression import compress, decompress
@@ -119,8 +119,8 @@
             logs.log(
                 logs.Event.OBJECT_IGNORED,
                 key=stored.key,
-                revision=stored.version,
-                held=held.version,
+                revision=revisions.text_of(stored.version),
+                held=revisions.text_of(held.version),
             )
 
     def _change(self, stored: StoredObject, base_version: int) -> ObjectChange:
@@ -144,6 +144,7 @@
         if held is None or held.version != change.base_version:
             return Failure(
                 kind=Kind.INCOMPLETE_VERSION,
-                detail=f"{change.key}: base {change.base_version} is not held",
+                detail=f"{change.key}: base {revisions.text_of(change.base_version)}"
+                " is not held",
             )
         return decompress(change.data, max_bytes=MAX_OBJECT_BYTES, base=held.value)
--- a/src/comfreytray/store/subscriptions.py
+++ b/src/comfreytray/store/subscriptions.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from comfreytray.common import logs
+from comfreytray.common import logs, revisions
 from comfreytray.common.budgets import Backoff
-from comfreytray.common.errors import Failure
+from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock, ObjectStore, WatchBatch
 
 
@@ -100,7 +100,9 @@
     def _read_newest(self) -> WatchBatch | Failure:
         stored = self._store.get(self._prefix)
         if isinstance(stored, Failure):
-            return stored
+            # A store that came back from an older copy may lack the object.
+            is_absent = stored.kind is Kind.NOT_FOUND
+            return self._watch() if is_absent else stored
         newer = stored.version > self._revision
         return WatchBatch(
             revision=max(stored.version, self._revision),
@@ -116,7 +118,7 @@
                 logs.Event.STORE_UNAVAILABLE,
                 prefix=self._prefix,
                 reason=failure.detail,
-                revision=self._revision,
+                revision=revisions.text_of(self._revision),
             )
         return self._backoff.next_s()
 
--- a/src/comfreytray/testing.py
+++ b/src/comfreytray/testing.py
@@ -5,8 +5,9 @@
 import random
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
+from comfreytray.common import revisions
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, StoredObject, WatchBatch
 from comfreytray.transport import wire
@@ -43,15 +44,21 @@
     object_by_key: dict[str, StoredObject] = field(factory=dict)
     previous_by_key: dict[str, StoredObject | None] = field(factory=dict)
     revision: int = 0
-    era: int = 1
+    era: int = 0
     """Increases each time that the store comes back from an older copy."""
 
     def restore(self, copy: "MemoryStore") -> None:
         """Come back from an older copy, one made with `copy.deepcopy`."""
-        self.object_by_key = dict(copy.object_by_key)
-        self.previous_by_key = dict(copy.previous_by_key)
-        self.revision = copy.revision
         self.era += 1
+        self.revision = self._in_era(copy.revision)
+        self.object_by_key = {
+            key: evolve(stored, version=self._in_era(stored.version))
+            for key, stored in copy.object_by_key.items()
+        }
+        self.previous_by_key.clear()
+
+    def _in_era(self, revision: int) -> int:
+        return revisions.in_era(self.era, revisions.number_of(revision))
 
     def _count_call(self, kind: str) -> Failure | None:
         self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
@@ -125,7 +132,10 @@
     def watch(
         self, prefix: str, *, after_revision: int, timeout_s: float
     ) -> WatchBatch | Failure:
-        """Return at once the objects that changed after a revision."""
+        """Return at once the objects that changed after a revision.
+
+        After a return of the store these are all that it holds.
+        """
         failed = self._count_call("watch")
         if failed is not None:
             return failed
