Write a node's record again when the store has lost it

After a return from an older copy the store lacked what nodes had written since: their start, their instance, its leaving and the last departure. A node believed for good what it had written once, so nodes that started later learnt an older state; an instance that had left could get calls from them. Class: a belief about another's state with no way to end. Change: what was written counts until a list shows a later version, or none in a later era; the list tells the version for the next write, so a return costs a call only for nodes whose record was lost. The start of a node uses the same rule. Ruled out: a read after each return on every node (a call each, though most records are whole).

--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -35,6 +35,7 @@
     LINES_LEFT_OUT = "lines-left-out"
     CALLS_CUT = "calls-cut"
     RECORD_NOT_STORED = "record-not-stored"
+    RECORD_REPLACED = "record-replaced"
     SETTINGS_RELOADED = "settings-reloaded"
     ENDPOINT_ANNOUNCED = "endpoint-announced"
     ENDPOINT_LAPSED = "endpoint-lapsed"
--- a/src/comfreytray/common/records.py
+++ b/src/comfreytray/common/records.py
@@ -99,6 +99,18 @@
         return (self.host, self.call_port)
 
 
+@frozen(kw_only=True)
+class ListedRecord:
+    """What the last complete list of the members has shown of a node's own record."""
+
+    era: int
+    """Era of the list."""
+    version: int = 0
+    """Version of the stored record; 0 if the list had none."""
+    record: NodeRecord | None = None
+    """The stored record; None if there was none or it could not be read."""
+
+
 @frozen(kw_only=True)
 class MembershipView:
     """An immutable snapshot of the members, as this node knows them."""
--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -12,6 +12,7 @@
     Departure,
     Endpoint,
     EndpointState,
+    ListedRecord,
     MembershipView,
     NodeRecord,
     NodeState,
@@ -128,6 +129,7 @@
         self._cold_until_by_id: dict[str, float] = {}
         self._record_by_id: dict[str, NodeRecord] = {}
         self._own_id = ""
+        self._own_stored: NodeRecord | None = None
         self.capacity_by_id: dict[str, int] = {}
         """Processor share of each member's machine, in percent of a core."""
         self.view = MembershipView()
@@ -150,9 +152,13 @@
             return False
         return self._clock.monotonic() < self._cold_until_by_id.get(record.node_id, 0.0)
 
-    def stored_version(self, node_id: str) -> int:
-        """Return the version of a member's stored record; 0 if none is known."""
-        return self._revision_by_id.get(node_id, 0)
+    def own_listed(self, complete_to: int) -> ListedRecord:
+        """Return this node's stored record, by lists complete up to a revision."""
+        era = revisions.era_of(complete_to)
+        version = self._revision_by_id.get(self._own_id, 0)
+        if revisions.era_of(version) != era:
+            return ListedRecord(era=era)
+        return ListedRecord(era=era, version=version, record=self._own_stored)
 
     def apply(self, objects: Iterable[StoredObject]) -> None:
         """Apply stored records, skipping those that are not newer than known ones."""
@@ -175,6 +181,8 @@
             return False
         self._revision_by_id[node_id] = stored.version
         decoded = _decode(stored.value)
+        if node_id == self._own_id:
+            self._own_stored = None if decoded is None else decoded[0]
         if decoded is None or decoded[0].node_id != node_id:
             logs.warn(
                 logs.Event.MEMBER_REFUSED,
--- a/src/comfreytray/membership/ownrecord.py
+++ b/src/comfreytray/membership/ownrecord.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from comfreytray.common import logs
+from comfreytray.common import logs, revisions
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import ObjectStore
-from comfreytray.common.records import EndpointState, NodeRecord
+from comfreytray.common.records import EndpointState, ListedRecord, NodeRecord
 from comfreytray.membership import directory
 
 UNKNOWN_VERSION = -1
@@ -19,7 +19,9 @@
     """Write this node's record until the store holds it.
 
     Each write is conditional on the version that it replaces, so that a delayed write
-    cannot undo a later one.
+    cannot undo a later one. What was written counts only until a list shows a later
+    version, or none in a later era: a store that comes back from an older copy may have
+    lost it.
     """
 
     def __init__(
@@ -27,15 +29,16 @@
         *,
         store: ObjectStore,
         backoff: Backoff,
-        listed_version: Callable[[], int | None] = lambda: None,
+        listed: Callable[[], ListedRecord | None] = lambda: None,
         capacity: int = 0,
     ) -> None:
-        """Create the writer; `listed_version` gives what the last list has shown."""
+        """Create the writer; `listed` gives what the last list has shown."""
         self._store = store
         self._backoff = backoff
-        self._listed_version = listed_version
+        self._listed = listed
         self._capacity = capacity
-        self._was_written = False
+        self._followed_era = UNKNOWN_VERSION
+        """Era of the last list from which the stored version was taken."""
         self._version = UNKNOWN_VERSION
         self._written: NodeRecord | None = None
 
@@ -45,6 +48,7 @@
         That an instance is no longer cold is not written: readers know how long a
         start takes, and each write is read by every node.
         """
+        self._follow_list(record)
         if self._written is None:
             return False
         written = attrs.evolve(self._written, revision=record.revision)
@@ -52,7 +56,8 @@
 
     def write(self, record: NodeRecord) -> float:
         """Make one store call towards writing a record; return the seconds to wait."""
-        if self._version == UNKNOWN_VERSION and not self._use_listed_version():
+        self._follow_list(record)
+        if self._version == UNKNOWN_VERSION:
             return self._read(record)
         stored = self._store.put(
             directory.key_of(record.node_id),
@@ -69,16 +74,36 @@
             return 0.0
         return self._back_off(stored, "write")
 
-    def _use_listed_version(self) -> bool:
-        """Save the first read if a list has shown the version; a later write may not.
-
-        A write that failed may have been applied since the list.
-        """
-        listed = None if self._was_written else self._listed_version()
-        self._was_written = True
-        if listed is not None:
-            self._version = listed
-        return listed is not None
+    def _follow_list(self, record: NodeRecord) -> None:
+        """Take over what a list shows, if that is later than what is known."""
+        listed = self._listed()
+        if listed is None or not self._is_later(listed):
+            return
+        self._followed_era = listed.era
+        self._version = listed.version
+        if listed.record not in (record, self._written):
+            self._log_replaced(listed)
+            self._written = None
+        else:
+            self._written = listed.record
+
+    def _is_later(self, listed: ListedRecord) -> bool:
+        if self._version == UNKNOWN_VERSION:
+            # A write that failed may have been applied since the list.
+            return listed.era > self._followed_era
+        is_restored = listed.era > revisions.era_of(self._version)
+        return is_restored or listed.version > self._version
+
+    def _log_replaced(self, listed: ListedRecord) -> None:
+        if self._written is None:
+            return
+        logs.warn(
+            logs.Event.RECORD_REPLACED,
+            version=revisions.text_of(listed.version),
+            era=listed.era,
+            record_revision=listed.record.revision if listed.record else 0,
+            written_record_revision=self._written.revision,
+        )
 
     def _read(self, record: NodeRecord) -> float:
         held = self._store.get(directory.key_of(record.node_id))
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -24,7 +24,13 @@
 )
 from comfreytray.common.logs import Event, log, warn
 from comfreytray.common.metrics import Metrics
-from comfreytray.common.records import Endpoint, LocalUpstream, NodeRecord, NodeState
+from comfreytray.common.records import (
+    Endpoint,
+    ListedRecord,
+    LocalUpstream,
+    NodeRecord,
+    NodeState,
+)
 from comfreytray.common.signals import Signal
 from comfreytray.common.tasks import TaskGroup
 from comfreytray.configuration.snapshots import Snapshot
@@ -101,10 +107,11 @@
         self.own_record = OwnRecord(
             store=store,
             backoff=feeds.backoff(),
-            listed_version=self._listed_version,
+            listed=self._own_listed,
             capacity=options.capacity,
         )
         self._record_changed = Signal()
+        self.members.on_restored = self._record_changed.fire
         self._stop = eventlet.event.Event()
         self._stack = ExitStack()
         self.calls = CallPath(
@@ -249,11 +256,11 @@
         while not holds() and self.clock.monotonic() < deadline:
             eventlet.sleep(START_POLL_S)
 
-    def _listed_version(self) -> int | None:
-        """Return the version of the stored own record; None before the first list."""
+    def _own_listed(self) -> ListedRecord | None:
+        """Return the own record as last listed; None before the first list."""
         if not self.members.is_known:
             return None
-        return self.directory.stored_version(self.options.node_id)
+        return self.directory.own_listed(self.members.replica.progress.complete_to)
 
     def _local_upstream(self) -> LocalUpstream | None:
         """Return the instance with the connections that the configuration allows it."""
--- a/src/comfreytray/replication/feed.py
+++ b/src/comfreytray/replication/feed.py
@@ -24,6 +24,9 @@
         self.replica = Replica()
         self.subscription = subscribe(self.apply)
         self.on_change: Callable[[], None] = lambda: None
+        self.on_restored: Callable[[], None] = lambda: None
+        """Called when all objects are known as a store holds them that came back from
+        an older copy."""
         self._on_objects = on_objects
         self._pulled_at: float | None = None
 
@@ -34,12 +37,11 @@
 
     def apply(self, batch: WatchBatch) -> None:
         """Take a batch of the store or of a source."""
-        before = self.replica.progress.newest
+        before = self.replica.progress
         fresh = self.replica.apply(batch)
         if fresh:
             self._on_objects(fresh)
-        if self.replica.progress.newest != before:
-            self.on_change()
+        self._report_change(before)
 
     def receive(
         self, changes: Iterable[ObjectChange], complete_to: int
@@ -53,6 +55,13 @@
         self.subscription.advance(complete_to)
         return None
 
+    def _report_change(self, before: Progress) -> None:
+        now = self.replica.progress
+        if now.newest != before.newest:
+            self.on_change()
+        if before.complete_to and now.era > before.era:
+            self.on_restored()
+
     def forget_pull(self) -> None:
         """Note that a pull under way may not be answered."""
         self._pulled_at = None
@@ -68,6 +77,7 @@
         if self.is_known and offered.newest <= held.complete_to:
             self.replica.advance(offered.complete_to)
             self.subscription.advance(offered.complete_to)
+            self._report_change(held)
             return False
         if self._pulled_at is not None and now - self._pulled_at < PULL_TIMEOUT_S:
             return False
--- a/src/comfreytray/replication/replica.py
+++ b/src/comfreytray/replication/replica.py
@@ -25,6 +25,11 @@
     newest: int = 0
     """Revision of the newest object held, at most `complete_to`."""
 
+    @property
+    def era(self) -> int:
+        """Return the era of the store that the replica follows."""
+        return revisions.era_of(self.complete_to)
+
 
 @frozen(kw_only=True)
 class ObjectChange:
