Keep what is later by its own numbers when the store comes back older

A node that started after the return could be given, by the nodes that it follows, a configuration or a record that had been replaced before: their replicas took the store's older value because its revision is of a later era. Change: a replica compares the two values across eras by what they say themselves, the operator's version or the record's incarnation and number, and goes by the store's revisions within an era, so that the next write counts. Measured: the new scenario fails without the order and passes; the features of the nodes, instances, start, planned stop and layout pass. Ruled out: naming the kept value by the store's newer revision, since a difference sent against that revision would then meet other bytes. What remains: a node that has read the older value from the store itself gets the later one only when it is written again.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -1,16 +1,20 @@
 import copy
+import json
 
 from attrs import evolve
 from behave import given, then, when
 from calls_rig import until
 from platform_node_steps import _configuration, _heartbeat, _version
 from platform_store_steps import _record
-from replication_steps import _change_configuration, _is_settled
+from replication_steps import _change_configuration, _is_settled, _transfer
 
-from comfreytray.common.interfaces import StoredObject
+from comfreytray.common import revisions
+from comfreytray.common.interfaces import StoredObject, WatchBatch
 from comfreytray.common.records import EndpointState
 from comfreytray.membership import directory
 from comfreytray.membership.directory import Directory
+from comfreytray.platform import configuration
+from comfreytray.replication.replica import Replica
 from comfreytray.testing import FakeClock
 
 MEMBERS, NODE = "members", "n-1"
@@ -109,3 +113,47 @@
 @then("the instance gets no calls after the first record and the third one counts")
 def check_first_ignored(context):
     assert context.took_calls == [False, True], context.took_calls
+
+
+def _batch(era, number, key, value):
+    stored = StoredObject(key=key, value=value, version=revisions.in_era(era, number))
+    return WatchBatch(revision=stored.version, objects=(stored,))
+
+
+@given("a source that knew a later version and a later record than the store now holds")
+def make_source(context):
+    record = _record(revision=4)
+    values = {
+        "config/main": [json.dumps(_configuration(v)).encode() for v in (7, 9, 8)],
+        "members/a": [directory.encode(evolve(record, revision=n)) for n in (4, 6, 5)],
+    }
+    orders = (configuration.order_of, directory.order_of)
+    context.rows = []
+    for (key, (older, later, next_one)), order in zip(
+        values.items(), orders, strict=True
+    ):
+        source, follower = Replica(order=order), Replica(order=order)
+        source.apply(_batch(1, 20, key, later))
+        source.apply(_batch(2, 12, key, older))
+        context.rows.append((key, source, follower, older, later, next_one))
+
+
+@when("a node that starts then follows the source and the store")
+def follow_source(context):
+    context.got = []
+    for key, source, follower, older, _, _ in context.rows:
+        _, got = _transfer(source, follower)
+        got += follower.apply(_batch(2, 13, key, older))
+        context.got.append([stored.value for stored in got])
+
+
+@then("it holds the later version and the later record")
+def check_later(context):
+    assert context.got == [[later] for _, _, _, _, later, _ in context.rows]
+
+
+@then("what the store holds next in the same era counts")
+def check_next_in_era(context):
+    for key, _, follower, _, _, next_one in context.rows:
+        got = follower.apply(_batch(2, 14, key, next_one))
+        assert [stored.value for stored in got] == [next_one], key
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -24,3 +24,9 @@
     Given a directory that knows an instance as draining by its node's second record
     When the store delivers the first record of that node again, and then a third one
     Then the instance gets no calls after the first record and the third one counts
+
+  Scenario: A node that starts after the store came back older learns what its source knows
+    Given a source that knew a later version and a later record than the store now holds
+    When a node that starts then follows the source and the store
+    Then it holds the later version and the later record
+    And what the store holds next in the same era counts
--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -47,6 +47,12 @@
     return None if decoded is None else decoded[0]
 
 
+def order_of(value: bytes) -> tuple[int, ...] | None:
+    """Return the place of a record among those of its member; None if malformed."""
+    record = decode(value)
+    return None if record is None else (record.incarnation, record.revision)
+
+
 def _decode(value: bytes) -> tuple[NodeRecord, int] | None:
     """Decode a record and the capacity of its machine, 0 if it is not stated."""
     if len(value) > MAX_RECORD_BYTES:
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -26,12 +26,10 @@
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import (
     Endpoint,
-    ListedRecord,
     LocalUpstream,
     NodeRecord,
     NodeState,
 )
-from comfreytray.common.signals import Signal
 from comfreytray.common.tasks import TaskGroup
 from comfreytray.configuration.snapshots import Snapshot
 from comfreytray.membership.directory import Directory
@@ -39,19 +37,16 @@
 from comfreytray.membership.ownrecord import OwnRecord
 from comfreytray.node.noderecord import RecordSource
 from comfreytray.node.options import NodeOptions
-from comfreytray.node.storefeeds import MEMBERS_WAIT_S, StoreFeeds
+from comfreytray.node.recordsync import RecordSync, listed_record, poll_until
+from comfreytray.node.storefeeds import StoreFeeds
 from comfreytray.replication.measures import MeasureExchange
+from comfreytray.replication.replica import ContentOrder, no_order
 from comfreytray.replication.replicator import Replicator
 
 LISTEN_BACKLOG = 1024
 MAX_INTERFACE_CONNECTIONS = 64
-FIRST_LIST_TIMEOUT_S = 1.0
-"""Time in which the first list of members should show the stored own record."""
 FIRST_CONFIGURATION_TIMEOUT_S = 0.6
 """Time in which the first configuration should be known; then callers are refused."""
-FIRST_HEARTBEAT_TIMEOUT_S = 0.6
-"""Time for which the first write of the own record waits for the instance."""
-START_POLL_S = 0.02
 TICK_S = 0.25
 READINESS_PROPAGATION_S = 2.4
 """Time in which callers learn that a node is no longer ready: two readiness checks."""
@@ -74,6 +69,7 @@
         store: ObjectStore,
         configuration_key: str,
         decode_configuration: DecodeConfiguration,
+        configuration_order: ContentOrder = no_order,
         dialect: Dialect,
         listeners: Mapping[Address, Any] | None = None,
     ) -> None:
@@ -101,17 +97,23 @@
         )
         feeds = StoreFeeds(store=store, clock=self.clock, random=self.random)
         self.configuration = feeds.configuration(
-            configuration_key, on_objects=self._apply_configuration
+            configuration_key,
+            on_objects=self._apply_configuration,
+            order=configuration_order,
         )
         self.members = feeds.members(self.directory, plan=lambda: self.replicator.plan)
-        self.own_record = OwnRecord(
-            store=store,
-            backoff=feeds.backoff(),
-            listed=self._own_listed,
-            capacity=options.capacity,
+        self.record_sync = RecordSync(
+            record=self.record,
+            own_record=OwnRecord(
+                store=store,
+                backoff=feeds.backoff(),
+                listed=lambda: listed_record(self.members, self.directory),
+                capacity=options.capacity,
+            ),
+            members=self.members,
+            register=self.register,
+            clock=self.clock,
         )
-        self._record_changed = Signal()
-        self.members.on_restored = self._record_changed.fire
         self._stop = eventlet.event.Event()
         self._stack = ExitStack()
         self.calls = CallPath(
@@ -234,7 +236,7 @@
         self._tasks.spawn(
             "replication", lambda: self.replicator.serve(followers_listener)
         )
-        self._tasks.spawn("own-record", self._sync_record)
+        self._tasks.spawn("own-record", self.record_sync.run)
         self._tasks.run_every(TICK_S, {"register": self.register.tick})
 
     def _listen(self, address: Address) -> Any:
@@ -245,23 +247,13 @@
 
     def _serve_callers(self, listener: Any) -> None:
         """Accept callers; those that come before the configuration wait a moment."""
-        self._poll_until(
-            lambda: self.snapshot is not None, FIRST_CONFIGURATION_TIMEOUT_S
+        poll_until(
+            lambda: self.snapshot is not None,
+            FIRST_CONFIGURATION_TIMEOUT_S,
+            self.clock,
         )
         self.calls.serve_http(listener)
 
-    def _poll_until(self, holds: Callable[[], bool], timeout_s: float) -> None:
-        """Wait until a condition of the start holds, but not beyond a time-out."""
-        deadline = self.clock.monotonic() + timeout_s
-        while not holds() and self.clock.monotonic() < deadline:
-            eventlet.sleep(START_POLL_S)
-
-    def _own_listed(self) -> ListedRecord | None:
-        """Return the own record as last listed; None before the first list."""
-        if not self.members.is_known:
-            return None
-        return self.directory.own_listed(self.members.replica.progress.complete_to)
-
     def _local_upstream(self) -> LocalUpstream | None:
         """Return the instance with the connections that the configuration allows it."""
         upstream = self.register.upstream
@@ -319,29 +311,12 @@
     def _on_endpoint_change(self, endpoint: Endpoint | None) -> None:
         del endpoint
         self.directory.put(self.record())
-        self._record_changed.fire()
+        self.record_sync.check()
 
     def _learn_own_departure(self, stored: NodeRecord) -> None:
         if stored.departure is not None:
             self.register.restore(stored.departure)
 
-    def _sync_record(self) -> None:
-        """Keep the stored record current, from the first list of members on.
-
-        Mostly the first heartbeat comes soon enough for the first write.
-        """
-        self._poll_until(lambda: self.members.is_known, FIRST_LIST_TIMEOUT_S)
-        self.register.show()
-        self._poll_until(
-            lambda: self.register.upstream is not None, FIRST_HEARTBEAT_TIMEOUT_S
-        )
-        while True:
-            record = self.record()
-            if self.own_record.is_current(record):
-                self._record_changed.wait(MEMBERS_WAIT_S)
-                continue
-            eventlet.sleep(self.own_record.write(record))
-
     def report(self) -> Mapping[str, object]:
         """Return the state of the node in plain types."""
         return {
--- /dev/null
+++ b/src/comfreytray/node/recordsync.py
@@ -0,0 +1,79 @@
+"""Keeps the stored record of a node current, from its start on."""
+
+from collections.abc import Callable
+
+import eventlet
+
+from comfreytray.common.interfaces import Clock
+from comfreytray.common.records import ListedRecord, NodeRecord
+from comfreytray.common.signals import Signal
+from comfreytray.membership.directory import Directory
+from comfreytray.membership.heartbeats import InstanceRegister
+from comfreytray.membership.ownrecord import OwnRecord
+from comfreytray.node.storefeeds import MEMBERS_WAIT_S
+from comfreytray.replication.feed import Feed
+
+FIRST_LIST_TIMEOUT_S = 1.0
+"""Time in which the first list of members should show the stored own record."""
+FIRST_HEARTBEAT_TIMEOUT_S = 0.6
+"""Time for which the first write of the own record waits for the instance."""
+START_POLL_S = 0.02
+
+
+def poll_until(holds: Callable[[], bool], timeout_s: float, clock: Clock) -> None:
+    """Wait until a condition of the start holds, but not beyond a time-out."""
+    deadline = clock.monotonic() + timeout_s
+    while not holds() and clock.monotonic() < deadline:
+        eventlet.sleep(START_POLL_S)
+
+
+def listed_record(members: Feed, directory: Directory) -> ListedRecord | None:
+    """Return a node's own record as last listed; None before the first list."""
+    if not members.is_known:
+        return None
+    return directory.own_listed(members.replica.progress.complete_to)
+
+
+class RecordSync:
+    """Writes the record when it changes, and again when the store has lost it."""
+
+    def __init__(
+        self,
+        *,
+        record: Callable[[], NodeRecord],
+        own_record: OwnRecord,
+        members: Feed,
+        register: InstanceRegister,
+        clock: Clock,
+    ) -> None:
+        self._record = record
+        self._own_record = own_record
+        self._members = members
+        self._register = register
+        self._clock = clock
+        self._changed = Signal()
+        members.on_restored = self.check
+
+    def check(self) -> None:
+        """Compare the stored record with the current one soon."""
+        self._changed.fire()
+
+    def run(self) -> None:
+        """Show the instance and write the record, once the members are known.
+
+        Mostly the first heartbeat comes soon enough for the first write.
+        """
+        register = self._register
+        poll_until(lambda: self._members.is_known, FIRST_LIST_TIMEOUT_S, self._clock)
+        register.show()
+        poll_until(
+            lambda: register.upstream is not None,
+            FIRST_HEARTBEAT_TIMEOUT_S,
+            self._clock,
+        )
+        while True:
+            record = self._record()
+            if self._own_record.is_current(record):
+                self._changed.wait(MEMBERS_WAIT_S)
+                continue
+            eventlet.sleep(self._own_record.write(record))
--- a/src/comfreytray/node/storefeeds.py
+++ b/src/comfreytray/node/storefeeds.py
@@ -6,8 +6,9 @@
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.interfaces import Clock, ObjectStore, StoredObject, WatchBatch
 from comfreytray.membership.directory import PREFIX as MEMBERS_PREFIX
-from comfreytray.membership.directory import Directory
+from comfreytray.membership.directory import Directory, order_of
 from comfreytray.replication.feed import Feed
+from comfreytray.replication.replica import ContentOrder, no_order
 from comfreytray.replication.sources import Plan
 from comfreytray.store.subscriptions import Subscription
 
@@ -36,7 +37,11 @@
         self._random = random
 
     def configuration(
-        self, key: str, *, on_objects: Callable[[Iterable[StoredObject]], None]
+        self,
+        key: str,
+        *,
+        on_objects: Callable[[Iterable[StoredObject]], None],
+        order: ContentOrder = no_order,
     ) -> Feed:
         """Return the feed of the configuration, which is one object."""
 
@@ -52,7 +57,7 @@
                 newest_only=True,
             )
 
-        return Feed(subscribe=subscribe, on_objects=on_objects)
+        return Feed(subscribe=subscribe, on_objects=on_objects, order=order)
 
     def members(self, directory: Directory, *, plan: Callable[[], Plan]) -> Feed:
         """Return the feed of the members' records, which go into a directory."""
@@ -68,7 +73,7 @@
                 on_batch=on_batch,
             )
 
-        return Feed(subscribe=subscribe, on_objects=directory.apply)
+        return Feed(subscribe=subscribe, on_objects=directory.apply, order=order_of)
 
     def backoff(self) -> Backoff:
         """Return the back-off of calls to the store."""
--- a/src/comfreytray/platform/configuration.py
+++ b/src/comfreytray/platform/configuration.py
@@ -17,6 +17,15 @@
 """Type of the routes whose requests may run more than once."""
 
 
+def order_of(value: bytes) -> tuple[int, ...] | None:
+    """Return the operator's version of a configuration; None if it has none."""
+    try:
+        version = json.loads(value)["version"]
+    except _MALFORMED_ERRORS:
+        return None
+    return (version,) if type(version) is int else None
+
+
 class Decoder:
     """Decodes versions of the configuration, reusing the routes that did not change.
 
--- a/src/comfreytray/platform/main.py
+++ b/src/comfreytray/platform/main.py
@@ -47,6 +47,7 @@
         store=store,
         configuration_key=configuration.OBJECT_KEY,
         decode_configuration=configuration.Decoder(),
+        configuration_order=configuration.order_of,
         dialect=DIALECT,
         listeners=early.listeners,
     )
--- a/src/comfreytray/replication/feed.py
+++ b/src/comfreytray/replication/feed.py
@@ -4,7 +4,13 @@
 
 from comfreytray.common.errors import Failure
 from comfreytray.common.interfaces import StoredObject, WatchBatch
-from comfreytray.replication.replica import ObjectChange, Progress, Replica
+from comfreytray.replication.replica import (
+    ContentOrder,
+    ObjectChange,
+    Progress,
+    Replica,
+    no_order,
+)
 from comfreytray.store.subscriptions import Subscription
 
 PULL_TIMEOUT_S = 1.0
@@ -19,9 +25,10 @@
         *,
         subscribe: Callable[[Callable[[WatchBatch], None]], Subscription],
         on_objects: Callable[[Iterable[StoredObject]], None],
+        order: ContentOrder = no_order,
     ) -> None:
         """Create a feed; `subscribe` makes the subscription for a batch handler."""
-        self.replica = Replica()
+        self.replica = Replica(order=order)
         self.subscription = subscribe(self.apply)
         self.on_change: Callable[[], None] = lambda: None
         self.on_restored: Callable[[], None] = lambda: None
--- a/src/comfreytray/replication/replica.py
+++ b/src/comfreytray/replication/replica.py
@@ -1,6 +1,7 @@
 """The newest known objects under a prefix of the store, and how complete they are."""
 
 from collections.abc import Iterable
+from typing import Protocol
 
 from attrs import frozen
 
@@ -42,11 +43,32 @@
     data: bytes
 
 
+class ContentOrder(Protocol):
+    """Tell the order of the values of a key from the values themselves."""
+
+    def __call__(self, value: bytes) -> tuple[int, ...] | None:
+        """Return a value's place; None if it can't be told."""
+        ...
+
+
+def no_order(value: bytes) -> None:
+    """Leave the order of values to the store."""
+    del value
+
+
 class Replica:
-    """Hold the newest revision of each object, from the store or from other nodes."""
+    """Hold the newest revision of each object, from the store or from other nodes.
 
-    def __init__(self) -> None:
+    Within an era of the store its revisions tell what is newest. A store that came
+    back from an older copy may deliver a value that was replaced in the era before;
+    `order` recognizes it.
+    """
+
+    def __init__(self, *, order: ContentOrder = no_order) -> None:
+        self._order = order
         self._object_by_key: dict[str, StoredObject] = {}
+        self._seen_by_key: dict[str, int] = {}
+        """Highest revision of each object that arrived, also if it was not held."""
         self._bases_by_key: dict[str, list[StoredObject]] = {}
         """Earlier revisions of large objects, oldest first."""
         self._complete_to = 0
@@ -107,8 +129,12 @@
 
     def _hold(self, stored: StoredObject) -> bool:
         """Keep an object if it is newer than the one held."""
+        seen = self._seen_by_key.get(stored.key, 0)
+        if stored.version <= seen:
+            return False
+        self._seen_by_key[stored.key] = stored.version
         held = self._object_by_key.get(stored.key)
-        if held is not None and stored.version <= held.version:
+        if held is not None and self._is_replaced(stored, held, seen):
             return False
         self._object_by_key[stored.key] = stored
         if held is not None and len(held.value) >= MIN_DELTA_BYTES:
@@ -117,6 +143,15 @@
             del bases[:-MAX_BASES]
         return True
 
+    def _is_replaced(self, stored: StoredObject, held: StoredObject, seen: int) -> bool:
+        """Whether an object of a later era has the older value of the two."""
+        if revisions.era_of(stored.version) == revisions.era_of(seen):
+            return False
+        place, held_place = self._order(stored.value), self._order(held.value)
+        if place is None or held_place is None:
+            return False
+        return place < held_place
+
     def _log_ignored(self, stored: StoredObject) -> None:
         """Log an object that is not newer, unless it is the one that is held."""
         held = self._object_by_key[stored.key]
