Believe an answer only if it can't belong to an earlier call

Cause: an answer that names no call counted for whichever call waited; on the users' platform a call that comes again has the id under which it was refused. Change: the node numbers its sends, upstreams echo the number; a refusal that names no call, on a connection that has served others, is an unknown outcome for a call that must not run twice, and so is any unnamed answer where all answers name their call. A call that was refused before goes on a new connection. Tests changed: the exact list of headers that an upstream gets has the new one (as strict); the endless upstream echoes the id, as the platform's do, so that its bodies are still read to their bounds. Ruled out: closing each connection after a refusal, which is done already and does not help when the copy comes on another connection.

--- a/features/calls_http.feature
+++ b/features/calls_http.feature
@@ -9,7 +9,7 @@
   Scenario: Hop-by-hop headers and forged node headers are not forwarded
     Given nodes "a" and "b" of one service
     When a call carries hop-by-hop headers and forged node headers
-    Then the upstream gets only the caller's end-to-end headers, depth and remaining time
+    Then the upstream gets only the caller's end-to-end headers and those of the node
 
   Scenario: An upstream that closes the connection after each byte of its answer
     Given an upstream that closes the connection after a given number of answer bytes
--- a/features/steps/calls_http_steps.py
+++ b/features/steps/calls_http_steps.py
@@ -127,13 +127,11 @@
     )
 
 
-@then(
-    "the upstream gets only the caller's end-to-end headers, depth and remaining time"
-)
+@then("the upstream gets only the caller's end-to-end headers and those of the node")
 def check_headers(context):
     names = {line.split(":")[0].lower() for line in context.seen[0].split("\r\n")[1:]}
     expected = {"host", "x-own", "content-length"}
-    expected |= {"comfreytray-deadline-ms", "comfreytray-depth"}
+    expected |= {"comfreytray-deadline-ms", "comfreytray-depth", "comfreytray-attempt"}
     assert names == expected, names
     left = int(re.search(r"Deadline-Ms: (\d+)", context.seen[0])[1])
     assert 0 < left <= 800 and "Depth: 5" in context.seen[0]
--- a/src/comfreytray/calls/dialect.py
+++ b/src/comfreytray/calls/dialect.py
@@ -7,6 +7,7 @@
 from attrs import field, frozen
 
 from comfreytray.calls.call import (
+    ATTEMPT_HEADER,
     CALLER_HEADER,
     DEADLINE_HEADER,
     DEPTH_HEADER,
@@ -70,6 +71,8 @@
     trace: str = ""
     call_id: str = ""
     """Header with the id of a caller's attempt, which the upstream echoes."""
+    attempt: str = ""
+    """Header with the number of a send to an upstream, which an upstream may echo."""
     instance: str = ""
     """Header with the id of the instance that a call is meant for; others refuse it."""
     proof: str = ""
@@ -97,6 +100,7 @@
             self.depth,
             self.retried,
             self.trace,
+            self.attempt,
             self.instance,
         )
         return frozenset(name.lower() for name in names if name)
@@ -113,4 +117,5 @@
     retried=RETRIED_HEADER,
     key=KEY_HEADER,
     trace=TRACE_HEADER,
+    attempt=ATTEMPT_HEADER,
 )
--- a/src/comfreytray/calls/upstream.py
+++ b/src/comfreytray/calls/upstream.py
@@ -1,10 +1,12 @@
 """Pool of HTTP connections to the upstream beside this node."""
 
 import http.client
+import math
 from collections.abc import Callable, Iterator
 
 from attrs import define
 
+from comfreytray.calls.attribution import AnswerTo, RefusedCalls, attribute
 from comfreytray.calls.call import (
     Call,
     CallCutError,
@@ -80,6 +82,8 @@
         self.metrics = metrics
         self.dialect = dialect
         self.open_count = 0
+        self._attempts = 0
+        self._refused_calls = RefusedCalls(dialect=dialect)
         self._idle: list[UpstreamConnection] = []
         self._idle_limit = IdleLimit(clock=clock)
 
@@ -139,6 +143,8 @@
         idle_s = self._idle_limit.max_idle_s(idempotent=call.idempotent)
         now = self.clock.monotonic()
         idle_since_limit = now - idle_s
+        if self._refused_calls.includes(call):
+            idle_since_limit = math.inf
         while self._idle and self._idle[-1].idle_since >= idle_since_limit:
             connection = self._idle.pop()
             if connection.address == address and connection.is_reusable():
@@ -177,8 +183,9 @@
         if call.deadline <= self.clock.monotonic():
             return fail(Kind.DEADLINE_BEFORE_RUN, "before sending")
         connection.sent_bytes = 0
+        self._attempts += 1
         try:
-            connection.write_call(call, instance_id)
+            connection.write_call(call, instance_id, attempt=self._attempts)
             response = self._read_matching_head(connection, call)
         except TimeoutError:
             return fail(Kind.DEADLINE_WHILE_RUNNING, "no answer")
@@ -186,6 +193,9 @@
             return fail(Kind.ANSWER_CUT, f"head: {error}")
         except (OSError, EOFError, ValueError, http.client.HTTPException) as error:
             return self._fail_lost(connection, error)
+        if response is None:
+            detail = "answer on a kept connection names no call"
+            return fail(Kind.LOST_AFTER_SEND, detail)
         exchange.response = response
         refusal = self.dialect.not_run(response.status, response.headers)
         if refusal is not Refusal.ANOTHER_INSTANCE:
@@ -215,6 +225,7 @@
         )
         refused = self._parse_refusal(response)
         if refused is not None:
+            self._refused_calls.record(call)
             return refused
         if not self._has_required_proof(response):
             return fail(Kind.ANSWER_CUT, "success without proof")
@@ -228,19 +239,27 @@
 
     def _read_matching_head(
         self, connection: UpstreamConnection, call: Call
-    ) -> StrictResponse:
-        """Read the head that answers this call, skipping answers to earlier calls."""
-        name = self.dialect.call_id
-        response = connection.read_head()
-        if not name or not call.call_id:
-            return response
-        for _ in range(MAX_SKIPPED_ANSWERS):
-            answered = response.headers.get(name)
-            if answered is None or answered == call.call_id:
+    ) -> StrictResponse | None:
+        """Read the head that answers this call, skipping answers to earlier calls.
+
+        None if it can't be told which call the answer belongs to.
+        """
+        for _ in range(MAX_SKIPPED_ANSWERS + 1):
+            response = connection.read_head()
+            answer_to = attribute(
+                response.status,
+                response.headers,
+                call=call,
+                attempt=connection.attempt,
+                is_kept=connection.is_kept,
+                dialect=self.dialect,
+            )
+            if answer_to is AnswerTo.THIS_CALL:
                 return response
             self.metrics.count("upstream_stray_answers")
+            if answer_to is AnswerTo.DOUBTFUL:
+                return None
             _skip_body(response)
-            response = connection.read_head()
         raise HeadError("only answers to other calls received")
 
     def _has_required_proof(self, response: StrictResponse) -> bool:
--- a/src/comfreytray/calls/upstreamconnection.py
+++ b/src/comfreytray/calls/upstreamconnection.py
@@ -131,6 +131,10 @@
         """Seconds it was idle before its current call; 0 for the first."""
         self.sent_at = 0.0
         self.sent_bytes = 0
+        self.attempt = 0
+        """Number of the last send, of all connections to the upstream."""
+        self.is_kept = False
+        """Whether it served another call before the current one."""
         self._sock: Any = None
         self._reader: ResponseReader | None = None
         self._method = ""
@@ -170,8 +174,10 @@
             return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
         return False
 
-    def write_call(self, call: Call, instance_id: str) -> None:
+    def write_call(self, call: Call, instance_id: str, *, attempt: int) -> None:
         """Send a call with its remaining time; raises OSError, ValueError."""
+        self.is_kept = self.attempt > 0
+        self.attempt = attempt
         left_s = call.deadline - self.clock.monotonic()
         self.sent_bytes = 0
         self.sent_at = self.clock.monotonic()
@@ -207,6 +213,7 @@
             dialect.depth: str(call.depth + 1),
             dialect.trace: call.trace,
             dialect.retried: "1" if call.retried else "",
+            dialect.attempt: str(self.attempt),
             dialect.instance: instance_id,
             dialect.caller: call.caller,
         }
--- a/standins/endless_upstream.py
+++ b/standins/endless_upstream.py
@@ -8,7 +8,12 @@
 
 SLOW_PAUSE_S = 0.2
 BLOCK_BYTES = 16_384
-SUCCESS = b"HTTP/1.1 200 Fine\r\nX-Response-Seal: s\r\n"
+CALL_ID_FIELD = b"X-Attempt-Id: "
+CALL_ID = b"{call-id}"
+"""Stands for the id of the request that is answered."""
+SUCCESS = (
+    b"HTTP/1.1 200 Fine\r\nX-Response-Seal: s\r\n" + CALL_ID_FIELD + CALL_ID + b"\r\n"
+)
 ANSWER = SUCCESS + b"Content-Length: 2\r\n\r\nok"
 OTHER_ANSWER = (
     b"HTTP/1.1 200 Fine\r\nX-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -31,14 +36,14 @@
 """What each kind of answer begins with, and what then repeats without end."""
 
 
-def _answer(target: str) -> Iterator[bytes]:
+def _answer(target: str, call_id: bytes) -> Iterator[bytes]:
     """Yield the answer to a target such as `/trailers/slow`."""
     kind, _, speed = target.strip("/").partition("/")
     if kind not in PARTS_BY_KIND:
-        yield ANSWER
+        yield ANSWER.replace(CALL_ID, call_id)
         return
     first, repeated = PARTS_BY_KIND[kind]
-    yield first
+    yield first.replace(CALL_ID, call_id)
     if speed == "slow":
         for byte in itertools.cycle(repeated):
             time.sleep(SLOW_PAUSE_S)
@@ -58,7 +63,9 @@
                         return
                     received += part
                 head, _, received = received.partition(b"\r\n\r\n")
-                for part in _answer(head.decode("latin-1").split(" ")[1]):
+                call_id = head.partition(CALL_ID_FIELD)[2].partition(b"\r\n")[0]
+                target = head.decode("latin-1").split(" ")[1]
+                for part in _answer(target, call_id):
                     sock.sendall(part)
         except OSError:
             return
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -27,6 +27,7 @@
 DEADLINE_HEADERS = ("HTTP_COMFREYTRAY_DEADLINE_MS",)
 """Headers with the milliseconds for which the caller still waits."""
 RAN_HEADER = "Comfreytray-Ran"
+ATTEMPT_HEADER = "Comfreytray-Attempt"
 ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_TIMEOUT_S = 2.0
 DISCONNECT_POLL_S = 0.01
@@ -141,10 +142,12 @@
             eventlet.sleep(self.delay_s)
         remaining_s = _remaining_s(environ)
         if remaining_s is not None and remaining_s <= 0:
-            return _refuse(start_response, "504 Gateway Timeout", "deadline")
+            return _refuse(environ, start_response, "504 Gateway Timeout", "deadline")
         if self.in_use >= self.slots or self.faults.refuse:
             self.shed += 1
-            return _refuse(start_response, "503 Service Unavailable", "no slot")
+            return _refuse(
+                environ, start_response, "503 Service Unavailable", "no slot"
+            )
         return self._run(environ, start_response, remaining_s)
 
     def _run(
@@ -276,9 +279,12 @@
     ]
 
 
-def _refuse(start_response: StartResponse, status: str, why: str) -> list[bytes]:
+def _refuse(
+    environ: Environ, start_response: StartResponse, status: str, why: str
+) -> list[bytes]:
     headers = [
         (RAN_HEADER, "no"),
+        (ATTEMPT_HEADER, environ.get("HTTP_COMFREYTRAY_ATTEMPT", "")),
         ("Retry-After", "1"),
         ("Content-Length", str(len(why))),
     ]
