Take no request late in a planned stop that can't end before the process

What callers saw, as other operators report it: requests that came late in the grace period of a stopping node were passed on and cut at its end with no answer, among them some that must not run twice. Shown here on a node whose instance is elsewhere (the owner of an instance refuses from its leaving on): calls that are complete late, as with a body that comes slowly, were passed on to another node and cut. Cause: the entry took whatever was complete, however little was left. Change: after half of the grace period a request is taken only if its caller's own deadline ends before the process does, else it is refused at once as not run, with the time until the process is gone. Ruled out: refusing from the start of the stop (callers still come for two readiness checks), and answering at the end in place of an endpoint that is at work.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -22,3 +22,9 @@
     Given a node whose caller has an idle connection and whose upstream takes 0.3 s
     When the stop begins and a request arrives before the end of input is noticed
     Then the request runs once and is answered by the upstream
+
+  Scenario: A request that is complete late in a stop isn't passed on and then cut off
+    Given a node that enters calls for an instance beside another node
+    When calls of 3 s are complete 0.1, 0.7 and 0.9 s after a stop began that leaves 1 s
+    Then those that could not end in time are refused as not run and ran nowhere
+    And a call whose caller waits for less than what is left gets its answer
--- a/features/platform_node.feature
+++ b/features/platform_node.feature
@@ -23,6 +23,20 @@
     Then the calls are answered and callers are told to close their connections
     And a call of another node that is in flight is answered before the node ends
 
+  Scenario Outline: A stopping node takes a request only if its end is sure or early
+    Given a planned stop that leaves 5.4 s
+    When a request of <deadline> s is complete after <after> s
+    Then the node <decision> it
+
+    Examples:
+      | after | deadline | decision |
+      | 0.1   | 5.0      | takes    |
+      | 2.6   | 5.0      | takes    |
+      | 2.8   | 5.0      | refuses  |
+      | 2.8   | 2.5      | takes    |
+      | 5.0   | 0.3      | takes    |
+      | 5.0   | 1.5      | refuses  |
+
   Scenario: A SIGHUP during start-up does not end a node's process
     When a node's process imports eventlet
     Then SIGHUP is ignored in the process
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -5,6 +5,7 @@
 
 from comfreytray.calls import callers, httpserver
 from comfreytray.calls.callers import CallerConnections, Listener
+from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.clock import SystemClock
 
 REQUEST = b"GET /%s HTTP/1.1\r\nHost: a.example\r\n\r\n"
@@ -157,3 +158,63 @@
     assert (context.got.status, context.got.body) == (200, b"ok"), context.got.status
     assert context.fleet.upstream_by_id["a"].ran == ["/first", "/second"]
     assert context.finished.wait()
+
+
+@given("a node that enters calls for an instance beside another node")
+def make_two_nodes(context):
+    def script(head, body):
+        eventlet.sleep(0.0 if b"short" in head else 3.0)
+        return answer(200, b"ok")
+
+    context.fleet = Fleet()
+    context.add_cleanup(context.fleet.__exit__)
+    context.fleet.add("entry", service="other")
+    context.fleet.add("owner", script=script)
+
+
+def _call_slowly(context, name, complete_at_s, deadline_ms):
+    """Send a head at once and the body later; return the answer."""
+    lines = [
+        f"POST /{name} HTTP/1.1",
+        "Host: canhdieu.test",
+        f"Comfreytray-Deadline-Ms: {deadline_ms}",
+        "Content-Length: 1",
+        "",
+        "",
+    ]
+    sock = context.fleet.raw("entry", "\r\n".join(lines).encode())
+    eventlet.sleep(complete_at_s)
+    sock.sendall(b"x")
+    try:
+        return read_answer(sock)
+    finally:
+        sock.close()
+
+
+@when("calls of 3 s are complete 0.1, 0.7 and 0.9 s after a stop began that leaves 1 s")
+def stop_with_late_calls(context):
+    path = context.fleet.path_by_id["entry"]
+    now = path.clock.monotonic()
+    rows = [("early", 0.1, 5000), ("late", 0.7, 5000), ("last", 0.9, 5000)]
+    rows.append(("short", 0.7, 950))
+    calls = {row[0]: eventlet.spawn(_call_slowly, context, *row) for row in rows}
+    path.ask_to_close(StopSchedule(began_at=now, ends_at=now + 1.0))
+    eventlet.sleep(0.2)
+    path.stop_http(0.8)
+    path.drain(0.0)
+    path.callers.shut_sockets.clear()
+    for sock in list(path.callers.busy_sockets):
+        sock.fd.shutdown(2)
+    context.got = {name: call.wait() for name, call in calls.items()}
+
+
+@then("those that could not end in time are refused as not run and ran nowhere")
+def check_late_refused(context):
+    late = [context.got[name] for name in ("late", "last")]
+    assert [(got.status, got.ran) for got in late] == [(503, "no")] * 2, late
+    assert set(context.fleet.upstream_by_id["owner"].ran) == {"/early", "/short"}
+
+
+@then("a call whose caller waits for less than what is left gets its answer")
+def check_short_answered(context):
+    assert context.got["short"].status == 200, context.got["short"].status
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -15,6 +15,7 @@
 from comfreytray.calls.call import Call, Reply
 from comfreytray.calls.connections import StreamClient
 from comfreytray.calls.splits import Splitter
+from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.errors import EXIT_USAGE, Failure
 from comfreytray.common.exceptions import SettingError
 from comfreytray.common.metrics import Metrics
@@ -283,6 +284,22 @@
     running.wait()
 
 
+@given("a planned stop that leaves 5.4 s")
+def make_schedule(context):
+    context.schedule = StopSchedule(began_at=100.0, ends_at=105.4)
+
+
+@when("a request of {deadline:g} s is complete after {after:g} s")
+def ask_schedule(context, deadline, after):
+    now = 100.0 + after
+    context.refusal = context.schedule.refusal(now=now, deadline=now + deadline)
+
+
+@then("the node {decision} it")
+def check_decision(context, decision):
+    assert (context.refusal is None) == (decision == "takes"), context.refusal
+
+
 @then("the calls are answered and callers are told to close their connections")
 def check_answered_while_stopping(context):
     assert not context.ready, "ready"
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -27,6 +27,7 @@
 from comfreytray.calls.retries import DEFAULT_RETRY_LIMITS, RetryLimits
 from comfreytray.calls.routing import Router, has_cold_endpoint
 from comfreytray.calls.splits import Splitter
+from comfreytray.calls.stopping import StopSchedule
 from comfreytray.calls.streamserver import StreamServer
 from comfreytray.calls.tracing import Tracer, traced
 from comfreytray.common import logs
@@ -201,9 +202,10 @@
         """Serve the call streams of other nodes until the listener is closed."""
         self.server.serve(listener)
 
-    def ask_to_close(self) -> None:
-        """Close the connection of a caller after each answer."""
+    def ask_to_close(self, schedule: StopSchedule) -> None:
+        """Close the connection of a caller after each answer, and plan the stop."""
         self.leaving = True
+        self.reader.stop = schedule
 
     def leave(self) -> None:
         """Refuse new calls for the upstream; callers are served through other nodes."""
--- a/src/comfreytray/calls/requests.py
+++ b/src/comfreytray/calls/requests.py
@@ -16,6 +16,7 @@
 )
 from comfreytray.calls.dialect import Dialect
 from comfreytray.calls.splits import Splitter
+from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
 from comfreytray.configuration.snapshots import Route, Snapshot
@@ -76,6 +77,8 @@
         self.clock = clock
         self.splitter = splitter
         self.budget = BodyBudget()
+        self.stop: StopSchedule | None = None
+        """The planned stop of the node, once it has begun."""
         self._max_deadline_ms_by_route: dict[str, int] = {}
         self._deadline_key = _environ_key(dialect.deadline)
         self._depth_key = _environ_key(dialect.depth)
@@ -111,6 +114,12 @@
         body = read_body(environ, self.budget)
         if isinstance(body, Failure):
             return body
+        if self.stop is not None:
+            refusal = self.stop.refusal(
+                now=self.clock.monotonic(), deadline=now + left_s
+            )
+            if refusal is not None:
+                return refusal
         return self._call(environ, route, body, now, now + left_s, depth, key)
 
     def call_id(self, environ: Environ) -> str:
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -14,6 +14,7 @@
 from comfreytray.calls.dialect import Dialect
 from comfreytray.calls.proxy import CallPath
 from comfreytray.calls.retries import RetryLimits
+from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common import revisions
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.errors import Failure
@@ -208,11 +209,12 @@
         leaves only when callers no longer come, which halves that time.
         """
         self._stop.wait()
-        deadline = self.clock.monotonic() + self.options.grace_s - EXIT_MARGIN_S
+        began_at = self.clock.monotonic()
+        deadline = began_at + self.options.grace_s - EXIT_MARGIN_S
         log(
             Event.NODE_STOPPING, node=self.options.node_id, grace_s=self.options.grace_s
         )
-        self.calls.ask_to_close()
+        self.calls.ask_to_close(StopSchedule(began_at=began_at, ends_at=deadline))
         eventlet.sleep(READINESS_PROPAGATION_S - LEAVE_PROPAGATION_S)
         self.record_source.state = NodeState.LEAVING
         self._on_endpoint_change(None)
