Await the first request of a connection that was opened as a stop began

Cause, shown by a scenario: at the stop a connection on which no request had come was shut like one that had had its answers, and a caller that had just connected met the close with its first request. Connections that have had an answer since the node began to leave are closed by that answer, so new ones are what is left. Change: new connections stay open for up to 0.5 s of the stop; those that have carried a request are shut at once as before. Ruled out: reading once more after the end of input, which leaves the same gap before the close.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -23,6 +23,12 @@
     When the stop begins and a request arrives before the end of input is noticed
     Then the request runs once and is answered by the upstream
 
+  Scenario: The first request on a connection that was opened as the stop began is answered
+    Given an HTTP server with an open connection that has had one answer
+    When another connection is opened, the stop begins and 0.1 s later it sends a request
+    Then the request runs once and its whole answer arrives
+    And the connection is closed and a new connection is refused
+
   Scenario: A request that is complete late in a stop isn't passed on and then cut off
     Given a node that enters calls for an instance beside another node
     When calls of 3 s are complete 0.1, 0.7 and 0.9 s after a stop began that leaves 1 s
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -93,6 +93,19 @@
     context.connection.sendall(b"body")
 
 
+@when(
+    "another connection is opened, the stop begins and 0.1 s later it sends a request"
+)
+def stop_before_first_request(context):
+    context.path = "/next"
+    context.connection = socket.create_connection(context.address)
+    while len(context.call_path_stub.callers.idle_sockets) < 2:
+        eventlet.sleep(0)
+    context.stop = _begin_stop(context)
+    eventlet.sleep(0.1)
+    context.connection.sendall(REQUEST % b"next")
+
+
 @when("the stop begins while a slow request runs")
 def stop_while_running(context):
     context.path = "/slow"
--- a/src/comfreytray/calls/callers.py
+++ b/src/comfreytray/calls/callers.py
@@ -8,6 +8,8 @@
 from eventlet.event import Event
 
 POLL_S = 0.02
+FIRST_REQUEST_S = 0.5
+"""Time in which the first request of a new connection is awaited during a stop."""
 _PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
 
 
@@ -22,12 +24,14 @@
         meanwhile still runs, and an end of input there does not mean that the caller
         has hung up."""
         self.stopping = False
+        self._used_sockets: set[Any] = set()
+        """Connections that have carried a request."""
 
     def mark_idle(self, sock: Any) -> None:
         """Record that a connection waits for its next request."""
         self.busy_sockets.discard(sock)
         self.idle_sockets.add(sock)
-        if self.stopping:
+        if self.stopping and sock in self._used_sockets:
             self.shut_reading(sock)
 
     def shut_reading(self, sock: Any) -> None:
@@ -39,28 +43,41 @@
         """Record that a connection carries a request."""
         self.idle_sockets.discard(sock)
         self.busy_sockets.add(sock)
+        self._used_sockets.add(sock)
 
     def remove(self, sock: Any) -> None:
         """Stop tracking a connection."""
         self.idle_sockets.discard(sock)
         self.busy_sockets.discard(sock)
         self.shut_sockets.discard(sock)
+        self._used_sockets.discard(sock)
 
     def stop(self, timeout_s: float) -> bool:
         """Close idle connections and wait for busy ones; false if some did not finish.
 
-        A request whose first byte has arrived still runs and gets its answer.
+        A request whose first byte has arrived still runs and gets its answer. A caller
+        that has just connected is about to send one, so new connections stay open for
+        a moment.
         """
         self.stopping = True
-        for sock in list(self.idle_sockets):
-            if not _has_pending_input(sock):
-                self.shut_reading(sock)
+        self._shut_idle(self.idle_sockets & self._used_sockets)
         with eventlet.Timeout(timeout_s, False):
-            while self.idle_sockets or self.busy_sockets:
-                eventlet.sleep(POLL_S)
+            with eventlet.Timeout(FIRST_REQUEST_S, False):
+                self._wait_until_closed()
+            self._shut_idle(self.idle_sockets)
+            self._wait_until_closed()
             return True
         return False
 
+    def _shut_idle(self, idle: set[Any]) -> None:
+        for sock in list(idle):
+            if not _has_pending_input(sock):
+                self.shut_reading(sock)
+
+    def _wait_until_closed(self) -> None:
+        while self.idle_sockets or self.busy_sockets:
+            eventlet.sleep(POLL_S)
+
 
 class Listener:
     """A listening socket that can stop accepting while the server still runs."""
