--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -98,6 +98,7 @@
 )
 def stop_before_first_request(context):
     context.path = "/next"
+    context.answered_connection = context.connection
     context.connection = socket.create_connection(context.address)
     while len(context.call_path_stub.callers.idle_sockets) < 2:
         eventlet.sleep(0)
