--- a/features/soak.feature
+++ b/features/soak.feature
@@ -10,6 +10,7 @@
       | 4    |
       | 7    |
       | 507  |
+      | 3003 |
 
   Scenario: A seed always gives the same fault schedule, and schedules hold every kind
     When the fault schedules of ten seeds are drawn twice
