Show what the store's client does with numbers of an earlier era

Change: two scenarios on the client itself: a condition whose number was given out again is never reported as done (unknown once, then a conflict, unsent), a watch from before reads everything, an era that can't be read fails the answer. The client's checks and the attribution of answers read more plainly; no change of behaviour.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -4,18 +4,22 @@
 from attrs import evolve
 from behave import given, then, when
 from calls_rig import until
+from eventlet import tpool
 from platform_node_steps import _configuration, _heartbeat, _version
 from platform_store_steps import _record
 from replication_steps import _change_configuration, _is_settled, _transfer
 
 from comfreytray.common import revisions
+from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
 from comfreytray.common.records import EndpointState
 from comfreytray.membership import directory
 from comfreytray.membership.directory import Directory
 from comfreytray.platform import configuration
+from comfreytray.platform.objectstore import PlatformStore
 from comfreytray.replication.replica import Replica
 from comfreytray.testing import FakeClock
+from standins.platform_store import StoreStandIn
 
 MEMBERS, NODE = "members", "n-1"
 
@@ -157,3 +161,64 @@
     for key, _, follower, _, _, next_one in context.rows:
         got = follower.apply(_batch(2, 14, key, next_one))
         assert [stored.value for stored in got] == [next_one], key
+
+
+@given("a client of the platform's store that has read an object at some revision")
+def make_client(context):
+    context.stand_in = StoreStandIn()
+    context.add_cleanup(context.stand_in.close)
+    context.stand_in.put("k", "other", {"n": 0}, by_operator=False)
+    context.stand_in.put("k", "a", {"n": 1}, by_operator=False)
+    context.client = PlatformStore(address=context.stand_in.address)
+    context.old = tpool.execute(lambda: context.client.get("k/a"))
+    assert context.old.version == revisions.in_era(1, context.stand_in.revision)
+
+
+@when("the store comes back older and gives the same number to another write")
+def give_number_again(context):
+    context.stand_in.restore(context.stand_in.revision - 1)
+    context.stand_in.put("k", "a", {"n": 2}, by_operator=False)
+    assert context.stand_in.revision == revisions.number_of(context.old.version)
+
+
+@then("a write on the condition of the old revision is never reported as done")
+def check_conditional_writes(context):
+    client, old = context.client, context.old
+    value = json.dumps({"n": 3}).encode()
+    kinds = [
+        tpool.execute(
+            lambda: client.put("k/a", value, expected_version=old.version)
+        ).kind
+        for _ in range(2)
+    ]
+    # The client learns of the return by the answer to the first write.
+    assert kinds == [Kind.STORE_OUTCOME_UNKNOWN, Kind.CONFLICT], kinds
+    failed = tpool.execute(lambda: client.delete("k/a", expected_version=old.version))
+    assert failed.kind is Kind.CONFLICT, failed
+
+
+@then("a watch from the old revision returns everything with revisions of the new era")
+def check_watch(context):
+    batch = tpool.execute(
+        lambda: context.client.watch(
+            "k/", after_revision=context.old.version, timeout_s=0.0
+        ),
+    )
+    assert {stored.key for stored in batch.objects} == {"k/a", "k/other"}
+    versions = [stored.version for stored in batch.objects]
+    assert {revisions.era_of(v) for v in (*versions, batch.revision)} == {2}
+
+
+@when('answers name the era 3, none, "x" and a number too large')
+def name_eras(context):
+    context.answers = []
+    for era in (3, None, "x", 10**6):
+        context.stand_in.era = era
+        context.answers.append(tpool.execute(lambda: context.client.get("k/a")))
+
+
+@then("the first two are taken for era 3 and the others are failures")
+def check_eras(context):
+    first, second, *others = context.answers
+    assert [revisions.era_of(a.version) for a in (first, second)] == [3, 3]
+    assert all(isinstance(answer, Failure) for answer in others), others
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -30,3 +30,14 @@
     When a node that starts then follows the source and the store
     Then it holds the later version and the later record
     And what the store holds next in the same era counts
+
+  Scenario: A number that the store gives out again isn't taken for the one before
+    Given a client of the platform's store that has read an object at some revision
+    When the store comes back older and gives the same number to another write
+    Then a write on the condition of the old revision is never reported as done
+    And a watch from the old revision returns everything with revisions of the new era
+
+  Scenario: An era that can't be read makes the answer invalid, and none keeps the last
+    Given a client of the platform's store that has read an object at some revision
+    When answers name the era 3, none, "x" and a number too large
+    Then the first two are taken for era 3 and the others are failures
--- a/src/comfreytray/calls/attribution.py
+++ b/src/comfreytray/calls/attribution.py
@@ -50,14 +50,12 @@
         return AnswerTo.THIS_CALL
     if dialect.call_id:
         return AnswerTo.DOUBTFUL
-    # Upstreams of such a dialect need not name calls. A call that may run again is
+    # Upstreams of other dialects need not name calls. A call that may run again is
     # not harmed by a refusal that belongs to another one.
     is_refusal = dialect.not_run(status, fields) is not None
-    return (
-        AnswerTo.DOUBTFUL
-        if is_refusal and not call.idempotent
-        else (AnswerTo.THIS_CALL)
-    )
+    if is_refusal and not call.idempotent:
+        return AnswerTo.DOUBTFUL
+    return AnswerTo.THIS_CALL
 
 
 class RefusedCalls:
--- a/src/comfreytray/platform/objectstore.py
+++ b/src/comfreytray/platform/objectstore.py
@@ -115,7 +115,7 @@
     ) -> StoredObject | Failure:
         """Write an object if its version is as expected; 0 means absent, None any."""
         if self._is_outdated(expected_version):
-            return self._conflict(key, expected_version)
+            return self._conflict(key)
         kind, _, name = key.partition("/")
         metadata: dict[str, Any] = {"name": name, "finalizers": []}
         if expected_version:
@@ -127,7 +127,7 @@
         if isinstance(answer, Failure):
             return answer
         if self._is_outdated(expected_version):
-            return self._unmet_condition(key, expected_version)
+            return self._unmet_condition(key)
         try:
             return _decode_object(kind, answer.body, answer.era)
         except _MALFORMED_ERRORS as error:
@@ -136,7 +136,7 @@
     def delete(self, key: str, *, expected_version: int | None) -> Failure | None:
         """Delete an object if its version is as expected; None means any."""
         if self._is_outdated(expected_version):
-            return self._conflict(key, expected_version)
+            return self._conflict(key)
         condition = ""
         if expected_version is not None:
             condition = f"?revision={revisions.number_of(expected_version)}"
@@ -144,7 +144,7 @@
         if isinstance(answer, Failure):
             return answer
         if self._is_outdated(expected_version):
-            return self._unmet_condition(key, expected_version)
+            return self._unmet_condition(key)
         return None
 
     def watch(
@@ -208,21 +208,20 @@
 
     def _is_outdated(self, expected_version: int | None) -> bool:
         """Whether the condition of a write is a version from before a return."""
-        return (
-            bool(expected_version)
-            and revisions.era_of(expected_version or 0) < self._era
-        )
+        if not expected_version:
+            return False
+        return revisions.era_of(expected_version) < self._era
 
-    def _conflict(self, key: str, expected_version: int | None) -> Failure:
-        """Refuse a write unsent: the store may have given out the number again."""
-        version = revisions.text_of(expected_version or 0)
-        detail = f"{key}: version {version} is from before era {self._era}"
+    def _conflict(self, key: str) -> Failure:
+        """Refuse a write unsent: the store may have given out its number again."""
+        detail = f"{key}: the expected version is from before era {self._era}"
         return Failure(kind=Kind.CONFLICT, detail=detail)
 
-    def _unmet_condition(self, key: str, expected_version: int | None) -> Failure:
+    def _unmet_condition(self, key: str) -> Failure:
         """Report a write that the store applied on a number of another era."""
-        version = revisions.text_of(expected_version or 0)
-        return _outcome_unknown(f"{key}: applied on {version} in era {self._era}")
+        return _outcome_unknown(
+            f"{key}: the expected version is from before era {self._era}"
+        )
 
     def _read(self, path: str, timeout_s: float) -> _Answer | Failure:
         try:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -148,7 +148,9 @@
             environ["eventlet.input"].get_socket().shutdown(2)
             status = 503
         data = json.dumps(body).encode()
-        headers = [("Content-Type", "application/json"), (ERA_HEADER, str(self.era))]
+        headers = [("Content-Type", "application/json")]
+        if self.era is not None:
+            headers.append((ERA_HEADER, str(self.era)))
         start_response(f"{status} Status", headers)
         return [data]
 
