--- a/features/steps/calls_cut_heads_steps.py
+++ b/features/steps/calls_cut_heads_steps.py
@@ -1,6 +1,6 @@
 from behave import given, then, when
-from calls_extra_answers_steps import DIALECT_BY_NAME, _field
-from calls_rig import Fleet
+from calls_extra_answers_steps import DIALECT_BY_NAME
+from calls_rig import Fleet, field_of
 
 BODY = b"whole body"
 FRAMING_BY_NAME = {
@@ -23,7 +23,7 @@
     line, body = FRAMING_BY_NAME[context.framing]
     lines = [
         "HTTP/1.1 200 Fine",
-        f"X-Attempt-Id: {_field(head, 'X-Attempt-Id')}",
+        f"X-Attempt-Id: {field_of(head, 'X-Attempt-Id')}",
         "X-Response-Seal: s",
         line,
         "",
--- a/features/steps/calls_extra_answers_steps.py
+++ b/features/steps/calls_extra_answers_steps.py
@@ -1,5 +1,5 @@
 from behave import given, then, when
-from calls_rig import Fleet, answer
+from calls_rig import Fleet, answer, field_of
 
 from comfreytray.calls.dialect import NATIVE
 from comfreytray.platform.headers import DIALECT
@@ -9,14 +9,6 @@
 NOT_RUN_BY_DIALECT = {"native": "Comfreytray-Ran: no", "platform": "X-Not-Executed: 1"}
 
 
-def _field(head, name):
-    for line in head.decode().split("\r\n")[1:]:
-        found, _, value = line.partition(": ")
-        if found.lower() == name.lower():
-            return value
-    return None
-
-
 @given("a node beside an upstream, in the {dialect} dialect")
 def make_node(context, dialect):
     context.dialect = dialect
@@ -29,7 +21,7 @@
 def _name(context, head):
     """Return the header line with which an upstream names the call of a request."""
     name = NAME_BY_DIALECT[context.dialect]
-    return f"{name}: {_field(head, name)}"
+    return f"{name}: {field_of(head, name)}"
 
 
 def _success(context, head):
--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -35,6 +35,7 @@
     "Fleet",
     "Upstream",
     "answer",
+    "field_of",
     "read_answer",
     "soak_seeds",
     "until",
@@ -256,6 +257,15 @@
         body, received = body + received[:size], received[size + 2 :]
 
 
+def field_of(head, name):
+    """Return the value of a field of a request's head; None if it lacks it."""
+    for line in head.decode().split("\r\n")[1:]:
+        found, _, value = line.partition(": ")
+        if found.lower() == name.lower():
+            return value
+    return None
+
+
 def until(condition):
     """Wait for a condition; whether it became true within `WAIT_S`."""
     for _ in range(int(WAIT_S / 0.005)):
--- a/features/steps/platform_calls_steps.py
+++ b/features/steps/platform_calls_steps.py
@@ -1,5 +1,5 @@
 from behave import given, then, when
-from calls_rig import RESET, Fleet
+from calls_rig import RESET, Fleet, field_of
 
 from comfreytray.platform.headers import DIALECT
 from comfreytray.testing import FakeClock
@@ -12,14 +12,6 @@
     return "\r\n".join(fields).encode("latin-1")
 
 
-def _field(head, name):
-    for line in head.decode().split("\r\n")[1:]:
-        found, _, value = line.partition(": ")
-        if found.lower() == name.lower():
-            return value
-    return None
-
-
 @given("a node that uses the platform's header dialect, beside an upstream")
 def make_node(context):
     context.fleet = Fleet(dialect=DIALECT, caller="antoan")
@@ -45,7 +37,7 @@
     context.got = {}
     for name, end in (("closed", None), ("reset", RESET)):
         context.script = lambda head, end=end: [
-            _head(200, _field(head, "X-Attempt-Id"), SEAL) + b"half",
+            _head(200, field_of(head, "X-Attempt-Id"), SEAL) + b"half",
             end,
         ]
         context.got[name] = _call(context, name)
@@ -61,7 +53,7 @@
 @when("an answer to another call precedes the answer to this call")
 def answer_twice(context):
     def script(head):
-        own = _field(head, "X-Attempt-Id")
+        own = field_of(head, "X-Attempt-Id")
         stray = _head(200, "earlier", SEAL, "Content-Length: 5") + b"stray"
         return stray + _head(200, own, SEAL, "Content-Length: 3") + b"own"
 
@@ -73,9 +65,9 @@
 def check_own(context):
     assert [(got.status, got.body) for got in context.got] == [(200, b"own")] * 2
     head = context.seen[0]
-    assert _field(head, "X-Caller-Service") == "antoan", head
-    assert _field(head, "X-Expect-Instance") == "a", head
-    assert 0 < int(_field(head, "X-Deadline-Ms")) <= 60_000, head
+    assert field_of(head, "X-Caller-Service") == "antoan", head
+    assert field_of(head, "X-Expect-Instance") == "a", head
+    assert 0 < int(field_of(head, "X-Deadline-Ms")) <= 60_000, head
 
 
 @when("a success comes without proof, with a content encoding, or with bytes after it")
@@ -90,7 +82,7 @@
     for name, lines in lines_by_name.items():
         behind = b"HTTP/1.1 200 Fine\r\n\r\n" if name == "behind" else b""
         context.script = lambda head, lines=lines, behind=behind: (
-            _head(200, _field(head, "X-Attempt-Id"), *lines) + b"ok" + behind
+            _head(200, field_of(head, "X-Attempt-Id"), *lines) + b"ok" + behind
         )
         context.got[name] = _call(context, name)
 
@@ -111,7 +103,7 @@
     }
     context.got = {}
     for name, parts in parts_by_name.items():
-        context.script = lambda head, parts=parts: parts(_field(head, "X-Attempt-Id"))
+        context.script = lambda head, parts=parts: parts(field_of(head, "X-Attempt-Id"))
         context.got[name] = _call(context, name)
 
 
@@ -125,7 +117,7 @@
 @when("a safe call, after 1.2 s an unsafe call and then safe calls are made")
 def make_calls_on_old_connections(context):
     def script(head):
-        own = _field(head, "X-Attempt-Id")
+        own = field_of(head, "X-Attempt-Id")
         return _head(200, own, SEAL, "Content-Length: 3") + b"own"
 
     context.script = script
@@ -154,7 +146,7 @@
         line = f"Retry-After: {text}"
         context.script = lambda head, line=line: _head(
             503,
-            _field(head, "X-Attempt-Id"),
+            field_of(head, "X-Attempt-Id"),
             "X-Not-Executed: 1",
             line,
             "Content-Length: 0",
