Show that the product's own store loses accepted changes when it comes back older

What operators would see: after their store came back from an older copy, each further change ends in an internal error. Cause: the same class as on the users' platform, and an accepted version lives in the store alone; the check that versions never decrease then holds. Not mended: the head would have to be written back, with its blobs, by a node that holds them. Ruled out: leaving the check out, since two nodes would then accept different versions of one number.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -4,6 +4,7 @@
 from attrs import evolve
 from behave import given, then, when
 from calls_rig import until
+from configuration_steps import CUSTOMER, TEMPLATE, succeeded
 from eventlet import tpool
 from platform_node_steps import _configuration, _heartbeat, _version
 from platform_store_steps import _record
@@ -13,6 +14,7 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
 from comfreytray.common.records import EndpointState
+from comfreytray.configuration.content import ItemKind
 from comfreytray.membership import directory
 from comfreytray.membership.directory import Directory
 from comfreytray.platform import configuration
@@ -222,3 +224,25 @@
     first, second, *others = context.answers
     assert [revisions.era_of(a.version) for a in (first, second)] == [3, 3]
     assert all(isinstance(answer, Failure) for answer in others), others
+
+
+def _edit(context, kind, name, text):
+    result = context.operations.edit(kind, name, text, operator="Lan", language="vi")
+    return succeeded(result).head.version
+
+
+@when("an operator's second change is lost with the store's return and a third follows")
+def lose_accepted_change(context):
+    _edit(context, ItemKind.TEMPLATE, "dat-san", TEMPLATE)
+    older = copy.deepcopy(context.store)
+    _edit(context, ItemKind.CUSTOMER, "hoa-sen", CUSTOMER)
+    context.store.restore(older)
+    changed = TEMPLATE.replace("2.5", "2.6")
+    context.third = _edit(context, ItemKind.TEMPLATE, "dat-san", changed)
+
+
+@then("the third is accepted as version 3 and the second is still shown")
+def check_accepted_change(context):
+    assert context.third == 3, context.third
+    shown = context.operations.show(ItemKind.CUSTOMER, "hoa-sen", language="vi")
+    assert "hoa-sen" in succeeded(shown).text
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -41,3 +41,8 @@
     Given a client of the platform's store that has read an object at some revision
     When answers name the era 3, none, "x" and a number too large
     Then the first two are taken for era 3 and the others are failures
+
+  Scenario: A change is accepted after the product's own store came back older
+    Given an empty store
+    When an operator's second change is lost with the store's return and a third follows
+    Then the third is accepted as version 3 and the second is still shown
