--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -14,7 +14,7 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
 from comfreytray.common.records import EndpointState
-from comfreytray.configuration.content import ItemKind
+from comfreytray.configuration.documents import ItemKind
 from comfreytray.membership import directory
 from comfreytray.membership.directory import Directory
 from comfreytray.platform import configuration
