Don't take an older list's word for a record that a read didn't find

Found in reading the change: a node whose record the store had lost, and which still held the list of the era before, took that list's version again after each read that found nothing, and alternated a refused write with a read without any pause: a flood of calls until its list caught up, seconds where its watch hung. Cause: the list counted as later than 'no record', which has no era. Change: after a failed write or a read that found nothing only a list of a later era counts. Measured: the new scenario ends with three writes and three reads and no stored record before, and within four calls after; 42 other scenarios of the store and nodes pass.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -1,5 +1,6 @@
 import copy
 import json
+import random
 
 from attrs import evolve
 from behave import given, then, when
@@ -11,16 +12,18 @@
 from replication_steps import _change_configuration, _is_settled, _transfer
 
 from comfreytray.common import revisions
+from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
-from comfreytray.common.records import EndpointState
+from comfreytray.common.records import EndpointState, NodeState
 from comfreytray.configuration.documents import ItemKind
 from comfreytray.membership import directory
 from comfreytray.membership.directory import Directory
+from comfreytray.membership.ownrecord import OwnRecord
 from comfreytray.platform import configuration
 from comfreytray.platform.objectstore import PlatformStore
 from comfreytray.replication.replica import Replica
-from comfreytray.testing import FakeClock
+from comfreytray.testing import FakeClock, MemoryStore
 from standins.platform_store import StoreStandIn
 
 MEMBERS, NODE = "members", "n-1"
@@ -165,6 +168,45 @@
         assert [stored.value for stored in got] == [next_one], key
 
 
+@given(
+    "a node's record that was stored and listed, and then lost with the store's return"
+)
+def lose_listed_record(context):
+    context.store = MemoryStore()
+    empty = copy.deepcopy(context.store)
+    context.directory = Directory(clock=FakeClock())
+    context.record = _record(revision=1)
+    context.directory.put(context.record)
+    context.own = OwnRecord(
+        store=context.store,
+        backoff=Backoff(random=random.Random(1), min_s=0.1, max_s=1.0),
+        listed=lambda: context.directory.own_listed(context.complete_to),
+    )
+    context.complete_to = 1
+    context.own.write(context.record)
+    context.directory.apply(context.store.list("members/"))
+    assert context.own.is_current(context.record)
+    context.store.restore(empty)
+    context.store.calls_by_kind.clear()
+
+
+@when("the record changes before a list of the new era is known")
+def change_lost_record(context):
+    context.changed = evolve(context.record, state=NodeState.LEAVING, revision=2)
+    for _ in range(6):
+        if not context.own.is_current(context.changed):
+            context.own.write(context.changed)
+
+
+@then("the store holds the changed record after at most 4 calls")
+def check_changed_record(context):
+    calls = context.store.calls_by_kind
+    stored = context.store.object_by_key.get("members/a")
+    assert stored is not None, calls
+    assert directory.decode(stored.value) == context.changed
+    assert sum(calls.values()) <= 4, calls
+
+
 @given("a client of the platform's store that has read an object at some revision")
 def make_client(context):
     context.stand_in = StoreStandIn()
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -31,6 +31,11 @@
     Then it holds the later version and the later record
     And what the store holds next in the same era counts
 
+  Scenario: A list from before the return doesn't keep a lost record from being written
+    Given a node's record that was stored and listed, and then lost with the store's return
+    When the record changes before a list of the new era is known
+    Then the store holds the changed record after at most 4 calls
+
   Scenario: A number that the store gives out again isn't taken for the one before
     Given a client of the platform's store that has read an object at some revision
     When the store comes back older and gives the same number to another write
--- a/src/comfreytray/membership/ownrecord.py
+++ b/src/comfreytray/membership/ownrecord.py
@@ -13,6 +13,8 @@
 
 UNKNOWN_VERSION = -1
 """The stored version must be read before the next write."""
+ABSENT_VERSION = 0
+"""The store holds no record."""
 
 
 class OwnRecord:
@@ -88,8 +90,9 @@
             self._written = listed.record
 
     def _is_later(self, listed: ListedRecord) -> bool:
-        if self._version == UNKNOWN_VERSION:
-            # A write that failed may have been applied since the list.
+        if self._version <= ABSENT_VERSION:
+            # A call since the list has shown more: a write that failed may have been
+            # applied, or a read found no record.
             return listed.era > self._followed_era
         is_restored = listed.era > revisions.era_of(self._version)
         return is_restored or listed.version > self._version
@@ -113,7 +116,7 @@
                 self._written = record
             return 0.0
         if held.kind is Kind.NOT_FOUND:
-            self._version = 0
+            self._version = ABSENT_VERSION
             return 0.0
         return self._back_off(held, "read")
 
