Log the end of an instance, and the same name for each repetition of a request

Cause: lines name requests by the id of an attempt, which is new each time; a crash looked like the loss of some connections. Change: a fingerprint of method, host, target, caller and body stands in the line of a call that failed at its upstream. The node beside an instance logs endpoint-ended with the requests under way if all connections are closed and the port refuses a new one; counted as endpoints_ended. The scripted stand-in can end on a request and come back. Result: the new scenario shows the same two fingerprints at two ends; the feature passes. Ruled out: a connect after each lost call (a new connection where the instance lives); it is made only when no connection to the instance is open.

--- a/features/steps/calls_log_steps.py
+++ b/features/steps/calls_log_steps.py
@@ -4,7 +4,7 @@
 from absl import logging
 from attrs import evolve
 from behave import given, then, when
-from calls_rig import RESET, Fleet, answer, until
+from calls_rig import CRASH, RESET, Fleet, answer, until
 
 from comfreytray.calls import calllog
 from comfreytray.calls.call import Call, fail
@@ -180,3 +180,61 @@
 def check_chosen(context):
     first, second = context.chosen
     assert first == second and 15 <= len(first) <= 80, len(first)
+
+
+@given("a node beside an upstream that ends under one request, with its log captured")
+def make_crashing(context):
+    _capture_log(context)
+    context.fleet = Fleet(dialect=DIALECT)
+    context.add_cleanup(context.fleet.__exit__)
+
+    def script(head, body):
+        if b" /deadly " in head:
+            eventlet.sleep(0.05)
+            yield CRASH
+        eventlet.sleep(5.0)
+        yield answer(200, b"ok", "X-Response-Seal: s")
+
+    context.fleet.add("a", script=script)
+    context.upstream = context.fleet.upstream_by_id["a"]
+
+
+@when("that request and another one run twice, as the instance ends")
+def crash_twice(context):
+    for count in (1, 2):
+        calls = [
+            eventlet.spawn(_call, context, f"{target[1:]}{count}", target=target)
+            for target in ("/fine", "/deadly")
+        ]
+        for call in calls:
+            call.wait()
+        assert until(lambda count=count: len(_ends(context)) == count)
+        assert until(context.upstream.is_listening)
+
+
+def _ends(context):
+    return [line for line in context.lines.lines if "event=endpoint-ended" in line]
+
+
+def _requests_of(line):
+    return line.partition("requests=")[2].split(",")
+
+
+@then("each end has a line that names both requests")
+def check_end_lines(context):
+    for line in _ends(context):
+        assert "instance=a under_way=2" in line, line
+        assert len(_requests_of(line)) == 2, line
+
+
+@then("both lines name the same requests, whatever the ids of their attempts")
+def check_same_requests(context):
+    first, second = _ends(context)
+    assert set(_requests_of(first)) == set(_requests_of(second)), (first, second)
+    (lost,) = {
+        line.partition("request=")[2].split(" ")[0]
+        for call_id in ("deadly1", "deadly2")
+        for line in context.lines.of(call_id)
+        if "at=owner" in line
+    }
+    assert lost in _requests_of(first), (lost, first)
--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -24,12 +24,13 @@
 from comfreytray.configuration.content import Head
 from comfreytray.configuration.snapshots import Route, Snapshot
 from comfreytray.testing import MemoryStore
-from standins.scripted import RESET, Upstream, answer
+from standins.scripted import CRASH, RESET, Upstream, answer
 
 logging.set_verbosity(logging.ERROR)
 
 WAIT_S = 20.0
 __all__ = [
+    "CRASH",
     "RESET",
     "Answer",
     "Fleet",
--- a/src/comfreytray/calls/calllog.py
+++ b/src/comfreytray/calls/calllog.py
@@ -3,6 +3,8 @@
 import zlib
 
 from comfreytray.calls.call import Call, Outcome, Reply
+from comfreytray.calls.fingerprints import fingerprint_of
+from comfreytray.calls.instanceends import EndedInstance
 from comfreytray.calls.retries import FAILED_STATUSES
 from comfreytray.common import logs
 from comfreytray.common.budgets import TokenBucket
@@ -107,8 +109,18 @@
                 reason=outcome.failure.detail,
                 ran=outcome.ran.value,
                 sent=outcome.sent,
+                request=fingerprint_of(call).hex(),
             )
 
+    def instance_ended(self, ended: EndedInstance) -> None:
+        """Log the end of an instance with the requests that were under way."""
+        logs.warn(
+            logs.Event.ENDPOINT_ENDED,
+            instance=ended.instance_id,
+            under_way=len(ended.calls),
+            requests=",".join(fingerprint_of(call).hex() for call in ended.calls),
+        )
+
     def _take_line(self) -> bool:
         """Take a line from the rate limit; return whether one was left."""
         now = self.clock.monotonic()
--- /dev/null
+++ b/src/comfreytray/calls/instanceends.py
@@ -0,0 +1,94 @@
+"""Tells the end of the instance beside a node from the loss of single connections."""
+
+import math
+from collections.abc import Callable, Iterable
+
+import eventlet
+from attrs import frozen
+from eventlet.green import socket
+
+from comfreytray.calls.call import Call
+from comfreytray.calls.upstreamconnection import UpstreamConnection
+from comfreytray.common.interfaces import Address
+
+CHECK_PAUSES_S = (0.0, 0.02)
+"""Pauses before each look: a process that ends closes its connections in turn."""
+CONNECT_TIMEOUT_S = 0.5
+
+
+@frozen(kw_only=True)
+class EndedInstance:
+    """An instance that has ended, and the calls that were under way at it."""
+
+    instance_id: str
+    calls: tuple[Call, ...]
+
+
+class EndDetector:
+    """Checks after a lost call whether the instance has ended.
+
+    It has if all its connections are closed and its port refuses new ones. A port that
+    does not answer is no evidence: the instance may be paused or cut off.
+    """
+
+    def __init__(self, *, on_ended: Callable[[EndedInstance], None]) -> None:
+        self._on_ended = on_ended
+        self._is_checking = False
+        self._ended_at = -math.inf
+
+    def check(
+        self,
+        address: Address,
+        lost: UpstreamConnection,
+        *,
+        instance_id: str,
+        call_by_connection: dict[UpstreamConnection, Call],
+        idle: Iterable[UpstreamConnection],
+    ) -> None:
+        """Check in the background, unless a check runs or the end is known."""
+        if self._is_checking or lost.opened_at <= self._ended_at:
+            return
+        self._is_checking = True
+        calls = tuple(
+            call for found, call in call_by_connection.items() if found.sent_bytes
+        )
+        ended = EndedInstance(instance_id=instance_id, calls=calls)
+        connections = (*call_by_connection, *idle)
+        eventlet.spawn_n(self._check, address, ended, connections, lost.clock.monotonic)
+
+    def _check(
+        self,
+        address: Address,
+        ended: EndedInstance,
+        connections: tuple[UpstreamConnection, ...],
+        now: Callable[[], float],
+    ) -> None:
+        try:
+            if not _has_ended(address, connections):
+                return
+        finally:
+            self._is_checking = False
+        self._ended_at = now()
+        self._on_ended(ended)
+
+
+def _has_ended(address: Address, connections: tuple[UpstreamConnection, ...]) -> bool:
+    for pause_s in CHECK_PAUSES_S:
+        eventlet.sleep(pause_s)
+        if all(connection.is_closed for connection in connections):
+            return _refuses_connections(address)
+    return False
+
+
+def _refuses_connections(address: Address) -> bool:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(CONNECT_TIMEOUT_S)
+        sock.connect(address)
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    finally:
+        sock.close()
+    return False
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -14,6 +14,7 @@
 from comfreytray.calls.calllog import CallLog
 from comfreytray.calls.callrates import CallRate
 from comfreytray.calls.dialect import NATIVE, Dialect, FieldLookup
+from comfreytray.calls.instanceends import EndedInstance
 from comfreytray.calls.limits import Admission
 from comfreytray.calls.measures import OwnMeasures
 from comfreytray.calls.retries import FAILED_STATUSES
@@ -73,6 +74,7 @@
             dialect=dialect,
             metrics=metrics,
             on_head=self._learn,
+            on_ended=self._record_end,
         )
 
     def __enter__(self) -> "Owner":
@@ -163,6 +165,11 @@
             self.admission.rate.learn(instance_id, limit_per_s)
             self.admission.admit_queued()
 
+    def _record_end(self, ended: EndedInstance) -> None:
+        """Process the end of the instance while calls were under way at it."""
+        self.metrics.count("endpoints_ended")
+        self.call_log.instance_ended(ended)
+
     def _schedule_admission(self) -> None:
         """Admit waiting calls again once the rate of the instance allows it."""
         wait_s = self.admission.admit_in_s()
--- a/src/comfreytray/calls/upstream.py
+++ b/src/comfreytray/calls/upstream.py
@@ -18,6 +18,7 @@
 from comfreytray.calls.dialect import NATIVE, Dialect, FieldLookup, Refusal
 from comfreytray.calls.heads import HeadError, StrictResponse
 from comfreytray.calls.idlelimit import IdleLimit
+from comfreytray.calls.instanceends import EndDetector, EndedInstance
 from comfreytray.calls.upstreamconnection import UpstreamConnection
 from comfreytray.common.decimals import parse_decimal
 from comfreytray.common.errors import Failure, Kind
@@ -29,6 +30,8 @@
 CHUNK_BYTES = 65_536
 MAX_BUFFERED_BYTES = 262_144
 """Size up to which an answer is buffered before any of it is passed on."""
+_BROKEN_OFF = frozenset({Kind.LOST_AFTER_SEND, Kind.ANSWER_CUT})
+"""Failures of a call that may be due to the end of the instance."""
 MAX_SKIPPED_ANSWERS = 4
 """Answers to earlier calls that may be skipped before the answer to a call."""
 MAX_SKIPPED_BYTES = 1_048_576
@@ -63,6 +66,10 @@
     del instance_id, fields
 
 
+def _ignore_end(ended: EndedInstance) -> None:
+    del ended
+
+
 class UpstreamPool:
     """Pools connections to the upstream, up to the number that it accepts."""
 
@@ -74,9 +81,16 @@
         metrics: Metrics,
         dialect: Dialect = NATIVE,
         on_head: Callable[[str, FieldLookup], None] = _ignore_head,
+        on_ended: Callable[[EndedInstance], None] = _ignore_end,
     ) -> None:
-        """Create it; `on_head` gets each answer's instance and fields."""
+        """Create it.
+
+        `on_head` gets each answer's instance and fields, `on_ended` each instance that
+        has ended while calls were under way.
+        """
         self.clock = clock
+        self._ends = EndDetector(on_ended=on_ended)
+        self._call_by_connection: dict[UpstreamConnection, Call] = {}
         self._on_head = on_head
         self.connections = connections
         self.metrics = metrics
@@ -110,6 +124,7 @@
             on_end()
             return Outcome.of(connection)
         exchange = _Exchange(pool=self, connection=connection, on_end=on_end)
+        self._call_by_connection[connection] = call
         try:
             result = self._exchange(exchange, call, upstream.endpoint.instance_id)
         except BaseException:
@@ -117,11 +132,23 @@
             raise
         if isinstance(result, Outcome):
             result.sent = connection.sent_bytes > 0
+            if result.sent and result.failure.kind in _BROKEN_OFF:
+                self._check_end(upstream, connection)
             exchange.abort()
         return result
 
+    def _check_end(self, upstream: LocalUpstream, lost: UpstreamConnection) -> None:
+        self._ends.check(
+            (upstream.host, upstream.port),
+            lost,
+            instance_id=upstream.endpoint.instance_id,
+            call_by_connection=self._call_by_connection,
+            idle=self._idle,
+        )
+
     def release(self, connection: UpstreamConnection, *, reusable: bool) -> None:
         """Keep a connection for later calls, or close it."""
+        self._call_by_connection.pop(connection, None)
         if not reusable or connection.has_unclaimed_bytes:
             self._discard(connection)
             return
--- a/src/comfreytray/calls/upstreamconnection.py
+++ b/src/comfreytray/calls/upstreamconnection.py
@@ -126,6 +126,7 @@
         self.address = address
         self.clock = clock
         self.dialect = dialect
+        self.opened_at = 0.0
         self.idle_since = 0.0
         self.idle_s = 0.0
         """Seconds it was idle before its current call; 0 for the first."""
@@ -152,6 +153,7 @@
             raise
         self._sock = sock
         self._reader = ResponseReader(sock, clock=self.clock)
+        self.opened_at = self.clock.monotonic()
 
     def close(self) -> None:
         """Close the connection, if it was opened."""
@@ -168,11 +170,20 @@
         """Whether an idle connection is still open and has received nothing."""
         if self.has_unclaimed_bytes:
             return False
+        return self._peek() is None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the upstream, or this node, has closed the connection."""
+        return self._peek() == b""
+
+    def _peek(self) -> bytes | None:
+        """Return a byte if one is waiting, None if not, b"" if it is closed."""
         try:
-            self._sock.fd.recv(1, _PEEK_FLAGS)
+            return self._sock.fd.recv(1, _PEEK_FLAGS)  # type: ignore[no-any-return]
         except OSError as error:
-            return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
-        return False
+            is_open = error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
+            return None if is_open else b""
 
     def write_call(self, call: Call, instance_id: str, *, attempt: int) -> None:
         """Send a call with its remaining time; raises OSError, ValueError."""
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -39,6 +39,7 @@
     SETTINGS_RELOADED = "settings-reloaded"
     ENDPOINT_ANNOUNCED = "endpoint-announced"
     ENDPOINT_LAPSED = "endpoint-lapsed"
+    ENDPOINT_ENDED = "endpoint-ended"
     ENDPOINT_LEAVING = "endpoint-leaving"
     ENDPOINT_LIMITED = "endpoint-limited"
     ENDPOINT_EJECTED = "endpoint-ejected"
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -1,5 +1,6 @@
 """An upstream whose answers come from a script and that records its requests."""
 
+import contextlib
 import socket as plain_socket
 import struct
 import time
@@ -10,6 +11,8 @@
 
 RESET = object()
 """Part of a scripted answer that resets the connection."""
+CRASH = object()
+"""Part of a scripted answer that ends the upstream, as the end of its process does."""
 
 Script = Callable[[bytes, bytes], bytes | Iterable[Any]]
 """Takes the head and body of a request; returns the answer, whole or in parts.
@@ -36,6 +39,12 @@
     def __init__(
         self, script: Script | None = None, *, host: str = "127.0.0.1", port: int = 0
     ) -> None:
+        self.down_s = 0.3
+        """Time from a crash until the upstream is back at its port."""
+        self.on_back: Callable[[], None] = lambda: None
+        """Called when the upstream is back after a crash."""
+        self.crashes = 0
+        self._sockets: set[Any] = set()
         self.forget_after_s = float("inf")
         """Idle time after which a connection is reset at its next request."""
         self.ran: list[str] = []
@@ -56,9 +65,29 @@
         self.greenlet.kill()
         self.listener.close()
 
+    def is_listening(self) -> bool:
+        """Whether the upstream is not down after a crash."""
+        return not self.greenlet.dead
+
+    def crash(self) -> None:
+        """End: close all connections and the port, and come back after `down_s`."""
+        self.crashes += 1
+        host = self.listener.getsockname()[0]
+        self.close()
+        for sock in list(self._sockets):
+            with contextlib.suppress(OSError):
+                sock.shutdown(plain_socket.SHUT_RDWR)
+        eventlet.spawn_after(self.down_s, self._come_back, host)
+
+    def _come_back(self, host: str) -> None:
+        self.listener = eventlet.listen((host, self.port))
+        self.greenlet = eventlet.spawn(self._accept)
+        self.on_back()
+
     def _accept(self) -> None:
         while True:
             sock, _ = self.listener.accept()
+            self._sockets.add(sock)
             eventlet.spawn_n(self._serve, sock)
 
     def _serve(self, sock: Any) -> None:
@@ -69,6 +98,7 @@
             pass
         finally:
             self.open_connections -= 1
+            self._sockets.discard(sock)
             sock.close()
 
     def _serve_requests(self, sock: Any) -> None:
@@ -107,6 +137,9 @@
             for part in [parts] if isinstance(parts, bytes) else parts:
                 if part is None:
                     return False
+                if part is CRASH:
+                    self.crash()
+                    return False
                 if part is RESET:
                     reset_at_close(sock)
                     return False
