Isolate a request after one end, and pause it after an end in isolation

Change: isolation from the first end on; after an end in isolation the request pauses for 5 s, so that the instances that ended first are back before the next one is risked.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -1,6 +1,6 @@
 Feature: What ends of instances show about the requests that were under way
 
-  Scenario: A deadly request is isolated after two ends and held back after the third
+  Scenario: A deadly request is isolated after one end and held back after the third
     Given a service of 6 instances, and a request that ends each one that runs it
     When it comes 12 times a second for 20 s among 400 others a second
     Then it is held back after at most 6 ends, and runs no more from then on
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -108,7 +108,8 @@
         rank = lambda n: zlib.crc32(found + n.name.encode())
         node = max(up, key=rank) if isolated else self.random.choice(up)
         verdict = node.quarantine.verdict(found)
-        if Verdict.HELD in (verdict, entry.quarantine.verdict(found)):
+        verdicts = {verdict, entry.quarantine.verdict(found)}
+        if verdicts & {Verdict.HELD, Verdict.PAUSED}:
             return False
         isolated = verdict is Verdict.ISOLATED
         if isolated and any(run[2] for run in node.runs):
--- a/src/comfreytray/calls/quarantine.py
+++ b/src/comfreytray/calls/quarantine.py
@@ -2,9 +2,10 @@
 
 An instance that ends takes all its running calls with it, so one end accuses the
 request that caused it and those that ran beside it alike. What tells them apart is that
-a deadly request is never answered. A request that was under way at two ends is
-therefore run in isolation: one at a time, at one node. An answer clears it. If that
-instance ends too, it is held back, and the ends that it caused accuse nobody else.
+a deadly request is never answered. A request that was under way at an end is therefore
+run in isolation: one at a time, at one node. An answer clears it. If that instance ends
+too, it pauses until the first instances are back. After three ends it is held back, and
+the ends that it caused accuse nobody else.
 
 Ends alone never hold a request back. When many instances are killed at once, a common
 request was under way at each of them; its next run is answered.
@@ -19,13 +20,14 @@
 from comfreytray.calls.notices import Answered, Held, InstanceEnd, Notice, Released
 from comfreytray.common.interfaces import Clock
 
-ISOLATE_AFTER_ENDS = 2
 HOLD_AFTER_ENDS = 3
 MIN_ISOLATED_ENDS = 1
 """Of these ends, those in isolation."""
 MIN_ISOLATED_ENDS_IF_ANSWERED = 2
 """The same for a request that was answered before: a run of a common request may
 happen to be in isolation as its instance is killed."""
+PAUSE_S = 5.0
+"""Pause after an end in isolation: instances that end are mostly back by then."""
 HOLD_S = 3600.0
 """Duration of a first hold; each further one of the same request is twice as long."""
 MAX_HOLD_S = 86_400.0
@@ -48,6 +50,8 @@
     FREE = "free"
     ISOLATED = "isolated"
     """One run at a time, at one node."""
+    PAUSED = "paused"
+    """No run for some seconds."""
     HELD = "held"
 
 
@@ -107,9 +111,12 @@
         if hold is not None:
             return Verdict.HELD if now < hold.until else Verdict.ISOLATED
         self._forget_old(now)
-        if self._count_ends(request) >= ISOLATE_AFTER_ENDS:
-            return Verdict.ISOLATED
-        return Verdict.FREE
+        ends = self._ends_of(request)
+        if not ends:
+            return Verdict.FREE
+        isolated_at = [end.at for end in ends if end.end.isolated == request]
+        is_paused = isolated_at and now < max(isolated_at) + PAUSE_S
+        return Verdict.PAUSED if is_paused else Verdict.ISOLATED
 
     def record_end(self, end: InstanceEnd) -> tuple[Notice, ...]:
         """Record the end of the instance beside this node."""
@@ -187,11 +194,8 @@
         """Whether enough of the ends came while the request ran in isolation."""
         was_answered = request in self._answered
         needed = MIN_ISOLATED_ENDS_IF_ANSWERED if was_answered else MIN_ISOLATED_ENDS
-        isolated = sum(
-            recorded.end.isolated == request and request in recorded.accused
-            for recorded in self._recorded_by_id.values()
-        )
-        return isolated >= needed
+        ends = self._ends_of(request)
+        return sum(end.end.isolated == request for end in ends) >= needed
 
     def _hold(self, request: bytes, end: InstanceEnd) -> Held:
         before = self._hold_by_request.get(request)
@@ -257,9 +261,12 @@
             _trim(self._released_by_request, MAX_RELEASES)
 
     def _count_ends(self, request: bytes) -> int:
-        return sum(
-            request in recorded.accused for recorded in self._recorded_by_id.values()
-        )
+        return len(self._ends_of(request))
+
+    def _ends_of(self, request: bytes) -> list[_RecordedEnd]:
+        """Return the ends that accuse a request."""
+        recorded = self._recorded_by_id.values()
+        return [end for end in recorded if request in end.accused]
 
     def _forget_old(self, now: float) -> None:
         while self._recorded_by_id:
