Hold back a request under which instances end

Cause: nothing knew that two attempts were the same request, nor that an instance had ended under it; each repetition of a client and each retry of a node was placed anew. Change: the node beside an instance reports its end with the requests under way to all nodes, over the call streams, again until it has arrived; three other nodes repeat all that is known, also to a node that starts. Accused requests run in isolation at one node; owner and entry refuse what is held back (own interface: 422, ran: no, no repetition; platform: 502, since a status that promises 'not run' would bring it back). A call lost with its instance fails as instance-ended and is retried at the isolating node only. Ruled out: a call to the store (it may be away); a frame of its own (nodes of the version before would close the connection); refusing as 503 (clients come back).

--- a/features/calls_log.feature
+++ b/features/calls_log.feature
@@ -16,7 +16,7 @@
     Then they choose the same calls, about one in 256
 
   Scenario: The end of an instance is logged with the requests that were under way
-    Given a node beside an upstream that ends under one request, with its log captured
-    When that request and another one run twice, as the instance ends
+    Given two nodes that don't know each other, beside instances that end under a request
+    When that request and another one run at both
     Then each end has a line that names both requests
     And both lines name the same requests, whatever the ids of their attempts
--- a/features/steps/calls_routing_steps.py
+++ b/features/steps/calls_routing_steps.py
@@ -7,7 +7,8 @@
 from calls_rig import Fleet, answer, until
 
 from comfreytray.calls.call import IDLE
-from comfreytray.calls.routing import EJECT_AFTER_FAILURES, EJECT_MAX_S, Router
+from comfreytray.calls.ejection import EJECT_AFTER_FAILURES, EJECT_MAX_S
+from comfreytray.calls.routing import Router
 from comfreytray.calls.tracing import SdkTracer, SpanQueue
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.records import (
--- a/src/comfreytray/calls/answers.py
+++ b/src/comfreytray/calls/answers.py
@@ -2,7 +2,9 @@
 
 import json
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+
+from attrs import define
 
 from comfreytray.calls.call import (
     ERROR_HEADER,
@@ -21,6 +23,24 @@
 """Returns a failure's text in a language that an Accept-Language value allows."""
 
 
+@define(kw_only=True, eq=False)
+class StreamedBody:
+    """The WSGI body of a streamed answer; calls `on_end` when it is closed."""
+
+    reply: Reply
+    on_end: Callable[[], None]
+
+    def __iter__(self) -> Iterator[bytes]:
+        if self.reply.body:
+            yield self.reply.body
+        yield from self.reply.rest or ()
+
+    def close(self) -> None:
+        """Release the resources of the answer, even if it was not read to its end."""
+        self.reply.close()
+        self.on_end()
+
+
 def plain_message(failure: Failure, accept_language: str) -> str:
     """Return a failure's kind as its text, for use without a message catalogue."""
     del accept_language
--- a/src/comfreytray/calls/dispatch.py
+++ b/src/comfreytray/calls/dispatch.py
@@ -2,13 +2,17 @@
 
 from collections.abc import Callable, Iterator
 
+import eventlet
 from attrs import define, field
 
 from comfreytray.calls.call import Call, HeaderLookup, Outcome, Reply, combine_ran
 from comfreytray.calls.connections import StreamClient
 from comfreytray.calls.dialect import NATIVE, Dialect
 from comfreytray.calls.endpoints import EndpointView
+from comfreytray.calls.fingerprints import fingerprint_of
+from comfreytray.calls.guard import Guard, refuse
 from comfreytray.calls.owner import Owner
+from comfreytray.calls.quarantine import Verdict
 from comfreytray.calls.retries import (
     FAILED_STATUSES,
     MIN_TIME_LEFT_S,
@@ -19,12 +23,14 @@
     may_retry_answer,
 )
 from comfreytray.calls.routing import Router
-from comfreytray.common.errors import Failure, Ran
+from comfreytray.common.errors import Failure, Kind, Ran
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import NodeRecord
 
 MS_PER_S = 1000
+NEWS_DELAY_S = 0.05
+"""Delay of a retry after the end of an instance, of which all nodes then know."""
 
 
 @define(kw_only=True, eq=False)
@@ -36,6 +42,9 @@
     redirects: int = 0
     sent: int = 0
     """Attempts that reached, or may have reached, an upstream."""
+    is_accused: bool = False
+    """Whether an instance has ended while the call was under way at it."""
+    was_isolated: bool = False
     ran: Ran = Ran.NO
     """Whether the call ran in any of the attempts."""
     last: Reply | Outcome | None = None
@@ -53,6 +62,7 @@
         router: Router,
         owner: Owner,
         client: StreamClient,
+        guard: Guard,
         clock: Clock,
         metrics: Metrics,
         retry_limits: Callable[[], RetryLimits],
@@ -62,6 +72,7 @@
         self.router = router
         self.owner = owner
         self.client = client
+        self.guard = guard
         self.clock = clock
         self.metrics = metrics
         self.dialect = dialect
@@ -72,13 +83,7 @@
         self.budget.earn()
         attempts = _Attempts()
         while True:
-            record = self.router.pick(
-                call.service,
-                exclude=attempts.excluded,
-                kind=call.kind,
-                priority=call.priority,
-                target_s=self._target_left_s(call),
-            )
+            record = self._pick(call, attempts)
             if isinstance(record, Failure):
                 return attempts.last or Outcome.of(record)
             started = self.clock.monotonic()
@@ -91,6 +96,29 @@
             elif self._gives_up(call, result, attempts):
                 return attempts.last or result
 
+    def _pick(self, call: Call, attempts: "_Attempts") -> NodeRecord | Failure:
+        """Return the endpoint of the next attempt, or why there is none."""
+        verdict = self.guard.verdict(call)
+        refused = refuse(verdict)
+        if refused is not None:
+            return refused
+        if verdict is Verdict.FREE and not attempts.is_accused:
+            return self.router.pick(
+                call.service,
+                exclude=attempts.excluded,
+                kind=call.kind,
+                priority=call.priority,
+                target_s=self._target_left_s(call),
+            )
+        if attempts.was_isolated:
+            return Failure(kind=Kind.REQUEST_ISOLATED, detail="not retried")
+        if attempts.sent:
+            eventlet.sleep(NEWS_DELAY_S)
+        attempts.was_isolated = True
+        return self.router.pick_isolated(
+            call.service, fingerprint_of(call), exclude=attempts.excluded
+        )
+
     def _may_retry(
         self, call: Call, reply: Reply, attempts: "_Attempts", took_s: float
     ) -> bool:
@@ -114,6 +142,8 @@
     def _gives_up(self, call: Call, outcome: Outcome, attempts: "_Attempts") -> bool:
         """Whether a failed attempt was the last; record its failure for the caller."""
         attempts.sent += outcome.sent
+        if outcome.failure.kind is Kind.INSTANCE_ENDED:
+            attempts.is_accused = True
         decision = decide_retry(
             call,
             outcome,
--- a/src/comfreytray/calls/instanceends.py
+++ b/src/comfreytray/calls/instanceends.py
@@ -1,7 +1,8 @@
 """Tells the end of the instance beside a node from the loss of single connections."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 import eventlet
 from attrs import frozen
@@ -9,7 +10,7 @@
 
 from comfreytray.calls.call import Call
 from comfreytray.calls.upstreamconnection import UpstreamConnection
-from comfreytray.common.interfaces import Address
+from comfreytray.common.interfaces import Address, Clock
 
 CHECK_PAUSES_S = (0.0, 0.02)
 """Pauses before each look: a process that ends closes its connections in turn."""
@@ -33,43 +34,45 @@
 
     def __init__(self, *, on_ended: Callable[[EndedInstance], None]) -> None:
         self._on_ended = on_ended
-        self._is_checking = False
+        self._check: Any = None
         self._ended_at = -math.inf
 
-    def check(
+    def has_ended(
         self,
         address: Address,
         lost: UpstreamConnection,
         *,
         instance_id: str,
-        call_by_connection: dict[UpstreamConnection, Call],
+        call_by_connection: Mapping[UpstreamConnection, Call],
         idle: Iterable[UpstreamConnection],
-    ) -> None:
-        """Check in the background, unless a check runs or the end is known."""
-        if self._is_checking or lost.opened_at <= self._ended_at:
-            return
-        self._is_checking = True
-        calls = tuple(
-            call for found, call in call_by_connection.items() if found.sent_bytes
-        )
-        ended = EndedInstance(instance_id=instance_id, calls=calls)
-        connections = (*call_by_connection, *idle)
-        eventlet.spawn_n(self._check, address, ended, connections, lost.clock.monotonic)
-
-    def _check(
+    ) -> bool:
+        """Whether the instance has ended; calls lost together share a check."""
+        if lost.opened_at <= self._ended_at:
+            return True
+        if self._check is None:
+            calls = [c for found, c in call_by_connection.items() if found.sent_bytes]
+            ended = EndedInstance(instance_id=instance_id, calls=tuple(calls))
+            connections = (*call_by_connection, *idle)
+            self._check = eventlet.spawn(
+                self._run_check, address, ended, connections, lost.clock
+            )
+        return bool(self._check.wait())
+
+    def _run_check(
         self,
         address: Address,
         ended: EndedInstance,
         connections: tuple[UpstreamConnection, ...],
-        now: Callable[[], float],
-    ) -> None:
+        clock: Clock,
+    ) -> bool:
         try:
             if not _has_ended(address, connections):
-                return
+                return False
         finally:
-            self._is_checking = False
-        self._ended_at = now()
+            self._check = None
+        self._ended_at = clock.monotonic()
         self._on_ended(ended)
+        return True
 
 
 def _has_ended(address: Address, connections: tuple[UpstreamConnection, ...]) -> bool:
--- /dev/null
+++ b/src/comfreytray/calls/noticesender.py
@@ -0,0 +1,202 @@
+"""Brings the notices of a node to all others, over the call streams between them."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+import eventlet
+import xxhash
+from attrs import define
+
+from comfreytray.calls.call import Call, Outcome, Reply, fail
+from comfreytray.calls.connections import StreamClient
+from comfreytray.calls.notices import Notice, decode, encode
+from comfreytray.calls.quarantine import Quarantine
+from comfreytray.common import logs
+from comfreytray.common.errors import Kind
+from comfreytray.common.interfaces import Clock
+from comfreytray.common.records import MembershipView, NodeRecord
+from comfreytray.common.signals import Signal
+
+SERVICE = ""
+"""Service of the calls that carry notices; real services have names."""
+TICK_S = 0.25
+IDLE_TICK_S = 5.0
+"""Period while there is nothing to tell."""
+SEND_TIMEOUT_S = 1.0
+RETRY_MIN_S = 0.25
+RETRY_MAX_S = 2.0
+REPEAT_PERIOD_S = 10.0
+"""Period in which a node is told again all that is known, by a few others."""
+TOLD_PEERS = 3
+"""Nodes that each node tells all it knows: they may have started, or been cut off."""
+MAX_QUEUED = 256
+"""Notices that are kept for nodes that can't be reached; the oldest is dropped."""
+MAX_SENDS = 64
+"""Messages on their way at one time."""
+
+
+@define(kw_only=True, eq=False)
+class _Peer:
+    """What another node has been told."""
+
+    incarnation: int
+    next_number: int
+    """Number of the first notice of this node that it lacks."""
+    repeat_at: float = 0.0
+    """When it is told all again, if it is one of those that this node tells all."""
+    is_sending: bool = False
+    failures: int = 0
+    retry_at: float = 0.0
+
+
+class NoticeSender:
+    """Sends each notice to each other node until it has arrived."""
+
+    def __init__(
+        self,
+        *,
+        node: Callable[[], NodeRecord],
+        members: Callable[[], MembershipView],
+        client: StreamClient,
+        clock: Clock,
+        quarantine: Callable[[], Quarantine],
+        learn: Callable[[tuple[Notice, ...]], None],
+    ) -> None:
+        self._node = node
+        self._members = members
+        self._client = client
+        self._clock = clock
+        self._quarantine = quarantine
+        self._learn = learn
+        self._queue: deque[tuple[int, Notice]] = deque(maxlen=MAX_QUEUED)
+        self._next_number = 0
+        self._peer_by_id: dict[str, _Peer] = {}
+        self._view: MembershipView | None = None
+        self._told_all: frozenset[str] = frozenset()
+        self._sends = 0
+        self._wake = Signal()
+
+    def publish(self, notices: tuple[Notice, ...]) -> None:
+        """Send notices to all other nodes."""
+        for notice in notices:
+            self._queue.append((self._next_number, notice))
+            self._next_number += 1
+        self._wake.fire()
+
+    def run(self) -> None:
+        """Send what is due, until killed."""
+        while True:
+            is_idle = self._quarantine().is_empty and not self._queue
+            self._wake.wait(IDLE_TICK_S if is_idle else TICK_S)
+            try:
+                self.step()
+            except Exception as error:
+                logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+
+    def step(self) -> None:
+        """Start the sends that are due."""
+        now = self._clock.monotonic()
+        self._follow_members()
+        by_id = self._members().by_id
+        for node_id, peer in self._peer_by_id.items():
+            if peer.is_sending or now < peer.retry_at or self._sends >= MAX_SENDS:
+                continue
+            repeats = node_id in self._told_all and now >= peer.repeat_at
+            notices = self._due(peer, repeats=repeats)
+            if notices:
+                peer.is_sending = True
+                self._sends += 1
+                if repeats:
+                    peer.repeat_at = now + REPEAT_PERIOD_S
+                eventlet.spawn_n(self._send, by_id[node_id], peer, notices)
+        self._drop_delivered()
+
+    def receive(self, call: Call) -> Reply | Outcome:
+        """Take the notices of another node."""
+        decoded = decode(call.body)
+        if isinstance(decoded, str):
+            logs.warn(logs.Event.FRAME_REFUSED, reason=f"notices: {decoded}")
+            return fail(Kind.BAD_REQUEST, "malformed notices")
+        self._learn(decoded)
+        return Reply(status=204, reason="Taken", headers=())
+
+    def _follow_members(self) -> None:
+        """Take over who is there; a node that has started anew knows nothing."""
+        view = self._members()
+        if view is self._view:
+            return
+        self._view = view
+        own_id = self._node().node_id
+        for node_id in list(self._peer_by_id):
+            if node_id not in view.by_id:
+                del self._peer_by_id[node_id]
+        for node_id, record in view.by_id.items():
+            peer = self._peer_by_id.get(node_id)
+            if node_id == own_id:
+                continue
+            if peer is None or peer.incarnation != record.incarnation:
+                peer = _Peer(
+                    incarnation=record.incarnation, next_number=self._next_number
+                )
+                self._peer_by_id[node_id] = peer
+        self._told_all = frozenset(_successors(own_id, view.by_id))
+
+    def _due(self, peer: _Peer, *, repeats: bool) -> tuple[Notice, ...]:
+        known = self._quarantine().notices() if repeats else ()
+        queued = [n for number, n in self._queue if number >= peer.next_number]
+        return (*known, *queued)
+
+    def _send(
+        self, record: NodeRecord, peer: _Peer, notices: tuple[Notice, ...]
+    ) -> None:
+        next_number, started = self._next_number, self._clock.monotonic()
+        result: Reply | Outcome | None = None
+        try:
+            call = _carry(encode(notices), deadline=started + SEND_TIMEOUT_S)
+            result = self._client.call(record, call)
+        finally:
+            self._sends -= 1
+            peer.is_sending = False
+            if isinstance(result, Reply):
+                peer.next_number, peer.failures = next_number, 0
+                self._wake.fire()
+            else:
+                peer.failures += 1
+                peer.repeat_at = 0.0
+                pause_s = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(peer.failures, 8))
+                peer.retry_at = self._clock.monotonic() + pause_s
+
+    def _drop_delivered(self) -> None:
+        """Drop the notices that have arrived at all nodes."""
+        peers = self._peer_by_id.values()
+        delivered = min((peer.next_number for peer in peers), default=self._next_number)
+        while self._queue and self._queue[0][0] < delivered:
+            self._queue.popleft()
+
+
+def _successors(own_id: str, node_ids: Iterable[str]) -> list[str]:
+    """Return the nodes that follow this one on a ring, ordered by a hash of their ids.
+
+    So each node is told by as many others, mostly of other data centres.
+    """
+    ring = sorted(
+        node_ids, key=lambda node_id: xxhash.xxh64_intdigest(node_id.encode())
+    )
+    if own_id not in ring:
+        return []
+    start = ring.index(own_id) + 1
+    return [*ring[start:], *ring[: start - 1]][:TOLD_PEERS]
+
+
+def _carry(message: bytes, *, deadline: float) -> Call:
+    return Call(
+        service=SERVICE,
+        customer="",
+        share=1.0,
+        method="POST",
+        target="/notices",
+        headers=(),
+        body=message,
+        deadline=deadline,
+        idempotent=True,
+    )
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -14,6 +14,7 @@
 from comfreytray.calls.calllog import CallLog
 from comfreytray.calls.callrates import CallRate
 from comfreytray.calls.dialect import NATIVE, Dialect, FieldLookup
+from comfreytray.calls.guard import Guard, Permit
 from comfreytray.calls.instanceends import EndedInstance
 from comfreytray.calls.limits import Admission
 from comfreytray.calls.measures import OwnMeasures
@@ -33,6 +34,7 @@
     {
         Kind.CONNECT_FAILED,
         Kind.LOST_AFTER_SEND,
+        Kind.INSTANCE_ENDED,
         Kind.ANSWER_CUT,
         Kind.DEADLINE_WHILE_RUNNING,
     }
@@ -51,6 +53,7 @@
         local_upstream: Callable[[], LocalUpstream | None],
         clock: Clock,
         metrics: Metrics,
+        guard: Guard,
         tracer: Tracer | None = None,
         dialect: Dialect = NATIVE,
         call_log: CallLog | None = None,
@@ -60,6 +63,7 @@
         self.local_upstream = local_upstream
         self.clock = clock
         self.metrics = metrics
+        self.guard = guard
         self.tracer = tracer
         self.call_log = call_log or CallLog(clock=clock)
         self.dialect = dialect
@@ -105,6 +109,25 @@
         return traced(self.tracer, "owner", call, self._run)
 
     def _run(self, call: Call) -> Reply | Outcome:
+        upstream = self._upstream_for(call)
+        if isinstance(upstream, Outcome):
+            return upstream
+        permit = self.guard.admit(call)
+        if isinstance(permit, Failure):
+            self._log_refused(call, permit)
+            return Outcome.of(permit, load=self.admission.load_for(call.priority))
+        try:
+            result = self._admit_and_run(call, permit)
+        except BaseException:
+            permit.end()
+            raise
+        if isinstance(result, Outcome):
+            permit.end()
+        else:
+            self.guard.record_answer(permit, call)
+        return result
+
+    def _admit_and_run(self, call: Call, permit: Permit) -> Reply | Outcome:
         upstream = self._upstream_for(call)
         if isinstance(upstream, Outcome):
             return upstream
@@ -128,12 +151,12 @@
         # The instance may have left, or another one come, while the call waited.
         upstream = self._upstream_for(call)
         if isinstance(upstream, Outcome):
-            self._release(ticket)
+            self._release(ticket, permit)
             return upstream
         reply = self.pool.call(
             upstream,
             call,
-            on_end=lambda: self._release(ticket),
+            on_end=lambda: self._release(ticket, permit),
         )
         if isinstance(reply, Outcome):
             instance = upstream.endpoint.instance_id
@@ -152,7 +175,8 @@
             return fail(Kind.LEAVING, "upstream is draining")
         return upstream
 
-    def _release(self, ticket: Ticket) -> None:
+    def _release(self, ticket: Ticket, permit: Permit) -> None:
+        permit.end()
         self.admission.release(ticket)
         self._schedule_admission()
 
@@ -169,6 +193,7 @@
         """Process the end of the instance while calls were under way at it."""
         self.metrics.count("endpoints_ended")
         self.call_log.instance_ended(ended)
+        self.guard.record_end(ended)
 
     def _schedule_admission(self) -> None:
         """Admit waiting calls again once the rate of the instance allows it."""
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -1,16 +1,16 @@
 """The call path of a node: HTTP from callers, streams from other nodes."""
 
 import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from types import TracebackType
 from typing import TYPE_CHECKING, Any
 
 import eventlet
-from attrs import define
 
 from comfreytray.calls import httpserver, requests
 from comfreytray.calls.answers import (
     MessageFor,
+    StreamedBody,
     buffer_reply,
     build_refusal,
     encode_closing_refusal,
@@ -22,6 +22,9 @@
 from comfreytray.calls.connections import StreamClient
 from comfreytray.calls.dialect import NATIVE, Dialect
 from comfreytray.calls.dispatch import Dispatcher
+from comfreytray.calls.guard import Guard
+from comfreytray.calls.noticesender import SERVICE as NOTICE_SERVICE
+from comfreytray.calls.noticesender import NoticeSender
 from comfreytray.calls.owner import Owner
 from comfreytray.calls.reaper import Reaper
 from comfreytray.calls.retries import DEFAULT_RETRY_LIMITS, RetryLimits
@@ -45,28 +48,6 @@
 Environ = dict[str, Any]
 
 
-@define(kw_only=True, eq=False)
-class _StreamedBody:
-    """The WSGI body of a streamed answer; calls `on_end` when it is closed."""
-
-    reply: Reply
-    on_end: Callable[[], None]
-
-    def __iter__(self) -> Iterator[bytes]:
-        if self.reply.body:
-            yield self.reply.body
-        yield from self.reply.rest or ()
-
-    def close(self) -> None:
-        """Release the resources of the answer, even if it was not read to its end."""
-        self.reply.close()
-        self.on_end()
-
-
-def _unknown_caller() -> str:
-    return ""
-
-
 class CallPath:
     """Proxies calls from callers to endpoints, and from other nodes to the upstream."""
 
@@ -81,7 +62,7 @@
         random: random.Random,
         store: ObjectStore | None,
         metrics: Metrics,
-        caller: Callable[[], str] = _unknown_caller,
+        caller: Callable[[], str] = lambda: "",
         dialect: Dialect = NATIVE,
         retry_limits: Callable[[], RetryLimits] = lambda: DEFAULT_RETRY_LIMITS,
         tracer: Tracer | None = None,
@@ -107,16 +88,31 @@
         self.router = Router(
             node=node, members=members, clock=clock, random=random, is_cold=is_cold
         )
+        self.guard = Guard(
+            node_id=lambda: node().node_id,
+            clock=clock,
+            metrics=metrics,
+            publish=lambda notices: self.notices.publish(notices),
+        )
         self.owner = Owner(
             local_upstream=local_upstream,
             clock=clock,
             metrics=metrics,
+            guard=self.guard,
             tracer=tracer,
             dialect=dialect,
             call_log=self.call_log,
             on_leaving=on_leaving,
         )
         self.client = StreamClient(own_id=own_id, clock=clock, metrics=metrics)
+        self.notices = NoticeSender(
+            node=node,
+            members=members,
+            client=self.client,
+            clock=clock,
+            quarantine=lambda: self.guard.quarantine,
+            learn=self.guard.learn,
+        )
         self.server = StreamServer(
             node_id=own_id,
             clock=clock,
@@ -128,6 +124,7 @@
             router=self.router,
             owner=self.owner,
             client=self.client,
+            guard=self.guard,
             clock=clock,
             metrics=metrics,
             retry_limits=retry_limits,
@@ -144,7 +141,7 @@
             keyed=self.keyed,
         )
         self.head_started_by_socket = self.reaper.head_started_by_socket
-        self._reaper_greenlet: Any = None
+        self._greenlets: list[Any] = []
         self._listener: Listener | None = None
 
     def _build_keyed_calls(
@@ -171,7 +168,8 @@
         )
 
     def __enter__(self) -> "CallPath":
-        self._reaper_greenlet = eventlet.spawn(self.reaper.run)
+        for run in (self.reaper.run, self.notices.run):
+            self._greenlets.append(eventlet.spawn(run))
         return self
 
     def __exit__(
@@ -180,7 +178,8 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._reaper_greenlet.kill()
+        for greenlet in self._greenlets:
+            greenlet.kill()
         for part in (self.server, self.client, self.owner):
             part.__exit__(kind, error, trace)
 
@@ -314,6 +313,8 @@
         return traced(self.tracer, "entry", call, run)
 
     def _run_for_other_node(self, call: Call) -> Reply | Outcome:
+        if call.service == NOTICE_SERVICE:
+            return self.notices.receive(call)
         self.metrics.count("calls_for_nodes")
         if call.key and self.keyed is not None:
             return self.keyed.claim_and_run(call)
@@ -326,7 +327,7 @@
         start_response(status, list(reply.headers))
         if reply.rest is None:
             return [reply.body]
-        return _StreamedBody(reply=reply, on_end=self._end_streaming)
+        return StreamedBody(reply=reply, on_end=self._end_streaming)
 
     def _end_streaming(self) -> None:
         self.in_flight -= 1
--- a/src/comfreytray/calls/retries.py
+++ b/src/comfreytray/calls/retries.py
@@ -35,6 +35,7 @@
         Kind.NODE_UNREACHABLE,
         Kind.OVERLOADED,
         Kind.LOST_AFTER_SEND,
+        Kind.INSTANCE_ENDED,
         Kind.ANSWER_CUT,
     }
 )
--- a/src/comfreytray/calls/routing.py
+++ b/src/comfreytray/calls/routing.py
@@ -9,7 +9,10 @@
 import random
 from collections.abc import Callable, Sequence
 
+import xxhash
+
 from comfreytray.calls.call import IDLE, Load
+from comfreytray.calls.ejection import Ejection
 from comfreytray.calls.endpoints import (
     NO_REPORTED_LOAD,
     EndpointView,
@@ -49,11 +52,6 @@
 MIN_SLOWDOWN = 0.1
 JITTER = 0.1
 """Random share added to expected times, to spread nodes that see the same loads."""
-EJECT_AFTER_FAILURES = 5
-EJECT_BASE_S = 2.0
-EJECT_MAX_S = 30.0
-EJECT_MAX_SHARE = 0.5
-"""Share of the endpoints of a service that may be ejected at once."""
 LEAVING_EXCLUSION_S = 3.0
 SHED_AVOIDANCE_S = 0.1
 FORGET_AFTER_S = 60.0
@@ -93,11 +91,15 @@
         self.view_by_id: dict[str, EndpointView] = {}
         self.service_time_s_by_kind: dict[str, float] = {}
         """Mean time of a kind of call at all endpoints."""
-        self.panics = 0
-        """Picks that ignored ejections, since too many endpoints were ejected."""
+        self._ejection = Ejection(random=random)
         self._sampler = Sampler(random=random)
         self._leaving = LeavingInstances()
 
+    @property
+    def panics(self) -> int:
+        """Return the picks that ignored ejections, since too many were ejected."""
+        return self._ejection.panics
+
     def pick(
         self,
         service: str,
@@ -111,18 +113,12 @@
         records = self.members().endpoints_by_service.get(service, ())
         now = self.clock.monotonic()
         own = self.node()
-        own_id = own.node_id
-        usable = [
-            record
-            for record in self._sampler.sample(service, records, own.region)
-            if record.node_id not in exclude
-            and not (self.leaving and record.node_id == own_id)
-            and self.view(record, now).excluded_until <= now
-            and not self._leaving.excludes(record, now)
-        ]
+        sample = self._sampler.sample(service, records, own.region)
+        usable = self._usable(sample, exclude, now)
         if not usable:
             return Failure(kind=Kind.NO_ENDPOINT, fields={"service": service})
-        healthy = self._not_ejected(usable, now)
+        views = [self.view(record, now) for record in usable]
+        healthy = self._ejection.filter(usable, views, now)
         ready = [r for r in healthy if self.view(r, now).shed_until <= now]
         eligible = ready or healthy
         self._assume_unknown_are_fast(eligible, own, now)
@@ -130,6 +126,35 @@
             eligible, key=lambda r: self._cost(r, own, kind, priority, target_s, now)
         )
 
+    def pick_isolated(
+        self, service: str, request: bytes, *, exclude: Sequence[str] = ()
+    ) -> NodeRecord | Failure:
+        """Return the endpoint for a request in isolation, the same at each node."""
+        records = self.members().endpoints_by_service.get(service, ())
+        now = self.clock.monotonic()
+        usable = self._usable(records, exclude, now)
+        if not usable:
+            return Failure(kind=Kind.NO_ENDPOINT, fields={"service": service})
+        kept = [r for r in usable if self.view(r, now).ejected_until <= now]
+        return max(
+            kept or usable,
+            key=lambda r: xxhash.xxh64_intdigest(request + r.node_id.encode()),
+        )
+
+    def _usable(
+        self, records: Sequence[NodeRecord], exclude: Sequence[str], now: float
+    ) -> list[NodeRecord]:
+        """Return the endpoints that are not excluded or leaving."""
+        own_id = self.node().node_id
+        return [
+            record
+            for record in records
+            if record.node_id not in exclude
+            and not (self.leaving and record.node_id == own_id)
+            and self.view(record, now).excluded_until <= now
+            and not self._leaving.excludes(record, now)
+        ]
+
     def _assume_unknown_are_fast(
         self, records: list[NodeRecord], own: NodeRecord, now: float
     ) -> None:
@@ -222,9 +247,7 @@
         if failure.kind not in _COUNTED_FAILURES:
             return
         view.failure_share += FAILURE_WEIGHT * (1.0 - view.failure_share)
-        view.failures_in_row += 1
-        if view.failures_in_row >= EJECT_AFTER_FAILURES:
-            self._eject(view, failure, now)
+        self._ejection.record_failure(view, failure, now)
 
     def abandon(self, view: EndpointView) -> None:
         """Record a call that its caller abandoned."""
@@ -258,28 +281,6 @@
             for view in self.view_by_id.values()
         ]
 
-    def _eject(self, view: EndpointView, failure: Failure, now: float) -> None:
-        ejection_s = min(EJECT_MAX_S, EJECT_BASE_S * 2**view.ejections)
-        view.ejections = min(view.ejections + 1, 10)
-        view.failures_in_row = 0
-        view.ejected_until = now + ejection_s * self.random.uniform(0.8, 1.2)
-        logs.warn(
-            logs.Event.ENDPOINT_EJECTED,
-            node=view.node_id,
-            reason=failure.kind.value,
-            seconds=ejection_s,
-        )
-
-    def _not_ejected(self, records: list[NodeRecord], now: float) -> list[NodeRecord]:
-        kept = [r for r in records if self.view(r, now).ejected_until <= now]
-        allowed = math.floor(len(records) * EJECT_MAX_SHARE)
-        if len(records) - len(kept) <= allowed and kept:
-            return kept
-        if len(records) > 1:
-            self.panics += 1
-        # If most endpoints fail, the measurements themselves are unreliable.
-        return self.random.sample(records, min(2, len(records)))
-
     def _cost(
         self,
         record: NodeRecord,
@@ -339,6 +340,7 @@
         Kind.CONNECT_FAILED,
         Kind.NODE_UNREACHABLE,
         Kind.LOST_AFTER_SEND,
+        Kind.INSTANCE_ENDED,
         Kind.ANSWER_CUT,
         Kind.DEADLINE_WHILE_RUNNING,
         Kind.INTERNAL,
--- a/src/comfreytray/common/errors.py
+++ b/src/comfreytray/common/errors.py
@@ -35,6 +35,8 @@
     NO_ENDPOINT = "no-endpoint"
     OVERLOADED = "overloaded"
     CUSTOMER_OVER_SHARE = "customer-over-share"
+    REQUEST_HELD = "request-held"
+    REQUEST_ISOLATED = "request-isolated"
     LEAVING = "leaving"
     WRONG_NODE = "wrong-node"
     CHAIN_TOO_DEEP = "chain-too-deep"
@@ -42,6 +44,7 @@
     DEADLINE_WHILE_RUNNING = "deadline-while-running"
     CONNECT_FAILED = "connect-failed"
     LOST_AFTER_SEND = "lost-after-send"
+    INSTANCE_ENDED = "instance-ended"
     ANSWER_CUT = "answer-cut"
     CANCELLED = "cancelled"
     REPEAT_RUNNING = "repeat-running"
@@ -117,6 +120,8 @@
     Kind.NO_ENDPOINT: _answer(503, Ran.NO, Retry.LATER, 2),
     Kind.OVERLOADED: _answer(503, Ran.NO, Retry.LATER, 1),
     Kind.CUSTOMER_OVER_SHARE: _answer(429, Ran.NO, Retry.LATER, 1),
+    Kind.REQUEST_HELD: _answer(422, Ran.NO, Retry.NEVER),
+    Kind.REQUEST_ISOLATED: _answer(503, Ran.NO, Retry.LATER, 1),
     Kind.LEAVING: _answer(503, Ran.NO, Retry.LATER, 1),
     Kind.WRONG_NODE: _answer(503, Ran.NO, Retry.LATER, 1),
     Kind.CHAIN_TOO_DEEP: _answer(508, Ran.NO, Retry.NEVER),
@@ -124,6 +129,7 @@
     Kind.DEADLINE_WHILE_RUNNING: _answer(504, Ran.UNKNOWN, Retry.IF_IDEMPOTENT),
     Kind.CONNECT_FAILED: _answer(503, Ran.NO, Retry.LATER, 1),
     Kind.LOST_AFTER_SEND: _answer(502, Ran.UNKNOWN, Retry.IF_IDEMPOTENT),
+    Kind.INSTANCE_ENDED: _answer(502, Ran.UNKNOWN, Retry.IF_IDEMPOTENT),
     Kind.ANSWER_CUT: _answer(502, Ran.YES, Retry.IF_IDEMPOTENT),
     Kind.CANCELLED: _answer(499, Ran.UNKNOWN, Retry.IF_IDEMPOTENT),
     Kind.REPEAT_RUNNING: _answer(409, Ran.UNKNOWN, Retry.LATER, 1),
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -34,6 +34,8 @@
     CALL_ANSWERED = "call-answered"
     LINES_LEFT_OUT = "lines-left-out"
     CALLS_CUT = "calls-cut"
+    REQUEST_HELD = "request-held"
+    REQUEST_RELEASED = "request-released"
     RECORD_NOT_STORED = "record-not-stored"
     RECORD_REPLACED = "record-replaced"
     SETTINGS_RELOADED = "settings-reloaded"
--- a/src/comfreytray/platform/headers.py
+++ b/src/comfreytray/platform/headers.py
@@ -25,6 +25,9 @@
 def status_of(outcome: Outcome) -> int:
     """Return the status of a failure; 503 and the like say that nothing ran."""
     kind = outcome.failure.kind
+    if kind is Kind.REQUEST_HELD:
+        # It has run before; a status that says "not run" would bring it back.
+        return _STATUS_OUTCOME_UNKNOWN
     if outcome.ran is Ran.NO:
         status = outcome.failure.answer.status
         return status if status in _NOT_RUN_STATUSES else _STATUS_DEFAULT_NOT_RUN
