Keep holds in the store, show them to operators and let these release them

Cause: what is held back stood in the memory of nodes only. Nobody but a reader of logs could see a hold, and nobody could end it. Change: the node that decides on a hold writes a record, in its own interface under held/, on the users' platform beside the members' records, so that no further call reads it. Nodes learn records at their start. Own interface: GET /v1/holds, DELETE /v1/holds/NAME, the commands holds and release. Platform: an operator sets released in the record. A release reaches all nodes as a notice, lapsed records are deleted. Result: four new scenarios (restart of one and of all, store away, word of an operator) and three on the sender, the wait in isolation and lost connections pass. Ruled out: a kind of its own on the platform (a further watch of each source).

--- a/features/calls_crashes.feature
+++ b/features/calls_crashes.feature
@@ -11,3 +11,43 @@
       | interface           |
       | its own interface   |
       | the users' platform |
+
+  Scenario: A node that starts anew is told what is held back
+    Given four nodes on its own interface, beside instances that end under one request
+    When it comes at one node after the other until three instances have ended
+    And one node starts anew
+    Then that node refuses the request within a second, and sends it to no instance
+
+  Scenario: Nodes that all start anew find in the store what is held back
+    Given four nodes that keep holds in one store, beside instances that end under one request
+    When it comes at one node after the other until three instances have ended
+    And the holds are stored and all nodes start anew
+    Then it reaches no instance any more
+
+  Scenario: An operator's word in the store lets a request go
+    Given four nodes that keep holds in one store, beside instances that end under one request
+    When it comes at one node after the other until three instances have ended
+    And the holds are stored and an operator sets the record to released
+    Then the request is free at each node, also after all start anew
+
+  Scenario: What is held back is stored once the store is back
+    Given four nodes that keep holds in one store, beside instances that end under one request
+    When the store is away until three instances have ended
+    Then the hold is stored after its return, in one record
+
+  Scenario: An instance that only loses connections accuses nobody
+    Given a node beside an instance that resets the connection of each second request
+    When 20 requests are sent
+    Then no end of the instance is recorded
+
+  Scenario: A deadly request that waits in isolation lets the next one through
+    Given an owner at which one accused request runs in isolation
+    When another one waits and its caller hangs up, and a third one waits
+    Then the third one runs once the first one is answered
+
+  Scenario: Notices reach a node that could not be reached, and one that starts
+    Given a sender of notices to three nodes, one of which can't be reached
+    When two notices are published and that node can be reached after 60 s
+    Then it gets both within 2 s, and the others got them once
+    When a node starts anew
+    Then it is told all that is known
--- a/features/steps/calls_crashes_steps.py
+++ b/features/steps/calls_crashes_steps.py
@@ -1,11 +1,38 @@
 import itertools
+import json
+import random
 
 import eventlet
+from attrs import evolve
 from behave import given, then, when
-from calls_rig import CRASH, Fleet, answer, count_runs, field_of, until
+from calls_rig import (
+    CRASH,
+    RESET,
+    Fleet,
+    add_fleet,
+    answer,
+    count_runs,
+    field_of,
+    make_call,
+    until,
+)
 
+from comfreytray.calls import notices
+from comfreytray.calls.call import Reply, fail
 from comfreytray.calls.dialect import NATIVE
+from comfreytray.calls.guard import Guard
+from comfreytray.calls.holdrecords import HoldRecords
+from comfreytray.calls.instanceends import EndedInstance
+from comfreytray.calls.notices import Released
+from comfreytray.calls.noticesender import NoticeSender
+from comfreytray.calls.quarantine import Quarantine, Verdict
+from comfreytray.common.budgets import Backoff
+from comfreytray.common.clock import SystemClock
+from comfreytray.common.errors import Kind
+from comfreytray.common.metrics import Metrics
+from comfreytray.common.records import MembershipView, NodeRecord
 from comfreytray.platform.headers import DIALECT
+from comfreytray.testing import FakeClock, MemoryStore
 
 NODE_IDS = ("a", "b", "c", "d")
 DEADLY = "/deadly"
@@ -77,3 +104,318 @@
     for node_id in NODE_IDS:
         got = _call(context, node_id, "/fine")
         assert got.status == 200, (node_id, got.status, got.kind)
+
+
+def _restart(context, node_id):
+    """Start a node anew beside its instance: it has forgotten all."""
+    fleet = context.fleet
+    old = fleet.path_by_id[node_id]
+    port = fleet.upstream_by_id[node_id].port
+    incarnation = fleet.record_by_id[node_id].incarnation + 1
+    old.__exit__(None, None, None)
+    upstream = fleet.upstream_by_id[node_id]
+    path = fleet.add(node_id, upstream_port=port)
+    fleet.upstream_by_id[node_id].close()
+    fleet.upstream_by_id[node_id] = upstream
+    fleet.record_by_id[node_id] = evolve(
+        fleet.record_by_id[node_id], incarnation=incarnation
+    )
+    if hasattr(context, "store"):
+        _keep_holds(context, node_id)
+    return path
+
+
+@when("one node starts anew")
+def restart_one(context):
+    context.restarted = _restart(context, "b")
+
+
+@then("that node refuses the request within a second, and sends it to no instance")
+def check_restarted(context):
+    quarantine = context.restarted.guard.quarantine
+    assert until(lambda: quarantine.holds, wait_s=1.0)
+    context.runs_before = count_runs(context.fleet, DEADLY)
+    got = _call(context, "b", DEADLY)
+    assert (got.status, got.kind, got.ran) == (422, "request-held", "no")
+    assert count_runs(context.fleet, DEADLY) == context.runs_before
+
+
+def _keep_holds(context, node_id):
+    records = HoldRecords(
+        store=context.store,
+        prefix="held/",
+        guard=context.fleet.path_by_id[node_id].guard,
+        clock=context.fleet.clock,
+        backoff=Backoff(random=random.Random(1), min_s=0.01, max_s=0.05),
+    )
+    assert records.load() or context.store.down
+    context.records[node_id] = records
+    context.fleet.greenlets.append(eventlet.spawn(records.run))
+
+
+@given(
+    "four nodes that keep holds in one store, "
+    "beside instances that end under one request"
+)
+def make_storing(context):
+    _make_fleet(context)
+    context.store, context.records = MemoryStore(), {}
+    for node_id in NODE_IDS:
+        _keep_holds(context, node_id)
+
+
+def _stored(context):
+    return [key for key in context.store.object_by_key if key.startswith("held/")]
+
+
+@when("the holds are stored and all nodes start anew")
+def restart_all(context):
+    assert until(lambda: _stored(context))
+    for node_id in NODE_IDS:
+        _restart(context, node_id)
+    context.runs_before = count_runs(context.fleet, DEADLY)
+    for node_id in NODE_IDS:
+        _call(context, node_id, DEADLY)
+
+
+@then("it reaches no instance any more")
+def check_none(context):
+    assert count_runs(context.fleet, DEADLY) == context.runs_before
+
+
+@when("the holds are stored and an operator sets the record to released")
+def release_in_store(context):
+    assert until(lambda: _stored(context))
+    (key,) = _stored(context)
+    stored = context.store.get(key)
+    plain = {**json.loads(stored.value), "released": True}
+    changed = context.store.put(
+        key, json.dumps(plain).encode(), expected_version=stored.version
+    )
+    for records in context.records.values():
+        records.apply([changed])
+
+
+@then("the request is free at each node, also after all start anew")
+def check_released(context):
+    for node_id in NODE_IDS:
+        assert not context.fleet.path_by_id[node_id].guard.quarantine.holds, node_id
+    for node_id in NODE_IDS:
+        path = _restart(context, node_id)
+        assert not path.guard.quarantine.holds, node_id
+
+
+@when("the store is away until three instances have ended")
+def store_away(context):
+    context.store.down = True
+    send_until_third(context)
+    quarantines = [p.guard.quarantine for p in context.fleet.path_by_id.values()]
+    assert until(lambda: all(q.holds for q in quarantines))
+    eventlet.sleep(0.2)
+    context.store.down = False
+
+
+@then("the hold is stored after its return, in one record")
+def check_stored(context):
+    assert until(lambda: len(_stored(context)) == 1)
+
+
+@when("40 other requests are under way as an instance ends")
+def send_beside(context):
+    calls = []
+    for number in range(40):
+        node_id = NODE_IDS[number % 4]
+        calls.append(eventlet.spawn(_call, context, node_id, f"/fine{number}"))
+        if number == 20:
+            eventlet.spawn(_call, context, "a", DEADLY)
+        eventlet.sleep(0.002)
+    context.answers = [call.wait() for call in calls]
+    assert until(lambda: _crashes(context) > 0)
+
+
+@then("each of their callers is answered")
+def check_answered(context):
+    got = [(answer.status, answer.kind) for answer in context.answers]
+    assert all(status == 200 for status, _ in got), got
+
+
+@then("no request but the deadly one is held back or waits")
+def check_free(context):
+    for path in context.fleet.path_by_id.values():
+        for hold in path.guard.report():
+            assert hold["label"].endswith(DEADLY), hold
+        for number in range(40):
+            call = make_call(target=f"/fine{number}", host="canhdieu.test")
+            verdict = path.guard.verdict(call)
+            assert verdict in (Verdict.FREE, Verdict.ISOLATED), (number, verdict)
+
+
+@when(
+    "the instances are killed one after the other while callers send the same request"
+)
+def kill_in_turn(context):
+    context.unserved = 0
+    stop = []
+
+    def send(node_id):
+        while not stop:
+            if _call(context, node_id, "/common").status != 200:
+                context.unserved += 1
+            eventlet.sleep(0.01)
+
+    callers = [eventlet.spawn(send, node_id) for node_id in NODE_IDS for _ in range(3)]
+    for upstream in context.fleet.upstream_by_id.values():
+        eventlet.sleep(0.2)
+        upstream.crash()
+    eventlet.sleep(0.5)
+    stop.append(True)
+    for caller in callers:
+        caller.wait()
+
+
+@then("each call that did not run to its end is answered when it is sent again")
+def check_again(context):
+    for node_id in NODE_IDS:
+        got = _call(context, node_id, "/common")
+        assert got.status == 200, (node_id, got.status, got.kind)
+
+
+@then("no request is held back at any node")
+def check_no_holds(context):
+    for path in context.fleet.path_by_id.values():
+        assert not path.guard.quarantine.holds, path.guard.report()
+
+
+@given("a node beside an instance that resets the connection of each second request")
+def make_resetting(context):
+    numbers = itertools.count()
+
+    def script(head, body):
+        return [RESET] if next(numbers) % 2 else answer(200, b"ok")
+
+    add_fleet(context, ["a"], script)
+    context.numbers = itertools.count()
+
+
+@when("20 requests are sent")
+def send_twenty(context):
+    for number in range(20):
+        _call(context, "a", f"/x{number}", method="POST")
+
+
+@then("no end of the instance is recorded")
+def check_no_end(context):
+    assert context.fleet.path_by_id["a"].guard.quarantine.is_empty
+
+
+@given("an owner at which one accused request runs in isolation")
+def make_guard(context):
+    context.clock = SystemClock()
+    context.guard = Guard(
+        node_id=lambda: "a",
+        clock=context.clock,
+        metrics=Metrics(),
+        publish=lambda _: None,
+    )
+    context.accused = [make_call(target=f"/{n}") for n in range(3)]
+    ended = EndedInstance(instance_id="i", calls=tuple(context.accused))
+    context.guard.record_end(ended)
+    context.permit = context.guard.admit(context.accused[0])
+    assert context.permit.is_isolated
+
+
+@when("another one waits and its caller hangs up, and a third one waits")
+def wait_in_isolation(context):
+    second = eventlet.spawn(context.guard.admit, context.accused[1])
+    eventlet.sleep(0.01)
+    second.kill()
+    context.third = eventlet.spawn(context.guard.admit, context.accused[2])
+    eventlet.sleep(0.01)
+    assert not context.third.dead
+
+
+@then("the third one runs once the first one is answered")
+def check_third(context):
+    context.guard.record_answer(context.permit, context.accused[0])
+    context.permit.end()
+    context.permit.end()
+    assert context.third.wait().is_isolated
+
+
+class FakeClient:
+    """Delivers notices at once, except to nodes that can't be reached."""
+
+    def __init__(self):
+        self.unreachable = {"c"}
+        self.got_by_id = {}
+
+    def call(self, record, call):
+        if record.node_id in self.unreachable:
+            return fail(Kind.NODE_UNREACHABLE)
+        self.got_by_id.setdefault(record.node_id, []).extend(notices.decode(call.body))
+        return Reply(status=204, reason="", headers=())
+
+
+def _record(node_id, incarnation=1):
+    return NodeRecord(
+        node_id=node_id,
+        incarnation=incarnation,
+        region="r",
+        data_centre="d",
+        host="127.0.0.1",
+        control_port=1,
+        call_port=2,
+    )
+
+
+@given("a sender of notices to three nodes, one of which can't be reached")
+def make_sender(context):
+    context.clock, context.client = FakeClock(), FakeClient()
+    context.view = MembershipView(by_id={n: _record(n) for n in NODE_IDS})
+    context.quarantine = Quarantine(clock=context.clock)
+    context.sender = NoticeSender(
+        node=lambda: context.view.by_id["a"],
+        members=lambda: context.view,
+        client=context.client,
+        clock=context.clock,
+        quarantine=lambda: context.quarantine,
+        learn=lambda _: None,
+    )
+
+
+def _step_for(context, seconds):
+    for _ in range(int(seconds / 0.25)):
+        context.sender.step()
+        eventlet.sleep(0)
+        context.clock.now += 0.25
+
+
+@when("two notices are published and that node can be reached after 60 s")
+def publish_two(context):
+    context.sender.step()
+    context.published = [
+        Released(request=bytes([n]) * 16, generation=1) for n in (1, 2)
+    ]
+    context.sender.publish(tuple(context.published))
+    _step_for(context, 60.0)
+    context.client.unreachable.clear()
+    _step_for(context, 2.0)
+
+
+@then("it gets both within 2 s, and the others got them once")
+def check_both(context):
+    assert context.client.got_by_id == {n: context.published for n in "bcd"}
+
+
+@when("a node starts anew")
+def restart_peer(context):
+    context.quarantine.learn(context.published[0])
+    context.client.got_by_id.clear()
+    by_id = {**context.view.by_id, "b": _record("b", incarnation=2)}
+    context.view = MembershipView(by_id=by_id)
+    _step_for(context, 0.5)
+
+
+@then("it is told all that is known")
+def check_told(context):
+    assert context.client.got_by_id["b"] == [context.published[0]]
--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -10,6 +10,7 @@
 from attrs import evolve
 from eventlet.green import socket
 
+from comfreytray.calls.call import Call
 from comfreytray.calls.dialect import NATIVE
 from comfreytray.calls.proxy import CallPath
 from comfreytray.common.clock import SystemClock
@@ -267,9 +268,24 @@
     return None
 
 
-def until(condition):
-    """Wait for a condition; whether it became true within `WAIT_S`."""
-    for _ in range(int(WAIT_S / 0.005)):
+def make_call(*, target, host="", deadline_s=10.0):
+    """Return a call that could have come from a caller."""
+    return Call(
+        service="lichbay",
+        customer="canhdieu",
+        share=1.0,
+        method="GET",
+        target=target,
+        headers=(("Host", host),) if host else (),
+        body=b"",
+        deadline=time.monotonic() + deadline_s,
+        idempotent=True,
+    )
+
+
+def until(condition, wait_s=WAIT_S):
+    """Wait for a condition; whether it became true in time."""
+    for _ in range(int(wait_s / 0.005)):
         if condition():
             return True
         eventlet.sleep(0.005)
--- a/src/comfreytray/administration/routes.py
+++ b/src/comfreytray/administration/routes.py
@@ -7,6 +7,7 @@
 from cattrs.preconf.json import make_converter
 
 from comfreytray.administration.api import AdminApi, Request, parse_json
+from comfreytray.administration.holdroutes import HoldRoutes
 from comfreytray.administration.statusreply import build_status_reply
 from comfreytray.calls.proxy import CallPath
 from comfreytray.common.errors import Failure, Kind
@@ -51,6 +52,7 @@
     items = _ItemRoutes(node)
     versions = _VersionRoutes(node)
     state = _StateRoutes(node)
+    holds = HoldRoutes(guard=node.calls.guard)
     item = "/v1/items/<kind>/<name>"
     api.add("GET", "/v1/items/<kind>", items.list_all)
     api.add("GET", item, items.show)
@@ -65,6 +67,8 @@
     api.add("GET", "/v1/nodes", state.nodes)
     api.add("GET", "/v1/endpoints", state.endpoints)
     api.add("GET", "/v1/circuits", state.circuits)
+    api.add("GET", "/v1/holds", holds.list_all)
+    api.add("DELETE", "/v1/holds/<request>", holds.release, edits=True)
     api.add("GET", "/v1/metrics", state.metrics)
     api.add("GET", "/v1/settings", state.settings)
     api.add("GET", "/v1/health", state.health)
--- a/src/comfreytray/calls/calllog.py
+++ b/src/comfreytray/calls/calllog.py
@@ -3,7 +3,7 @@
 import zlib
 
 from comfreytray.calls.call import Call, Outcome, Reply
-from comfreytray.calls.fingerprints import fingerprint_of
+from comfreytray.calls.fingerprints import fingerprint_of, name_of
 from comfreytray.calls.instanceends import EndedInstance
 from comfreytray.calls.retries import FAILED_STATUSES
 from comfreytray.common import logs
@@ -109,7 +109,7 @@
                 reason=outcome.failure.detail,
                 ran=outcome.ran.value,
                 sent=outcome.sent,
-                request=fingerprint_of(call).hex(),
+                request=name_of(fingerprint_of(call)),
             )
 
     def instance_ended(self, ended: EndedInstance) -> None:
@@ -118,7 +118,7 @@
             logs.Event.ENDPOINT_ENDED,
             instance=ended.instance_id,
             under_way=len(ended.calls),
-            requests=",".join(fingerprint_of(call).hex() for call in ended.calls),
+            requests=",".join(name_of(fingerprint_of(call)) for call in ended.calls),
         )
 
     def _take_line(self) -> bool:
--- a/src/comfreytray/calls/fingerprints.py
+++ b/src/comfreytray/calls/fingerprints.py
@@ -11,6 +11,8 @@
 
 FINGERPRINT_BYTES = 16
 MAX_LABEL_CHARACTERS = 120
+NAME_PREFIX = "r"
+"""So that no name reads as a number."""
 _LENGTH_BYTES = 8
 
 
@@ -23,6 +25,18 @@
     return digest.digest()
 
 
+def name_of(fingerprint: bytes) -> str:
+    """Return the name of a request in lines, records and commands."""
+    return NAME_PREFIX + fingerprint.hex()
+
+
+def parse_name(name: str) -> bytes:
+    """Return the fingerprint of a named request; raises ValueError."""
+    if not name.startswith(NAME_PREFIX):
+        raise ValueError(f"expected the name of a request, got {name!r:.60}")
+    return bytes.fromhex(name.removeprefix(NAME_PREFIX))
+
+
 def label_of(call: Call) -> str:
     """Return what an operator recognizes a request by: its method, host and path."""
     host = HeaderLookup(call.headers).get("host", "")
--- a/src/comfreytray/calls/guard.py
+++ b/src/comfreytray/calls/guard.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from comfreytray.calls.call import Call
-from comfreytray.calls.fingerprints import fingerprint_of, label_of
+from comfreytray.calls.fingerprints import fingerprint_of, label_of, name_of
 from comfreytray.calls.instanceends import EndedInstance
 from comfreytray.calls.notices import (
     MAX_REQUESTS_PER_END,
@@ -48,8 +48,8 @@
 class Guard:
     """Applies the verdicts of the quarantine, and reports to it what is seen here.
 
-    `publish` gets the notices for the other nodes, `on_held` each hold that this node
-    has decided on.
+    `publish` gets the notices for the other nodes; `on_held` and `on_released` get each
+    hold that this node has decided on or lifted.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
     ) -> None:
         self.quarantine = Quarantine(clock=clock)
         self.on_held: Callable[[Held], None] = lambda _: None
-        self.on_released: Callable[[Notice], None] = lambda _: None
+        self.on_released: Callable[[Answered | Released], None] = lambda _: None
         self._node_id = node_id
         self._clock = clock
         self._metrics = metrics
@@ -125,11 +125,7 @@
             },
             isolated=isolated,
         )
-        told = self.quarantine.record_end(end)
-        self._tell(told)
-        for notice in told:
-            if isinstance(notice, Held):
-                self.on_held(notice)
+        self._tell(self.quarantine.record_end(end))
 
     def release(self, request: bytes) -> bool:
         """Let a request run again, on the word of an operator; false if it may."""
@@ -137,6 +133,19 @@
         self._tell(told)
         return bool(told)
 
+    def report(self) -> list[dict[str, object]]:
+        """Return the requests that are held back, in JSON-compatible types."""
+        now = self._clock.monotonic()
+        return [
+            {
+                "request": name_of(hold.held.request),
+                "label": hold.held.label,
+                "ends": hold.held.ends,
+                "left_s": round(max(0.0, hold.until - now), 1),
+            }
+            for hold in self.quarantine.holds
+        ]
+
     def learn(self, notices: tuple[Notice, ...]) -> None:
         """Take notices of other nodes."""
         for notice in notices:
@@ -151,6 +160,10 @@
             return
         for notice in notices:
             self._log(notice)
+            if isinstance(notice, Held):
+                self.on_held(notice)
+            elif isinstance(notice, Answered | Released) and notice.generation:
+                self.on_released(notice)
         self._publish(notices)
         self._wake()
 
@@ -165,7 +178,7 @@
                 self._metrics.count("requests_held")
                 logs.warn(
                     logs.Event.REQUEST_HELD,
-                    request=notice.request.hex(),
+                    request=name_of(notice.request),
                     label=notice.label,
                     ends=notice.ends,
                     seconds=notice.left_s,
@@ -175,12 +188,10 @@
                 reason = "answered" if isinstance(notice, Answered) else "operator"
                 logs.log(
                     logs.Event.REQUEST_RELEASED,
-                    request=notice.request.hex(),
+                    request=name_of(notice.request),
                     reason=reason,
                     generation=notice.generation,
                 )
-                if notice.generation:
-                    self.on_released(notice)
 
     def _wait(self, deadline: float) -> bool:
         """Wait for a change; return whether there is time to look again."""
--- a/src/comfreytray/calls/notices.py
+++ b/src/comfreytray/calls/notices.py
@@ -137,9 +137,10 @@
     )
 
 
-def _unpack_held(
+def check_held(
     request: Any, label: Any, ends: Any, left_s: Any, generation: Any
 ) -> Held:
+    """Build the notice of a hold; raises ValueError for a malformed field."""
     if type(left_s) is not float or not 0.0 <= left_s <= MAX_LEFT_S:
         raise ValueError(f"expected seconds from 0 to {MAX_LEFT_S:g}, got {left_s!r}")
     return Held(
@@ -178,6 +179,6 @@
 _UNPACK_BY_TAG: dict[int, Callable[..., Notice]] = {
     _END: _unpack_end,
     _ANSWERED: _unpack_answered,
-    _HELD: _unpack_held,
+    _HELD: check_held,
     _RELEASED: _unpack_released,
 }
--- a/src/comfreytray/commands/cli.py
+++ b/src/comfreytray/commands/cli.py
@@ -283,6 +283,22 @@
         """
         _Session(flags).run(lambda client: client.ask("GET", "circuits"), display.tree)
 
+    def holds(self, **flags: object) -> None:
+        """List the requests that are held back, since instances end under them.
+
+        Example: comfreytray holds
+        """
+        _Session(flags).run(lambda client: client.ask("GET", "holds"), display.holds)
+
+    def release(self, request: str, **flags: object) -> None:
+        """Let a request run again, by the name that `holds` lists.
+
+        Example: comfreytray release r21b7adbacee73eb0a2f6b4b878f9824d
+        """
+        _Session(flags).run(
+            lambda client: client.ask("DELETE", "holds", str(request)), display.tree
+        )
+
     def metrics(self, **flags: object) -> None:
         """Show the counters, byte counts and durations of a node.
 
--- a/src/comfreytray/commands/display.py
+++ b/src/comfreytray/commands/display.py
@@ -114,6 +114,15 @@
     return _table(rows) or messages.text("display.nothing", language=language)
 
 
+def holds(result: Any, language: str) -> str:
+    """Format the requests that are held back, one a line."""
+    rows = [
+        [hold["request"], str(hold["ends"]), f"{hold['left_s']:g} s", hold["label"]]
+        for hold in result
+    ]
+    return _table(rows) or messages.text("display.nothing", language=language)
+
+
 def tree(result: Any, language: str, indent: int = 0) -> str:
     """Format nested values as indented lines."""
     pad = "  " * indent
--- a/src/comfreytray/node/node.py
+++ b/src/comfreytray/node/node.py
@@ -13,9 +13,11 @@
 
 from comfreytray.administration.api import AdminApi
 from comfreytray.administration.routes import add_routes
+from comfreytray.calls.holdrecords import HoldRecords
 from comfreytray.calls.proxy import CallPath
 from comfreytray.calls.tracing import SdkTracer, Tracer
 from comfreytray.common import messages
+from comfreytray.common.budgets import Backoff
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.errors import Failure
 from comfreytray.common.exceptions import SettingError
@@ -43,6 +45,10 @@
 """Time between two checks of the seed addresses."""
 LEAVE_GOSSIP_S = 1.0
 """Time in which the other nodes learn by gossip that this node leaves."""
+HOLDS_PREFIX = "held/"
+"""Keys of the requests that are held back."""
+HOLDS_RETRY_MIN_S = 0.5
+HOLDS_RETRY_MAX_S = 2.0
 LISTEN_BACKLOG = 1024
 MAX_ADMIN_CONNECTIONS = 64
 
@@ -201,6 +207,16 @@
             )
         )
 
+        self.holds = HoldRecords(
+            store=self.store,
+            prefix=HOLDS_PREFIX,
+            guard=self.calls.guard,
+            clock=self.clock,
+            backoff=Backoff(
+                random=self.random, min_s=HOLDS_RETRY_MIN_S, max_s=HOLDS_RETRY_MAX_S
+            ),
+        )
+
     def _tracer(self, stack: ExitStack) -> Tracer | None:
         """Open the span writer; None, without importing it, if tracing is off."""
         if not self.settings.trace_file:
@@ -241,6 +257,7 @@
             },
         )
         tasks.spawn("seeds", self._run_seeds)
+        tasks.spawn("holds", self._run_holds)
         tasks.spawn("store-watch", lambda: _repeat(self.watcher.watch_step))
         tasks.spawn("store-fetch", lambda: _repeat(self.watcher.fetch_step))
 
@@ -250,6 +267,11 @@
         if self.membership.fault is not None:
             self.ask_to_stop()
 
+    def _run_holds(self) -> None:
+        while not self.holds.load():
+            eventlet.sleep(HOLDS_RETRY_MAX_S)
+        self.holds.run()
+
     def _run_seeds(self) -> None:
         self.membership.start(self.seeds.addresses)
         while True:
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -102,7 +102,11 @@
             on_objects=self._apply_configuration,
             order=configuration_order,
         )
-        self.members = feeds.members(self.directory, plan=lambda: self.replicator.plan)
+        self.members = feeds.members(
+            self.directory,
+            plan=lambda: self.replicator.plan,
+            on_objects=self._apply_members,
+        )
         self.record_sync = RecordSync(
             record=self.record,
             own_record=OwnRecord(
@@ -132,6 +136,7 @@
             is_cold=self.directory.is_cold,
             on_leaving=self.register.drain,
         )
+        self.holds = feeds.holds(self.calls.guard)
         self.replicator = Replicator(
             node=self.record,
             view=lambda: self.directory.view,
@@ -239,6 +244,7 @@
             "replication", lambda: self.replicator.serve(followers_listener)
         )
         self._tasks.spawn("own-record", self.record_sync.run)
+        self._tasks.spawn("holds", self.holds.run)
         self._tasks.run_every(TICK_S, {"register": self.register.tick})
 
     def _listen(self, address: Address) -> Any:
@@ -291,6 +297,9 @@
                 continue
             self._activate(snapshot, stored.version)
 
+    def _apply_members(self, objects: Iterable[StoredObject]) -> None:
+        self.directory.apply(self.holds.take(objects))
+
     def _activate(self, snapshot: Snapshot, revision: int) -> None:
         current = self.snapshot
         if current is not None and snapshot.head.version <= current.head.version:
--- a/src/comfreytray/node/storefeeds.py
+++ b/src/comfreytray/node/storefeeds.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Callable, Iterable
 
+from comfreytray.calls.guard import Guard
+from comfreytray.calls.holdrecords import HoldRecords
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.interfaces import Clock, ObjectStore, StoredObject, WatchBatch
 from comfreytray.membership.directory import PREFIX as MEMBERS_PREFIX
@@ -22,6 +24,8 @@
 """Pause after changes of members where one node reads them for a group."""
 STANDBY_BATCH_DELAY_S = 3.0
 """The same for the second watcher, which hears of them from the first."""
+HOLDS_PREFIX = f"{MEMBERS_PREFIX}held."
+"""Beside the members' records, so that the same calls bring both."""
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.7
 
@@ -59,8 +63,14 @@
 
         return Feed(subscribe=subscribe, on_objects=on_objects, order=order)
 
-    def members(self, directory: Directory, *, plan: Callable[[], Plan]) -> Feed:
-        """Return the feed of the members' records, which go into a directory."""
+    def members(
+        self,
+        directory: Directory,
+        *,
+        plan: Callable[[], Plan],
+        on_objects: Callable[[Iterable[StoredObject]], None],
+    ) -> Feed:
+        """Return the feed of the members' records and what else stands beside them."""
 
         def subscribe(on_batch: Callable[[WatchBatch], None]) -> Subscription:
             return Subscription(
@@ -73,7 +83,17 @@
                 on_batch=on_batch,
             )
 
-        return Feed(subscribe=subscribe, on_objects=directory.apply, order=order_of)
+        return Feed(subscribe=subscribe, on_objects=on_objects, order=order_of)
+
+    def holds(self, guard: Guard) -> HoldRecords:
+        """Return the records of requests that are held back."""
+        return HoldRecords(
+            store=self._store,
+            prefix=HOLDS_PREFIX,
+            guard=guard,
+            clock=self._clock,
+            backoff=self.backoff(),
+        )
 
     def backoff(self) -> Backoff:
         """Return the back-off of calls to the store."""
