Move calls on at once from an instance that has ended, and back when it is replaced

Cause: the node beside an instance did not use what it had seen; the view of an endpoint was kept by the node's incarnation, although another instance stood beside it. Change: for a quarter of a second after an end or a refused connection the owner answers instance-ended, not run, without a slot or a connection; entries leave the endpoint out for half a second, without counting failures. Another instance starts with a view of its own. An isolated attempt that did not run may move on. Ruled out: withdrawing the instance from the members' records (two writes an end, read by all); an exclusion of 3 s as for one that leaves (an instance that comes back under its old id would wait for it).

--- a/features/calls_crashes.feature
+++ b/features/calls_crashes.feature
@@ -35,6 +35,18 @@
     When the store is away until three instances have ended
     Then the hold is stored after its return, in one record
 
+  Scenario: Callers beside a deadly request are answered elsewhere
+    Given four nodes on its own interface, beside instances that end under one request
+    When 40 other requests are under way as an instance ends
+    Then each of their callers is answered
+    And no request but the deadly one is held back or waits
+
+  Scenario: Callers of an instance that is merely killed are not refused
+    Given four nodes on its own interface, beside instances that end under one request
+    When the instances are killed one after the other while callers send the same request
+    Then each call that did not run to its end is answered when it is sent again
+    And no request is held back at any node
+
   Scenario: An instance that only loses connections accuses nobody
     Given a node beside an instance that resets the connection of each second request
     When 20 requests are sent
--- a/features/calls_routing.feature
+++ b/features/calls_routing.feature
@@ -39,3 +39,14 @@
     Given 2 endpoints of a service of which one fails every call
     When the owners tell a node that has called neither
     Then each of 50 picks is the endpoint that works
+
+  Scenario: An instance that replaces one that failed is tried at once
+    Given an endpoint that is ejected after its calls failed
+    When its node names another instance
+    Then the endpoint gets calls again, and the failures of the one before do not count
+
+  Scenario: Calls for an instance that has ended move on without a new connection
+    Given two nodes, one beside an instance that has ended
+    When 30 calls enter at the node beside it within its time until the next try
+    Then all are answered by the other instance
+    And at most one connection is refused, and no endpoint is ejected
--- a/features/steps/calls_routing_steps.py
+++ b/features/steps/calls_routing_steps.py
@@ -3,8 +3,9 @@
 import random
 import tempfile
 
+from attrs import evolve
 from behave import given, then, when
-from calls_rig import Fleet, answer, until
+from calls_rig import Fleet, add_fleet, answer, until
 
 from comfreytray.calls.call import IDLE
 from comfreytray.calls.ejection import EJECT_AFTER_FAILURES, EJECT_MAX_S
@@ -273,3 +274,59 @@
     for _ in range(5):
         queue.on_end(object())
     assert queue.dropped == 2
+
+
+@given("an endpoint that is ejected after its calls failed")
+def make_ejected(context):
+    context.run = RoutingRun([record(f"n{n}") for n in range(4)])
+    (first, *_) = context.run.records
+    for _ in range(EJECT_AFTER_FAILURES):
+        view = context.run.router.begin(first)
+        context.run.end(view, 0.005, True)
+    for _ in range(50):
+        assert context.run.router.pick("s").node_id != first.node_id
+
+
+@when("its node names another instance")
+def replace_instance(context):
+    first, *others = context.run.records
+    endpoint = evolve(first.endpoint, instance_id="another")
+    context.run.records = [evolve(first, endpoint=endpoint), *others]
+
+
+@then("the endpoint gets calls again, and the failures of the one before do not count")
+def check_tried_at_once(context):
+    first = context.run.records[0]
+    picked = {context.run.router.pick("s").node_id for _ in range(200)}
+    assert first.node_id in picked
+    view = context.run.router.view(first, context.run.clock.now)
+    assert (view.failure_share, view.ejections) == (0.0, 0)
+
+
+@given("two nodes, one beside an instance that has ended")
+def make_one_ended(context):
+    context.clock = FakeClock()
+    fleet = add_fleet(context, "ab", clock=context.clock)
+    upstream = fleet.upstream_by_id["a"]
+    upstream.close()
+    context.path = fleet.path_by_id["a"]
+
+
+@when("30 calls enter at the node beside it within its time until the next try")
+def send_to_ended(context):
+    context.answers = [context.fleet.call("a") for _ in range(30)]
+
+
+@then("all are answered by the other instance")
+def check_moved(context):
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200] * 30, statuses
+    assert len(context.fleet.upstream_by_id["b"].ran) == 30
+
+
+@then("at most one connection is refused, and no endpoint is ejected")
+def check_no_connections(context):
+    opened = context.path.metrics.report()["counters"]
+    assert opened.get("upstream_connections_opened", 0) <= 1, opened
+    for view in context.path.router.view_by_id.values():
+        assert view.ejections == 0, view
--- a/src/comfreytray/calls/dispatch.py
+++ b/src/comfreytray/calls/dispatch.py
@@ -44,7 +44,10 @@
     """Attempts that reached, or may have reached, an upstream."""
     is_accused: bool = False
     """Whether an instance has ended while the call was under way at it."""
-    was_isolated: bool = False
+    is_isolated: bool = False
+    """Whether the current attempt is made in isolation."""
+    ran_isolated: bool = False
+    """Whether it ran, or may have run, in isolation."""
     ran: Ran = Ran.NO
     """Whether the call ran in any of the attempts."""
     last: Reply | Outcome | None = None
@@ -110,11 +113,11 @@
                 priority=call.priority,
                 target_s=self._target_left_s(call),
             )
-        if attempts.was_isolated:
+        if attempts.ran_isolated:
             return Failure(kind=Kind.REQUEST_ISOLATED, detail="not retried")
         if attempts.sent:
             eventlet.sleep(NEWS_DELAY_S)
-        attempts.was_isolated = True
+        attempts.is_isolated = True
         return self.router.pick_isolated(
             call.service, fingerprint_of(call), exclude=attempts.excluded
         )
@@ -142,8 +145,9 @@
     def _gives_up(self, call: Call, outcome: Outcome, attempts: "_Attempts") -> bool:
         """Whether a failed attempt was the last; record its failure for the caller."""
         attempts.sent += outcome.sent
-        if outcome.failure.kind is Kind.INSTANCE_ENDED:
-            attempts.is_accused = True
+        if outcome.sent:
+            attempts.ran_isolated = attempts.is_isolated
+            attempts.is_accused = outcome.failure.kind is Kind.INSTANCE_ENDED
         decision = decide_retry(
             call,
             outcome,
--- a/src/comfreytray/calls/endpoints.py
+++ b/src/comfreytray/calls/endpoints.py
@@ -31,6 +31,8 @@
     node_id: str
     incarnation: int
     last_used: float
+    instance_id: str = ""
+    """Instance that is beside the node; empty if it is not known."""
     in_flight: int = 0
     is_known: bool = False
     """Whether the endpoint has answered a call of this node."""
@@ -48,6 +50,26 @@
     """Until when other endpoints are preferred, since this one shed a call."""
     load_report_by_priority: dict[int, ReportedLoad] = field(factory=dict)
 
+    def is_of(self, incarnation: int, instance_id: str) -> bool:
+        """Whether it is the view of an incarnation and, if known, of an instance."""
+        if incarnation != self.incarnation:
+            return False
+        return not instance_id or instance_id == self.instance_id
+
+    def report(self, now: float) -> dict[str, object]:
+        """Return what is known of the endpoint, in JSON-compatible types."""
+        return {
+            "node": self.node_id,
+            "in_flight": self.in_flight,
+            "slowdown": round(self.slowdown, 3),
+            "failure_share": round(self.failure_share, 4),
+            "load": {
+                str(priority): round(load_report.load.used, 3)
+                for priority, load_report in self.load_report_by_priority.items()
+            },
+            "ejected_for_s": round(max(0.0, self.ejected_until - now), 3),
+        }
+
 
 def estimate_used_share(
     view: EndpointView, report: ReportedLoad, slots: int, now: float
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -23,7 +23,7 @@
 from comfreytray.calls.tracing import Tracer, traced
 from comfreytray.calls.upstream import UpstreamPool
 from comfreytray.common.decimals import parse_decimal
-from comfreytray.common.errors import Failure, Kind
+from comfreytray.common.errors import Failure, Kind, Ran
 from comfreytray.common.exceptions import invariant
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.metrics import Metrics
@@ -173,6 +173,10 @@
             return fail(Kind.WRONG_NODE, "no such service here")
         if upstream.endpoint.state is EndpointState.DRAINING:
             return fail(Kind.LEAVING, "upstream is draining")
+        if self.pool.is_down(upstream.endpoint.instance_id):
+            ended = fail(Kind.INSTANCE_ENDED, "before this call")
+            ended.ran = Ran.NO
+            return ended
         return upstream
 
     def _release(self, ticket: Ticket, permit: Permit) -> None:
--- a/src/comfreytray/calls/routing.py
+++ b/src/comfreytray/calls/routing.py
@@ -53,6 +53,8 @@
 JITTER = 0.1
 """Random share added to expected times, to spread nodes that see the same loads."""
 LEAVING_EXCLUSION_S = 3.0
+ENDED_EXCLUSION_S = 0.5
+"""Time between two looks at whether an instance that has ended is back."""
 SHED_AVOIDANCE_S = 0.1
 FORGET_AFTER_S = 60.0
 PENALTY_HALF_LIFE_S = 10.0
@@ -165,12 +167,16 @@
             assume_unknown_are_fast([self.view(record, now) for record in near], now)
 
     def view(self, record: NodeRecord, now: float) -> EndpointView:
-        """Return the view of an endpoint; a new incarnation starts with a new one."""
+        """Return the view of an endpoint; a new instance starts with a new one."""
         found = self.view_by_id.get(record.node_id)
-        if found is not None and found.incarnation == record.incarnation:
+        instance_id = record.endpoint.instance_id if record.endpoint else ""
+        if found is not None and found.is_of(record.incarnation, instance_id):
             return found
         made = EndpointView(
-            node_id=record.node_id, incarnation=record.incarnation, last_used=now
+            node_id=record.node_id,
+            incarnation=record.incarnation,
+            instance_id=instance_id,
+            last_used=now,
         )
         self.view_by_id[record.node_id] = made
         return made
@@ -242,6 +248,9 @@
         if failure.kind in (Kind.LEAVING, Kind.WRONG_NODE):
             view.excluded_until = now + LEAVING_EXCLUSION_S
             return
+        if failure.kind is Kind.INSTANCE_ENDED:
+            view.excluded_until = now + ENDED_EXCLUSION_S
+            return
         if failure.kind is Kind.OVERLOADED and load is IDLE:
             view.shed_until = now + SHED_AVOIDANCE_S * self.random.uniform(0.5, 1.5)
         if failure.kind not in _COUNTED_FAILURES:
@@ -266,20 +275,7 @@
     def report(self) -> list[dict[str, object]]:
         """Return what is known of each endpoint, in JSON-compatible types."""
         now = self.clock.monotonic()
-        return [
-            {
-                "node": view.node_id,
-                "in_flight": view.in_flight,
-                "slowdown": round(view.slowdown, 3),
-                "failure_share": round(view.failure_share, 4),
-                "load": {
-                    str(priority): round(load_report.load.used, 3)
-                    for priority, load_report in view.load_report_by_priority.items()
-                },
-                "ejected_for_s": round(max(0.0, view.ejected_until - now), 3),
-            }
-            for view in self.view_by_id.values()
-        ]
+        return [view.report(now) for view in self.view_by_id.values()]
 
     def _cost(
         self,
@@ -340,7 +336,6 @@
         Kind.CONNECT_FAILED,
         Kind.NODE_UNREACHABLE,
         Kind.LOST_AFTER_SEND,
-        Kind.INSTANCE_ENDED,
         Kind.ANSWER_CUT,
         Kind.DEADLINE_WHILE_RUNNING,
         Kind.INTERNAL,
--- a/src/comfreytray/calls/upstream.py
+++ b/src/comfreytray/calls/upstream.py
@@ -24,12 +24,14 @@
 from comfreytray.common.decimals import parse_decimal
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import invariant
-from comfreytray.common.interfaces import Address, Clock
+from comfreytray.common.interfaces import Clock
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import LocalUpstream
 
 _BROKEN_OFF = frozenset({Kind.LOST_AFTER_SEND, Kind.ANSWER_CUT})
 """Failures of a call that may be due to the end of the instance."""
+RECONNECT_AFTER_S = 0.25
+"""Time after a refused connection in which no further one is tried."""
 MAX_SKIPPED_ANSWERS = 4
 """Answers to earlier calls that may be skipped before the answer to a call."""
 MAX_SKIPPED_BYTES = 1_048_576
@@ -72,6 +74,8 @@
         self.open_count = 0
         self._attempts = 0
         self._refused_calls = RefusedCalls(dialect=dialect)
+        self._down_instance_id = ""
+        self._down_until = 0.0
         self._idle: list[UpstreamConnection] = []
         self._idle_limit = IdleLimit(clock=clock)
 
@@ -90,7 +94,7 @@
         `on_end` is called once, when the connection is released or closed.
         """
         try:
-            connection = self._acquire((upstream.host, upstream.port), call)
+            connection = self._acquire(upstream, call)
         except BaseException:
             on_end()
             raise
@@ -126,13 +130,26 @@
         """Whether a call was lost because the instance has ended."""
         if outcome.failure.kind not in _BROKEN_OFF:
             return False
-        return self._ends.has_ended(
+        instance_id = upstream.endpoint.instance_id
+        has_ended = self._ends.has_ended(
             (upstream.host, upstream.port),
             lost,
-            instance_id=upstream.endpoint.instance_id,
+            instance_id=instance_id,
             call_by_connection=self._call_by_connection,
             idle=self._idle,
         )
+        if has_ended:
+            self._set_down(instance_id)
+        return has_ended
+
+    def is_down(self, instance_id: str) -> bool:
+        """Whether an instance has ended, or refused a connection a moment ago."""
+        is_known = instance_id == self._down_instance_id
+        return is_known and self.clock.monotonic() < self._down_until
+
+    def _set_down(self, instance_id: str) -> None:
+        self._down_instance_id = instance_id
+        self._down_until = self.clock.monotonic() + RECONNECT_AFTER_S
 
     def release(self, connection: UpstreamConnection, *, reusable: bool) -> None:
         """Keep a connection for later calls, or close it."""
@@ -154,7 +171,10 @@
         invariant(self.open_count >= 0, "no connection is closed twice")
         connection.close()
 
-    def _acquire(self, address: Address, call: Call) -> UpstreamConnection | Failure:
+    def _acquire(
+        self, upstream: LocalUpstream, call: Call
+    ) -> UpstreamConnection | Failure:
+        address = (upstream.host, upstream.port)
         idle_s = self._idle_limit.max_idle_s(idempotent=call.idempotent)
         now = self.clock.monotonic()
         idle_since_limit = now - idle_s
@@ -185,6 +205,8 @@
             connection.connect()
         except OSError as error:
             self._discard(connection)
+            if isinstance(error, ConnectionRefusedError):
+                self._set_down(upstream.endpoint.instance_id)
             return Failure(kind=Kind.CONNECT_FAILED, detail=type(error).__name__)
         except BaseException:
             self._discard(connection)
