Let an odd entry cost nobody more than itself

Reported by other operators: an entry that is nested very deeply, has a number too large or a port out of range ended the machines that read the list, or stopped them. Cause: the store's client decoded an answer as a whole. Nested 2,000 deep it raised RecursionError out of the client; an integer of 5,000 digits, a revision or name of another type refused the good entries with it, for as long as it stood. The directory took ports of 70,000, hosts that can't be connected to and numbers beyond 64 bits; a name with a lone surrogate could not be packed for followers; 1e999 in the configuration raised OverflowError; heartbeats had no upper bounds; a page that ended with an odd entry hid the pages after it. Change: common/outerjson decodes JSON from outside: what is too deep becomes null, an integer too long infinite. Objects are decoded one by one; an odd one is left out with a line (object-refused). Texts, numbers, ports and addresses of records have bounds. Seeds, announcements, requests of operators, records of holds and configurations use the same. Ruled out: refusing the whole answer (the members would stand still); looking at the depth of each answer (a scan of 450 KB; it is cut only after the decoder has given up).

--- a/src/comfreytray/administration/api.py
+++ b/src/comfreytray/administration/api.py
@@ -17,6 +17,7 @@
 import attrs
 from attrs import field, frozen
 
+from comfreytray.common import outerjson
 from comfreytray.common.errors import Failure, Kind, Ran
 from comfreytray.common.logs import Event, warn
 from comfreytray.common.messages import accepted_language
@@ -253,6 +254,6 @@
 def parse_json(body: bytes) -> Any:
     """Parse a JSON body; return a Failure if it is not valid."""
     try:
-        return json.loads(body)
+        return outerjson.loads(body)
     except ValueError as error:
         return Failure(kind=Kind.BAD_REQUEST, detail=f"body is not valid JSON: {error}")
--- a/src/comfreytray/calls/holdrecords.py
+++ b/src/comfreytray/calls/holdrecords.py
@@ -14,7 +14,7 @@
 from comfreytray.calls.fingerprints import name_of, parse_name
 from comfreytray.calls.guard import Guard
 from comfreytray.calls.notices import Answered, Held, Released, check_held
-from comfreytray.common import logs, revisions
+from comfreytray.common import logs, outerjson, revisions
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock, ObjectStore, StoredObject
@@ -218,8 +218,8 @@
     if len(value) > MAX_RECORD_BYTES:
         return None
     try:
-        return _decode(json.loads(value))
-    except (ValueError, TypeError, KeyError, AttributeError, RecursionError):
+        return _decode(outerjson.loads(value))
+    except (ValueError, TypeError, KeyError, AttributeError):
         return None
 
 
--- a/src/comfreytray/commands/client.py
+++ b/src/comfreytray/commands/client.py
@@ -1,12 +1,12 @@
 """The client of the administration API that the operator's commands use."""
 
-import json
 from types import TracebackType
 from typing import Any
 from urllib.parse import quote, urlencode
 
 import urllib3
 
+from comfreytray.common import outerjson
 from comfreytray.common.errors import Failure, Kind
 
 TIMEOUT_S = 30.0
@@ -75,15 +75,15 @@
 
 def _parse(data: bytes) -> Any:
     try:
-        document = json.loads(data)
-    except ValueError:
-        return Failure(kind=Kind.INTERNAL, detail="the answer is not JSON")
-    if "result" in document:
-        return document["result"]
-    error = document["error"]
-    return Failure(
-        kind=Kind(error["kind"]),
-        detail=error["message"],
-        fields={str(k): str(v) for k, v in error["fields"].items()},
-        retry_after_s=error["retry_after_s"],
-    )
+        document = outerjson.loads(data)
+        if "result" in document:
+            return document["result"]
+        error = document["error"]
+        return Failure(
+            kind=Kind(error["kind"]),
+            detail=error["message"],
+            fields={str(k): str(v) for k, v in error["fields"].items()},
+            retry_after_s=error["retry_after_s"],
+        )
+    except (ValueError, TypeError, LookupError, AttributeError):
+        return Failure(kind=Kind.INTERNAL, detail="the answer is not one of a node")
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -51,6 +51,7 @@
     STORE_BACK = "store-back"
     STORE_RESTORED = "store-restored"
     OBJECT_IGNORED = "object-ignored"
+    OBJECT_REFUSED = "object-refused"
     SOURCES_CHOSEN = "sources-chosen"
     SOURCE_LOST = "source-lost"
     FRAME_REFUSED = "frame-refused"
--- a/src/comfreytray/common/records.py
+++ b/src/comfreytray/common/records.py
@@ -7,6 +7,9 @@
 
 from comfreytray.common.interfaces import Address
 
+MAX_SLOTS = 65_535
+"""Most calls, or connections, that an instance may say it takes at the same time."""
+
 
 class NodeState(Enum):
     """The states of a member, as in the `member` chart."""
--- a/src/comfreytray/membership/announcements.py
+++ b/src/comfreytray/membership/announcements.py
@@ -1,6 +1,5 @@
 """The lease that an upstream renews by posting announcements to its local node."""
 
-import json
 import re
 from collections import deque
 from collections.abc import Callable
@@ -8,7 +7,7 @@
 import attrs
 from attrs import frozen
 
-from comfreytray.common import logs
+from comfreytray.common import logs, outerjson
 from comfreytray.common.charts import load_chart
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
@@ -50,8 +49,8 @@
     if len(data) > MAX_ANNOUNCEMENT_BYTES:
         return _bad_request(f"{len(data)} bytes")
     try:
-        plain = json.loads(data, object_pairs_hook=_reject_repeated_fields)
-    except (ValueError, RecursionError) as error:
+        plain = outerjson.loads(data, object_pairs_hook=_reject_repeated_fields)
+    except ValueError as error:
         return _bad_request(type(error).__name__)
     if not isinstance(plain, dict) or set(plain) != _FIELDS:
         return _bad_request(f"fields must be {', '.join(sorted(_FIELDS))}")
--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -1,14 +1,17 @@
 """The directory of members, read from the records that nodes write to the store."""
 
 import json
+import socket
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import attrs
 
-from comfreytray.common import logs, revisions
+from comfreytray.common import logs, outerjson, revisions
 from comfreytray.common.interfaces import Clock, StoredObject
+from comfreytray.common.outerjson import checked_int, checked_text
 from comfreytray.common.records import (
+    MAX_SLOTS,
     Departure,
     Endpoint,
     EndpointState,
@@ -20,6 +23,9 @@
 
 PREFIX = "members/"
 MAX_RECORD_BYTES = 4096
+MAX_PORT = 65_535
+MAX_CAPACITY = 1_000_000
+"""In percent of a core."""
 COLD_S = 3.0
 """Time for which an instance counts as cold after its record says so."""
 _CAPACITY_FIELD = "capacity"
@@ -58,10 +64,10 @@
     if len(value) > MAX_RECORD_BYTES:
         return None
     try:
-        plain = json.loads(value)
-        capacity = _non_negative_int(plain.get(_CAPACITY_FIELD, 0))
+        plain = outerjson.loads(value)
+        capacity = checked_int(plain.get(_CAPACITY_FIELD, 0), high=MAX_CAPACITY)
         return _record(plain), capacity
-    except (ValueError, TypeError, KeyError, AttributeError, RecursionError):
+    except (ValueError, TypeError, KeyError, AttributeError, OSError):
         return None
 
 
@@ -72,27 +78,27 @@
 def _record(plain: Mapping[str, Any]) -> NodeRecord:
     endpoint = plain["endpoint"]
     return NodeRecord(
-        node_id=_text(plain["node_id"]),
-        incarnation=_non_negative_int(plain["incarnation"]),
-        region=_text(plain["region"]),
-        data_centre=_text(plain["data_centre"]),
-        host=_text(plain["host"]),
-        control_port=_non_negative_int(plain["control_port"]),
-        call_port=_non_negative_int(plain["call_port"]),
+        node_id=checked_text(plain["node_id"]),
+        incarnation=checked_int(plain["incarnation"]),
+        region=checked_text(plain["region"]),
+        data_centre=checked_text(plain["data_centre"]),
+        host=_ip_address(plain["host"]),
+        control_port=checked_int(plain["control_port"], high=MAX_PORT),
+        call_port=checked_int(plain["call_port"], high=MAX_PORT),
         state=NodeState(plain["state"]),
         endpoint=None if endpoint is None else _endpoint(endpoint),
-        endpoint_revision=_non_negative_int(plain["endpoint_revision"]),
+        endpoint_revision=checked_int(plain["endpoint_revision"]),
         departure=_departure(plain.get("departure")),
-        revision=_non_negative_int(plain.get("revision", 0)),
+        revision=checked_int(plain.get("revision", 0)),
     )
 
 
 def _endpoint(plain: Mapping[str, Any]) -> Endpoint:
     return Endpoint(
-        service=_text(plain["service"]),
-        instance_id=_text(plain["instance_id"]),
-        slots=_non_negative_int(plain["slots"]),
-        connections=_non_negative_int(plain["connections"]),
+        service=checked_text(plain["service"]),
+        instance_id=checked_text(plain["instance_id"]),
+        slots=checked_int(plain["slots"], high=MAX_SLOTS),
+        connections=checked_int(plain["connections"], high=MAX_SLOTS),
         state=EndpointState(plain["state"]),
     )
 
@@ -102,21 +108,19 @@
     if plain is None:
         return None
     return Departure(
-        instance_id=_text(plain["instance_id"]),
-        before_ms=_non_negative_int(plain["before_ms"]),
+        instance_id=checked_text(plain["instance_id"]),
+        before_ms=checked_int(plain["before_ms"]),
     )
 
 
-def _text(value: object) -> str:
-    if not isinstance(value, str):
-        raise TypeError("not a string")
-    return value
+def _ip_address(value: object) -> str:
+    """Return an address; raises OSError, TypeError, ValueError.
 
-
-def _non_negative_int(value: object) -> int:
-    if type(value) is not int or value < 0:
-        raise TypeError("not a non-negative integer")
-    return value
+    A name would be looked up by each node, and the lookup blocks the process.
+    """
+    address = checked_text(value)
+    socket.inet_pton(socket.AF_INET, address)
+    return address
 
 
 class Directory:
--- a/src/comfreytray/membership/seeds.py
+++ b/src/comfreytray/membership/seeds.py
@@ -7,7 +7,7 @@
 
 from attrs import define, frozen
 
-from comfreytray.common import logs
+from comfreytray.common import logs, outerjson
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock, ObjectStore, StoredObject
 from comfreytray.common.records import MembershipView, NodeRecord, NodeState
@@ -68,9 +68,9 @@
 def decode_seeds(data: bytes) -> tuple[Seed, ...]:
     """Decode a list of seeds, skipping malformed entries."""
     try:
-        rows = json.loads(data[:MAX_SEED_BYTES])["seeds"]
+        rows = outerjson.loads(data[:MAX_SEED_BYTES])["seeds"]
         return tuple(seed for row in rows if (seed := _decode_seed(row)) is not None)
-    except (ValueError, KeyError, TypeError, RecursionError):
+    except (ValueError, KeyError, TypeError, OverflowError):
         return ()
 
 
--- a/src/comfreytray/node/storefeeds.py
+++ b/src/comfreytray/node/storefeeds.py
@@ -68,9 +68,12 @@
         directory: Directory,
         *,
         plan: Callable[[], Plan],
-        on_objects: Callable[[Iterable[StoredObject]], None],
+        on_objects: Callable[[Iterable[StoredObject]], None] | None = None,
     ) -> Feed:
-        """Return the feed of the members' records and what else stands beside them."""
+        """Return the feed of the members' records.
+
+        `on_objects` gets them in place of the directory, with what stands beside them.
+        """
 
         def subscribe(on_batch: Callable[[WatchBatch], None]) -> Subscription:
             return Subscription(
@@ -83,7 +86,8 @@
                 on_batch=on_batch,
             )
 
-        return Feed(subscribe=subscribe, on_objects=on_objects, order=order_of)
+        apply = on_objects or directory.apply
+        return Feed(subscribe=subscribe, on_objects=apply, order=order_of)
 
     def holds(self, guard: Guard) -> HoldRecords:
         """Return the records of requests that are held back."""
--- a/src/comfreytray/platform/configuration.py
+++ b/src/comfreytray/platform/configuration.py
@@ -1,9 +1,10 @@
 """Decode the operator's configuration into a snapshot."""
 
-import json
+import math
 from collections.abc import Iterable, Mapping
 from typing import Any
 
+from comfreytray.common import outerjson
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.configuration.content import Head
 from comfreytray.configuration.snapshots import Route, ServiceShare, Snapshot
@@ -11,7 +12,13 @@
 OBJECT_KEY = "config/main"
 """Key of the configuration in the object store."""
 _METHODS = frozenset({"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"})
-_MALFORMED_ERRORS = (ValueError, TypeError, KeyError, AttributeError, RecursionError)
+_MALFORMED_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+)
 """Raised when a configuration lacks a field or has one of another type."""
 _IDEMPOTENT_TYPE = "safe"
 """Type of the routes whose requests may run more than once."""
@@ -20,10 +27,10 @@
 def order_of(value: bytes) -> tuple[int, ...] | None:
     """Return the operator's version of a configuration; None if it has none."""
     try:
-        version = json.loads(value)["version"]
+        version = outerjson.loads(value)["version"]
     except _MALFORMED_ERRORS:
         return None
-    return (version,) if type(version) is int else None
+    return (version,) if _is_version(version) else None
 
 
 class Decoder:
@@ -38,15 +45,15 @@
     def __call__(self, value: bytes) -> Snapshot | Failure:
         """Decode a whole configuration; a fault in any part refuses all of it."""
         try:
-            return self._snapshot(json.loads(value))
+            return self._snapshot(outerjson.loads(value))
         except _MALFORMED_ERRORS as error:
             detail = f"configuration: {type(error).__name__}: {error}"
             return Failure(kind=Kind.INVALID_CONTENT, detail=detail)
 
     def _snapshot(self, document: Mapping[str, Any]) -> Snapshot:
         version = document["version"]
-        if type(version) is not int:
-            raise TypeError(f"version must be an integer, got {type(version).__name__}")
+        if not _is_version(version):
+            raise ValueError(f"expected a version number, got {version!r:.60}")
         routes_by_host: dict[str, list[Route]] = {}
         connections_by_service: dict[str, int] = {}
         route_by_name: dict[str, tuple[Mapping[str, Any], Route]] = {}
@@ -79,6 +86,18 @@
         return _route(name, spec)
 
 
+def _is_version(value: object) -> bool:
+    return type(value) is int and 0 <= value <= outerjson.MAX_SAFE_INTEGER
+
+
+def _seconds(value: Any) -> float:
+    """Return a time-out; raises TypeError, ValueError."""
+    seconds = float(value)
+    if not 0.0 < seconds < math.inf:
+        raise ValueError(f"expected seconds above 0, got {value!r:.60}")
+    return seconds
+
+
 def _longest_first(routes: Iterable[Route]) -> tuple[Route, ...]:
     return tuple(sorted(routes, key=lambda route: -len(route.path)))
 
@@ -97,7 +116,7 @@
         shares=shares,
         idempotent=spec["type"] == _IDEMPOTENT_TYPE,
         trusts_method=False,
-        timeout_s=float(spec["timeout_s"]),
+        timeout_s=_seconds(spec["timeout_s"]),
         target_latency_s=float(spec.get("target_latency_s", 0.0)),
         priority=int(spec.get("priority", 0)),
         max_attempts=int(spec.get("max_attempts", 0)),
--- a/src/comfreytray/platform/instances.py
+++ b/src/comfreytray/platform/instances.py
@@ -1,10 +1,11 @@
 """Decode the heartbeats and departures of the instance beside the node."""
 
-import json
 from typing import Any
 
+from comfreytray.common import outerjson
 from comfreytray.common.interfaces import Address
-from comfreytray.common.records import Endpoint, EndpointState, LocalUpstream
+from comfreytray.common.outerjson import checked_int, checked_text
+from comfreytray.common.records import MAX_SLOTS, Endpoint, EndpointState, LocalUpstream
 from comfreytray.membership.heartbeats import Heartbeat
 from comfreytray.platform.settings import parse_address
 
@@ -25,13 +26,16 @@
         return None
     if parse_address(document.get("address")) != upstream:
         return None
-    # `born` is when the instance started, in milliseconds since the epoch.
-    numbers = [document.get(name) for name in ("slots", "sequence", "born")]
-    if not all(_is_non_negative_int(number) for number in numbers):
+    try:
+        slots = checked_int(document.get("slots"), low=1, high=MAX_SLOTS)
+        sequence = checked_int(document.get("sequence"))
+        # `born` is when the instance started, in milliseconds since the epoch.
+        started_ms = checked_int(document.get("born"))
+        checked_text(instance_id)
+    except (TypeError, ValueError):
         return None
-    slots, sequence, started_ms = (int(number or 0) for number in numbers)
     cold_s = document.get("cold_remaining_s", 0)
-    if slots == 0 or not _is_non_negative_number(cold_s):
+    if not _is_non_negative_number(cold_s):
         return None
     state = EndpointState.COLD if cold_s > 0 else EndpointState.READY
     if document["state"] == "draining":
@@ -54,20 +58,19 @@
     """Return the start time in ms that a departure carries; None if it has none."""
     document = _json_object(body)
     started_ms = document.get("born") if document else None
-    return started_ms if _is_non_negative_int(started_ms) else None
+    try:
+        return checked_int(started_ms)
+    except (TypeError, ValueError):
+        return None
 
 
 def _json_object(body: bytes) -> dict[str, Any] | None:
     try:
-        document = json.loads(body)
-    except (ValueError, RecursionError):
+        document = outerjson.loads(body)
+    except ValueError:
         return None
     return document if isinstance(document, dict) else None
 
 
-def _is_non_negative_int(value: object) -> bool:
-    return type(value) is int and value >= 0
-
-
 def _is_non_negative_number(value: object) -> bool:
     return type(value) in (int, float) and 0 <= value < float("inf")  # type: ignore[operator]
--- a/src/comfreytray/platform/objectstore.py
+++ b/src/comfreytray/platform/objectstore.py
@@ -11,10 +11,17 @@
 from attrs import frozen
 from urllib3 import exceptions as http_errors
 
-from comfreytray.common import logs, revisions
+from comfreytray.common import logs, outerjson, revisions
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, StoredObject, WatchBatch
 from comfreytray.common.keepalive import OPTIONS as KEEPALIVE_OPTIONS
+from comfreytray.platform.storedobjects import (
+    MALFORMED_ERRORS,
+    decode_all,
+    decode_object,
+    is_change,
+    last_name,
+)
 
 OBJECTS_PATH = "/-/objects"
 CALL_TIMEOUT_S = 1.0
@@ -32,8 +39,6 @@
 """Number of times that the store came back from an older copy."""
 _NOT_SENT_ERRORS = (http_errors.NewConnectionError, http_errors.ConnectTimeoutError)
 """Errors before a request was sent: a write was not applied."""
-_MALFORMED_ERRORS = (KeyError, TypeError, ValueError)
-"""Raised when an answer lacks a field or has one of another type."""
 _STATUS_HISTORY_GONE = 410
 _KIND_BY_STATUS = {
     404: Kind.NOT_FOUND,
@@ -101,8 +106,8 @@
         if isinstance(answer, Failure):
             return answer
         try:
-            return _decode_object(key.partition("/")[0], answer.body, answer.era)
-        except _MALFORMED_ERRORS as error:
+            return decode_object(key.partition("/")[0], answer.body, answer.era)
+        except MALFORMED_ERRORS as error:
             return _malformed_answer(error)
 
     def list(self, prefix: str) -> tuple[StoredObject, ...] | Failure:
@@ -129,8 +134,8 @@
         if self._is_outdated(expected_version):
             return self._unmet_condition(key)
         try:
-            return _decode_object(kind, answer.body, answer.era)
-        except _MALFORMED_ERRORS as error:
+            return decode_object(kind, answer.body, answer.era)
+        except MALFORMED_ERRORS as error:
             return _outcome_unknown(f"malformed answer: {type(error).__name__}")
 
     def delete(self, key: str, *, expected_version: int | None) -> Failure | None:
@@ -169,14 +174,11 @@
         if answer.era != era:
             return self._list(prefix)
         try:
-            objects = [
-                _decode_object(kind, event["object"], era)
-                for event in answer.body["events"]
-                if not event["removed"]
-            ]
+            events = [event for event in answer.body["events"] if is_change(event)]
+            objects = decode_all(kind, [e.get("object") for e in events], era)
             number = answer.body["store_revision"]
             return _build_batch(prefix, revisions.in_era(era, number), objects)
-        except _MALFORMED_ERRORS as error:
+        except MALFORMED_ERRORS as error:
             return _malformed_answer(error)
 
     def _list(self, prefix: str) -> WatchBatch | Failure:
@@ -192,19 +194,23 @@
                 return answer
             try:
                 items, more = answer.body["items"], answer.body["more"]
-                page = [_decode_object(kind, item, answer.era) for item in items]
+                page = decode_all(kind, items, answer.era)
                 if revision is None:
                     number = answer.body["store_revision"]
                     revision = revisions.in_era(answer.era, number)
-            except _MALFORMED_ERRORS as error:
+            except MALFORMED_ERRORS as error:
                 return _malformed_answer(error)
             if answer.era != revisions.era_of(revision):
                 detail = f"pages of eras {revisions.era_of(revision)} and {answer.era}"
                 return Failure(kind=Kind.STORE_UNAVAILABLE, detail=detail)
             objects.extend(page)
-            if not more or not page:
+            if not more or not items:
                 return _build_batch(prefix, revision, objects)
-            after = page[-1].key.partition("/")[2]
+            last = last_name(items)
+            if last <= after:
+                detail = f"page after {after!r:.60}: no later name"
+                return Failure(kind=Kind.STORE_UNAVAILABLE, detail=detail)
+            after = last
 
     def _is_outdated(self, expected_version: int | None) -> bool:
         """Whether the condition of a write is a version from before a return."""
@@ -237,7 +243,7 @@
             kind = _KIND_BY_STATUS.get(response.status, Kind.STORE_UNAVAILABLE)
             return Failure(kind=kind, detail=f"status {response.status}")
         try:
-            return _Answer(era=response.era, body=json.loads(response.data))
+            return _Answer(era=response.era, body=outerjson.loads(response.data))
         except ValueError as error:
             return _malformed_answer(error)
 
@@ -254,7 +260,7 @@
             )
         if response.status in (200, 201, 204):
             try:
-                decoded = json.loads(response.data) if response.data else {}
+                decoded = outerjson.loads(response.data) if response.data else {}
             except ValueError as error:
                 return _outcome_unknown(f"malformed answer: {type(error).__name__}")
             return _Answer(era=response.era, body=decoded)
@@ -325,15 +331,6 @@
     return f"{OBJECTS_PATH}/{quote(kind)}/{quote(name, safe='')}"
 
 
-def _decode_object(kind: str, decoded: Any, era: int) -> StoredObject:
-    metadata = decoded["metadata"]
-    return StoredObject(
-        key=f"{kind}/{metadata['name']}",
-        value=json.dumps(decoded["spec"]).encode(),
-        version=revisions.in_era(era, int(metadata["revision"])),
-    )
-
-
 def _build_batch(prefix: str, revision: int, objects: list[StoredObject]) -> WatchBatch:
     wanted = tuple(stored for stored in objects if stored.key.startswith(prefix))
     return WatchBatch(revision=revision, objects=wanted)
--- a/src/comfreytray/store/storeclient.py
+++ b/src/comfreytray/store/storeclient.py
@@ -1,7 +1,6 @@
 """HTTP client of the platform's object store."""
 
 import base64
-import json
 from types import TracebackType
 from typing import Any, Self
 from urllib.parse import quote, urlencode
@@ -9,6 +8,7 @@
 import urllib3
 from urllib3 import exceptions as http_errors
 
+from comfreytray.common import outerjson
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
 
@@ -109,7 +109,7 @@
             return response
         try:
             return _parse_batch(response.data)
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, OverflowError) as error:
             detail = f"malformed response: {type(error).__name__}"
             return Failure(kind=Kind.STORE_UNAVAILABLE, detail=detail)
 
@@ -181,7 +181,7 @@
 
 
 def _parse_batch(data: bytes) -> WatchBatch:
-    parsed: dict[str, Any] = json.loads(data)
+    parsed: dict[str, Any] = outerjson.loads(data)
     objects = tuple(
         StoredObject(
             key=str(row["key"]),
