--- a/soak/faults.py
+++ b/soak/faults.py
@@ -29,11 +29,14 @@
     "configuration",
 )
 RESTORED = "store-restored"
-"""Drawn apart from the others, so that earlier seeds keep their schedules."""
-KINDS = (*_COMMON_KINDS, RESTORED)
+"""Drawn apart from the others, like those below: earlier seeds keep their schedules."""
+DEADLY = "deadly-request"
+CRASHED = "upstream-crashed"
+KINDS = (*_COMMON_KINDS, RESTORED, DEADLY, CRASHED)
 FLEET_WIDE_KINDS = frozenset(
     {
         RESTORED,
+        DEADLY,
         "store-unavailable",
         "store-drops-history",
         "store-cuts-watches",
@@ -46,8 +49,8 @@
 MAX_DURATION_S = 4.0
 MEAN_GAP_S = 0.7
 """Mean time between faults; shorter than most faults, so that they overlap."""
-MEAN_RESTORED_GAP_S = 5.0
-"""Mean time between two returns of the store from an older copy."""
+MEAN_GAP_S_BY_KIND = {RESTORED: 5.0, DEADLY: 8.0, CRASHED: 6.0}
+"""Mean time between two faults of the kinds that are drawn apart."""
 REPEAT_SHARE = 0.3
 """Share of faults that are soon followed by another of the same kind and node."""
 
@@ -66,18 +69,23 @@
     """Yield the faults of a run in order of time; a seed always yields the same."""
     return heapq.merge(
         _draw_faults(seed, nodes=nodes, seconds=seconds),
-        _draw_restored(seed, seconds=seconds),
+        *(
+            _draw_apart(seed, kind, nodes=nodes, seconds=seconds)
+            for kind in MEAN_GAP_S_BY_KIND
+        ),
         key=lambda fault: fault.at_s,
     )
 
 
-def _draw_restored(seed: int, *, seconds: float) -> Iterator[Fault]:
-    generator = random.Random(f"{seed} {RESTORED}")
-    at_s = generator.expovariate(1.0 / MEAN_RESTORED_GAP_S)
+def _draw_apart(seed: int, kind: str, *, nodes: int, seconds: float) -> Iterator[Fault]:
+    generator = random.Random(f"{seed} {kind}")
+    rate_per_s = 1.0 / MEAN_GAP_S_BY_KIND[kind]
+    at_s = generator.expovariate(rate_per_s)
     while at_s < seconds:
         duration_s = generator.uniform(0.0, MAX_DURATION_S / 2)
-        yield Fault(at_s=at_s, kind=RESTORED, node=0, duration_s=duration_s)
-        at_s += generator.expovariate(1.0 / MEAN_RESTORED_GAP_S)
+        node = 0 if kind in FLEET_WIDE_KINDS else generator.randrange(nodes)
+        yield Fault(at_s=at_s, kind=kind, node=node, duration_s=duration_s)
+        at_s += generator.expovariate(rate_per_s)
 
 
 def _draw_faults(seed: int, *, nodes: int, seconds: float) -> Iterator[Fault]:
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from soak.promises import PromiseChecker
-from standins.scripted import RESET, Upstream, answer
+from standins.scripted import CRASH, RESET, Upstream, answer
 
 HEARTBEAT_S = 0.5
 SLOTS = 4
@@ -25,6 +25,13 @@
 """Calls a second that an instance names while `upstream-limited` is on."""
 LATE_RANGE_S = (0.2, 4.0)
 """Delay of late heartbeats."""
+DEADLY_PATH = b"/safe/deadly-"
+"""Start of the paths of requests that end each instance that runs them."""
+DEADLY_RUN_S = 0.02
+DOWN_RANGE_S = (0.3, 2.0)
+"""Time for which an instance is down after a crash."""
+WELL_AFTER_S = 4.0
+"""Time after the last fault of a node from which it counts as well."""
 MAX_IDLE_S = 0.1
 """Idle time after which `upstream-resets-idle` resets a connection."""
 
@@ -45,10 +52,13 @@
     sequence: int = 0
     started_ms: int = field(factory=lambda: int(time.time() * 1000))
     leaving: bool = False
+    node_disturbed_at: float = 0.0
+    """When a fault of the node beside it last began or ended."""
     upstream: Upstream = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.upstream = Upstream(self._run, host=self.host, port=self.port)
+        self.upstream.on_back = self._restart
 
     @property
     def instance_id(self) -> str:
@@ -64,12 +74,22 @@
     def send_heartbeats(self) -> None:
         """Send heartbeats until the process ends."""
         while True:
-            if not self.leaving:
+            if not self.leaving and self.upstream.is_listening():
                 self.sequence += 1
                 late = "upstream-late-heartbeats" in self.faults
                 self._send(self.random.uniform(*LATE_RANGE_S) if late else 0.0)
             eventlet.sleep(HEARTBEAT_S)
 
+    def crash(self) -> None:
+        """End, and start again after a while."""
+        self.upstream.down_s = self.random.uniform(*DOWN_RANGE_S)
+        self.upstream.crash()
+
+    def _restart(self) -> None:
+        self.generation += 1
+        self.sequence = 0
+        self.started_ms = int(time.time() * 1000)
+
     def replace(self) -> None:
         """Leave, keep serving for SERVE_AFTER_LEAVING_S, then start a new instance.
 
@@ -136,6 +156,15 @@
             instance=self.instance_id,
             at_s=time.monotonic(),
         )
+        path = head.split(b" ")[1]
+        if path.startswith(DEADLY_PATH):
+            now = time.monotonic()
+            is_well = now - self.node_disturbed_at > WELL_AFTER_S
+            name = path.decode()
+            self.promises.record_deadly_run(name, now, node_is_well=is_well)
+            eventlet.sleep(DEADLY_RUN_S)
+            self.upstream.down_s = self.random.uniform(*DOWN_RANGE_S)
+            return [CRASH]
         slow = SLOW_FACTOR if "upstream-slow" in self.faults else 1.0
         eventlet.sleep(self.random.uniform(*WORK_RANGE_S) * slow)
         faulty = self.random.random() < FAULT_SHARE
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -3,7 +3,8 @@
 These guarantees, called promises here: a call that is not idempotent runs at most
 once, and never if it was refused as not executed; callers get the answer to their own
 call; an instance that has left gets no more calls; one that names a limit gets no more
-calls than about that; versions never go back.
+calls than about that; a request under which three instances ended ends few others;
+versions never go back.
 """
 
 from collections import Counter, deque
@@ -16,6 +17,12 @@
 """Window in which calls are counted, and time after which a named limit binds."""
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK_CALLS = 5
+DEADLY_ENDS = 3
+"""Instances that a deadly request may end before nodes must know it."""
+DEADLY_KNOWN_AFTER_S = 4.0
+"""Time after the last of them within which all nodes that are well know it."""
+MAX_DEADLY_RUNS = 3
+"""Runs of such a request that nodes which are well may start after that."""
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses with which a node states that a call did not run."""
 
@@ -32,6 +39,21 @@
     limit_by_instance: dict[str, tuple[float, float]] = field(factory=dict)
     """The calls a second that an instance names, and since when."""
     runs_at_by_instance: dict[str, deque[float]] = field(factory=dict)
+    ends_at_by_deadly: dict[str, list[float]] = field(factory=dict)
+    late_runs_by_deadly: Counter[str] = field(factory=Counter)
+
+    def record_deadly_run(self, name: str, at_s: float, *, node_is_well: bool) -> None:
+        """Record that an instance began to run a request that ends it."""
+        ends_at = self.ends_at_by_deadly.setdefault(name, [])
+        is_late = (
+            len(ends_at) >= DEADLY_ENDS
+            and at_s > ends_at[DEADLY_ENDS - 1] + DEADLY_KNOWN_AFTER_S
+        )
+        ends_at.append(at_s)
+        if is_late and node_is_well:
+            self.late_runs_by_deadly[name] += 1
+            if self.late_runs_by_deadly[name] > MAX_DEADLY_RUNS:
+                self.violations.append(f"{name} ended {len(ends_at)} instances")
 
     def record_run(
         self, call_id: str, *, idempotent: bool, instance: str, at_s: float
--- a/soak/site.py
+++ b/soak/site.py
@@ -16,8 +16,8 @@
 import eventlet
 from attrs import define
 
-from soak.faults import RESTORED, Fault
-from soak.instances import HEARTBEAT_S, Instance
+from soak.faults import CRASHED, RESTORED, Fault
+from soak.instances import DEADLY_PATH, HEARTBEAT_S, Instance
 from soak.promises import LIMIT_WINDOW_S, PromiseChecker
 from soak.relay import Relay
 from standins.platform_store import StoreStandIn
@@ -27,6 +27,9 @@
 HOST = "clubs.example"
 OUTBOUND, INBOUND, READY, CONTROL, APPLICATION, REPLICATION = range(21_001, 21_007)
 METRICS_PORT = 9464
+DEADLY_REQUESTS = 2
+"""Different deadly requests in a run; each comes again."""
+DEADLY_GAP_RANGE_S = (0.05, 0.3)
 GRACE_S = 6.0
 """Time that a node has to stop before it is killed."""
 MAX_COPY_AGE_S = 9.0
@@ -172,6 +175,8 @@
                 self._apply_link_fault(fault)
             case "upstream":
                 self._apply_instance_fault(fault)
+            case "deadly":
+                self._send_deadly(fault)
             case "configuration":
                 self.configure()
 
@@ -199,6 +204,8 @@
         if node.busy:
             return
         node.busy = True
+        instance = self.instances[fault.node]
+        instance.node_disturbed_at = float("inf")
         try:
             if fault.kind == "node-pause":
                 node.send(signal.SIGSTOP)
@@ -212,6 +219,7 @@
             node.start()
         finally:
             node.busy = False
+            instance.node_disturbed_at = time.monotonic()
 
     def _apply_store_fault(self, fault: Fault) -> None:
         if fault.kind == RESTORED:
@@ -251,6 +259,9 @@
 
     def _apply_instance_fault(self, fault: Fault) -> None:
         instance = self.instances[fault.node]
+        if fault.kind == CRASHED:
+            instance.crash()
+            return
         if fault.kind == "upstream-replaced":
             instance.replace()
             return
@@ -260,6 +271,15 @@
             eventlet.sleep(LIMIT_WINDOW_S)
         instance.set_fault(fault.kind, False)
 
+    def _send_deadly(self, fault: Fault) -> None:
+        """Send one of a few deadly requests to nodes at random, again and again."""
+        path = f"{DEADLY_PATH.decode()}{self.random.randrange(DEADLY_REQUESTS)}"
+        end = time.monotonic() + fault.duration_s
+        while time.monotonic() < end:
+            host = self.random.choice(self.hosts)
+            eventlet.spawn_n(_send, host, path)
+            eventlet.sleep(self.random.uniform(*DEADLY_GAP_RANGE_S))
+
     def _poll_versions(self) -> None:
         while True:
             for node in self.nodes:
@@ -325,3 +345,14 @@
         return NodeProcess(
             number=number, settings=settings, log=folder / f"node-{number}.log"
         )
+
+
+def _send(host: str, path: str) -> None:
+    connection = http.client.HTTPConnection(host, OUTBOUND, timeout=2.0)
+    try:
+        connection.request("GET", path, headers={"Host": HOST})
+        connection.getresponse().read()
+    except (OSError, http.client.HTTPException):
+        return
+    finally:
+        connection.close()
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -71,6 +71,8 @@
 
     def crash(self) -> None:
         """End: close all connections and the port, and come back after `down_s`."""
+        if not self.is_listening():
+            return
         self.crashes += 1
         host = self.listener.getsockname()[0]
         self.close()
