--- a/soak/faults.py
+++ b/soak/faults.py
@@ -49,7 +49,7 @@
 MAX_DURATION_S = 4.0
 MEAN_GAP_S = 0.7
 """Mean time between faults; shorter than most faults, so that they overlap."""
-MEAN_GAP_S_BY_KIND = {RESTORED: 5.0, DEADLY: 8.0, CRASHED: 6.0}
+MEAN_GAP_S_BY_KIND = {RESTORED: 5.0, DEADLY: 3.0, CRASHED: 6.0}
 """Mean time between two faults of the kinds that are drawn apart."""
 REPEAT_SHARE = 0.3
 """Share of faults that are soon followed by another of the same kind and node."""
@@ -83,6 +83,8 @@
     at_s = generator.expovariate(rate_per_s)
     while at_s < seconds:
         duration_s = generator.uniform(0.0, MAX_DURATION_S / 2)
+        if kind == DEADLY:
+            duration_s *= 2.0
         node = 0 if kind in FLEET_WIDE_KINDS else generator.randrange(nodes)
         yield Fault(at_s=at_s, kind=kind, node=node, duration_s=duration_s)
         at_s += generator.expovariate(rate_per_s)
