Bound the line of an end, keep a request's fingerprint, skip needless checks for an end

Change: 64 names at most; the fingerprint stays with the call; an open connection shows that the instance lives; leaving goes first.

--- a/src/comfreytray/calls/call.py
+++ b/src/comfreytray/calls/call.py
@@ -106,6 +106,8 @@
     """Time by which the route's latency target is met, as `deadline`; 0 if none."""
     attempts: list[str] = field(factory=list)
     """Node, result and duration of each attempt, for the log."""
+    fingerprint: bytes = b""
+    """Fingerprint of the request, once it was needed."""
     is_isolated: bool = False
     """Whether it runs in isolation at this owner."""
     max_attempts: int = 0
--- a/src/comfreytray/calls/calllog.py
+++ b/src/comfreytray/calls/calllog.py
@@ -16,6 +16,8 @@
 id so that every node logs the same calls."""
 MAX_LINES_PER_S = 50.0
 BURST_LINES = 200.0
+MAX_NAMES = 64
+"""Names of requests in one line."""
 MS_PER_S = 1000
 
 
@@ -118,7 +120,9 @@
             logs.Event.ENDPOINT_ENDED,
             instance=ended.instance_id,
             under_way=len(ended.calls),
-            requests=",".join(name_of(fingerprint_of(call)) for call in ended.calls),
+            requests=",".join(
+                name_of(fingerprint_of(call)) for call in ended.calls[:MAX_NAMES]
+            ),
         )
 
     def _take_line(self) -> bool:
--- a/src/comfreytray/calls/fingerprints.py
+++ b/src/comfreytray/calls/fingerprints.py
@@ -18,11 +18,13 @@
 
 def fingerprint_of(call: Call) -> bytes:
     """Return the fingerprint of a request's method, host, target, caller and body."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in _parts(call):
-        digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
-        digest.update(part)
-    return digest.digest()
+    if not call.fingerprint:
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for part in _parts(call):
+            digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
+            digest.update(part)
+        call.fingerprint = digest.digest()
+    return call.fingerprint
 
 
 def name_of(fingerprint: bytes) -> str:
--- a/src/comfreytray/calls/guard.py
+++ b/src/comfreytray/calls/guard.py
@@ -80,6 +80,7 @@
 
     def admit(self, call: Call) -> Permit | Failure:
         """Let a call run, wait for its turn in isolation, or refuse it."""
+        call.is_isolated = False
         if self.quarantine.is_empty:
             return Permit(guard=self)
         request = fingerprint_of(call)
--- a/src/comfreytray/calls/instanceends.py
+++ b/src/comfreytray/calls/instanceends.py
@@ -47,6 +47,8 @@
         idle: Iterable[UpstreamConnection],
     ) -> bool:
         """Whether the instance has ended; calls lost together share a check."""
+        if not lost.is_closed:
+            return False
         if lost.opened_at <= self._ended_at:
             return True
         if self._check is None:
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -173,7 +173,8 @@
             return fail(Kind.WRONG_NODE, "no such service here")
         if upstream.endpoint.state is EndpointState.DRAINING:
             return fail(Kind.LEAVING, "upstream is draining")
-        if self.pool.is_down(upstream.endpoint.instance_id):
+        is_down = self.pool.is_down(upstream.endpoint.instance_id)
+        if is_down and not self.admission.leaving:
             ended = fail(Kind.INSTANCE_ENDED, "before this call")
             ended.ran = Ran.NO
             return ended
