Try the commands holds and release on real processes

Change: the stand-in upstream can end its process on a path. A scenario calls that path until it is refused as held back, lists it, releases it and sees it run again.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -40,3 +40,15 @@
   Scenario: Of two nodes with the same id, one exits and logs why
     When a second node with the same id starts
     Then one of the two exits with code 4 and logs the id; the other keeps running
+
+  Scenario: An operator lists what is held back and lets it go
+    Given an upstream beside the node whose process ends under one path
+    When the folder "examples/clubs" is loaded by "Lan" in "vi"
+    And that path is called until the call is refused as "request-held"
+    Then the command holds lists it with 3 ends, and a repetition is refused, not run
+    And these commands exit with the code and print the text
+      | command                                                 | code | prints                |
+      | release 77 --operator=An                                | 2    | the name of a request |
+      | release r00112233445566778899aabbccddeeff --operator=An | 6    | not held back         |
+    When "An" releases it by the name that is listed
+    Then nothing is held back any more and the path is tried again
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -185,3 +185,79 @@
     (ended,) = [one for one in nodes if not one.running]
     assert ended.exit_code == code, ended.output()
     assert "node id only is in use" in ended.output(), ended.output()
+
+
+DEADLY_PATH = "/san/me-tri/lich"
+
+
+@given("an upstream beside the node whose process ends under one path")
+def start_crashing_upstream(context):
+    context.upstream_port = Ports().take()
+    context.starts = 0
+    _start_upstream(context)
+
+
+def _start_upstream(context):
+    context.starts += 1
+    _start(
+        context,
+        [
+            "standins/upstream.py",
+            *("--service=lichbay", f"--port={context.upstream_port}"),
+            "--instance_id=lichbay-1",
+            f"--announce_url={context.admin_url}/v1/announcement",
+            f"--crash_path={DEADLY_PATH}",
+        ],
+    )
+    context.upstream = context.processes[-1]
+
+
+def _call_deadly(context):
+    answer = urllib3.request(
+        "GET",
+        f"{context.http_url}{DEADLY_PATH}",
+        headers={"Host": "hanoi.canhdieu.example"},
+        retries=False,
+    )
+    return json.loads(answer.data)["kind"]
+
+
+@when('that path is called until the call is refused as "{kind}"')
+def call_until(context, kind):
+    context.kinds = []
+
+    def is_refused():
+        if not context.upstream.running:
+            _start_upstream(context)
+        context.kinds.append(_call_deadly(context))
+        return context.kinds[-1] == kind
+
+    wait_until(is_refused, 60.0, f"a call to be refused as {kind}")
+
+
+@then("the command holds lists it with 3 ends, and a repetition is refused, not run")
+def check_holds(context):
+    context.held = json.loads(_run(context, "holds", "--json"))
+    (held,) = context.held
+    assert held["ends"] == 3, held
+    assert held["label"] == f"GET hanoi.canhdieu.example{DEADLY_PATH}", held
+    # The fourth start has seen no end.
+    assert context.starts == 4, context.kinds
+    assert _call_deadly(context) == "request-held"
+    assert context.upstream.running
+
+
+@when('"{operator}" releases it by the name that is listed')
+def release_held(context, operator):
+    _run(context, "release", context.held[0]["request"], operator=operator)
+    assert context.exit_code == 0, context.output
+
+
+@then("nothing is held back any more and the path is tried again")
+def check_released(context):
+    assert json.loads(_run(context, "holds", "--json")) == []
+    wait_until(
+        lambda: _call_deadly(context) and not context.upstream.running,
+        20.0,
+        "the released path to run",
+    )
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -32,6 +32,7 @@
 ANNOUNCE_TIMEOUT_S = 2.0
 DISCONNECT_POLL_S = 0.01
 CHUNK_BYTES = 64 * 1024
+CRASH_EXIT_CODE = 70
 STATE_POLL_S = 0.05
 EXTRA_CONNECTIONS = 64
 """Connections beyond the announced number, for requests to /standin/."""
@@ -74,6 +75,8 @@
     """How many of the next calls have their connection reset in mid-answer."""
     silent: bool = False
     """Stop announcing."""
+    crash_path: str = ""
+    """End of the paths on which a call ends the process; empty for none."""
 
 
 @define(kw_only=True)
@@ -182,6 +185,9 @@
         )
 
     def _work(self, environ: Environ, remaining_s: float | None) -> bool:
+        crash_path = self.faults.crash_path
+        if crash_path and environ["PATH_INFO"].endswith(crash_path):
+            os._exit(CRASH_EXIT_CODE)
         slow = re.search(r"/slow/(\d+)", environ["PATH_INFO"])
         work_s = int(slow.group(1)) / 1000 if slow else self.work_s
         work_s *= self.faults.slow_factor
@@ -392,6 +398,7 @@
     delay_ms: float = 0.0,
     cold_start_s: float = 0.0,
     min_drain_s: float = 4.0,
+    crash_path: str = "",
 ) -> None:
     """Run an upstream instance until SIGTERM or /standin/drain has drained it."""
     listener = eventlet.listen((host, port), backlog=512)
@@ -407,6 +414,7 @@
         min_drain_s=min_drain_s,
         delay_s=delay_ms / 1000,
     )
+    upstream.faults.crash_path = crash_path
     signal.signal(signal.SIGTERM, lambda *_: upstream.drain())
     eventlet.spawn(_stop_when_drained, upstream, listener)
     if announce_url:
