--- a/features/steps/calls_crashes_steps.py
+++ b/features/steps/calls_crashes_steps.py
@@ -424,3 +424,45 @@
 @then("it is told all that is known")
 def check_told(context):
     assert context.client.got_by_id["b"] == [context.published[0]]
+
+
+@given("a service whose runs make a deadly call to another service of three instances")
+def make_nested(context):
+    def run_parent(head, body):
+        nested = _call(context, "a", DEADLY)
+        return answer(200 if nested.status == 200 else 500, b"")
+
+    context.fleet = Fleet()
+    context.add_cleanup(context.fleet.__exit__)
+    context.numbers = itertools.count()
+    context.fleet.add("a", script=run_parent)
+    for node_id in ("b", "c", "d"):
+        context.fleet.add(node_id, script=_script, service="antoan")
+    (plain,) = context.fleet.routes
+    nested = evolve(plain, name="nested", path=DEADLY, service="antoan")
+    context.fleet.routes = (nested, plain)
+
+
+@when("12 different requests run there, one after the other")
+def run_parents(context):
+    for number in range(12):
+        _call(context, "a", f"/parent{number}", method="POST")
+        eventlet.sleep(0.6)
+
+
+@then("the deadly call is held back after three ends")
+def check_nested_held(context):
+    (held,) = context.fleet.path_by_id["a"].guard.report()
+    assert held["label"] == f"GET canhdieu.test{DEADLY}", held
+    assert held["ends"] == 3, held
+
+
+@then("no request of the first service is accused, and its instance lives")
+def check_parents(context):
+    assert context.fleet.upstream_by_id["a"].crashes == 0
+    assert len(context.fleet.upstream_by_id["a"].ran) == 12
+    for number in range(12):
+        call = make_call(target=f"/parent{number}", host="canhdieu.test")
+        call.method = "POST"
+        verdict = context.fleet.path_by_id["a"].guard.verdict(call)
+        assert verdict is Verdict.FREE, number
