Keep notices for nodes that can't be reached for ten minutes only

Cause: on the users' platform the record of a node that is gone stays; notices for it were kept, and tried each two seconds, for good. An attempt of a call that moved on after a refusal in isolation still counted as isolated. Change: a notice is dropped after ten minutes; those that tell all they know each 10 s bring it later. The mark is set anew with each attempt.

--- a/features/calls_crashes.feature
+++ b/features/calls_crashes.feature
@@ -69,3 +69,5 @@
     Then it gets both within 2 s, and the others got them once
     When a node starts anew
     Then it is told all that is known
+    When a node can't be reached for longer than notices are kept
+    Then none is kept for it any more
--- a/features/steps/calls_crashes_steps.py
+++ b/features/steps/calls_crashes_steps.py
@@ -24,7 +24,7 @@
 from comfreytray.calls.holdrecords import HoldRecords
 from comfreytray.calls.instanceends import EndedInstance
 from comfreytray.calls.notices import Released
-from comfreytray.calls.noticesender import NoticeSender
+from comfreytray.calls.noticesender import QUEUE_S, NoticeSender
 from comfreytray.calls.quarantine import Quarantine, Verdict
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.clock import SystemClock
@@ -466,3 +466,18 @@
         call.method = "POST"
         verdict = context.fleet.path_by_id["a"].guard.verdict(call)
         assert verdict is Verdict.FREE, number
+
+
+@when("a node can't be reached for longer than notices are kept")
+def lose_peer(context):
+    context.client.unreachable.add("c")
+    context.sender.publish((context.published[1],))
+    _step_for(context, QUEUE_S)
+    assert "c" not in context.client.got_by_id
+
+
+@then("none is kept for it any more")
+def check_not_kept(context):
+    context.client.unreachable.clear()
+    _step_for(context, 5.0)
+    assert context.published[1] not in context.client.got_by_id.get("c", [])
--- a/src/comfreytray/calls/dispatch.py
+++ b/src/comfreytray/calls/dispatch.py
@@ -105,6 +105,7 @@
         refused = refuse(verdict)
         if refused is not None:
             return refused
+        attempts.is_isolated = False
         if verdict is Verdict.FREE and not attempts.is_accused:
             return self.router.pick(
                 call.service,
--- a/src/comfreytray/calls/noticesender.py
+++ b/src/comfreytray/calls/noticesender.py
@@ -5,7 +5,7 @@
 
 import eventlet
 import xxhash
-from attrs import define
+from attrs import define, frozen
 
 from comfreytray.calls.call import Call, Outcome, Reply, fail
 from comfreytray.calls.connections import StreamClient
@@ -31,10 +31,22 @@
 """Nodes that each node tells all it knows: they may have started, or been cut off."""
 MAX_QUEUED = 256
 """Notices that are kept for nodes that can't be reached; the oldest is dropped."""
+QUEUE_S = 600.0
+"""Time for which a notice is kept for them; later only those that tell all know it."""
 MAX_SENDS = 64
 """Messages on their way at one time."""
 
 
+@frozen(kw_only=True)
+class _Queued:
+    """A notice on its way to other nodes."""
+
+    number: int
+    notice: Notice
+    at: float
+    """Monotonic time at which it was published."""
+
+
 @define(kw_only=True, eq=False)
 class _Peer:
     """What another node has been told."""
@@ -68,7 +80,7 @@
         self._clock = clock
         self._quarantine = quarantine
         self._learn = learn
-        self._queue: deque[tuple[int, Notice]] = deque(maxlen=MAX_QUEUED)
+        self._queue: deque[_Queued] = deque(maxlen=MAX_QUEUED)
         self._next_number = 0
         self._peer_by_id: dict[str, _Peer] = {}
         self._view: MembershipView | None = None
@@ -78,8 +90,10 @@
 
     def publish(self, notices: tuple[Notice, ...]) -> None:
         """Send notices to all other nodes."""
+        now = self._clock.monotonic()
         for notice in notices:
-            self._queue.append((self._next_number, notice))
+            queued = _Queued(number=self._next_number, notice=notice, at=now)
+            self._queue.append(queued)
             self._next_number += 1
         self._wake.fire()
 
@@ -143,8 +157,8 @@
 
     def _due(self, peer: _Peer, *, repeats: bool) -> tuple[Notice, ...]:
         known = self._quarantine().notices() if repeats else ()
-        queued = [n for number, n in self._queue if number >= peer.next_number]
-        return (*known, *queued)
+        lacking = [q.notice for q in self._queue if q.number >= peer.next_number]
+        return (*known, *lacking)
 
     def _send(
         self, record: NodeRecord, peer: _Peer, notices: tuple[Notice, ...]
@@ -167,10 +181,14 @@
                 peer.retry_at = self._clock.monotonic() + pause_s
 
     def _drop_delivered(self) -> None:
-        """Drop the notices that have arrived at all nodes."""
+        """Drop the notices that have arrived at all nodes, and old ones."""
         peers = self._peer_by_id.values()
         delivered = min((peer.next_number for peer in peers), default=self._next_number)
-        while self._queue and self._queue[0][0] < delivered:
+        oldest = self._clock.monotonic() - QUEUE_S
+        while self._queue:
+            first = self._queue[0]
+            if first.number >= delivered and first.at > oldest:
+                return
             self._queue.popleft()
 
 
