--- a/features/calls_crashes.feature
+++ b/features/calls_crashes.feature
@@ -47,19 +47,19 @@
     Then each call that did not run to its end is answered when it is sent again
     And no request is held back at any node
 
-  Scenario: A deadly call from inside a request does not accuse the request that made it
+  Scenario: A deadly call from inside a request does not implicate the request that made it
     Given a service whose runs make a deadly call to another service of three instances
     When 12 different requests run there, one after the other
     Then the deadly call is held back after three ends
-    And no request of the first service is accused, and its instance lives
+    And no request of the first service is suspected, and its instance lives
 
-  Scenario: An instance that only loses connections accuses nobody
+  Scenario: An instance that only loses connections implicates nobody
     Given a node beside an instance that resets the connection of each second request
     When 20 requests are sent
     Then no end of the instance is recorded
 
   Scenario: A deadly request that waits in isolation lets the next one through
-    Given an owner at which one accused request runs in isolation
+    Given an owner at which one suspected request runs in isolation
     When another one waits and its caller hangs up, and a third one waits
     Then the third one runs once the first one is answered
 
--- a/features/steps/calls_crashes_steps.py
+++ b/features/steps/calls_crashes_steps.py
@@ -313,7 +313,7 @@
     assert context.fleet.path_by_id["a"].guard.quarantine.is_empty
 
 
-@given("an owner at which one accused request runs in isolation")
+@given("an owner at which one suspected request runs in isolation")
 def make_guard(context):
     context.clock = SystemClock()
     context.guard = Guard(
@@ -322,26 +322,26 @@
         metrics=Metrics(),
         publish=lambda _: None,
     )
-    context.accused = [make_call(target=f"/{n}") for n in range(3)]
-    ended = EndedInstance(instance_id="i", calls=tuple(context.accused))
+    context.suspects = [make_call(target=f"/{n}") for n in range(3)]
+    ended = EndedInstance(instance_id="i", calls=tuple(context.suspects))
     context.guard.record_end(ended)
-    context.permit = context.guard.admit(context.accused[0])
+    context.permit = context.guard.admit(context.suspects[0])
     assert context.permit.is_isolated
 
 
 @when("another one waits and its caller hangs up, and a third one waits")
 def wait_in_isolation(context):
-    second = eventlet.spawn(context.guard.admit, context.accused[1])
+    second = eventlet.spawn(context.guard.admit, context.suspects[1])
     eventlet.sleep(0.01)
     second.kill()
-    context.third = eventlet.spawn(context.guard.admit, context.accused[2])
+    context.third = eventlet.spawn(context.guard.admit, context.suspects[2])
     eventlet.sleep(0.01)
     assert not context.third.dead
 
 
 @then("the third one runs once the first one is answered")
 def check_third(context):
-    context.guard.record_answer(context.permit, context.accused[0])
+    context.guard.record_answer(context.permit, context.suspects[0])
     context.permit.end()
     context.permit.end()
     assert context.third.wait().is_isolated
@@ -457,7 +457,7 @@
     assert held["ends"] == 3, held
 
 
-@then("no request of the first service is accused, and its instance lives")
+@then("no request of the first service is suspected, and its instance lives")
 def check_parents(context):
     assert context.fleet.upstream_by_id["a"].crashes == 0
     assert len(context.fleet.upstream_by_id["a"].ran) == 12
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -177,7 +177,7 @@
 
 @then("no other request is held back")
 @then("no request is held back")
-def check_innocent(context):
+def check_others_free(context):
     assert context.replay.held <= context.replay.deadly, context.replay.held
 
 
--- a/src/comfreytray/calls/dispatch.py
+++ b/src/comfreytray/calls/dispatch.py
@@ -42,7 +42,7 @@
     redirects: int = 0
     sent: int = 0
     """Attempts that reached, or may have reached, an upstream."""
-    is_accused: bool = False
+    is_suspect: bool = False
     """Whether an instance has ended while the call was under way at it."""
     is_isolated: bool = False
     """Whether the current attempt is made in isolation."""
@@ -106,7 +106,7 @@
         if refused is not None:
             return refused
         attempts.is_isolated = False
-        if verdict is Verdict.FREE and not attempts.is_accused:
+        if verdict is Verdict.FREE and not attempts.is_suspect:
             return self.router.pick(
                 call.service,
                 exclude=attempts.excluded,
@@ -148,7 +148,7 @@
         attempts.sent += outcome.sent
         if outcome.sent:
             attempts.ran_isolated = attempts.is_isolated
-            attempts.is_accused = outcome.failure.kind is Kind.INSTANCE_ENDED
+            attempts.is_suspect = outcome.failure.kind is Kind.INSTANCE_ENDED
         decision = decide_retry(
             call,
             outcome,
--- a/src/comfreytray/calls/guard.py
+++ b/src/comfreytray/calls/guard.py
@@ -1,4 +1,4 @@
-"""Keeps deadly requests from the instance beside a node, and isolates accused ones."""
+"""Keeps deadly requests from the instance beside a node, and isolates suspects."""
 
 from collections.abc import Callable
 
@@ -31,7 +31,7 @@
 
 @define(kw_only=True, eq=False)
 class Permit:
-    """The permission for one run; an empty request is one that nothing accuses."""
+    """The permission for one run; an empty request is one that nothing implicates."""
 
     guard: "Guard"
     request: bytes = b""
@@ -73,7 +73,7 @@
         self._waiting: list[Signal] = []
 
     def verdict(self, call: Call) -> Verdict:
-        """Return how a call may run; free at no cost if nothing is accused."""
+        """Return how a call may run; free at no cost if nothing is suspected."""
         if self.quarantine.is_empty:
             return Verdict.FREE
         return self.quarantine.verdict(fingerprint_of(call))
@@ -99,7 +99,7 @@
                 return _refuse_isolated(RETRY_AFTER_ISOLATION_S)
 
     def end_isolation(self) -> None:
-        """Let the next accused call run."""
+        """Let the next suspected call run."""
         self._is_isolating = False
         self._wake()
 
--- a/src/comfreytray/calls/notices.py
+++ b/src/comfreytray/calls/notices.py
@@ -30,7 +30,7 @@
 
 @frozen(kw_only=True)
 class Answered:
-    """An instance has answered a request that was accused or held back."""
+    """An instance has answered a request that was suspected or held back."""
 
     request: bytes
     generation: int
--- a/src/comfreytray/calls/quarantine.py
+++ b/src/comfreytray/calls/quarantine.py
@@ -1,11 +1,11 @@
 """Decides which requests are held back because instances end under them.
 
-An instance that ends takes all its running calls with it, so one end accuses the
+An instance that ends takes all its running calls with it, so one end implicates the
 request that caused it and those that ran beside it alike. What tells them apart is that
 a deadly request is never answered. A request that was under way at an end is therefore
 run in isolation: one at a time, at one node. An answer clears it. If that instance ends
 too, it pauses until the first instances are back. After three ends it is held back, and
-the ends that it caused accuse nobody else.
+the ends that it caused implicate nobody else.
 
 Ends alone never hold a request back. When many instances are killed at once, a common
 request was under way at each of them; its next run is answered.
@@ -32,14 +32,14 @@
 """Duration of a first hold; each further one of the same request is twice as long."""
 MAX_HOLD_S = 86_400.0
 EVIDENCE_S = 3600.0
-"""Time after which the end of an instance accuses nobody any more."""
+"""Time after which the end of an instance implicates nobody any more."""
 MAX_ENDS = 128
 """Ends that are remembered; the oldest is dropped."""
 MAX_HOLDS = 256
 """Requests that are held back; the oldest is dropped."""
 MAX_RELEASES = 256
 MAX_ANSWERED = 1024
-"""Answered requests that are remembered while any request is accused."""
+"""Answered requests that are remembered while any request is suspected."""
 MAX_SEEN_ENDS = 1024
 """Ids of ends that are kept, so that a late copy of a notice changes nothing."""
 
@@ -74,7 +74,7 @@
 class _RecordedEnd:
     end: InstanceEnd
     at: float
-    accused: frozenset[bytes]
+    suspects: frozenset[bytes]
     """The requests that were under way and have not been cleared since."""
 
 
@@ -96,7 +96,7 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no request is accused or held back, so that all are free."""
+        """Whether no request is suspected or held back, so that all are free."""
         return not self._recorded_by_id and not self._hold_by_request
 
     @property
@@ -122,7 +122,7 @@
         """Record the end of the instance beside this node."""
         self._add_end(end)
         request = end.isolated
-        if not request or not self._is_convicted(request, end):
+        if not request or not self._is_confirmed(request, end):
             return (end,)
         return (end, self._hold(request, end))
 
@@ -172,14 +172,14 @@
                 label_by_request={
                     request: label
                     for request, label in recorded.end.label_by_request.items()
-                    if request in recorded.accused
+                    if request in recorded.suspects
                 },
             )
             for recorded in self._recorded_by_id.values()
         ]
         return (*released, *held, *ends)
 
-    def _is_convicted(self, request: bytes, end: InstanceEnd) -> bool:
+    def _is_confirmed(self, request: bytes, end: InstanceEnd) -> bool:
         """Whether the end in isolation shows that a request causes the ends."""
         hold = self._hold_by_request.get(request)
         if hold is not None:
@@ -233,12 +233,12 @@
             # A run from before the hold, or a trial after it, explains this end.
             return
         self._recorded_by_id[end.end_id] = _RecordedEnd(
-            end=end, at=self._clock.monotonic(), accused=requests
+            end=end, at=self._clock.monotonic(), suspects=requests
         )
         _trim(self._recorded_by_id, MAX_ENDS)
 
     def _drop_ends_under(self, request: bytes) -> None:
-        """Drop the ends that a held request explains; they accuse nobody else."""
+        """Drop the ends that a held request explains; they implicate nobody else."""
         for end_id, recorded in list(self._recorded_by_id.items()):
             if request in recorded.end.label_by_request:
                 del self._recorded_by_id[end_id]
@@ -246,9 +246,9 @@
     def _clear(self, request: bytes, *, generation: int | None = None) -> None:
         """Take a request out of all ends; lift a hold up to the generation, or any."""
         for end_id, recorded in list(self._recorded_by_id.items()):
-            accused = recorded.accused - {request}
-            if accused:
-                self._recorded_by_id[end_id] = evolve(recorded, accused=accused)
+            suspects = recorded.suspects - {request}
+            if suspects:
+                self._recorded_by_id[end_id] = evolve(recorded, suspects=suspects)
             else:
                 del self._recorded_by_id[end_id]
         hold = self._hold_by_request.get(request)
@@ -264,9 +264,9 @@
         return len(self._ends_of(request))
 
     def _ends_of(self, request: bytes) -> list[_RecordedEnd]:
-        """Return the ends that accuse a request."""
+        """Return the ends that implicate a request."""
         recorded = self._recorded_by_id.values()
-        return [end for end in recorded if request in end.accused]
+        return [end for end in recorded if request in end.suspects]
 
     def _forget_old(self, now: float) -> None:
         while self._recorded_by_id:
