--- a/review/standins.py
+++ b/review/standins.py
@@ -15,6 +15,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -836,6 +837,7 @@
     is_one_zone: bool = False,
 ) -> int:
     """Play a case and return its exit code; `play` returns whether the rule held."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_CANNOT_RUN))
     record = Record(Path(case).resolve().parent / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"TROUBLE={int(has_trouble)}")
@@ -849,6 +851,10 @@
     except CannotRunError as error:
         record.write(f"can't run: {error}")
         return EXIT_CANNOT_RUN
+    except Exception as error:
+        # A fault of the case itself says nothing of the rule.
+        record.write(f"can't run: {error!r}")
+        return EXIT_CANNOT_RUN
     finally:
         site.close()
     record.write("the rule held" if is_held else "the rule was broken")
