Cut deep JSON in linear time

An entry of another writer that is nested too deep for the decoder is cut before it is decoded again. The pattern for its tokens began anew at each quote of a text without an end: quadratic in the number of quotes, for an object of up to 1 MB in the store or a heartbeat of 4 KB.

Change: a text without an end is one token, and its repeat is possessive.

--- a/features/linear_time.feature
+++ b/features/linear_time.feature
@@ -22,6 +22,7 @@
       | trailer               |
       | request line          |
       | status line           |
+      | deep JSON with quotes |
       | deep JSON             |
       | JSON number           |
       | heartbeat             |
--- a/features/steps/linear_time_steps.py
+++ b/features/steps/linear_time_steps.py
@@ -226,6 +226,10 @@
         b"GET" * 900 + b" /" + b"/HTTP" * 1000 + b" HTTP/1.1\r\n",
     ),
     "status line": (_read_status, b"HTTP/1.1 200 " + b" " * 65_000 + b"\r\n\r\n"),
+    "deep JSON with quotes": (
+        outerjson.loads,
+        DEEP + b'"' + b'\\"' * ((OBJECT_BYTES - 4000) // 2) + b'"',
+    ),
     "deep JSON": (outerjson.loads, b'[{"a":' * (OBJECT_BYTES // 6)),
     "JSON number": (outerjson.loads, b"-0." + b"1" * OBJECT_BYTES + b"e9"),
     "heartbeat": (_read_heartbeat, DEEP + b'\\"' * 600),
--- a/src/comfreytray/common/outerjson.py
+++ b/src/comfreytray/common/outerjson.py
@@ -14,7 +14,8 @@
 """Largest integer that every decoder and packer keeps exactly."""
 MAX_TEXT_CHARACTERS = 1024
 
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[{]|[\]}]', re.DOTALL)
+_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+(?:"|\\?\Z)|[\[{]|[\]}]', re.DOTALL)
+"""A text, also one without its end, or a bracket."""
 
 PairsHook = Callable[[list[tuple[str, Any]]], Any]
 
