Date what nodes know of the store, and ask before it is too old

Cause: "current" was a claim without an age. A watch that a silent store had swallowed was waited for for its wait and a margin (4 + 1 s), counted as current all the while, and the node told its followers so. Told apart by a trace of the script: both readers' watches began before the silence, no `store-unavailable` came for 5 s, and no follower made a call; so neither the pause between calls nor the way to the followers took the time.

Change: each feed knows up to which time the store has shown all changes: the request's sending, or the end of an empty watch's wait. Sources announce that age (frames of version 3). Limits follow from config_deadline_s and stable_window_s of the settings, in replication/freshness.py apart from input and output: the first reader of a group asks so that its age stays low, the second asks when the first falls behind, followers ask the store themselves when both have. A node that reads for itself alone has its watches wait 2.5 s at most with a window of 4 s, so that a lost one is replaced within it. A call of one feed that fails has the watches of the others asked again. Lines age-exceeded and age-renewed, gauge configuration_age_s.

Ruled out: a shorter wait for all nodes (as many calls as nodes), and trusting a reader's time-out (1 s or more after the claim is too old).

--- a/features/replication.feature
+++ b/features/replication.feature
@@ -73,6 +73,18 @@
       | gets no answer of the store |
       | is refused by the store     |
 
+  # Both readers' calls were waited for for 5 s, and all followers relied on them
+  # (review/3).
+  Scenario: A change reaches the followers although both readers wait for a silent store
+    Given a store and 12 running nodes of one data centre
+    When the store falls silent to both nodes that read it and the configuration changes
+    Then every node to which the store isn't silent has the last configuration
+
+  Scenario: A lost call of one feed has the other feeds ask again
+    Given a store and 12 running nodes of one data centre
+    When the calls under way at the nodes that read the store are lost and a node is added
+    Then the nodes that read the store know the added node
+
   Scenario: Nodes that read the store may all fail, one after the other
     Given a store and 12 running nodes of one data centre
     When 6 nodes that read the store are killed in turn and the configuration changes after each
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -220,6 +220,7 @@
         heartbeat_s=1.5,
         grace_s=6.0,
         retries=None,
+        freshness=None,
         capacity=86,
     )
     return RecordSource(options=options, register=register, incarnation=incarnation)
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -32,6 +32,7 @@
 from comfreytray.platform.headers import DIALECT
 from comfreytray.platform.objectstore import PlatformStore
 from comfreytray.platform.settings import load
+from comfreytray.replication.freshness import FreshnessLimits
 from standins.platform_store import StoreStandIn
 from standins.processes import ROOT
 
@@ -103,6 +104,7 @@
         heartbeat_s=1.5,
         grace_s=6.0,
         retries=RetryBudget(ratio=0.2, slack=56.0, window_s=10.0),
+        freshness=FreshnessLimits(propagation_s=2.5, recovery_s=4.0),
     )
 
 
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -21,6 +21,7 @@
 from comfreytray.membership.directory import Directory
 from comfreytray.node.storefeeds import StoreFeeds
 from comfreytray.replication import frames, replicator
+from comfreytray.replication.freshness import FreshnessLimits
 from comfreytray.replication.measures import MeasureExchange
 from comfreytray.replication.replica import Progress, Replica
 from comfreytray.replication.replicator import Replicator
@@ -39,6 +40,7 @@
 CONFIG_KEY = "config/main"
 POLL_S = 0.01
 LARGE, SMALL = 215, 43
+LIMITS = FreshnessLimits(propagation_s=2.5, recovery_s=4.0)
 
 
 def _record(number, data_centre="d0", region="r0", port=0):
@@ -314,6 +316,7 @@
         frames.Announce(
             is_current=True,
             progress_by_feed=(Progress(complete_to=9, newest=7), Progress()),
+            age_ms_by_feed=(250, frames.MAX_AGE_MS),
         )
     ),
     frames.pack_pull(frames.Pull(feed=1, held=Progress(complete_to=9, newest=7))),
@@ -369,18 +372,24 @@
         self.calls = 0
         self.refuses = False
         self.is_silent = False
+        self.lost_before = 0
+        """Number of calls up to which those that still wait are lost."""
 
     def watch(self, prefix, *, after_revision, timeout_s):
         self.calls += 1
+        number = self.calls
         waited_s = 0.0
         while True:
+            if number <= self.lost_before and prefix == CONFIG_KEY:
+                return Failure(kind=Kind.STORE_UNAVAILABLE, detail="timed out")
             if self.refuses:
                 return Failure(kind=Kind.STORE_UNAVAILABLE, detail="refused")
             batch = self.shared.watch(
                 prefix, after_revision=after_revision, timeout_s=0
             )
             expired = waited_s >= timeout_s or after_revision == 0
-            if not self.is_silent and (batch.objects or expired):
+            is_lost = self.is_silent or number <= self.lost_before
+            if not is_lost and (batch.objects or expired):
                 return batch
             eventlet.sleep(POLL_S)
             waited_s += POLL_S
@@ -421,6 +430,8 @@
             ),
             clock=clock,
             metrics=Metrics(),
+            freshness=LIMITS,
+            dated=self.configuration,
             measures=MeasureExchange(
                 clock=clock, own=lambda: self.measured, learn=self.shared.learn
             ),
@@ -522,6 +533,47 @@
     _change_configuration(context)
 
 
+@when("the store falls silent to both nodes that read it and the configuration changes")
+def silence_watchers(context):
+    context.silenced = _watchers(context)
+    assert len(context.silenced) == WATCHERS
+    for node in context.silenced:
+        node.store.is_silent = True
+    _change_configuration(context)
+
+
+@then("every node to which the store isn't silent has the last configuration")
+def check_served(context):
+    served = [node for node in context.nodes if node not in context.silenced]
+    expected = context.version
+    assert until(lambda: all(node.version == expected for node in served))
+
+
+@when(
+    "the calls under way at the nodes that read the store are lost and a node is added"
+)
+def lose_calls(context):
+    context.readers = _watchers(context)
+    feeds = [feed for node in context.readers for feed in node.replicator._feeds]
+    assert until(lambda: all(feed.subscription.is_waiting for feed in feeds))
+    for node in context.readers:
+        node.store.lost_before = node.store.calls
+    context.added = _record(50)
+    context.shared.put(
+        directory.key_of(context.added.node_id),
+        directory.encode(context.added),
+        expected_version=None,
+    )
+
+
+@then("the nodes that read the store know the added node")
+def check_added(context):
+    added_id = context.added.node_id
+    assert until(
+        lambda: all(added_id in node.directory.view.by_id for node in context.readers)
+    )
+
+
 @when(
     "{count:d} nodes that read the store are killed in turn"
     " and the configuration changes after each"
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -47,6 +47,8 @@
     ENDPOINT_LIMITED = "endpoint-limited"
     ENDPOINT_EJECTED = "endpoint-ejected"
     ENDPOINT_RESTORED = "endpoint-restored"
+    AGE_EXCEEDED = "age-exceeded"
+    AGE_RENEWED = "age-renewed"
     SELF_DOUBT = "self-doubt"
     STORE_UNAVAILABLE = "store-unavailable"
     STORE_BACK = "store-back"
--- a/src/comfreytray/common/tasks.py
+++ b/src/comfreytray/common/tasks.py
@@ -32,6 +32,11 @@
         self._threads.append(thread)
         return thread
 
+    def end(self, thread: Any) -> None:
+        """Kill one green thread of the group."""
+        self._threads.remove(thread)
+        thread.kill()
+
     def run_every(
         self, period_s: float, function_by_name: Mapping[str, Callable[[], object]]
     ) -> None:
--- a/src/comfreytray/node/options.py
+++ b/src/comfreytray/node/options.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from comfreytray.common.interfaces import Address
+from comfreytray.replication.freshness import FreshnessLimits
 
 
 @frozen(kw_only=True)
@@ -40,3 +41,5 @@
     grace_s: float
     """Time between the signal to stop and the forced end of the process."""
     retries: RetryBudget
+    freshness: FreshnessLimits
+    """How old the node's configuration may be."""
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -144,6 +144,8 @@
             feeds=(self.members, self.configuration),
             clock=self.clock,
             metrics=self.metrics,
+            freshness=options.freshness,
+            dated=self.configuration,
             measures=MeasureExchange(
                 clock=self.clock,
                 own=self.calls.owner.measures.report,
--- a/src/comfreytray/node/storefeeds.py
+++ b/src/comfreytray/node/storefeeds.py
@@ -15,7 +15,7 @@
 from comfreytray.store.subscriptions import Subscription
 
 CONFIGURATION_WAIT_S = 4.0
-"""Longest wait of a watch; a silent store is noticed after it and a margin."""
+"""Longest wait of a watch; what nodes may not know for so long shortens it."""
 MEMBERS_WAIT_S = 8.0
 """Longest wait of a watch of the members."""
 CONFIGURATION_BATCH_DELAY_S = 0.8
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -11,6 +11,11 @@
 from comfreytray.common.exceptions import SettingError
 from comfreytray.common.interfaces import Address
 from comfreytray.node.options import NodeOptions, RetryBudget
+from comfreytray.replication.freshness import (
+    DEFAULT_PROPAGATION_S,
+    DEFAULT_RECOVERY_S,
+    FreshnessLimits,
+)
 
 PERCENT = 100
 
@@ -64,6 +69,10 @@
             slack=_bound(bounds, "retry_slack"),
             window_s=_bound(bounds, "budget_window_s"),
         ),
+        freshness=FreshnessLimits(
+            propagation_s=bounds.get("config_deadline_s", DEFAULT_PROPAGATION_S),
+            recovery_s=bounds.get("stable_window_s", DEFAULT_RECOVERY_S),
+        ),
     )
     return PlatformSettings(
         node_options=options,
--- a/src/comfreytray/replication/feed.py
+++ b/src/comfreytray/replication/feed.py
@@ -1,5 +1,6 @@
 """One prefix of the store, followed by calls to the store or by what sources send."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from comfreytray.common.errors import Failure
@@ -34,6 +35,10 @@
         self.on_restored: Callable[[], None] = lambda: None
         """Called when all objects are known as a store holds them that came back from
         an older copy."""
+        self.told_at = -math.inf
+        """Monotonic time up to which a source has vouched for what is held."""
+        self._told: tuple[int, float] | None = None
+        """What a source holds that this replica still lacks, and up to when."""
         self._on_objects = on_objects
         self._pulled_at: float | None = None
 
@@ -42,6 +47,24 @@
         """Whether all objects under the prefix were read once."""
         return self.replica.progress.complete_to > 0
 
+    @property
+    def verified_at(self) -> float:
+        """Return the monotonic time up to which all changes are held."""
+        return max(self.subscription.verified_at, self.told_at)
+
+    def vouch(self, complete_to: int, at: float) -> None:
+        """Note that a source held all changes of the store up to a time."""
+        self._told = (complete_to, at)
+        self._settle_told()
+
+    def _settle_told(self) -> None:
+        if self._told is None:
+            return
+        complete_to, at = self._told
+        if complete_to <= self.replica.progress.complete_to:
+            self.told_at = max(self.told_at, at)
+            self._told = None
+
     def apply(self, batch: WatchBatch) -> None:
         """Take a batch of the store or of a source."""
         before = self.replica.progress
@@ -60,6 +83,7 @@
             return objects
         self.apply(WatchBatch(revision=complete_to, objects=tuple(objects)))
         self.subscription.advance(complete_to)
+        self._settle_told()
         return None
 
     def _report_change(self, before: Progress) -> None:
--- a/src/comfreytray/replication/frames.py
+++ b/src/comfreytray/replication/frames.py
@@ -16,8 +16,9 @@
 from comfreytray.distribution.compression import compress, decompress
 from comfreytray.replication.replica import ObjectChange, Progress
 
-PROTOCOL_VERSION = 2
-"""Version 1 had revisions without the store's era; its nodes are not followed."""
+PROTOCOL_VERSION = 3
+"""Nodes of other versions are not followed: those of version 1 send revisions without
+the store's era, those of version 2 do not say how old their knowledge is."""
 HELLO = 60
 ANNOUNCE = 61
 PULL = 62
@@ -31,6 +32,8 @@
 MAX_UNPACKED_BYTES = 33_554_432
 MAX_TABLE_BYTES = 1_048_576
 MAX_REVISION = 2**63
+MAX_AGE_MS = 60_000
+"""Greatest age that is told; what is older, or was never read, has this one."""
 
 _pack = msgpack.Packer(use_bin_type=True).pack
 
@@ -49,6 +52,8 @@
     is_current: bool
     """Whether the source is in contact with the store."""
     progress_by_feed: tuple[Progress, ...]
+    age_ms_by_feed: tuple[int, ...]
+    """Time since the store showed that each feed was complete, up to `MAX_AGE_MS`."""
 
 
 @frozen(kw_only=True)
@@ -94,7 +99,8 @@
     progress = tuple(
         (held.complete_to, held.newest) for held in announce.progress_by_feed
     )
-    return _pack((ANNOUNCE, announce.is_current, progress))  # type: ignore[no-any-return]
+    frame = (ANNOUNCE, announce.is_current, progress, announce.age_ms_by_feed)
+    return _pack(frame)  # type: ignore[no-any-return]
 
 
 def pack_pull(pull: Pull) -> bytes:
@@ -161,12 +167,13 @@
     return Hello(node_id=node_id)
 
 
-def _decode_announce(is_current: Any, progress: Any) -> Announce:
+def _decode_announce(is_current: Any, progress: Any, ages_ms: Any) -> Announce:
     if type(is_current) is not bool:
         raise _FrameError("expected whether the source is current")
     return Announce(
         is_current=is_current,
         progress_by_feed=tuple(_progress(to, newest) for to, newest in progress),
+        age_ms_by_feed=tuple(_age_ms(age_ms) for age_ms in ages_ms),
     )
 
 
@@ -243,6 +250,12 @@
     return value
 
 
+def _age_ms(value: Any) -> int:
+    if type(value) is not int or not 0 <= value <= MAX_AGE_MS:
+        raise _FrameError(f"expected an age up to {MAX_AGE_MS} ms, got {value!r}")
+    return value
+
+
 def _revision(value: Any) -> int:
     if type(value) is not int or not 0 <= value < MAX_REVISION:
         raise _FrameError(f"expected a revision, got {value!r}")
--- a/src/comfreytray/replication/replicator.py
+++ b/src/comfreytray/replication/replicator.py
@@ -14,9 +14,12 @@
 from comfreytray.common.signals import Signal
 from comfreytray.common.tasks import TaskGroup
 from comfreytray.replication import frames
+from comfreytray.replication.ages import MS_PER_S, FeedAge, age_ms
 from comfreytray.replication.feed import Feed
+from comfreytray.replication.freshness import FreshnessLimits
 from comfreytray.replication.links import FollowerLinks, Link
 from comfreytray.replication.measures import MeasureExchange
+from comfreytray.replication.packing import PackedAnswers
 from comfreytray.replication.replica import Progress
 from comfreytray.replication.sourcelinks import SourceLinks
 from comfreytray.replication.sources import Plan, Sources
@@ -33,8 +36,6 @@
 """Pause between calls of a node that only probes a store that is down."""
 ERROR_PAUSE_S = 0.5
 """Pause after an unexpected error, so that it does not repeat without end."""
-MAX_PACKED_BATCHES = 4
-"""Packed answers to pulls that are kept; followers mostly lack the same objects."""
 
 
 class Replicator:
@@ -53,8 +54,11 @@
         feeds: Sequence[Feed],
         clock: Clock,
         metrics: Metrics,
+        freshness: FreshnessLimits,
+        dated: Feed,
         measures: MeasureExchange | None = None,
     ) -> None:
+        """Create a replicator; `dated` is the feed whose age has a limit."""
         self.plan = Plan()
         self._measures = measures or MeasureExchange(clock=clock)
         self._node = node
@@ -74,20 +78,25 @@
         self._followers = FollowerLinks(
             clock=clock, on_frame=self._serve_follower, on_joined=self._greet
         )
-        self._packed_by_pull: dict[tuple[int, Progress, int], bytes] = {}
+        self._answers = PackedAnswers()
         self._blind_until = 0.0
         self._announced_at = 0.0
-        self._announced: frames.Announce | None = None
+        self._announced: tuple[object, ...] | None = None
         self._wake_by_feed = [Signal() for _ in feeds]
+        self._thread_by_feed: list[Any] = []
+        self._age = FeedAge(
+            feed=dated,
+            limits=freshness,
+            plan=lambda: self.plan,
+            clock=clock,
+            metrics=metrics,
+        )
         self._tasks = TaskGroup()
         for feed in feeds:
             feed.on_change = self._announce
 
     def __enter__(self) -> "Replicator":
-        for number, feed in enumerate(self._feeds):
-            self._tasks.spawn(
-                f"feed-{number}", partial(self._follow_store, number, feed)
-            )
+        self._thread_by_feed = [self._spawn(n) for n in range(len(self._feeds))]
         self._tasks.run_every(TICK_S, {"sources": self.review})
         return self
 
@@ -126,9 +135,26 @@
         self._set_plan(plan)
         self._source_links.adjust(plan.follows)
         self._announce()
+        if self._age.check():
+            self._ask_at_once(self._feeds.index(self._age.feed))
         if self._measures.is_due():
             self._tell_measures()
 
+    def _spawn(self, number: int) -> Any:
+        """Follow the store with a feed in a green thread of its own."""
+        follow = partial(self._follow_store, number, self._feeds[number])
+        return self._tasks.spawn(f"feed-{number}", follow)
+
+    def _ask_at_once(self, number: int) -> None:
+        """Call the store without waiting, in place of a watch under way."""
+        subscription = self._feeds[number].subscription
+        if subscription.is_waiting:
+            subscription.ask_again()
+            self._tasks.end(self._thread_by_feed[number])
+            self._thread_by_feed[number] = self._spawn(number)
+        else:
+            self._wake_by_feed[number].fire()
+
     def _on_source_lost(self) -> None:
         for feed in self._feeds:
             feed.forget_pull()
@@ -171,16 +197,21 @@
             self._await_members()
         while True:
             if not self.plan.watches:
-                self._wake_by_feed[number].wait(TICK_S)
+                if self._wake_by_feed[number].wait(TICK_S) and self._is_overdue(feed):
+                    eventlet.sleep(self._step(number, feed))
                 continue
             if number > 0 and self._is_probed_by_first(feed):
                 eventlet.sleep(TICK_S)
                 continue
             eventlet.sleep(self._step(number, feed))
 
+    def _is_overdue(self, feed: Feed) -> bool:
+        return feed is self._age.feed and self._age.check()
+
     def _step(self, number: int, feed: Feed) -> float:
         """Make one call to the store; return the seconds to wait after it."""
         was_known, was_current = feed.is_known, self._is_current
+        was_failing = feed.subscription.is_failing
         try:
             pause_s = feed.subscription.step()
         except Exception as error:
@@ -190,16 +221,26 @@
         self._metrics.count("store_reads")
         if feed.subscription.is_failing:
             self._blind_until = self._clock.monotonic() + BLIND_S
-            if self.plan.is_reserve:
+            if self.plan.is_reserve or not self.plan.watches:
                 pause_s = max(pause_s, RESERVE_PERIOD_S)
+            if not was_failing:
+                self._doubt_others(number)
         elif not was_current and self._is_current:
             self._blind_until = 0.0
         if number == 0 and not was_known and feed.is_known:
             self.review()
         if was_current != self._is_current:
             self._announce()
+        elif feed is self._age.feed and self.plan.is_shared:
+            self._announce(renews=True)
         return pause_s
 
+    def _doubt_others(self, failed: int) -> None:
+        """Repeat the watches of the other feeds: what lost one call may lose others."""
+        for number, feed in enumerate(self._feeds):
+            if number != failed and feed.subscription.is_waiting:
+                self._ask_at_once(number)
+
     def _await_members(self) -> None:
         """Wait for the first list of members, from which sources can be chosen."""
         deadline = self._clock.monotonic() + MEMBERS_TIMEOUT_S
@@ -217,16 +258,22 @@
             feed.subscription.is_current for feed in self._feeds
         )
 
-    def _announce(self) -> None:
-        """Tell followers what this node holds, if it changed or as a heartbeat."""
+    def _announce(self, *, renews: bool = False) -> None:
+        """Tell followers what this node holds, if it changed or as a heartbeat.
+
+        With `renews` they are told in any case, as its age has become less.
+        """
         now = self._clock.monotonic()
         announce = frames.Announce(
             is_current=self._is_current,
             progress_by_feed=tuple(feed.replica.progress for feed in self._feeds),
+            age_ms_by_feed=tuple(age_ms(feed, now) for feed in self._feeds),
         )
-        if announce == self._announced and now - self._announced_at < ANNOUNCE_PERIOD_S:
+        held = (announce.is_current, announce.progress_by_feed)
+        is_due = now - self._announced_at >= ANNOUNCE_PERIOD_S
+        if held == self._announced and not is_due and not renews:
             return
-        self._announced, self._announced_at = announce, now
+        self._announced, self._announced_at = held, now
         if self._followers.link_by_id:
             self._followers.send(frames.pack_announce(announce))
 
@@ -247,24 +294,8 @@
             )
             link.close()
             return
-        link.send(self._packed(frame))
-
-    def _packed(self, pull: frames.Pull) -> bytes:
-        """Return the packed answer to a pull; several followers ask for the same."""
-        replica = self._feeds[pull.feed].replica
-        key = (pull.feed, pull.held, replica.progress.complete_to)
-        packed = self._packed_by_pull.get(key)
-        if packed is None:
-            objects = frames.Objects(
-                feed=pull.feed,
-                complete_to=replica.progress.complete_to,
-                changes=replica.changes_after(pull.held),
-            )
-            packed = frames.pack_objects(objects)
-            while len(self._packed_by_pull) >= MAX_PACKED_BATCHES:
-                del self._packed_by_pull[next(iter(self._packed_by_pull))]
-            self._packed_by_pull[key] = packed
-        return packed
+        replica = self._feeds[frame.feed].replica
+        link.send(self._answers.pack(frame, replica))
 
     def _receive(self, link: Link, frame: frames.Frame) -> None:
         if isinstance(frame, frames.Announce):
@@ -300,10 +331,13 @@
         now = self._clock.monotonic()
         before = self._sources.state_of(link.peer, now)
         self._sources.reported(link.peer, is_current=announce.is_current)
-        offers = zip(self._feeds, announce.progress_by_feed, strict=False)
-        for number, (feed, offered) in enumerate(offers):
+        told = zip(announce.progress_by_feed, announce.age_ms_by_feed, strict=False)
+        offers = zip(self._feeds, told, strict=False)
+        for number, (feed, (offered, told_age_ms)) in enumerate(offers):
             if feed.wants(offered, now):
                 pull = frames.Pull(feed=number, held=feed.replica.progress)
                 link.send(frames.pack_pull(pull))
+            if told_age_ms < frames.MAX_AGE_MS:
+                feed.vouch(offered.complete_to, now - told_age_ms / MS_PER_S)
         if self._sources.state_of(link.peer, now) is not before:
             self.review()
--- a/src/comfreytray/store/subscriptions.py
+++ b/src/comfreytray/store/subscriptions.py
@@ -1,5 +1,6 @@
 """Follow the store's objects under a prefix, with back-off while calls fail."""
 
+import math
 from collections.abc import Callable
 
 from comfreytray.common import logs, revisions
@@ -16,8 +17,8 @@
     over a slow link it takes longer than the call's time-out. With `newest_only` the
     prefix is one key, and a subscription that is behind reads that object instead.
 
-    `wait_s` is the time-out of a watch; `gap_s` gives the pause after a batch with
-    objects, in seconds.
+    `wait_s` is the longest wait of a watch, and `gap_s` gives the pause after a batch
+    with objects, in seconds; neither is longer than what `max_wait_s` gives.
     """
 
     def __init__(
@@ -31,6 +32,7 @@
         gap_s: Callable[[], float],
         on_batch: Callable[[WatchBatch], None],
         newest_only: bool = False,
+        max_wait_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -40,14 +42,17 @@
         self._gap_s = gap_s
         self._on_batch = on_batch
         self._newest_only = newest_only
+        self.max_wait_s = max_wait_s
         self._revision = 0
         self._is_calling = False
         self._is_behind = False
         """Whether there may be more than one change since the revision."""
         self._failing_since: float | None = None
         """Monotonic time of the first failure since the last success."""
-        self.answered_at: float | None = None
-        """Monotonic time of the last successful call, None before the first."""
+        self.verified_at = -math.inf
+        """Monotonic time up to which the store has shown all changes."""
+        self.is_waiting = False
+        """Whether a watch is under way that waits for changes."""
         self.is_current = False
         """Whether the last call succeeded since the subscription began or resumed."""
 
@@ -62,6 +67,10 @@
             self._revision = revision
             self._is_behind = False
 
+    def ask_again(self) -> None:
+        """Have the next call be answered at once, as the one under way was ended."""
+        self.is_current = False
+
     def resume(self) -> None:
         """Begin to follow the store again, after a time without calls.
 
@@ -75,24 +84,32 @@
     def step(self) -> float:
         """Make one store call; return the seconds to wait before the next step."""
         reads_newest = self._newest_only and self._is_behind and self._revision > 0
+        wait_s = 0.0 if reads_newest else self._next_wait_s()
+        asked_at = self._clock.monotonic()
         self._is_calling = True
+        self.is_waiting = wait_s > 0.0
         try:
-            batch = self._read_newest() if reads_newest else self._watch()
+            batch = self._read_newest() if reads_newest else self._watch(wait_s)
         finally:
-            self._is_calling = False
+            self._is_calling = self.is_waiting = False
         if isinstance(batch, Failure):
             return self._record_failure(batch)
         self._record_success()
+        self._verify(asked_at, 0.0 if batch.objects else wait_s)
         self._revision = max(batch.revision, self._revision)
         self._is_behind = not reads_newest and len(batch.objects) > 1
         self._on_batch(batch)
-        return self._gap_s() if batch.objects else 0.0
+        return min(self._gap_s(), self.max_wait_s()) if batch.objects else 0.0
 
-    def _watch(self) -> WatchBatch | Failure:
+    def _next_wait_s(self) -> float:
         # A call that a silent store has lost is never answered. Until the store
         # answers again, calls do not wait for changes, so that they end soon.
         # The first call after a pause shows at once whether the store answers.
-        wait_s = self._wait_s if self.is_current else 0.0
+        if not self.is_current:
+            return 0.0
+        return min(self._wait_s, self.max_wait_s())
+
+    def _watch(self, wait_s: float) -> WatchBatch | Failure:
         return self._store.watch(
             self._prefix, after_revision=self._revision, timeout_s=wait_s
         )
@@ -102,13 +119,19 @@
         if isinstance(stored, Failure):
             # A store that came back from an older copy may lack the object.
             is_absent = stored.kind is Kind.NOT_FOUND
-            return self._watch() if is_absent else stored
+            return self._watch(0.0) if is_absent else stored
         newer = stored.version > self._revision
         return WatchBatch(
             revision=max(stored.version, self._revision),
             objects=(stored,) if newer else (),
         )
 
+    def _verify(self, asked_at: float, waited_s: float) -> None:
+        """Date an answer: one without changes is no older than the end of its wait."""
+        if self._clock.monotonic() - asked_at >= waited_s:
+            asked_at += waited_s
+        self.verified_at = max(self.verified_at, asked_at)
+
     def _record_failure(self, failure: Failure) -> float:
         self._is_behind = True
         self.is_current = False
@@ -123,8 +146,6 @@
         return self._backoff.next_s()
 
     def _record_success(self) -> None:
-        now = self._clock.monotonic()
-        self.answered_at = now
         self.is_current = True
         self._backoff.reset()
         if self._failing_since is None:
@@ -132,6 +153,6 @@
         logs.log(
             logs.Event.STORE_BACK,
             prefix=self._prefix,
-            lost_for_s=now - self._failing_since,
+            lost_for_s=self._clock.monotonic() - self._failing_since,
         )
         self._failing_since = None
