Acknowledge a departure once the store holds it

Its successor takes a late heartbeat for true and offers the endpoint for up to ten seconds; what runs there as it exits is lost.

Cause: the answer 200 was a promise that only the process held. The departure was to be written with the node's record, after the answer. Told apart from a lost write and from a refused heartbeat by the stand-in's record: no write arrived between the answer and the kill, and the stored record that the new process read named no departure.

Change: `draining` and DELETE get 200 once the store holds the departure, within 0.8 s of the second for which the sender waits, and else 503; the sender repeats them. The node acts on them at once in either case. Line departure-not-stored. Two more ways in which an acknowledged departure was lost, found by asking where else: - A new process wrote its record over the one that named the departure if its own read came before the list of members; it now learns from what it reads before it writes. - The record named the last departure only; it names the last four. A departure of a lifetime that a later one has replaced is recorded as well.

Tests that failed before, each with its part of the change taken out on a scratch copy: "A departure is acknowledged once the store holds it, not before", "A departure that was acknowledged outlives a kill of the node", "Departures one after the other are all kept".

Ruled out: acknowledging by copies at peers while the store is away. Any number of machines may end at the same moment, so a copy in memory is no promise. An endpoint that gets no answer stops by itself some seconds later, and the node has sent it nothing since.

The constructor of Heartbeats in two tests names the new parameter; nothing else in them changed.

--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -25,6 +25,29 @@
     When the nodes start again and a heartbeat from before arrives, early or late
     Then the instance accepts no calls until it has started again
 
+  # An acknowledgement that only the process held was lost with it (review/4).
+  Scenario Outline: A departure is acknowledged once the store holds it, not before
+    Given a node beside an instance, and a store that <fault>
+    When the instance says in several ways that it leaves
+    Then it gets no calls from then on and no acknowledgement
+    And it gets the acknowledgement once the store holds the departure
+
+    Examples:
+      | fault                   |
+      | is down                 |
+      | lost the node's record  |
+
+  Scenario: A departure that was acknowledged outlives a kill of the node
+    Given the stores of nodes that were killed as they acknowledged a departure
+    When the nodes start again, read their records early or late, and a heartbeat comes
+    Then the instance accepts no calls until it has started again
+    And the stored records still name the departures
+
+  Scenario: Departures one after the other are all kept
+    Given a node beside which three instances have left, each after the one before
+    When the node is killed and starts again
+    Then no late heartbeat of any of them brings it back
+
   Scenario: Heartbeats don't undo what an instance said in an answer
     Given an instance that says in an answer that it leaves
     When a heartbeat that says ready arrives afterwards
--- a/features/steps/platform_instances_steps.py
+++ b/features/steps/platform_instances_steps.py
@@ -27,15 +27,16 @@
 }
 
 
-def _register(clock=None, **options):
+def _register(clock=None, on_change=lambda endpoint: None, **options):
     return InstanceRegister(
-        clock=clock or FakeClock(),
-        heartbeat_s=1.5,
-        on_change=lambda endpoint: None,
-        **options,
+        clock=clock or FakeClock(), heartbeat_s=1.5, on_change=on_change, **options
     )
 
 
+def _heartbeats_app(register, store=lambda departure: True):
+    return Heartbeats(register=register, service="s", upstream=UPSTREAM, store=store)
+
+
 def _heartbeat(started_ms, sequence, state, instance_id="i"):
     endpoint = Endpoint(
         service="s", instance_id=instance_id, slots=2, connections=4, state=state
@@ -162,10 +163,7 @@
 )
 def acknowledge_departures(context):
     context.late, context.restarted = [], []
-    apps = [
-        Heartbeats(register=register, service="s", upstream=UPSTREAM)
-        for register in context.registers
-    ]
+    apps = [_heartbeats_app(register) for register in context.registers]
     for app in apps:
         assert _ask(app, "DELETE", "/-/instances/i") == 200
     context.clock.now += 3.0
@@ -274,7 +272,7 @@
 @given("the control address of a node")
 def make_control(context):
     context.register = _register()
-    context.app = Heartbeats(register=context.register, service="s", upstream=UPSTREAM)
+    context.app = _heartbeats_app(context.register)
     assert _ask(context.app, "PUT", "/-/instances/i", HEARTBEAT) == 200
 
 
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -37,6 +37,7 @@
     CALLS_CUT = "calls-cut"
     REQUEST_HELD = "request-held"
     REQUEST_RELEASED = "request-released"
+    DEPARTURE_NOT_STORED = "departure-not-stored"
     RECORD_NOT_STORED = "record-not-stored"
     RECORD_REPLACED = "record-replaced"
     SETTINGS_RELOADED = "settings-reloaded"
--- a/src/comfreytray/common/records.py
+++ b/src/comfreytray/common/records.py
@@ -81,10 +81,19 @@
     """Increases with each change of `endpoint` within an incarnation."""
     departure: Departure | None = None
     """The last departure, which the node's next incarnation must know."""
+    earlier_departures: tuple[Departure, ...] = ()
+    """Departures before the last one, oldest first."""
     revision: int = 0
     """Increases with each change of the record within an incarnation; 0 if the node
     does not number its records."""
 
+    @property
+    def departures(self) -> tuple[Departure, ...]:
+        """Return all departures that the record names, oldest first."""
+        if self.departure is None:
+            return self.earlier_departures
+        return (*self.earlier_departures, self.departure)
+
     def precedes(self, other: "NodeRecord") -> bool:
         """Whether the node itself has replaced this record by another one."""
         if self.incarnation != other.incarnation:
--- a/src/comfreytray/membership/departures.py
+++ b/src/comfreytray/membership/departures.py
@@ -10,6 +10,8 @@
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.records import Departure
 
+MAX_PUBLISHED = 4
+"""Departures that a node's record names; late heartbeats are seconds old at most."""
 MAX_DEPARTURES = 64
 """Instances of one address whose departures are kept; the oldest is dropped."""
 MS_PER_S = 1000
@@ -27,6 +29,15 @@
         """Return the departure that was recorded last."""
         return next(reversed(self._departure_by_id.values()), None)
 
+    @property
+    def published(self) -> tuple[Departure, ...]:
+        """Return the last departures, oldest first."""
+        return tuple(self._departure_by_id.values())[-MAX_PUBLISHED:]
+
+    def get(self, instance_id: str) -> Departure | None:
+        """Return the departure of an instance, None if there is none."""
+        return self._departure_by_id.get(instance_id)
+
     def record_now(self, instance_id: str) -> None:
         """Record the departure of an instance whose start time is not known.
 
--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -22,6 +22,7 @@
 )
 
 PREFIX = "members/"
+MAX_EARLIER_DEPARTURES = 16
 MAX_RECORD_BYTES = 4096
 MAX_PORT = 65_535
 MAX_CAPACITY = 1_000_000
@@ -89,6 +90,7 @@
         endpoint=None if endpoint is None else _endpoint(endpoint),
         endpoint_revision=checked_int(plain["endpoint_revision"]),
         departure=_departure(plain.get("departure")),
+        earlier_departures=_earlier_departures(plain.get("earlier_departures")),
         revision=checked_int(plain.get("revision", 0)),
     )
 
@@ -113,6 +115,16 @@
     )
 
 
+def _earlier_departures(plain: object) -> tuple[Departure, ...]:
+    """Decode the departures before the last one; earlier versions write none."""
+    if plain is None:
+        return ()
+    if not isinstance(plain, list):
+        raise TypeError(f"expected a list, got {type(plain).__name__}")
+    decoded = (_departure(item) for item in plain[-MAX_EARLIER_DEPARTURES:])
+    return tuple(departure for departure in decoded if departure is not None)
+
+
 def _ip_address(value: object) -> str:
     """Return an address; raises OSError, TypeError, ValueError.
 
--- a/src/comfreytray/membership/heartbeats.py
+++ b/src/comfreytray/membership/heartbeats.py
@@ -106,6 +106,15 @@
         """Return the last departure, which the node's next incarnation must know."""
         return self._departures.last
 
+    @property
+    def departures(self) -> tuple[Departure, ...]:
+        """Return the last departures, oldest first, for the node's record."""
+        return self._departures.published
+
+    def departure_of(self, instance_id: str) -> Departure | None:
+        """Return the departure of an instance, None if it has not left."""
+        return self._departures.get(instance_id)
+
     def restore(self, departure: Departure) -> None:
         """Learn a departure that an earlier incarnation of the node acknowledged."""
         self._departures.restore(departure)
@@ -127,13 +136,15 @@
         lifetime = heartbeat.lifetime
         if self._has_departed(lifetime) and lifetime != self._lifetime:
             return Receipt.STALE
+        endpoint = heartbeat.upstream.endpoint
+        draining = endpoint.state is EndpointState.DRAINING
         if not self._accept_lifetime(lifetime):
+            if draining:
+                self._record_replaced(lifetime)
             return Receipt.STALE
         if heartbeat.sequence <= self._sequence:
             return Receipt.STALE
         self._sequence = heartbeat.sequence
-        endpoint = heartbeat.upstream.endpoint
-        draining = endpoint.state is EndpointState.DRAINING
         self._step("draining" if draining else "ready", endpoint)
         self._expires_at = self._clock.monotonic() + self._lease_s
         if self._state == "gone":
@@ -152,6 +163,7 @@
             # delayed heartbeats from before the departure are refused.
             lifetime = Lifetime(started_ms=started_ms, instance_id=instance_id)
             if not self._accept_lifetime(lifetime):
+                self._record_replaced(lifetime)
                 return Receipt.STALE
         elif held is None or held.instance_id != instance_id:
             self._departures.record_now(instance_id)
@@ -216,6 +228,11 @@
         self._upstream = None
         return True
 
+    def _record_replaced(self, lifetime: Lifetime) -> None:
+        """Record the departure of a lifetime that a later one has replaced already."""
+        self._departures.record(lifetime.departure)
+        self._on_change(self._published)
+
     def _has_departed(self, lifetime: Lifetime) -> bool:
         return self._departures.include(lifetime.instance_id, lifetime.started_ms)
 
--- a/src/comfreytray/membership/ownrecord.py
+++ b/src/comfreytray/membership/ownrecord.py
@@ -8,7 +8,12 @@
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import ObjectStore
-from comfreytray.common.records import EndpointState, ListedRecord, NodeRecord
+from comfreytray.common.records import (
+    Departure,
+    EndpointState,
+    ListedRecord,
+    NodeRecord,
+)
 from comfreytray.membership import directory
 
 UNKNOWN_VERSION = -1
@@ -33,12 +38,18 @@
         backoff: Backoff,
         listed: Callable[[], ListedRecord | None] = lambda: None,
         capacity: int = 0,
+        on_earlier_self: Callable[[NodeRecord], None] = lambda _: None,
     ) -> None:
-        """Create the writer; `listed` gives what the last list has shown."""
+        """Create the writer; `listed` gives what the last list has shown.
+
+        `on_earlier_self` gets the record of an earlier incarnation before it is
+        replaced.
+        """
         self._store = store
         self._backoff = backoff
         self._listed = listed
         self._capacity = capacity
+        self._on_earlier_self = on_earlier_self
         self._followed_era = UNKNOWN_VERSION
         """Era of the last list from which the stored version was taken."""
         self._version = UNKNOWN_VERSION
@@ -56,6 +67,16 @@
         written = attrs.evolve(self._written, revision=record.revision)
         return written in (record, _as_cold(record))
 
+    def holds(self, departure: Departure) -> bool:
+        """Whether the store is known to hold a departure, or a later one of its id."""
+        if self._written is None:
+            return False
+        return any(
+            stored.instance_id == departure.instance_id
+            and stored.before_ms >= departure.before_ms
+            for stored in self._written.departures
+        )
+
     def write(self, record: NodeRecord) -> float:
         """Make one store call towards writing a record; return the seconds to wait."""
         self._follow_list(record)
@@ -112,8 +133,11 @@
         held = self._store.get(directory.key_of(record.node_id))
         if not isinstance(held, Failure):
             self._version = held.version
-            if directory.decode(held.value) == record:
+            stored = directory.decode(held.value)
+            if stored == record:
                 self._written = record
+            elif stored is not None and stored.incarnation < record.incarnation:
+                self._on_earlier_self(stored)
             return 0.0
         if held.kind is Kind.NOT_FOUND:
             self._version = ABSENT_VERSION
--- a/src/comfreytray/node/noderecord.py
+++ b/src/comfreytray/node/noderecord.py
@@ -22,10 +22,10 @@
         """Return the record as the other nodes should see it now."""
         upstream = self._register.upstream
         endpoint = None if upstream is None else upstream.endpoint
-        departure = self._register.departure
+        *earlier, departure = self._register.departures or (None,)
         made = self._made
-        shown = (endpoint, self.state, departure)
-        if made is not None and (made.endpoint, made.state, made.departure) == shown:
+        shown = (endpoint, self.state, self._register.departures)
+        if made is not None and (made.endpoint, made.state, made.departures) == shown:
             return made
         self._revision += 1
         options = self._options
@@ -40,6 +40,7 @@
             state=self.state,
             endpoint=endpoint,
             departure=departure,
+            earlier_departures=tuple(earlier),
             revision=self._revision,
         )
         return self._made
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -84,7 +84,7 @@
         self.metrics = Metrics()
         self.snapshot: Snapshot | None = None
         self.directory = Directory(
-            clock=self.clock, on_earlier_self=self._learn_own_departure
+            clock=self.clock, on_earlier_self=self._learn_departures
         )
         self.incarnation = int(self.clock.wall() * 1000)
         self.register = InstanceRegister(
@@ -114,6 +114,7 @@
                 backoff=feeds.backoff(),
                 listed=lambda: listed_record(self.members, self.directory),
                 capacity=options.capacity,
+                on_earlier_self=self._learn_departures,
             ),
             members=self.members,
             register=self.register,
@@ -326,9 +327,9 @@
         self.directory.put(self.record())
         self.record_sync.check()
 
-    def _learn_own_departure(self, stored: NodeRecord) -> None:
-        if stored.departure is not None:
-            self.register.restore(stored.departure)
+    def _learn_departures(self, stored: NodeRecord) -> None:
+        for departure in reversed(stored.departures):
+            self.register.restore(departure)
 
     def report(self) -> Mapping[str, object]:
         """Return the state of the node in plain types."""
--- a/src/comfreytray/node/recordsync.py
+++ b/src/comfreytray/node/recordsync.py
@@ -1,11 +1,12 @@
 """Keeps the stored record of a node current, from its start on."""
 
 from collections.abc import Callable
+from functools import partial
 
 import eventlet
 
 from comfreytray.common.interfaces import Clock
-from comfreytray.common.records import ListedRecord, NodeRecord
+from comfreytray.common.records import Departure, ListedRecord, NodeRecord
 from comfreytray.common.signals import Signal
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.heartbeats import InstanceRegister
@@ -18,6 +19,8 @@
 FIRST_HEARTBEAT_TIMEOUT_S = 0.6
 """Time for which the first write of the own record waits for the instance."""
 START_POLL_S = 0.02
+STORE_TIMEOUT_S = 0.8
+"""Time for which a departure waits to be stored; its sender waits for a second."""
 
 
 def poll_until(holds: Callable[[], bool], timeout_s: float, clock: Clock) -> None:
@@ -58,6 +61,13 @@
         """Compare the stored record with the current one soon."""
         self._changed.fire()
 
+    def store(self, departure: Departure) -> bool:
+        """Wait until the store holds a departure; return whether it does in time."""
+        self.check()
+        holds = partial(self._own_record.holds, departure)
+        poll_until(holds, STORE_TIMEOUT_S, self._clock)
+        return holds()
+
     def run(self) -> None:
         """Show the instance and write the record, once the members are known.
 
--- a/src/comfreytray/platform/interfaces.py
+++ b/src/comfreytray/platform/interfaces.py
@@ -9,6 +9,7 @@
 from comfreytray.common.interfaces import Address
 from comfreytray.common.logs import Event, warn
 from comfreytray.common.metrics import Metrics
+from comfreytray.common.records import Departure, EndpointState
 from comfreytray.membership.heartbeats import InstanceRegister, Receipt
 from comfreytray.platform import instances
 
@@ -62,14 +63,24 @@
 
 
 class Heartbeats:
-    """Receive the heartbeats and departures of the instance beside the node."""
+    """Receive the heartbeats and departures of the instance beside the node.
+
+    An instance that leaves relies on the answer also after a kill of the node, so it is
+    200 only once `store` has kept the departure; before, the node acts on it already.
+    """
 
     def __init__(
-        self, *, register: InstanceRegister, service: str, upstream: Address
+        self,
+        *,
+        register: InstanceRegister,
+        service: str,
+        upstream: Address,
+        store: Callable[[Departure], bool],
     ) -> None:
         self._register = register
         self._service = service
         self._upstream = upstream
+        self._store = store
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -101,10 +112,23 @@
                 started_ms=heartbeat.started_ms,
                 sequence=heartbeat.sequence,
             )
+        if heartbeat.upstream.endpoint.state is EndpointState.DRAINING:
+            return self._acknowledge_departure(instance_id)
         return HTTPStatus.OK
 
     def _receive_departure(self, instance_id: str, body: bytes) -> HTTPStatus:
         started_ms = instances.decode_departure(body)
         if self._register.leave(instance_id, started_ms) is Receipt.STALE:
             warn(Event.HEARTBEAT_STALE, instance=instance_id, started_ms=started_ms)
-        return HTTPStatus.OK
+        return self._acknowledge_departure(instance_id)
+
+    def _acknowledge_departure(self, instance_id: str) -> HTTPStatus:
+        departure = self._register.departure_of(instance_id)
+        if departure is None or self._store(departure):
+            return HTTPStatus.OK
+        warn(
+            Event.DEPARTURE_NOT_STORED,
+            instance=instance_id,
+            before_ms=departure.before_ms,
+        )
+        return HTTPStatus.SERVICE_UNAVAILABLE
--- a/src/comfreytray/platform/main.py
+++ b/src/comfreytray/platform/main.py
@@ -72,6 +72,7 @@
                 register=node.register,
                 service=settings.node_options.service,
                 upstream=settings.node_options.upstream,
+                store=node.record_sync.store,
             ),
         )
         node.serve(
