Match routes by the path as it was sent

Cause: routes were matched with the decoded path, in which an encoded slash looks like one that ends a segment.

Change: paths and prefixes are compared in the normal form of RFC 3986, 6.2.2: only unreserved characters are decoded. The check for dot segments still decodes everything.

Tests that failed before: "A path is matched as it was sent" (rows with %2F and %2f), "A path of slashes only is compared no further than the longest prefix".

--- a/src/comfreytray/calls/requests.py
+++ b/src/comfreytray/calls/requests.py
@@ -262,9 +262,10 @@
 
 
 def _route(environ: Environ, snapshot: Snapshot) -> Route | Failure:
-    path = unquote(_raw_path(environ))
-    dots = "/." in path and any(part in (".", "..") for part in path.split("/"))
-    if dots or "\x00" in path:
+    path = _raw_path(environ)
+    decoded = unquote(path)
+    dots = "/." in decoded and any(part in (".", "..") for part in decoded.split("/"))
+    if dots or "\x00" in decoded:
         return Failure(
             kind=Kind.BAD_REQUEST, detail="path with a dot segment or a null byte"
         )
--- a/src/comfreytray/configuration/snapshots.py
+++ b/src/comfreytray/configuration/snapshots.py
@@ -6,6 +6,7 @@
 
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.configuration.content import Head
+from comfreytray.configuration.paths import comparable
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 IDEMPOTENT_METHODS = SAFE_METHODS | {"PUT", "DELETE"}
@@ -77,6 +78,18 @@
             for customer, routes in self.routes_by_customer.items()
         }
 
+    _longest_prefix_by_customer: Mapping[str, int] = field(
+        init=False, eq=False, repr=False
+    )
+    """Characters of the longest prefix of the routes of a customer."""
+
+    @_longest_prefix_by_customer.default
+    def _measure(self) -> Mapping[str, int]:
+        return {
+            customer: max(map(len, routes_by_prefix), default=0)
+            for customer, routes_by_prefix in self._routes_by_prefix_by_customer.items()
+        }
+
     @property
     def services(self) -> frozenset[str]:
         """Services that the routes may send calls to."""
@@ -103,14 +116,20 @@
     def _matching(self, customer: str, path: str) -> Iterator[Route]:
         """Yield the routes whose prefix matches a path, longest prefix first."""
         routes_by_prefix = self._routes_by_prefix_by_customer[customer]
-        for prefix in _prefixes(path):
+        longest = self._longest_prefix_by_customer[customer]
+        for prefix in _prefixes(comparable(path), longest):
             yield from routes_by_prefix.get(prefix, ())
 
 
-def _prefixes(path: str) -> Iterator[str]:
-    """Yield each prefix of a path that ends at a segment boundary, longest first."""
-    yield path
-    end = path.rfind("/")
+def _prefixes(path: str, longest: int) -> Iterator[str]:
+    """Yield each prefix of a path that ends at a segment boundary, longest first.
+
+    Longer ones than `longest` are left out: callers choose the length of a path, and
+    the work is the square of it.
+    """
+    if len(path) <= longest:
+        yield path
+    end = path.rfind("/", 0, longest + 1)
     while end >= 0:
         if end + 1 < len(path):
             yield path[: end + 1]
@@ -122,5 +141,6 @@
 def _group_by_prefix(routes: tuple[Route, ...]) -> dict[str, tuple[Route, ...]]:
     by_prefix: dict[str, tuple[Route, ...]] = {}
     for route in routes:
-        by_prefix[route.path] = (*by_prefix.get(route.path, ()), route)
+        prefix = comparable(route.path)
+        by_prefix[prefix] = (*by_prefix.get(prefix, ()), route)
     return by_prefix
