Log stalls of the event loop

Change: a periodic check of the node that comes 0.25 s late or later leaves a line with the delay and the processor time used meanwhile, so that a function that held the loop is told from a paused process; a counter and the longest delay are served as metrics. The check runs beside an existing one, so it adds no wake-up. Test, new with it: "A function that holds the event loop leaves a line and a number". Not covered: which function it was; the lines of the calls that were under way name them.

--- a/features/linear_time.feature
+++ b/features/linear_time.feature
@@ -7,6 +7,11 @@
     When the patterns of all modules are read
     Then none has two repeats that can take the same characters without a bound
 
+  Scenario: A function that holds the event loop leaves a line and a number
+    Given a monitor of stalls with a period of 0.25 s
+    When checks come in time, 3 s late at work, and 3 s late without processor time
+    Then the two late ones are logged and counted with the processor time used
+
   Scenario Outline: The longest <kind> is read or refused at once
     Given the longest <kind>, whole, broken off and wrong in its last byte
     When each of them is read
--- a/features/steps/linear_time_steps.py
+++ b/features/steps/linear_time_steps.py
@@ -12,9 +12,13 @@
 
 import comfreytray
 from comfreytray.calls import bodies, heads, httpserver
-from comfreytray.common import outerjson
+from comfreytray.common import outerjson, stalls
+from comfreytray.common.logs import Event
+from comfreytray.common.metrics import Metrics
+from comfreytray.common.stalls import StallMonitor
 from comfreytray.configuration import languages
 from comfreytray.platform import instances
+from comfreytray.testing import FakeClock
 
 HANG_S = 15
 """Time after which the test gives up on an input that takes no measurable time."""
@@ -203,6 +207,42 @@
     instances.decode_heartbeat("i", data, service="s", upstream=("h", 1))
 
 
+@given("a monitor of stalls with a period of 0.25 s")
+def make_monitor(context):
+    context.clock, context.metrics = FakeClock(), Metrics()
+    context.processor_s = 0.0
+    context.monitor = StallMonitor(
+        period_s=0.25,
+        clock=context.clock,
+        metrics=context.metrics,
+        processor_s=lambda: context.processor_s,
+    )
+
+
+@when("checks come in time, 3 s late at work, and 3 s late without processor time")
+def check_late(context):
+    context.lines = []
+    warn = stalls.logs.warn
+    stalls.logs.warn = lambda event, **fields: context.lines.append((event, fields))
+    try:
+        for passed_s, worked_s in ((0.25, 0.01), (0.3, 0.1), (3.25, 3.0), (3.25, 0.0)):
+            context.monitor.check()
+            context.clock.now += passed_s
+            context.processor_s += worked_s
+        context.monitor.check()
+    finally:
+        stalls.logs.warn = warn
+
+
+@then("the two late ones are logged and counted with the processor time used")
+def check_stalls(context):
+    assert [event for event, _ in context.lines] == [Event.LOOP_STALLED] * 2
+    got = [(f["late_s"], round(f["processor_s"], 6)) for _, f in context.lines]
+    assert got == [(3.0, 3.0), (3.0, 0.0)], got
+    assert context.metrics.count_by_name["loop_stalls"] == 2
+    assert context.metrics.gauge_by_name["loop_stall_longest_s"] == 3.0
+
+
 LINE = heads.MAX_LINE_BYTES - 16
 DEEP = b"[" * 3000
 INPUT_BY_KIND = {
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -50,6 +50,7 @@
     ENDPOINT_RESTORED = "endpoint-restored"
     AGE_EXCEEDED = "age-exceeded"
     AGE_RENEWED = "age-renewed"
+    LOOP_STALLED = "loop-stalled"
     SELF_DOUBT = "self-doubt"
     STORE_UNAVAILABLE = "store-unavailable"
     STORE_BACK = "store-back"
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -31,6 +31,7 @@
     NodeRecord,
     NodeState,
 )
+from comfreytray.common.stalls import StallMonitor
 from comfreytray.common.tasks import TaskGroup
 from comfreytray.configuration.snapshots import Snapshot
 from comfreytray.membership.directory import Directory
@@ -248,7 +249,10 @@
         )
         self._tasks.spawn("own-record", self.record_sync.run)
         self._tasks.spawn("holds", self.holds.run)
-        self._tasks.run_every(TICK_S, {"register": self.register.tick})
+        stalls = StallMonitor(period_s=TICK_S, clock=self.clock, metrics=self.metrics)
+        self._tasks.run_every(
+            TICK_S, {"stalls": stalls.check, "register": self.register.tick}
+        )
 
     def _listen(self, address: Address) -> Any:
         early = self._listeners.get(address)
