--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -9,7 +9,8 @@
 from eventlet import tpool
 from platform_node_steps import _configuration, _heartbeat, _version
 from platform_store_steps import _record
-from replication_steps import _change_configuration, _is_settled, _transfer
+from replication_nodes_steps import _change_configuration, _is_settled
+from replication_steps import _transfer
 
 from comfreytray.common import revisions
 from comfreytray.common.budgets import Backoff
