Offer no instance before the node's own record is known

The departure was stored; the node was killed 0.4 s later and started while the store was silent.

Cause: a starting node showed its instance after 1 s at the latest, also if the list of members, which shows what its earlier process has acknowledged, was still due. A late heartbeat had come meanwhile and counted as news.

Change: the instance is shown once the members are known. Without them the node is not ready and no other node has its new record, so nothing that was served is lost.

Test that failed before: "A node that has just started offers no instance before it knows its record".

`replication/freshness`: watcher for reader, confirm for vouch.

--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -2,8 +2,8 @@
 
   # A claim without its age let followers serve an old version for 5 s (review/3).
 
-  Scenario Outline: Followers learn a change in time, whatever their readers' calls meet
-    Given a group whose store <fault> one or both readers, from any moment of a watch
+  Scenario Outline: Followers learn a change in time, whatever their watchers' calls meet
+    Given a group whose store <fault> one or both watchers, from any moment of a watch
     When the decisions of all its nodes are replayed with a bound of <bound> s
     Then no follower's knowledge is ever too old for the bound
     And without the fault the followers never ask the store
@@ -21,9 +21,9 @@
     When a node that reads for itself follows the configuration
     Then it knows a change made after the silence in time
 
-  Scenario: What a source vouches for counts once its objects are held
+  Scenario: What a source confirms counts once its objects are held
     Given a feed that lacks what its source holds
-    When the source vouches for it and then sends it
+    When the source confirms it and then sends it
     Then the feed is as fresh as its source, and was not before
 
   Scenario: An answer dates from its request, or from the end of its wait
--- a/features/platform_instances.feature
+++ b/features/platform_instances.feature
@@ -43,6 +43,14 @@
     Then the instance accepts no calls until it has started again
     And the stored records still name the departures
 
+  # A process that had not read its record yet took a late heartbeat for news (soak,
+  # seed 8010).
+  Scenario: A node that has just started offers no instance before it knows its record
+    Given the stores of nodes that were killed as they acknowledged a departure
+    When the nodes start again while the store is silent, and a heartbeat comes
+    Then the instance is not offered for as long as the store is silent
+    And the stored records still name the departures
+
   Scenario: Departures one after the other are all kept
     Given a node beside which three instances have left, each after the one before
     When the node is killed and starts again
--- a/features/replication.feature
+++ b/features/replication.feature
@@ -73,9 +73,9 @@
       | gets no answer of the store |
       | is refused by the store     |
 
-  # Both readers' calls were waited for for 5 s, and all followers relied on them
+  # Both watchers' calls were waited for for 5 s, and all followers relied on them
   # (review/3).
-  Scenario: A change reaches the followers although both readers wait for a silent store
+  Scenario: A change reaches the followers although both watchers wait for a silent store
     Given a store and 12 running nodes of one data centre
     When the store falls silent to both nodes that read it and the configuration changes
     Then every node to which the store isn't silent has the last configuration
--- a/features/steps/departures_stored_steps.py
+++ b/features/steps/departures_stored_steps.py
@@ -36,7 +36,8 @@
 class _Node:
     """The part of a node that tracks the instance and writes the own record."""
 
-    def __init__(self, store, incarnation=1, is_listed=True):
+    def __init__(self, store, incarnation=1, is_listed=True, lists_after_s=None):
+        """Create it; a list that is there from the start is one without its record."""
         self.store = store
         self.register = _register(
             clock=SystemClock(), hidden=True, on_change=lambda endpoint: self.check()
@@ -56,10 +57,19 @@
         )
         self.app = _heartbeats_app(self.register, self.sync.store)
         self.greenlet = eventlet.spawn(self.sync.run)
+        if lists_after_s is not None:
+            eventlet.spawn_after(lists_after_s, self.know_members)
 
     def check(self):
         self.sync.check()
 
+    def know_members(self):
+        """Let the list of members arrive, which shows the own record as stored."""
+        stored = self.store.object_by_key.get(KEY)
+        if stored is not None:
+            self._learn(directory.decode(stored.value))
+        self.members.is_known = True
+
     def _learn(self, stored):
         for departure in reversed(stored.departures):
             self.register.restore(departure)
@@ -145,7 +155,8 @@
     context.late, context.restarted, context.stores = [], [], []
     cases = itertools.product(context.store_by_name.values(), (True, False))
     for incarnation, (store, is_listed) in enumerate(cases, start=2):
-        node = _Node(store, incarnation=incarnation, is_listed=is_listed)
+        lists_after_s = None if is_listed else 0.3
+        node = _Node(store, incarnation, is_listed, lists_after_s)
         context.add_cleanup(node.kill)
         assert _ask(node.app, "PUT", "/-/instances/i", HEARTBEAT) == 200
         assert until(partial(_has_written, store, incarnation))
@@ -161,6 +172,31 @@
     return directory.decode(store.object_by_key[KEY].value).incarnation == incarnation
 
 
+@when("the nodes start again while the store is silent, and a heartbeat comes")
+def start_silent(context):
+    context.stores, context.offered = [], []
+    for store in context.store_by_name.values():
+        store.down = True
+        node = _Node(store, incarnation=2, is_listed=False)
+        context.add_cleanup(node.kill)
+        assert _ask(node.app, "PUT", "/-/instances/i", HEARTBEAT) == 200
+        context.stores.append(node)
+    for _ in range(20):
+        eventlet.sleep(0.1)
+        upstreams = [node.register.upstream for node in context.stores]
+        context.offered += [upstream for upstream in upstreams if upstream is not None]
+
+
+@then("the instance is not offered for as long as the store is silent")
+def check_not_offered(context):
+    assert not context.offered, context.offered[0]
+    for node in context.stores:
+        node.store.down = False
+        node.know_members()
+    assert until(lambda: all(_has_written(n.store, 2) for n in context.stores))
+    assert not [n for n in context.stores if n.register.upstream is not None]
+
+
 @then("the stored records still name the departures")
 def check_still_named(context):
     for node in context.stores:
@@ -181,7 +217,7 @@
 
 @when("the node is killed and starts again")
 def restart(context):
-    context.node = _Node(context.store, incarnation=2, is_listed=False)
+    context.node = _Node(context.store, 2, is_listed=False, lists_after_s=0.3)
     context.add_cleanup(context.node.kill)
     assert until(partial(_has_written, context.store, 2))
 
--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -21,6 +21,7 @@
     max_wait_s,
 )
 from comfreytray.replication.replicator import ANNOUNCE_PERIOD_S, TICK_S
+from comfreytray.replication.sources import WATCHERS
 from comfreytray.store.subscriptions import Subscription
 from comfreytray.testing import FakeClock
 
@@ -30,7 +31,6 @@
 TRANSFER_S = 0.3
 """Time from an answer of the store to the configuration in force."""
 FAULT_S = 9.0
-READERS = 2
 
 
 class _ReplayNode:
@@ -39,7 +39,7 @@
     def __init__(self, rank, limits):
         self.limits = limits
         self.standing = Standing(
-            is_shared=True, watches=rank < READERS, is_reader=rank < READERS
+            is_shared=True, watches=rank < WATCHERS, is_chosen=rank < WATCHERS
         )
         self.verified_at = self.told_at = 0.0
         self.call = None
@@ -93,7 +93,7 @@
 
 
 def _serve(fault, starts_at):
-    """Return how the store answers a reader that the fault hits."""
+    """Return how the store answers a watcher that the fault hits."""
 
     def serve(now, wait_s):
         is_hit = now + wait_s + LATENCY_S > starts_at and now < starts_at + FAULT_S
@@ -110,7 +110,7 @@
     return serve
 
 
-@given("a group whose store {fault} one or both readers, from any moment of a watch")
+@given("a group whose store {fault} one or both watchers, from any moment of a watch")
 def make_group(context, fault):
     context.fault = fault
 
@@ -136,14 +136,14 @@
             # and then; here always after the longest time between two frames.
             if now >= node.told_next_at:
                 node.told_next_at = now + ANNOUNCE_PERIOD_S / 2
-                sources = nodes[: min(READERS, nodes.index(node))]
+                sources = nodes[: min(WATCHERS, nodes.index(node))]
                 told = [source.verified_at for source in sources]
                 node.told_at = max([node.told_at, *told])
-        followers = nodes[READERS:]
+        followers = nodes[WATCHERS:]
         if now > 2.0:
             ages = [now - node.known_at() for node in followers]
             context.worst_s = max(context.worst_s, *ages)
-    context.asked += sum(node.calls for node in nodes[READERS:])
+    context.asked += sum(node.calls for node in nodes[WATCHERS:])
 
 
 @then("no follower's knowledge is ever too old for the bound")
@@ -203,7 +203,7 @@
 @when("a node that reads for itself follows the configuration")
 def follow_alone(context):
     context.limits = FreshnessLimits(propagation_s=2.5, recovery_s=4.0)
-    standing = Standing(is_shared=False, watches=True, is_reader=True)
+    standing = Standing(is_shared=False, watches=True, is_chosen=True)
     context.late = []
     for starts_at in context.starts:
         clock = FakeClock()
@@ -256,18 +256,18 @@
     )
 
 
-@when("the source vouches for it and then sends it")
-def vouch(context):
-    context.feed.vouch(7, 50.0)
+@when("the source confirms it and then sends it")
+def confirm(context):
+    context.feed.confirm(7, 50.0)
     context.before = context.feed.verified_at
     assert context.feed.receive((), 7) is None
 
 
 @then("the feed is as fresh as its source, and was not before")
-def check_vouched(context):
+def check_confirmed(context):
     assert context.before == -math.inf
     assert context.feed.verified_at == 50.0
-    context.feed.vouch(6, 40.0)
+    context.feed.confirm(6, 40.0)
     assert context.feed.verified_at == 50.0
 
 
--- a/features/steps/replication_nodes_steps.py
+++ b/features/steps/replication_nodes_steps.py
@@ -216,10 +216,10 @@
     "the calls under way at the nodes that read the store are lost and a node is added"
 )
 def lose_calls(context):
-    context.readers = _watchers(context)
-    feeds = [feed for node in context.readers for feed in node.replicator._feeds]
+    context.watchers = _watchers(context)
+    feeds = [feed for node in context.watchers for feed in node.replicator._feeds]
     assert until(lambda: all(feed.subscription.is_waiting for feed in feeds))
-    for node in context.readers:
+    for node in context.watchers:
         node.store.lost_before = node.store.calls
     context.added = _record(50)
     context.shared.put(
@@ -233,7 +233,7 @@
 def check_added(context):
     added_id = context.added.node_id
     assert until(
-        lambda: all(added_id in node.directory.view.by_id for node in context.readers)
+        lambda: all(added_id in node.directory.view.by_id for node in context.watchers)
     )
 
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,10 +4,14 @@
 
 from behave import then, when
 
-from soak.faults import KINDS, draw_schedule
+from soak.faults import FIRST_SEED_OF_LATER_KINDS, KINDS, draw_schedule
 from standins.processes import python_environment
 
 ROOT = Path(__file__).parents[2]
+TEN_SEEDS = (
+    *range(5),
+    *range(FIRST_SEED_OF_LATER_KINDS, FIRST_SEED_OF_LATER_KINDS + 5),
+)
 
 
 @when("the soak test runs seed {seed:d} for {seconds:d} s with {nodes:d} nodes")
@@ -33,7 +37,7 @@
 @when("the fault schedules of ten seeds are drawn twice")
 def draw_schedules(context):
     context.schedules = [
-        [list(draw_schedule(seed, nodes=5, seconds=60.0)) for seed in range(10)]
+        [list(draw_schedule(seed, nodes=5, seconds=60.0)) for seed in TEN_SEEDS]
         for _ in range(2)
     ]
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -32,11 +32,17 @@
 """Drawn apart from the others, like those below: earlier seeds keep their schedules."""
 DEADLY = "deadly-request"
 CRASHED = "upstream-crashed"
-KINDS = (*_COMMON_KINDS, RESTORED, DEADLY, CRASHED)
+SILENT = "store-silent"
+LEFT_AND_KILLED = "upstream-replaced-and-node-killed"
+LATER_KINDS = frozenset({SILENT, LEFT_AND_KILLED})
+FIRST_SEED_OF_LATER_KINDS = 8000
+"""Earlier seeds, which stand in tests and pages, keep their schedules."""
+KINDS = (*_COMMON_KINDS, RESTORED, DEADLY, CRASHED, SILENT, LEFT_AND_KILLED)
 FLEET_WIDE_KINDS = frozenset(
     {
         RESTORED,
         DEADLY,
+        SILENT,
         "store-unavailable",
         "store-drops-history",
         "store-cuts-watches",
@@ -49,7 +55,13 @@
 MAX_DURATION_S = 4.0
 MEAN_GAP_S = 0.7
 """Mean time between faults; shorter than most faults, so that they overlap."""
-MEAN_GAP_S_BY_KIND = {RESTORED: 5.0, DEADLY: 3.0, CRASHED: 6.0}
+MEAN_GAP_S_BY_KIND = {
+    RESTORED: 5.0,
+    DEADLY: 3.0,
+    CRASHED: 6.0,
+    SILENT: 5.0,
+    LEFT_AND_KILLED: 4.0,
+}
 """Mean time between two faults of the kinds that are drawn apart."""
 REPEAT_SHARE = 0.3
 """Share of faults that are soon followed by another of the same kind and node."""
@@ -72,6 +84,7 @@
         *(
             _draw_apart(seed, kind, nodes=nodes, seconds=seconds)
             for kind in MEAN_GAP_S_BY_KIND
+            if seed >= FIRST_SEED_OF_LATER_KINDS or kind not in LATER_KINDS
         ),
         key=lambda fault: fault.at_s,
     )
--- a/soak/site.py
+++ b/soak/site.py
@@ -14,9 +14,9 @@
 from typing import Any
 
 import eventlet
-from attrs import define
+from attrs import define, evolve
 
-from soak.faults import CRASHED, RESTORED, Fault
+from soak.faults import CRASHED, LEFT_AND_KILLED, RESTORED, SILENT, Fault
 from soak.instances import DEADLY_PATH, HEARTBEAT_S, Instance
 from soak.promises import LIMIT_WINDOW_S, PromiseChecker
 from soak.relay import Relay
@@ -35,6 +35,8 @@
 MAX_COPY_AGE_S = 9.0
 """Age of the oldest copy from which the store comes back."""
 BOUNDS = ("grace_s=6", "retry_budget_ratio=0.2", "retry_slack=56", "budget_window_s=10")
+KILL_AFTER_LEAVING_RANGE_S = (0.0, 0.5)
+"""Time from an instance's leaving to the kill of its node."""
 _LINK_MODES = {"link-silent": "silent", "link-one-way": "one-way", "link-slow": "slow"}
 
 
@@ -230,6 +232,7 @@
             "store-drops-history": self.store.drop_history,
             "store-cuts-watches": self.store.cut_watches,
             "store-loses-answers": self.store.lose_answers,
+            SILENT: self.store.fall_silent,
         }
         begin[fault.kind]()
         eventlet.sleep(fault.duration_s)
@@ -265,6 +268,12 @@
         if fault.kind == "upstream-replaced":
             instance.replace()
             return
+        if fault.kind == LEFT_AND_KILLED:
+            leaving = eventlet.spawn(instance.replace)
+            eventlet.sleep(self.random.uniform(*KILL_AFTER_LEAVING_RANGE_S))
+            self._apply_node_fault(evolve(fault, kind="node-kill"))
+            leaving.wait()
+            return
         instance.set_fault(fault.kind, True)
         eventlet.sleep(fault.duration_s)
         if fault.kind == "upstream-limited":
--- a/src/comfreytray/node/recordsync.py
+++ b/src/comfreytray/node/recordsync.py
@@ -14,11 +14,11 @@
 from comfreytray.node.storefeeds import MEMBERS_WAIT_S
 from comfreytray.replication.feed import Feed
 
-FIRST_LIST_TIMEOUT_S = 1.0
-"""Time in which the first list of members should show the stored own record."""
 FIRST_HEARTBEAT_TIMEOUT_S = 0.6
 """Time for which the first write of the own record waits for the instance."""
 START_POLL_S = 0.02
+LATE_START_POLL_S = 0.1
+"""Pause between two checks of a start that takes longer, as the store is away."""
 STORE_TIMEOUT_S = 0.8
 """Time for which a departure waits to be stored; its sender waits for a second."""
 
@@ -61,6 +61,13 @@
         """Compare the stored record with the current one soon."""
         self._changed.fire()
 
+    def _await_members(self) -> None:
+        poll_until(
+            lambda: self._members.is_known, FIRST_HEARTBEAT_TIMEOUT_S, self._clock
+        )
+        while not self._members.is_known:
+            eventlet.sleep(LATE_START_POLL_S)
+
     def store(self, departure: Departure) -> bool:
         """Wait until the store holds a departure; return whether it does in time."""
         self.check()
@@ -71,10 +78,12 @@
     def run(self) -> None:
         """Show the instance and write the record, once the members are known.
 
-        Mostly the first heartbeat comes soon enough for the first write.
+        Before, the node does not know which departures an earlier process of it has
+        acknowledged; a late heartbeat would bring the instance back. Mostly the first
+        heartbeat comes soon enough for the first write.
         """
         register = self._register
-        poll_until(lambda: self._members.is_known, FIRST_LIST_TIMEOUT_S, self._clock)
+        self._await_members()
         register.show()
         poll_until(
             lambda: register.upstream is not None,
--- a/src/comfreytray/replication/ages.py
+++ b/src/comfreytray/replication/ages.py
@@ -69,7 +69,7 @@
         return Standing(
             is_shared=plan.is_shared,
             watches=plan.watches,
-            is_reader=plan.rank < WATCHERS,
+            is_chosen=plan.rank < WATCHERS,
         )
 
 
--- a/src/comfreytray/replication/feed.py
+++ b/src/comfreytray/replication/feed.py
@@ -36,7 +36,7 @@
         """Called when all objects are known as a store holds them that came back from
         an older copy."""
         self.told_at = -math.inf
-        """Monotonic time up to which a source has vouched for what is held."""
+        """Monotonic time up to which a source has confirmed what is held."""
         self._told: tuple[int, float] | None = None
         """What a source holds that this replica still lacks, and up to when."""
         self._on_objects = on_objects
@@ -52,7 +52,7 @@
         """Return the monotonic time up to which all changes are held."""
         return max(self.subscription.verified_at, self.told_at)
 
-    def vouch(self, complete_to: int, at: float) -> None:
+    def confirm(self, complete_to: int, at: float) -> None:
         """Note that a source held all changes of the store up to a time."""
         self._told = (complete_to, at)
         self._settle_told()
--- a/src/comfreytray/replication/freshness.py
+++ b/src/comfreytray/replication/freshness.py
@@ -3,8 +3,8 @@
 Load pattern: the store stops answering some nodes, or loses the calls that wait there,
 while it serves the others. A node that reads for a group does not notice until its call
 times out, and its followers have no other sign of it. What a node knows is therefore
-dated by the moment for which the store has vouched for it, and passed on with its age.
-The first reader of a group asks so often that the age stays low, the second one asks
+dated by the moment for which the store has confirmed it, and passed on with its age.
+The first watcher of a group asks so often that the age stays low, the second one asks
 when the first has fallen behind, and all others when both have.
 """
 
@@ -16,7 +16,7 @@
 """Time from the limit of a follower's age to the change in force: the check for it, one
 call to the store and the transfer of the configuration."""
 STANDBY_LEAD_S = 0.5
-"""Time by which the second reader asks before the followers do."""
+"""Time by which the second watcher asks before the followers do."""
 ANSWER_MARGIN_S = 0.3
 """Time for the answer to a watch that ended, and for its way to the followers."""
 TIMEOUT_MARGIN_S = 1.5
@@ -42,13 +42,13 @@
         return max(MIN_LIMIT_S, self.propagation_s - TAKEOVER_S)
 
     @property
-    def reader_s(self) -> float:
-        """Return the age below which the readers keep what they tell followers."""
+    def watcher_s(self) -> float:
+        """Return the age below which the watchers keep what they tell followers."""
         return max(MIN_LIMIT_S, self.follower_s - STANDBY_LEAD_S)
 
     @property
     def watch_s(self) -> float:
-        """Return the longest wait of a watch of which no other node depends."""
+        """Return the longest wait of a watch on which no other node depends."""
         return max(MIN_LIMIT_S, self.recovery_s - TIMEOUT_MARGIN_S)
 
 
@@ -57,10 +57,10 @@
     """What a node's part in its group asks of it."""
 
     is_shared: bool
-    """Whether the node belongs to a group that shares its readers."""
+    """Whether the node belongs to a group that shares its watchers."""
     watches: bool
     """Whether the node reads the store."""
-    is_reader: bool
+    is_chosen: bool
     """Whether it is one of the nodes that the group has chosen to read."""
 
 
@@ -68,7 +68,7 @@
     """Return the age from which a node asks the store at once."""
     if not standing.is_shared:
         return math.inf
-    return limits.reader_s if standing.is_reader else limits.follower_s
+    return limits.watcher_s if standing.is_chosen else limits.follower_s
 
 
 def max_wait_s(
@@ -81,11 +81,11 @@
     """Return how long the next watch may wait at the store.
 
     `age_s` is the age of what the node knows, `told_age_s` that of what other nodes
-    have vouched for; infinite if there is none.
+    have confirmed; infinite if there is none.
     """
     if not standing.watches:
         return 0.0
-    if not standing.is_shared or told_age_s <= limits.reader_s:
+    if not standing.is_shared or told_age_s <= limits.watcher_s:
         return limits.watch_s
-    left_s = limits.reader_s - ANSWER_MARGIN_S - age_s
+    left_s = limits.watcher_s - ANSWER_MARGIN_S - age_s
     return max(0.0, min(limits.watch_s, left_s))
--- a/src/comfreytray/replication/replicator.py
+++ b/src/comfreytray/replication/replicator.py
@@ -224,7 +224,7 @@
             if self.plan.is_reserve or not self.plan.watches:
                 pause_s = max(pause_s, RESERVE_PERIOD_S)
             if not was_failing:
-                self._doubt_others(number)
+                self._repeat_other_watches(number)
         elif not was_current and self._is_current:
             self._blind_until = 0.0
         if number == 0 and not was_known and feed.is_known:
@@ -235,7 +235,7 @@
             self._announce(renews=True)
         return pause_s
 
-    def _doubt_others(self, failed: int) -> None:
+    def _repeat_other_watches(self, failed: int) -> None:
         """Repeat the watches of the other feeds: what lost one call may lose others."""
         for number, feed in enumerate(self._feeds):
             if number != failed and feed.subscription.is_waiting:
@@ -338,6 +338,6 @@
                 pull = frames.Pull(feed=number, held=feed.replica.progress)
                 link.send(frames.pack_pull(pull))
             if told_age_ms < frames.MAX_AGE_MS:
-                feed.vouch(offered.complete_to, now - told_age_ms / MS_PER_S)
+                feed.confirm(offered.complete_to, now - told_age_ms / MS_PER_S)
         if self._sources.state_of(link.peer, now) is not before:
             self.review()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -15,6 +15,8 @@
 ERA_HEADER = "Store-Era"
 POLL_S = 0.01
 MS_PER_S = 1000
+SWALLOW_S = 30.0
+"""Time after which the connection of a call that is never answered is cut."""
 FIRST_REVISION = 10
 
 Stored = dict[str, Any]
@@ -50,6 +52,8 @@
         self.refuses_calls = False
         self.loses_answers = False
         self.cut_count = 0
+        self.is_silent = False
+        self.silence_count = 0
         listener = eventlet.listen(("127.0.0.1", 0))
         self.address: tuple[str, int] = listener.getsockname()
         self._listener = listener
@@ -79,9 +83,14 @@
         """Carry out writes but don't answer them until `clear_faults`."""
         self.loses_answers = True
 
+    def fall_silent(self) -> None:
+        """Swallow the calls that wait, and all others until `clear_faults`."""
+        self.is_silent = True
+        self.silence_count += 1
+
     def clear_faults(self) -> None:
         """Answer calls again."""
-        self.refuses_calls = self.loses_answers = False
+        self.refuses_calls = self.loses_answers = self.is_silent = False
 
     def revision_before(self, age_s: float) -> int:
         """Return the revision that the store had some seconds ago."""
@@ -155,6 +164,8 @@
         return [data]
 
     def _answer(self, environ: dict[str, Any]) -> Answer:
+        if self.is_silent:
+            return _swallow()
         if self.refuses_calls:
             return 503, {}
         url = urlsplit(environ["PATH_INFO"])
@@ -178,7 +189,10 @@
 
     def _watch(self, kind: str, after: int, wait_ms: int) -> Answer:
         cut_count, left_s = self.cut_count, wait_ms / MS_PER_S
+        silence_count = self.silence_count
         while True:
+            if self.silence_count != silence_count:
+                return _swallow()
             if self.cut_count != cut_count:
                 return None, {}
             if not self.oldest_revision - 1 <= after <= self.revision:
@@ -211,3 +225,9 @@
             return 409, current
         stored = self.put(kind, name, body["spec"], by_operator=False)
         return (None, {}) if self.loses_answers else (200, stored)
+
+
+def _swallow() -> Answer:
+    """Leave a call without an answer for longer than its sender waits."""
+    eventlet.sleep(SWALLOW_S)
+    return None, {}
