--- a/features/soak.feature
+++ b/features/soak.feature
@@ -11,6 +11,7 @@
       | 7    |
       | 507  |
       | 3003 |
+      | 8010 |
 
   Scenario: A soak test with a fixed seed in which deadly requests come again
     When the soak test runs seed 3 for 15 s with 4 nodes
