--- a/features/steps/calls_crashes_steps.py
+++ b/features/steps/calls_crashes_steps.py
@@ -16,6 +16,7 @@
     make_call,
     until,
 )
+from samples import node_record
 
 from comfreytray.calls import notices
 from comfreytray.calls.call import MAX_BODY_BYTES, Reply, fail
@@ -31,7 +32,7 @@
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.errors import Kind
 from comfreytray.common.metrics import Metrics
-from comfreytray.common.records import MembershipView, NodeRecord
+from comfreytray.common.records import MembershipView
 from comfreytray.platform.headers import DIALECT
 from comfreytray.testing import FakeClock, MemoryStore
 
@@ -364,22 +365,10 @@
         return Reply(status=204, reason="", headers=())
 
 
-def _record(node_id, incarnation=1):
-    return NodeRecord(
-        node_id=node_id,
-        incarnation=incarnation,
-        region="r",
-        data_centre="d",
-        host="127.0.0.1",
-        control_port=1,
-        call_port=2,
-    )
-
-
 @given("a sender of notices to three nodes, one of which can't be reached")
 def make_sender(context):
     context.clock, context.client = FakeClock(), FakeClient()
-    context.view = MembershipView(by_id={n: _record(n) for n in NODE_IDS})
+    context.view = MembershipView(by_id={n: node_record(n) for n in NODE_IDS})
     context.quarantine = Quarantine(clock=context.clock)
     context.sender = NoticeSender(
         node=lambda: context.view.by_id["a"],
@@ -419,7 +408,7 @@
 def restart_peer(context):
     context.quarantine.learn(context.published[0])
     context.client.got_by_id.clear()
-    by_id = {**context.view.by_id, "b": _record("b", incarnation=2)}
+    by_id = {**context.view.by_id, "b": node_record("b", incarnation=2)}
     context.view = MembershipView(by_id=by_id)
     _step_for(context, 0.5)
 
@@ -515,7 +504,7 @@
 
 @then("a node that starts anew is told all of it, in messages of at most 1 MB")
 def check_sizes(context):
-    restart = {**context.view.by_id, "b": _record("b", incarnation=2)}
+    restart = {**context.view.by_id, "b": node_record("b", incarnation=2)}
     context.view = MembershipView(by_id=restart)
     _step_for(context, 1.0)
     assert context.client.got_by_id["b"] == list(context.known)
--- a/features/steps/calls_measures_steps.py
+++ b/features/steps/calls_measures_steps.py
@@ -2,11 +2,12 @@
 import random
 
 from behave import given, then, when
+from samples import endpoint, node_record
 
 from comfreytray.calls.call import Load
 from comfreytray.calls.measures import MIN_CALLS, VALID_S, OwnMeasures, SharedMeasures
 from comfreytray.calls.routing import Router
-from comfreytray.common.records import Endpoint, MembershipView, NodeRecord
+from comfreytray.common.records import MembershipView
 from comfreytray.replication.measures import PERIOD_S
 from comfreytray.testing import FakeClock
 
@@ -17,17 +18,8 @@
 
 
 def _record(number):
-    endpoint = Endpoint(service="s", instance_id=f"i-{number}", slots=5, connections=9)
-    return NodeRecord(
-        node_id=f"n-{number}",
-        incarnation=1,
-        region="r",
-        data_centre="d",
-        host="127.0.0.1",
-        control_port=0,
-        call_port=0,
-        endpoint=endpoint,
-    )
+    held = endpoint(f"i-{number}", slots=5, connections=9)
+    return node_record(f"n-{number}", endpoint=held)
 
 
 class _Group:
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -5,13 +5,13 @@
 import msgpack
 from behave import given, then, when
 from eventlet import tpool
+from samples import endpoint, node_record
 
 from comfreytray.administration.api import parse_json
 from comfreytray.calls import holdrecords
 from comfreytray.commands import client as admin_client
 from comfreytray.common.errors import Failure
 from comfreytray.common.interfaces import StoredObject, WatchBatch
-from comfreytray.common.records import Endpoint, NodeRecord
 from comfreytray.configuration.snapshots import Snapshot
 from comfreytray.membership import directory
 from comfreytray.membership.announcements import parse_announcement
@@ -54,15 +54,12 @@
 
 
 def _record(node_id):
-    return NodeRecord(
-        node_id=node_id,
+    return node_record(
+        node_id,
         incarnation=7,
-        region="r",
-        data_centre="d",
-        host="127.0.0.1",
         control_port=1,
         call_port=2,
-        endpoint=Endpoint(service="s", instance_id="i", slots=4, connections=8),
+        endpoint=endpoint(slots=4, connections=8),
     )
 
 
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -2,15 +2,15 @@
 import random
 
 import eventlet
-from attrs import evolve
 from behave import given, then, when
 from calls_rig import WAIT_S
 from eventlet import tpool
+from samples import endpoint, node_record
 
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
-from comfreytray.common.records import Endpoint, EndpointState, NodeRecord, NodeState
+from comfreytray.common.records import Endpoint, EndpointState, NodeState
 from comfreytray.membership import directory
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.ownrecord import OwnRecord
@@ -151,18 +151,8 @@
         return super().put(key, value, expected_version=expected)
 
 
-def _record(node_id="a", **changes):
-    record = NodeRecord(
-        node_id=node_id,
-        incarnation=1,
-        region="r",
-        data_centre="d",
-        host="127.0.0.1",
-        control_port=0,
-        call_port=1,
-        endpoint=Endpoint(service="s", instance_id="i", slots=1, connections=1),
-    )
-    return evolve(record, **changes)
+def _record(node_id="a", **values):
+    return node_record(node_id, **{"endpoint": endpoint(), **values})
 
 
 @given("a store that applies the first write of a member's record late")
@@ -237,7 +227,7 @@
     objects = [
         StoredObject(
             key=directory.key_of(f"n{n}"),
-            value=directory.encode(_record_without_endpoint(f"n{n}")),
+            value=directory.encode(node_record(f"n{n}")),
             version=1,
         )
         for n in range(members)
@@ -245,18 +235,6 @@
     context.directory.apply(objects)
 
 
-def _record_without_endpoint(node_id, incarnation=1):
-    return NodeRecord(
-        node_id=node_id,
-        incarnation=incarnation,
-        region="r",
-        data_centre="d",
-        host="10.0.0.1",
-        control_port=0,
-        call_port=1,
-    )
-
-
 @when("a node follows the members for 20 s")
 def follow_members(context):
     clock, received = context.clock, []
@@ -288,13 +266,13 @@
 @given("a directory that holds this node's record")
 def make_own(context):
     context.directory = Directory(clock=FakeClock())
-    context.own = _record_without_endpoint("own", incarnation=2)
+    context.own = node_record("own", incarnation=2)
     context.directory.put(context.own)
 
 
 @when("the store delivers the record that an earlier process of the node wrote")
 def receive_earlier(context):
-    earlier = directory.encode(_record_without_endpoint("own", incarnation=1))
+    earlier = directory.encode(node_record("own", incarnation=1))
     stored = StoredObject(key=directory.key_of("own"), value=earlier, version=9)
     context.directory.apply([stored])
 
