--- a/src/comfreytray/node/recordsync.py
+++ b/src/comfreytray/node/recordsync.py
@@ -14,11 +14,13 @@
 from comfreytray.node.storefeeds import MEMBERS_WAIT_S
 from comfreytray.replication.feed import Feed
 
+PROMPT_LIST_S = 0.6
+"""Time in which the first list of members comes unless the store is away."""
 FIRST_HEARTBEAT_TIMEOUT_S = 0.6
 """Time for which the first write of the own record waits for the instance."""
 START_POLL_S = 0.02
 LATE_START_POLL_S = 0.1
-"""Pause between two checks of a start that takes longer, as the store is away."""
+"""Pause between two checks for the list after `PROMPT_LIST_S`."""
 STORE_TIMEOUT_S = 0.8
 """Time for which a departure waits to be stored; its sender waits for a second."""
 
@@ -61,13 +63,6 @@
         """Compare the stored record with the current one soon."""
         self._changed.fire()
 
-    def _await_members(self) -> None:
-        poll_until(
-            lambda: self._members.is_known, FIRST_HEARTBEAT_TIMEOUT_S, self._clock
-        )
-        while not self._members.is_known:
-            eventlet.sleep(LATE_START_POLL_S)
-
     def store(self, departure: Departure) -> bool:
         """Wait until the store holds a departure; return whether it does in time."""
         self.check()
@@ -96,3 +91,8 @@
                 self._changed.wait(MEMBERS_WAIT_S)
                 continue
             eventlet.sleep(self._own_record.write(record))
+
+    def _await_members(self) -> None:
+        poll_until(lambda: self._members.is_known, PROMPT_LIST_S, self._clock)
+        while not self._members.is_known:
+            eventlet.sleep(LATE_START_POLL_S)
--- a/src/comfreytray/replication/freshness.py
+++ b/src/comfreytray/replication/freshness.py
@@ -24,6 +24,7 @@
 MIN_LIMIT_S = 0.2
 DEFAULT_PROPAGATION_S = 2.5
 DEFAULT_RECOVERY_S = 4.0
+"""Bounds of a node whose settings name none."""
 
 
 @frozen(kw_only=True)
--- a/src/comfreytray/store/subscriptions.py
+++ b/src/comfreytray/store/subscriptions.py
@@ -43,6 +43,7 @@
         self._on_batch = on_batch
         self._newest_only = newest_only
         self.max_wait_s = max_wait_s
+        """May be replaced by whoever paces the calls."""
         self._revision = 0
         self._is_calling = False
         self._is_behind = False
