Tell customers apart by API keys, and repeat downloads

Cause: a configuration with customers' keys was served as if it had none: no 401, the key reached the upstream, X-Tenant was whatever the caller sent, and a download was never tried again. Change: configuration/accounts holds what each customer is granted, indexed by digests of its keys; customers/credentials decides whose a call is and how it ranks; the platform's decoder reads the entries, leaves out odd ones and refuses a version with a shared key. A node whose configuration may be out of date gives 503 in place of a 401, which callers take as final. calls/peercalls carries messages between nodes by topic; notices are its first user. proxy and proxynode are split (responder, activation). Ruled out: keeping the keys themselves, which a log line or report could show.

--- a/features/steps/calls_crashes_steps.py
+++ b/features/steps/calls_crashes_steps.py
@@ -27,6 +27,7 @@
 from comfreytray.calls.instanceends import EndedInstance
 from comfreytray.calls.notices import InstanceEnd, Released
 from comfreytray.calls.noticesender import QUEUE_S, NoticeSender
+from comfreytray.calls.peercalls import PeerCalls
 from comfreytray.calls.quarantine import MAX_ENDS, Quarantine, Verdict
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.clock import SystemClock
@@ -373,7 +374,7 @@
     context.sender = NoticeSender(
         node=lambda: context.view.by_id["a"],
         members=lambda: context.view,
-        client=context.client,
+        peers=PeerCalls(client=context.client, clock=context.clock),
         clock=context.clock,
         quarantine=lambda: context.quarantine,
         learn=lambda _: None,
--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -72,6 +72,7 @@
         self.hidden = set()
         self.path_by_id, self.upstream_by_id, self.http_by_id = {}, {}, {}
         self.greenlets = []
+        self.accounts = None
         self.routes = (
             Route(
                 customer="canhdieu",
@@ -171,6 +172,7 @@
             head=Head(version=1, digest=b"1" * 16),
             routes_by_customer={"canhdieu": self.routes},
             customer_by_host={"canhdieu.test": "canhdieu"},
+            accounts=self.accounts,
         )
 
     def raw(self, node_id, data):
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -189,7 +189,7 @@
         _configuration(9, prefix="/other/"),
         _configuration(11),
     ):
-        context.node._apply_configuration([_stored(plain)])
+        context.node._active.apply([_stored(plain)])
         context.applied_versions.append(_version(context))
 
 
--- a/src/comfreytray/calls/answers.py
+++ b/src/comfreytray/calls/answers.py
@@ -54,8 +54,10 @@
     failure = outcome.failure
     retry_after_s = failure.retry_after_s or failure.answer.retry_after_s
     status = dialect.status_of(outcome)
+    headers = _challenge(failure, dialect)
     if not dialect.has_refusal_body:
-        return f"{status} {failure.kind.value}", _retry_after(retry_after_s), b""
+        headers += _retry_after(retry_after_s)
+        return f"{status} {failure.kind.value}", headers, b""
     if retry_after_s is not None and dialect.integer_retry_after:
         retry_after_s = math.ceil(retry_after_s)
     body = json.dumps(
@@ -67,7 +69,7 @@
         },
         ensure_ascii=False,
     ).encode()
-    headers = [
+    headers += [
         ("Content-Type", "application/json; charset=utf-8"),
         (ERROR_HEADER, failure.kind.value),
         (RAN_HEADER, outcome.ran.value),
@@ -76,6 +78,13 @@
     return f"{status} {failure.kind.value}", headers, body
 
 
+def _challenge(failure: Failure, dialect: Dialect) -> list[tuple[str, str]]:
+    """Return the header that tells a caller without a valid key to send one."""
+    if failure.kind is not Kind.UNKNOWN_KEY or not dialect.key_scheme:
+        return []
+    return [("WWW-Authenticate", dialect.key_scheme)]
+
+
 def _retry_after(seconds: float | None) -> list[tuple[str, str]]:
     return [] if seconds is None else [("Retry-After", f"{seconds:.3g}")]
 
--- a/src/comfreytray/calls/dialect.py
+++ b/src/comfreytray/calls/dialect.py
@@ -81,6 +81,12 @@
     """Header in which an upstream advertises the calls a second that it accepts."""
     leaving: str = ""
     """Header by which an upstream says that it leaves; its value is then 1."""
+    credentials: str = ""
+    """Header with a caller's API key; upstreams don't get it."""
+    key_scheme: str = ""
+    """Authentication scheme that precedes an API key."""
+    customer: str = ""
+    """Header that names a call's customer, found by its API key, to the upstream."""
     not_run: NotRun = _native_not_run
     status_of: StatusOf = _status_by_kind
     accepts_close_delimited: bool = False
@@ -105,6 +111,12 @@
         )
         return frozenset(name.lower() for name in names if name)
 
+    @property
+    def set_with_accounts(self) -> frozenset[str]:
+        """Return the headers that a node sets where the configuration has accounts."""
+        names = (self.credentials, self.customer)
+        return self.set_by_node | {name.lower() for name in names if name}
+
     def says_leaving(self, fields: FieldLookup) -> bool:
         """Whether an answer says that its upstream leaves."""
         return bool(self.leaving) and (fields.get(self.leaving) or "").strip() == "1"
--- a/src/comfreytray/calls/noticesender.py
+++ b/src/comfreytray/calls/noticesender.py
@@ -7,18 +7,16 @@
 import xxhash
 from attrs import define, frozen
 
-from comfreytray.calls.call import Call, Outcome, Reply, fail
-from comfreytray.calls.connections import StreamClient
 from comfreytray.calls.notices import Notice, decode, encode
+from comfreytray.calls.peercalls import PeerCalls
 from comfreytray.calls.quarantine import Quarantine
 from comfreytray.common import logs
-from comfreytray.common.errors import Kind
+from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.records import MembershipView, NodeRecord
 from comfreytray.common.signals import Signal
 
-SERVICE = ""
-"""Service of the calls that carry notices; real services have names."""
+TOPIC = "/notices"
 TICK_S = 0.25
 IDLE_TICK_S = 5.0
 """Period while there is nothing to tell."""
@@ -71,14 +69,14 @@
         *,
         node: Callable[[], NodeRecord],
         members: Callable[[], MembershipView],
-        client: StreamClient,
+        peers: PeerCalls,
         clock: Clock,
         quarantine: Callable[[], Quarantine],
         learn: Callable[[tuple[Notice, ...]], None],
     ) -> None:
         self._node = node
         self._members = members
-        self._client = client
+        self._peers = peers
         self._clock = clock
         self._quarantine = quarantine
         self._learn = learn
@@ -128,14 +126,13 @@
                 eventlet.spawn_n(self._send, by_id[node_id], peer, notices, number)
         self._drop_delivered()
 
-    def receive(self, call: Call) -> Reply | Outcome:
-        """Take the notices of another node."""
-        decoded = decode(call.body)
+    def receive(self, message: bytes) -> bytes | Failure:
+        """Take the notices of another node; the answer is empty."""
+        decoded = decode(message)
         if isinstance(decoded, str):
-            logs.warn(logs.Event.FRAME_REFUSED, reason=f"notices: {decoded}")
-            return fail(Kind.BAD_REQUEST, "malformed notices")
+            return Failure(kind=Kind.BAD_REQUEST, detail=f"notices: {decoded}")
         self._learn(decoded)
-        return Reply(status=204, reason="Taken", headers=())
+        return b""
 
     def _follow_members(self) -> None:
         """Take over who is there; a node that has started anew knows nothing."""
@@ -190,9 +187,8 @@
         """Send notices in messages of limited size; return whether all arrived."""
         for start in range(0, len(notices), MAX_PER_MESSAGE):
             message = encode(notices[start : start + MAX_PER_MESSAGE])
-            deadline = self._clock.monotonic() + SEND_TIMEOUT_S
-            result = self._client.call(record, _carry(message, deadline=deadline))
-            if not isinstance(result, Reply):
+            answer = self._peers.ask(record, TOPIC, message, timeout_s=SEND_TIMEOUT_S)
+            if isinstance(answer, Failure):
                 return False
         return True
 
@@ -220,17 +216,3 @@
         return []
     start = ring.index(own_id) + 1
     return [*ring[start:], *ring[: start - 1]][:TOLD_PEERS]
-
-
-def _carry(message: bytes, *, deadline: float) -> Call:
-    return Call(
-        service=SERVICE,
-        customer="",
-        share=1.0,
-        method="POST",
-        target="/notices",
-        headers=(),
-        body=message,
-        deadline=deadline,
-        idempotent=True,
-    )
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -8,14 +8,7 @@
 import eventlet
 
 from comfreytray.calls import httpserver, requests
-from comfreytray.calls.answers import (
-    MessageFor,
-    StreamedBody,
-    buffer_reply,
-    build_refusal,
-    encode_closing_refusal,
-    plain_message,
-)
+from comfreytray.calls.answers import MessageFor, buffer_reply, plain_message
 from comfreytray.calls.call import Call, CallCancelledError, Outcome, Reply, fail
 from comfreytray.calls.callers import CallerConnections, Listener
 from comfreytray.calls.calllog import CallLog
@@ -23,10 +16,13 @@
 from comfreytray.calls.dialect import NATIVE, Dialect
 from comfreytray.calls.dispatch import Dispatcher
 from comfreytray.calls.guard import Guard
-from comfreytray.calls.noticesender import SERVICE as NOTICE_SERVICE
+from comfreytray.calls.noticesender import TOPIC as NOTICES_TOPIC
 from comfreytray.calls.noticesender import NoticeSender
 from comfreytray.calls.owner import Owner
+from comfreytray.calls.peercalls import SERVICE as PEER_SERVICE
+from comfreytray.calls.peercalls import PeerCalls
 from comfreytray.calls.reaper import Reaper
+from comfreytray.calls.responder import Responder
 from comfreytray.calls.retries import DEFAULT_RETRY_LIMITS, RetryLimits
 from comfreytray.calls.routing import Router, has_cold_endpoint
 from comfreytray.calls.splits import Splitter
@@ -69,19 +65,24 @@
         message_for: MessageFor = plain_message,
         is_cold: Callable[[NodeRecord], bool] = has_cold_endpoint,
         on_leaving: Callable[[str], None] = lambda _: None,
+        is_current: Callable[[], bool] = lambda: True,
     ) -> None:
         self.node = node
         self.snapshot = snapshot
         self.clock = clock
         self.metrics = metrics
-        self.message_for = message_for
         self.tracer = tracer
-        self.leaving = False
+        self.responder = Responder(
+            dialect=dialect, metrics=metrics, message_for=message_for
+        )
         self.in_flight = 0
-        self.dialect = dialect
         self.call_log = CallLog(clock=clock)
         self.reader = requests.RequestReader(
-            dialect=dialect, caller=caller, clock=clock, splitter=Splitter()
+            dialect=dialect,
+            caller=caller,
+            clock=clock,
+            splitter=Splitter(),
+            is_current=is_current,
         )
         self.body_budget = self.reader.budget
         own_id = node().node_id
@@ -105,14 +106,16 @@
             on_leaving=on_leaving,
         )
         self.client = StreamClient(own_id=own_id, clock=clock, metrics=metrics)
+        self.peers = PeerCalls(client=self.client, clock=clock)
         self.notices = NoticeSender(
             node=node,
             members=members,
-            client=self.client,
+            peers=self.peers,
             clock=clock,
             quarantine=lambda: self.guard.quarantine,
             learn=self.guard.learn,
         )
+        self.peers.register(NOTICES_TOPIC, self.notices.receive)
         self.server = StreamServer(
             node_id=own_id,
             clock=clock,
@@ -203,12 +206,12 @@
 
     def ask_to_close(self, schedule: StopSchedule) -> None:
         """Close the connection of a caller after each answer, and plan the stop."""
-        self.leaving = True
+        self.responder.closes_connections = True
         self.reader.stop = schedule
 
     def leave(self) -> None:
         """Refuse new calls for the upstream; callers are served through other nodes."""
-        self.leaving = True
+        self.responder.closes_connections = True
         self.router.leaving = True
         if self.keyed is not None:
             self.keyed.leave()
@@ -263,18 +266,18 @@
             if isinstance(result, Reply) and requests.must_buffer(environ, result):
                 result = buffer_reply(result)
             if isinstance(result, Outcome):
-                return self._refuse(environ, start_response, result)
-            if self.leaving:
-                requests.close_after(environ)
+                return self.responder.refuse(environ, start_response, result)
             streaming = result.rest is not None
-            return self._answer(environ, start_response, result)
+            return self.responder.answer(
+                environ, start_response, result, on_end=self._end_streaming
+            )
         except CallCancelledError:
             self.metrics.count("calls_cancelled")
             requests.close_after(environ)
-            return self._refuse(environ, start_response, fail(Kind.CANCELLED))
+            return self.responder.refuse(environ, start_response, fail(Kind.CANCELLED))
         except Exception as error:
             logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
-            return self._refuse(environ, start_response, fail(Kind.INTERNAL))
+            return self.responder.refuse(environ, start_response, fail(Kind.INTERNAL))
         finally:
             self.reaper.untrack(tracked)
             requests.release_body(environ, self.body_budget)
@@ -283,8 +286,12 @@
 
     def encode_refusal(self, failure: Failure, accept_language: str) -> bytes:
         """Return the complete HTTP response for a head that is refused."""
-        text = self.message_for(failure, accept_language)
-        return encode_closing_refusal(Outcome.of(failure), text, self.dialect)
+        return self.responder.encode_refusal(failure, accept_language)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether connections of callers close after each answer."""
+        return self.responder.closes_connections
 
     @property
     def _configuration_version(self) -> int:
@@ -313,37 +320,12 @@
         return traced(self.tracer, "entry", call, run)
 
     def _run_for_other_node(self, call: Call) -> Reply | Outcome:
-        if call.service == NOTICE_SERVICE:
-            return self.notices.receive(call)
+        if call.service == PEER_SERVICE:
+            return self.peers.answer(call)
         self.metrics.count("calls_for_nodes")
         if call.key and self.keyed is not None:
             return self.keyed.claim_and_run(call)
         return self.owner.run(call)
 
-    def _answer(
-        self, environ: Environ, start_response: Callable[..., Any], reply: Reply
-    ) -> Iterable[bytes]:
-        status = f"{reply.status} {reply.reason or 'Status'}"
-        start_response(status, list(reply.headers))
-        if reply.rest is None:
-            return [reply.body]
-        return StreamedBody(reply=reply, on_end=self._end_streaming)
-
     def _end_streaming(self) -> None:
         self.in_flight -= 1
-
-    def _refuse(
-        self,
-        environ: Environ,
-        start_response: Callable[..., Any],
-        outcome: Outcome,
-    ) -> Iterable[bytes]:
-        kind = outcome.failure.kind
-        self.metrics.count(f"refused_{kind.value}")
-        language = environ.get("HTTP_ACCEPT_LANGUAGE", "")
-        text = self.message_for(outcome.failure, language)
-        status, headers, body = build_refusal(outcome, text, self.dialect)
-        if requests.has_unread_body(environ) or self.leaving:
-            requests.close_after(environ)
-        start_response(status, headers)
-        return [body]
--- a/src/comfreytray/calls/requests.py
+++ b/src/comfreytray/calls/requests.py
@@ -19,7 +19,9 @@
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
+from comfreytray.configuration.accounts import Account
 from comfreytray.configuration.snapshots import Route, Snapshot
+from comfreytray.customers.credentials import identify, rank_priority
 
 BODY_TIMEOUT_S = 10.0
 READ_BYTES = 65_536
@@ -71,8 +73,11 @@
         caller: Callable[[], str],
         clock: Clock,
         splitter: Splitter,
+        is_current: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Create it; `is_current` tells whether the configuration may be relied on."""
         self.dialect = dialect
+        self.is_current = is_current
         self.caller = caller
         self.clock = clock
         self.splitter = splitter
@@ -86,6 +91,7 @@
         self._retried_key = _environ_key(dialect.retried)
         self._trace_key = _environ_key(dialect.trace)
         self._call_id_key = _environ_key(dialect.call_id)
+        self._credentials_key = _environ_key(dialect.credentials)
 
     def read(self, environ: Environ, snapshot: Snapshot | None) -> Call | Failure:
         """Match a request to its route and read its body."""
@@ -95,6 +101,9 @@
         route = _route(environ, snapshot)
         if isinstance(route, Failure):
             return route
+        account = self._account(environ, route, snapshot)
+        if isinstance(account, Failure):
+            return account
         left_s = self._remaining_s(environ, route)
         depth = _parse_number(environ, self._depth_key, MAX_DEPTH + 1)
         if left_s is None or depth is None:
@@ -120,7 +129,10 @@
             )
             if refusal is not None:
                 return refusal
-        return self._call(environ, route, body, now, now + left_s, depth, key)
+        call = self._call(environ, route, body, now, now + left_s, depth, key)
+        if snapshot.accounts is not None:
+            self._apply_account(call, route, account)
+        return call
 
     def call_id(self, environ: Environ) -> str:
         """Return the id that the caller gave this attempt, empty if none."""
@@ -160,6 +172,34 @@
             max_attempts=route.max_attempts,
         )
 
+    def _account(
+        self, environ: Environ, route: Route, snapshot: Snapshot
+    ) -> Account | Failure | None:
+        """Return the account of a call, None if it has none, or why it is refused."""
+        if snapshot.accounts is None:
+            return None
+        found = identify(
+            environ.get(self._credentials_key, ""),
+            scheme=self.dialect.key_scheme,
+            route=route,
+            accounts=snapshot.accounts,
+        )
+        if isinstance(found, Failure) and not self.is_current():
+            # The key may be one that was added since; callers don't repeat after 401.
+            detail = f"{found.detail}, and the configuration may be out of date"
+            return Failure(kind=Kind.NO_CONFIGURATION, detail=detail)
+        return found
+
+    def _apply_account(self, call: Call, route: Route, account: Account | None) -> None:
+        call.headers = tuple(
+            pair
+            for pair in call.headers
+            if pair[0].lower() not in self.dialect.set_with_accounts
+        )
+        call.priority = rank_priority(route, account)
+        if account is not None:
+            call.customer = account.customer
+
     def _due(self, route: Route, arrived: float, environ: Environ) -> float:
         """Return when an answer is due, 0 for a route without a target latency.
 
--- /dev/null
+++ b/src/comfreytray/calls/responder.py
@@ -0,0 +1,70 @@
+"""Hand answers and refusals to the WSGI server."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from comfreytray.calls import requests
+from comfreytray.calls.answers import (
+    MessageFor,
+    StreamedBody,
+    build_refusal,
+    encode_closing_refusal,
+)
+from comfreytray.calls.call import Outcome, Reply
+from comfreytray.calls.dialect import Dialect
+from comfreytray.common.errors import Failure
+from comfreytray.common.metrics import Metrics
+
+Environ = dict[str, Any]
+
+
+class Responder:
+    """Answers callers, in the words of one dialect."""
+
+    def __init__(
+        self, *, dialect: Dialect, metrics: Metrics, message_for: MessageFor
+    ) -> None:
+        self.dialect = dialect
+        self.metrics = metrics
+        self.message_for = message_for
+        self.closes_connections = False
+        """Whether the connection of a caller is closed after each answer."""
+
+    def answer(
+        self,
+        environ: Environ,
+        start_response: Callable[..., Any],
+        reply: Reply,
+        *,
+        on_end: Callable[[], None],
+    ) -> Iterable[bytes]:
+        """Answer a call; `on_end` is called at the end of a streamed answer."""
+        if self.closes_connections:
+            requests.close_after(environ)
+        status = f"{reply.status} {reply.reason or 'Status'}"
+        start_response(status, list(reply.headers))
+        if reply.rest is None:
+            return [reply.body]
+        return StreamedBody(reply=reply, on_end=on_end)
+
+    def refuse(
+        self,
+        environ: Environ,
+        start_response: Callable[..., Any],
+        outcome: Outcome,
+    ) -> Iterable[bytes]:
+        """Report to the caller why a call failed."""
+        kind = outcome.failure.kind
+        self.metrics.count(f"refused_{kind.value}")
+        language = environ.get("HTTP_ACCEPT_LANGUAGE", "")
+        text = self.message_for(outcome.failure, language)
+        status, headers, body = build_refusal(outcome, text, self.dialect)
+        if requests.has_unread_body(environ) or self.closes_connections:
+            requests.close_after(environ)
+        start_response(status, headers)
+        return [body]
+
+    def encode_refusal(self, failure: Failure, accept_language: str) -> bytes:
+        """Return the complete HTTP response for a head that is refused."""
+        text = self.message_for(failure, accept_language)
+        return encode_closing_refusal(Outcome.of(failure), text, self.dialect)
--- a/src/comfreytray/calls/upstreamconnection.py
+++ b/src/comfreytray/calls/upstreamconnection.py
@@ -227,6 +227,7 @@
             dialect.attempt: str(self.attempt),
             dialect.instance: instance_id,
             dialect.caller: call.caller,
+            dialect.customer: call.customer,
         }
         for name, value in value_by_name.items():
             if name and value:
--- a/src/comfreytray/common/errors.py
+++ b/src/comfreytray/common/errors.py
@@ -35,6 +35,8 @@
     NO_ENDPOINT = "no-endpoint"
     OVERLOADED = "overloaded"
     CUSTOMER_OVER_SHARE = "customer-over-share"
+    UNKNOWN_KEY = "unknown-key"
+    QUOTA_EXCEEDED = "quota-exceeded"
     REQUEST_HELD = "request-held"
     REQUEST_ISOLATED = "request-isolated"
     LEAVING = "leaving"
@@ -120,6 +122,8 @@
     Kind.NO_ENDPOINT: _answer(503, Ran.NO, Retry.LATER, 2),
     Kind.OVERLOADED: _answer(503, Ran.NO, Retry.LATER, 1),
     Kind.CUSTOMER_OVER_SHARE: _answer(429, Ran.NO, Retry.LATER, 1),
+    Kind.UNKNOWN_KEY: _answer(401, Ran.NO, Retry.NEVER, None, EXIT_UNAUTHORIZED),
+    Kind.QUOTA_EXCEEDED: _answer(429, Ran.NO, Retry.LATER, 1),
     Kind.REQUEST_HELD: _answer(422, Ran.NO, Retry.NEVER),
     Kind.REQUEST_ISOLATED: _answer(503, Ran.NO, Retry.LATER, 1),
     Kind.LEAVING: _answer(503, Ran.NO, Retry.LATER, 1),
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -18,6 +18,7 @@
     SETTING_REFUSED = "setting-refused"
     VERSION_APPLIED = "version-applied"
     VERSION_REFUSED = "version-refused"
+    ACCOUNT_REFUSED = "account-refused"
     VERSION_IGNORED = "version-ignored"
     VERSION_RESTORED = "version-restored"
     CHANGE_ACCEPTED = "change-accepted"
--- a/src/comfreytray/configuration/snapshots.py
+++ b/src/comfreytray/configuration/snapshots.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from comfreytray.common.errors import Failure, Kind
+from comfreytray.configuration.accounts import Accounts
 from comfreytray.configuration.content import Head
 from comfreytray.configuration.paths import comparable
 
@@ -45,6 +46,8 @@
     timeout_s: float = 5.0
     share: float = 1.0
     """Maximum share of an endpoint's slots that the customer may hold."""
+    is_public: bool = False
+    """Whether calls need no API key where the configuration has accounts."""
 
     def is_idempotent(self, method: str) -> bool:
         """Whether a call of a method may run more than once."""
@@ -67,6 +70,8 @@
     customer_by_host: Mapping[str, str] = field(factory=dict)
     connections_by_service: Mapping[str, int] = field(factory=dict)
     """Maximum number of connections to one instance of a service, where it is set."""
+    accounts: Accounts | None = None
+    """Accounts of customers with API keys; None if calls need no key."""
     _routes_by_prefix_by_customer: Mapping[str, Mapping[str, tuple[Route, ...]]] = (
         field(init=False, eq=False, repr=False)
     )
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -15,14 +15,8 @@
 from comfreytray.calls.proxy import CallPath
 from comfreytray.calls.retries import RetryLimits
 from comfreytray.calls.stopping import StopSchedule
-from comfreytray.common import revisions
 from comfreytray.common.clock import SystemClock
-from comfreytray.common.errors import Failure
-from comfreytray.common.interfaces import (
-    Address,
-    ObjectStore,
-    StoredObject,
-)
+from comfreytray.common.interfaces import Address, ObjectStore, StoredObject
 from comfreytray.common.logs import Event, log, warn
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import (
@@ -37,6 +31,7 @@
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.heartbeats import InstanceRegister
 from comfreytray.membership.ownrecord import OwnRecord
+from comfreytray.node.activation import ActiveConfiguration, DecodeConfiguration
 from comfreytray.node.noderecord import RecordSource
 from comfreytray.node.options import NodeOptions
 from comfreytray.node.recordsync import RecordSync, listed_record, poll_until
@@ -57,7 +52,6 @@
 EXIT_MARGIN_S = 0.6
 """Part of the grace period that is reserved for the exit of the process."""
 
-DecodeConfiguration = Callable[[bytes], Snapshot | Failure]
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
@@ -79,11 +73,12 @@
         self.options = options
         self._listeners = listeners or {}
         self.store = store
-        self.decode_configuration = decode_configuration
         self.clock = SystemClock()
         self.random = random.Random()
         self.metrics = Metrics()
-        self.snapshot: Snapshot | None = None
+        self._active = ActiveConfiguration(
+            decode=decode_configuration, metrics=self.metrics
+        )
         self.directory = Directory(
             clock=self.clock, on_earlier_self=self._learn_departures
         )
@@ -100,7 +95,7 @@
         feeds = StoreFeeds(store=store, clock=self.clock, random=self.random)
         self.configuration = feeds.configuration(
             configuration_key,
-            on_objects=self._apply_configuration,
+            on_objects=self._active.apply,
             order=configuration_order,
         )
         self.members = feeds.members(
@@ -137,6 +132,7 @@
             retry_limits=self._retry_limits,
             is_cold=self.directory.is_cold,
             on_leaving=self.register.drain,
+            is_current=self._is_configuration_current,
         )
         self.holds = feeds.holds(self.calls.guard)
         self.replicator = Replicator(
@@ -181,6 +177,11 @@
         self._stack.close()
         log(Event.NODE_STOPPED, node=self.options.node_id)
 
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """Return the configuration in force."""
+        return self._active.snapshot
+
     @property
     def is_ready(self) -> bool:
         """Whether the node can serve new callers."""
@@ -282,6 +283,11 @@
         endpoint = attrs.evolve(upstream.endpoint, connections=connections)
         return attrs.evolve(upstream, endpoint=endpoint)
 
+    def _is_configuration_current(self) -> bool:
+        """Whether no change can be missing that should be in force by now."""
+        age_s = self.clock.monotonic() - self.configuration.verified_at
+        return age_s <= self.options.freshness.propagation_s
+
     def _retry_limits(self) -> RetryLimits:
         budget = self.options.retries
         return RetryLimits.for_node(
@@ -291,41 +297,9 @@
             window_s=budget.window_s,
         )
 
-    def _apply_configuration(self, objects: Iterable[StoredObject]) -> None:
-        for stored in objects:
-            snapshot = self.decode_configuration(stored.value)
-            if isinstance(snapshot, Failure):
-                warn(
-                    Event.VERSION_REFUSED,
-                    key=stored.key,
-                    revision=revisions.text_of(stored.version),
-                    reason=snapshot.detail,
-                )
-                continue
-            self._activate(snapshot, stored.version)
-
     def _apply_members(self, objects: Iterable[StoredObject]) -> None:
         self.directory.apply(self.holds.take(objects))
 
-    def _activate(self, snapshot: Snapshot, revision: int) -> None:
-        current = self.snapshot
-        if current is not None and snapshot.head.version <= current.head.version:
-            log(
-                Event.VERSION_IGNORED,
-                version=snapshot.head.version,
-                in_force=current.head.version,
-                revision=revisions.text_of(revision),
-            )
-            return
-        self.snapshot = snapshot
-        self.metrics.gauge("version_in_force", snapshot.head.version)
-        log(
-            Event.VERSION_APPLIED,
-            version=snapshot.head.version,
-            before=current.head.version if current else 0,
-            revision=revisions.text_of(revision),
-        )
-
     def _on_endpoint_change(self, endpoint: Endpoint | None) -> None:
         del endpoint
         self.directory.put(self.record())
--- a/src/comfreytray/platform/configuration.py
+++ b/src/comfreytray/platform/configuration.py
@@ -1,11 +1,15 @@
 """Decode the operator's configuration into a snapshot."""
 
 import math
+import re
 from collections.abc import Iterable, Mapping
 from typing import Any
 
 from comfreytray.common import outerjson
 from comfreytray.common.errors import Failure, Kind
+from comfreytray.common.logs import Event, warn
+from comfreytray.common.outerjson import checked_int, checked_text
+from comfreytray.configuration.accounts import Account, build_accounts
 from comfreytray.configuration.content import Head
 from comfreytray.configuration.snapshots import Route, ServiceShare, Snapshot
 
@@ -20,8 +24,11 @@
     OverflowError,
 )
 """Raised when a configuration lacks a field or has one of another type."""
-_IDEMPOTENT_TYPE = "safe"
-"""Type of the routes whose requests may run more than once."""
+_IDEMPOTENT_TYPES = frozenset({"safe", "download"})
+"""Types of the routes whose requests may run more than once."""
+_HEADER_VALUE = re.compile(r"[!-~]+(?: +[!-~]+)*")
+MAX_KEYS = 64
+"""API keys of one customer."""
 
 
 def order_of(value: bytes) -> tuple[int, ...] | None:
@@ -57,6 +64,8 @@
         routes_by_host: dict[str, list[Route]] = {}
         connections_by_service: dict[str, int] = {}
         route_by_name: dict[str, tuple[Mapping[str, Any], Route]] = {}
+        keys_by_account: list[tuple[Account, list[str]]] = []
+        has_accounts = False
         for resource in document["resources"]:
             kind, spec = resource["resource_kind"], resource["spec"]
             if kind == "routes":
@@ -69,6 +78,9 @@
             elif kind == "services":
                 name = resource["metadata"]["name"]
                 connections_by_service[name] = int(spec["max_connections"])
+            elif kind == "tenants":
+                has_accounts = True
+                keys_by_account += _account_if_valid(resource)
         self._route_by_name = route_by_name
         return Snapshot(
             head=Head(version=version, digest=b""),
@@ -77,6 +89,7 @@
             },
             customer_by_host={host: host for host in routes_by_host},
             connections_by_service=connections_by_service,
+            accounts=build_accounts(keys_by_account) if has_accounts else None,
         )
 
     def _route(self, name: str, spec: Mapping[str, Any]) -> Route:
@@ -86,6 +99,45 @@
         return _route(name, spec)
 
 
+def _account_if_valid(resource: Mapping[str, Any]) -> list[tuple[Account, list[str]]]:
+    """Decode the account of a customer; an odd one is left out, the others hold."""
+    try:
+        return [_account(resource)]
+    except _MALFORMED_ERRORS as error:
+        # The text of the error may hold a key.
+        warn(Event.ACCOUNT_REFUSED, error=type(error).__name__)
+        return []
+
+
+def _account(resource: Mapping[str, Any]) -> tuple[Account, list[str]]:
+    spec = resource["spec"]
+    keys = [checked_text(key) for key in spec["api_keys"] or ()]
+    if len(keys) > MAX_KEYS or not all(keys):
+        raise ValueError(f"expected up to {MAX_KEYS} keys, none of them empty")
+    priority = spec.get("priority")
+    customer = checked_text(resource["metadata"]["name"])
+    if _HEADER_VALUE.fullmatch(customer) is None:
+        raise ValueError("expected a name that can be sent in a header")
+    account = Account(
+        customer=customer,
+        priority=None if priority is None else checked_int(priority),
+        rate_per_s=_amount(spec.get("rate_per_s")),
+        burst=_amount(spec.get("burst")),
+    )
+    return account, keys
+
+
+def _amount(value: Any) -> float:
+    """Return a number of calls, 0 if it is absent; raises TypeError, ValueError."""
+    if value is None:
+        return 0.0
+    if type(value) not in (int, float):
+        raise TypeError(f"expected a number, got {type(value).__name__}")
+    if not 0.0 <= value < math.inf:
+        raise ValueError("expected a number from 0")
+    return float(value)
+
+
 def _is_version(value: object) -> bool:
     return type(value) is int and 0 <= value <= outerjson.MAX_SAFE_INTEGER
 
@@ -114,10 +166,11 @@
         methods=_METHODS,
         service=str(spec.get("service") or shares[0].service),
         shares=shares,
-        idempotent=spec["type"] == _IDEMPOTENT_TYPE,
+        idempotent=spec["type"] in _IDEMPOTENT_TYPES,
         trusts_method=False,
         timeout_s=_seconds(spec["timeout_s"]),
         target_latency_s=float(spec.get("target_latency_s", 0.0)),
         priority=int(spec.get("priority", 0)),
         max_attempts=int(spec.get("max_attempts", 0)),
+        is_public=spec.get("public") is True,
     )
--- a/src/comfreytray/platform/headers.py
+++ b/src/comfreytray/platform/headers.py
@@ -7,7 +7,7 @@
 _NOT_RUN_HEADER = "X-Not-Executed"
 """An upstream sets it in the answer to a request that it did not run."""
 _STATUS_ANOTHER_INSTANCE = 421
-_NOT_RUN_STATUSES = frozenset({400, 404, 405, 408, 413, 429, 431, 503})
+_NOT_RUN_STATUSES = frozenset({400, 401, 404, 405, 408, 413, 429, 431, 503})
 """Statuses by which the platform understands that the request has not run."""
 _STATUS_DEFAULT_NOT_RUN = 503
 _STATUS_TIMEOUT = 504
@@ -43,6 +43,10 @@
     proof="X-Response-Seal",
     limit="Server-Limit",
     leaving="Server-Leaving",
+    credentials="Authorization",
+    key_scheme="Token",
+    # The platform's name for a customer is tenant.
+    customer="X-Tenant",
     not_run=read_refusal,
     status_of=status_of,
     accepts_close_delimited=True,
