Let nested calls go first, and retry calls that were refused unrun

Change: a call whose id extends that of a call running at the upstream beside its entry ranks before fresh calls and is not shed as late; precedence granted to customers ranks before their shares, and calls of lower precedence give way in a full queue; calls that upstreams refuse without running them have a retry budget of their own. All three only where the configuration has accounts. Ruled out: telling nested calls by their address (callers have the same one) and by whether the upstream is busy (it always is when it matters).

--- a/features/steps/customers_keys_steps.py
+++ b/features/steps/customers_keys_steps.py
@@ -54,7 +54,7 @@
 
 @when("the node's configuration is out of date")
 def make_outdated(context):
-    context.fleet.path_by_id["a"].reader.is_current = lambda: False
+    context.fleet.path_by_id["a"].reader.identification.is_current = lambda: False
 
 
 @when("a call to {path} carries {fields}")
--- a/src/comfreytray/calls/callframes.py
+++ b/src/comfreytray/calls/callframes.py
@@ -11,6 +11,7 @@
 from attrs import frozen
 
 from comfreytray.calls.call import MAX_BODY_BYTES, Call, Headers, Load, Outcome
+from comfreytray.calls.nesting import NESTED_PRIORITY
 from comfreytray.common.errors import Failure, Kind, Ran
 
 PROTOCOL_VERSION = 2
@@ -277,7 +278,8 @@
 def _check_open(frame: Frame) -> str:
     if not _are_headers(frame[7]):
         return "malformed headers in a call"
-    if min(frame[9], frame[11], frame[18]) < 0 or not 0.0 < frame[4] <= 1.0:
+    in_range = frame[18] >= NESTED_PRIORITY and 0.0 < frame[4] <= 1.0
+    if min(frame[9], frame[11]) < 0 or not in_range:
         return "number out of range in a call"
     return ""
 
--- a/src/comfreytray/calls/dispatch.py
+++ b/src/comfreytray/calls/dispatch.py
@@ -17,7 +17,7 @@
     FAILED_STATUSES,
     MIN_TIME_LEFT_S,
     Decision,
-    RetryBudget,
+    RetryBudgets,
     RetryLimits,
     decide_retry,
     may_retry_answer,
@@ -69,8 +69,12 @@
         clock: Clock,
         metrics: Metrics,
         retry_limits: Callable[[], RetryLimits],
+        refused_limits: Callable[[], RetryLimits | None] = lambda: None,
         dialect: Dialect = NATIVE,
     ) -> None:
+        """Create it; calls that upstreams refuse have a budget of their own if
+        `refused_limits` returns one.
+        """
         self.node = node
         self.router = router
         self.owner = owner
@@ -79,11 +83,13 @@
         self.clock = clock
         self.metrics = metrics
         self.dialect = dialect
-        self.budget = RetryBudget(clock=clock, limits=retry_limits)
+        self.budgets = RetryBudgets(
+            clock=clock, limits=retry_limits, refused_limits=refused_limits
+        )
 
     def run(self, call: Call) -> Reply | Outcome:
         """Run a call at endpoints of its service and return the result."""
-        self.budget.earn()
+        self.budgets.earn()
         attempts = _Attempts()
         while True:
             record = self._pick(call, attempts)
@@ -135,7 +141,7 @@
             sent=attempts.sent,
             took_s=took_s,
             time_left_s=call.deadline - self.clock.monotonic(),
-            budget=self.budget,
+            budget=self.budgets.common,
         ):
             return False
         attempts.last = reply
@@ -155,7 +161,7 @@
             redirects=attempts.redirects,
             sent=attempts.sent,
             time_left_s=call.deadline - self.clock.monotonic(),
-            budget=self.budget,
+            budget=self.budgets.for_outcome(outcome),
         )
         attempts.ran = outcome.ran = combine_ran(attempts.ran, outcome.ran)
         if not isinstance(attempts.last, Reply):
--- a/src/comfreytray/calls/limits.py
+++ b/src/comfreytray/calls/limits.py
@@ -17,6 +17,7 @@
 from comfreytray.calls.call import Load
 from comfreytray.calls.callrates import CallRate
 from comfreytray.calls.demand import Demand
+from comfreytray.calls.queueorder import find_queue_to_shorten, order_of
 from comfreytray.calls.runtimes import RunTimes
 from comfreytray.calls.tickets import CustomerQueue, Rank, Ticket, TicketState
 from comfreytray.common.errors import Failure, Kind
@@ -256,20 +257,13 @@
         return self.rate.wait_s(ahead, taken_per_s=more_urgent_per_s)
 
     def _evict_for(self, newcomer: CustomerQueue, rank: Rank, delay_s: float) -> bool:
-        """Refuse the last call of the customer with the longest queue to make room.
-
-        Return false if the newcomer's queue is about as long, or the longest itself
-        without a call that ranks after the newcomer.
-        """
-        longest = max(self._queue_by_customer.values(), key=lambda queue: queue.queued)
-        if longest is newcomer:
-            if max(longest.heap)[0] <= rank:
-                return False
-        elif longest.queued <= newcomer.queued + 1:
+        """Refuse a waiting call to make room; return false if none is to give way."""
+        queues = self._queue_by_customer.values()
+        queue = find_queue_to_shorten(queues, newcomer, rank)
+        if queue is None:
             return False
-        waiting = [e for e in longest.heap if e[2].state is TicketState.QUEUED]
         failure = Failure(kind=Kind.OVERLOADED, retry_after_s=delay_s)
-        self._refuse(max(waiting)[2], failure)
+        self._refuse(max(queue.heap)[2], failure)
         return True
 
     def _refuse(self, ticket: Ticket, failure: Failure) -> None:
@@ -333,15 +327,10 @@
         return True
 
     def _next_queue(self) -> CustomerQueue | None:
-        """Return the queue whose customer holds least for its share, then by rank."""
+        """Return the queue whose first call goes next."""
         eligible = [
             queue
             for queue in self._queue_by_customer.values()
             if queue.heap and queue.held < self._slot_cap(queue.heap[0][2].share)
         ]
-        if not eligible:
-            return None
-        return min(
-            eligible,
-            key=lambda q: (q.held / max(q.heap[0][2].share, 0.01), q.heap[0][0]),
-        )
+        return min(eligible, key=order_of) if eligible else None
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -18,6 +18,7 @@
 from comfreytray.calls.instanceends import EndedInstance
 from comfreytray.calls.limits import Admission
 from comfreytray.calls.measures import OwnMeasures
+from comfreytray.calls.nesting import NESTED_PRIORITY, RunningCalls
 from comfreytray.calls.retries import FAILED_STATUSES
 from comfreytray.calls.tickets import Ticket, TicketState
 from comfreytray.calls.tracing import Tracer, traced
@@ -70,6 +71,7 @@
         rate = CallRate(clock=clock, advertised=bool(dialect.limit))
         self.admission = Admission(clock=clock, slots=0, rate=rate)
         self.measures = OwnMeasures()
+        self.running = RunningCalls(separator=dialect.nested_separator)
         self._on_leaving = on_leaving
         self._admit_timer: Any = None
         self.pool = UpstreamPool(
@@ -138,7 +140,8 @@
             deadline=call.deadline,
             kind=call.kind,
             priority=call.priority,
-            due=call.due,
+            # The target of a nested call means nothing to the caller of its parent.
+            due=0.0 if call.priority == NESTED_PRIORITY else call.due,
         )
         if isinstance(ticket, Failure):
             self._log_refused(call, ticket)
@@ -153,10 +156,9 @@
         if isinstance(upstream, Outcome):
             self._release(ticket, permit)
             return upstream
+        self.running.begin(call)
         reply = self.pool.call(
-            upstream,
-            call,
-            on_end=lambda: self._release(ticket, permit),
+            upstream, call, on_end=lambda: self._end(call, ticket, permit)
         )
         if isinstance(reply, Outcome):
             instance = upstream.endpoint.instance_id
@@ -180,6 +182,10 @@
             return ended
         return upstream
 
+    def _end(self, call: Call, ticket: Ticket, permit: Permit) -> None:
+        self.running.end(call)
+        self._release(ticket, permit)
+
     def _release(self, ticket: Ticket, permit: Permit) -> None:
         permit.end()
         self.admission.release(ticket)
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -61,6 +61,7 @@
         caller: Callable[[], str] = lambda: "",
         dialect: Dialect = NATIVE,
         retry_limits: Callable[[], RetryLimits] = lambda: DEFAULT_RETRY_LIMITS,
+        refused_limits: Callable[[], RetryLimits | None] = lambda: None,
         tracer: Tracer | None = None,
         message_for: MessageFor = plain_message,
         is_cold: Callable[[NodeRecord], bool] = has_cold_endpoint,
@@ -77,14 +78,6 @@
         )
         self.in_flight = 0
         self.call_log = CallLog(clock=clock)
-        self.reader = requests.RequestReader(
-            dialect=dialect,
-            caller=caller,
-            clock=clock,
-            splitter=Splitter(),
-            is_current=is_current,
-        )
-        self.body_budget = self.reader.budget
         own_id = node().node_id
         self.router = Router(
             node=node, members=members, clock=clock, random=random, is_cold=is_cold
@@ -105,6 +98,15 @@
             call_log=self.call_log,
             on_leaving=on_leaving,
         )
+        self.reader = requests.RequestReader(
+            dialect=dialect,
+            caller=caller,
+            clock=clock,
+            splitter=Splitter(),
+            is_current=is_current,
+            is_nested=self.owner.running.is_nested,
+        )
+        self.body_budget = self.reader.budget
         self.client = StreamClient(own_id=own_id, clock=clock, metrics=metrics)
         self.peers = PeerCalls(client=self.client, clock=clock)
         self.notices = NoticeSender(
@@ -131,6 +133,7 @@
             clock=clock,
             metrics=metrics,
             retry_limits=retry_limits,
+            refused_limits=refused_limits,
             dialect=dialect,
         )
         self.keyed = self._build_keyed_calls(node, members, store, random)
@@ -246,7 +249,7 @@
             "queued": self.owner.admission.queued,
             "upstream_connections": self.owner.pool.open_count,
             "panics": self.router.panics,
-            "retry_tokens": round(self.dispatcher.budget.tokens, 2),
+            "retry_tokens": round(self.dispatcher.budgets.common.tokens, 2),
             "endpoints": self.router.report(),
         }
 
--- a/src/comfreytray/calls/requests.py
+++ b/src/comfreytray/calls/requests.py
@@ -15,13 +15,12 @@
     request_headers,
 )
 from comfreytray.calls.dialect import Dialect
+from comfreytray.calls.identification import Identification, environ_key
 from comfreytray.calls.splits import Splitter
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
-from comfreytray.configuration.accounts import Account
 from comfreytray.configuration.snapshots import Route, Snapshot
-from comfreytray.customers.credentials import identify, rank_priority
 
 BODY_TIMEOUT_S = 10.0
 READ_BYTES = 65_536
@@ -35,11 +34,6 @@
 Environ = dict[str, Any]
 
 
-def _environ_key(header: str) -> str:
-    """Return the WSGI environ key of a header; that of an empty name is never set."""
-    return "HTTP_" + header.upper().replace("-", "_")
-
-
 class BodyBudget:
     """Limits the bytes of request bodies that a node holds at one time."""
 
@@ -74,10 +68,17 @@
         clock: Clock,
         splitter: Splitter,
         is_current: Callable[[], bool] = lambda: True,
+        is_nested: Callable[[str], bool] = lambda _: False,
     ) -> None:
-        """Create it; `is_current` tells whether the configuration may be relied on."""
+        """Create it.
+
+        `is_current` tells whether the configuration may be relied on, `is_nested`
+        whether the upstream beside the node makes the call of an id.
+        """
         self.dialect = dialect
-        self.is_current = is_current
+        self.identification = Identification(
+            dialect=dialect, is_current=is_current, is_nested=is_nested
+        )
         self.caller = caller
         self.clock = clock
         self.splitter = splitter
@@ -85,13 +86,12 @@
         self.stop: StopSchedule | None = None
         """The planned stop of the node, once it has begun."""
         self._max_deadline_ms_by_route: dict[str, int] = {}
-        self._deadline_key = _environ_key(dialect.deadline)
-        self._depth_key = _environ_key(dialect.depth)
-        self._key_key = _environ_key(dialect.key)
-        self._retried_key = _environ_key(dialect.retried)
-        self._trace_key = _environ_key(dialect.trace)
-        self._call_id_key = _environ_key(dialect.call_id)
-        self._credentials_key = _environ_key(dialect.credentials)
+        self._deadline_key = environ_key(dialect.deadline)
+        self._depth_key = environ_key(dialect.depth)
+        self._key_key = environ_key(dialect.key)
+        self._retried_key = environ_key(dialect.retried)
+        self._trace_key = environ_key(dialect.trace)
+        self._call_id_key = environ_key(dialect.call_id)
 
     def read(self, environ: Environ, snapshot: Snapshot | None) -> Call | Failure:
         """Match a request to its route and read its body."""
@@ -101,7 +101,7 @@
         route = _route(environ, snapshot)
         if isinstance(route, Failure):
             return route
-        account = self._account(environ, route, snapshot)
+        account = self.identification.find_account(environ, route, snapshot)
         if isinstance(account, Failure):
             return account
         left_s = self._remaining_s(environ, route)
@@ -131,7 +131,7 @@
                 return refusal
         call = self._call(environ, route, body, now, now + left_s, depth, key)
         if snapshot.accounts is not None:
-            self._apply_account(call, route, account)
+            self.identification.apply(call, route, account)
         return call
 
     def call_id(self, environ: Environ) -> str:
@@ -172,34 +172,6 @@
             max_attempts=route.max_attempts,
         )
 
-    def _account(
-        self, environ: Environ, route: Route, snapshot: Snapshot
-    ) -> Account | Failure | None:
-        """Return the account of a call, None if it has none, or why it is refused."""
-        if snapshot.accounts is None:
-            return None
-        found = identify(
-            environ.get(self._credentials_key, ""),
-            scheme=self.dialect.key_scheme,
-            route=route,
-            accounts=snapshot.accounts,
-        )
-        if isinstance(found, Failure) and not self.is_current():
-            # The key may be one that was added since; callers don't repeat after 401.
-            detail = f"{found.detail}, and the configuration may be out of date"
-            return Failure(kind=Kind.NO_CONFIGURATION, detail=detail)
-        return found
-
-    def _apply_account(self, call: Call, route: Route, account: Account | None) -> None:
-        call.headers = tuple(
-            pair
-            for pair in call.headers
-            if pair[0].lower() not in self.dialect.set_with_accounts
-        )
-        call.priority = rank_priority(route, account)
-        if account is not None:
-            call.customer = account.customer
-
     def _due(self, route: Route, arrived: float, environ: Environ) -> float:
         """Return when an answer is due, 0 for a route without a target latency.
 
--- a/src/comfreytray/calls/retries.py
+++ b/src/comfreytray/calls/retries.py
@@ -18,6 +18,10 @@
 NODE_SLACK_FRACTION = 0.5
 """Fraction of a shared retry slack that the nodes may use at once; the rest is for
 repeated nested calls, too."""
+REFUSED_RATIO_FRACTION = 0.5
+REFUSED_SLACK_FRACTION = 0.25
+"""The same for retries of calls that upstreams refused without running them, which
+repeat no nested calls."""
 MAX_REDIRECTS = 3
 MAX_REDIRECTS_WHEN_OVERLOADED = 1
 """Where one endpoint is overloaded, few others have room."""
@@ -76,6 +80,17 @@
             window_s=window_s,
         )
 
+    @classmethod
+    def for_refused(
+        cls, *, ratio: float, slack: float, nodes: int, window_s: float = 10.0
+    ) -> "RetryLimits":
+        """Return one node's part of the budget for calls that were refused unrun."""
+        return cls(
+            share=ratio * REFUSED_RATIO_FRACTION,
+            reserve=max(1.0, slack * REFUSED_SLACK_FRACTION / max(1, nodes)),
+            window_s=window_s,
+        )
+
 
 DEFAULT_RETRY_LIMITS = RetryLimits(share=0.1, reserve=10.0)
 """Limits of a node that has no shared budget."""
@@ -124,6 +139,39 @@
         return self._recent_calls * math.exp(-passed_s / limits.window_s)
 
 
+class RetryBudgets:
+    """The budget of all retries, and where it is set one of refused calls alone.
+
+    Load pattern: the instances of a service refuse half of their calls at random. One
+    more try serves most of them, and repeats no work as the first one did not run.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        limits: Callable[[], RetryLimits],
+        refused_limits: Callable[[], RetryLimits | None],
+    ) -> None:
+        self.common = RetryBudget(clock=clock, limits=limits)
+        self._refused_limits = refused_limits
+        self._refused = RetryBudget(
+            clock=clock, limits=lambda: refused_limits() or limits()
+        )
+
+    def earn(self) -> None:
+        """Count a call."""
+        self.common.earn()
+        if self._refused_limits() is not None:
+            self._refused.earn()
+
+    def for_outcome(self, outcome: Outcome) -> RetryBudget:
+        """Return the budget that a retry after an outcome spends from."""
+        if outcome.ran is Ran.NO and self._refused_limits() is not None:
+            return self._refused
+        return self.common
+
+
 def decide_retry(
     call: Call,
     outcome: Outcome,
--- a/src/comfreytray/calls/tickets.py
+++ b/src/comfreytray/calls/tickets.py
@@ -6,6 +6,7 @@
 from attrs import define, field, frozen
 
 from comfreytray.common.errors import Failure
+from comfreytray.customers.credentials import precedence_of
 
 
 class TicketState(Enum):
@@ -45,6 +46,11 @@
     until: float
     """Time of the call's latency target if it has one, else its deadline."""
 
+    @property
+    def precedence(self) -> tuple[bool, int]:
+        """Return the part of the rank that comes before the shares of customers."""
+        return (self.late, precedence_of(self.priority))
+
 
 @define(kw_only=True, eq=False)
 class CustomerQueue:
--- a/src/comfreytray/customers/credentials.py
+++ b/src/comfreytray/customers/credentials.py
@@ -8,6 +8,15 @@
 """Route priorities beyond it rank alike, within one priority of customers."""
 
 
+def precedence_of(priority: int) -> int:
+    """Return the part of a call's priority that ranks before the shares of customers.
+
+    It is the priority granted to the customer, where there are accounts; the priorities
+    of routes count only among the calls of one customer.
+    """
+    return priority // (MAX_ROUTE_PRIORITY + 1)
+
+
 def identify(
     credentials: str, *, scheme: str, route: Route, accounts: Accounts
 ) -> Account | Failure | None:
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -130,6 +130,7 @@
             caller=lambda: options.service,
             dialect=dialect,
             retry_limits=self._retry_limits,
+            refused_limits=self._refused_limits,
             is_cold=self.directory.is_cold,
             on_leaving=self.register.drain,
             is_current=self._is_configuration_current,
@@ -289,12 +290,16 @@
         return age_s <= self.options.freshness.propagation_s
 
     def _retry_limits(self) -> RetryLimits:
-        budget = self.options.retries
         return RetryLimits.for_node(
-            ratio=budget.ratio,
-            slack=budget.slack,
-            nodes=len(self.directory.view.by_id),
-            window_s=budget.window_s,
+            **attrs.asdict(self.options.retries), nodes=len(self.directory.view.by_id)
+        )
+
+    def _refused_limits(self) -> RetryLimits | None:
+        """Return the budget of refused calls; None where there are no accounts."""
+        if self.snapshot is None or self.snapshot.accounts is None:
+            return None
+        return RetryLimits.for_refused(
+            **attrs.asdict(self.options.retries), nodes=len(self.directory.view.by_id)
         )
 
     def _apply_members(self, objects: Iterable[StoredObject]) -> None:
--- a/src/comfreytray/platform/headers.py
+++ b/src/comfreytray/platform/headers.py
@@ -38,6 +38,7 @@
     deadline="X-Deadline-Ms",
     caller="X-Caller-Service",
     call_id="X-Attempt-Id",
+    nested_separator=".",
     instance="X-Expect-Instance",
     # The upstream sets it on each complete success.
     proof="X-Response-Seal",
