Keep connections on which an owner takes a large body

A call whose deadline passed before it was sent closed its connection too, with every other call on it. A call that ends unsent closes the connection only if it is alone on it. Nested calls go first also where the upstream reports its pace.

--- a/features/calls_precedence.feature
+++ b/features/calls_precedence.feature
@@ -5,11 +5,17 @@
     When calls with the ids p-1.c, p-2.c, p-1 and p-1c come without a key
     Then only p-1.c has the priority of nested calls, and only while p-1 runs
 
-  Scenario: Without accounts no call counts as nested
+  Scenario: Without accounts and a reported pace no call counts as nested
     Given a node without accounts whose upstream makes a call while it runs the call p-1
     When calls with the ids p-1.c, p-2.c, p-1 and p-1c come without a key
     Then no call has the priority of nested calls
 
+  Scenario: A call goes before fresh ones where the upstream reports its pace
+    Given a node without accounts whose upstream makes a call while it runs the call p-1
+    And the upstream reports the pace of its machine
+    When calls with the ids p-1.c, p-2.c, p-1 and p-1c come without a key
+    Then only p-1.c has the priority of nested calls, and only while p-1 runs
+
   Scenario: Nested calls are served while a service has half the room that it needs
     Given an upstream of 4 slots, nested calls for half of it and fresh ones for all of it
     When they arrive for 20 s
--- a/features/steps/calls_http_steps.py
+++ b/features/steps/calls_http_steps.py
@@ -8,7 +8,7 @@
 from calls_rig import add_fleet, answer, are_slots_free, count_runs, read_answer, until
 from eventlet.green import socket
 
-from comfreytray.calls import connections, requests
+from comfreytray.calls import liveness, requests
 from comfreytray.calls.connections import shut_down_socket
 
 HEAD = b"POST /%s HTTP/1.1\r\nHost: canhdieu.test\r\n"
@@ -283,8 +283,8 @@
     for upstream in fleet.upstream_by_id.values():
         upstream.script = script
     for name, value in (("PING_AFTER_S", 0.1), ("PING_TIMEOUT_S", 0.3)):
-        context.add_cleanup(setattr, connections, name, getattr(connections, name))
-        setattr(connections, name, value)
+        context.add_cleanup(setattr, liveness, name, getattr(liveness, name))
+        setattr(liveness, name, value)
 
 
 @when("the relay stops forwarding while calls to the owner are in flight")
--- a/features/steps/calls_precedence_steps.py
+++ b/features/steps/calls_precedence_steps.py
@@ -63,6 +63,11 @@
     _add_fleet(context, None)
 
 
+@given("the upstream reports the pace of its machine")
+def report_pace(context):
+    context.path.owner.reports_pace = True
+
+
 def _priorities(context):
     reader, snapshot = context.path.reader, context.fleet.snapshot()
     calls = [
@@ -255,7 +260,7 @@
     )
     served = retried = 0
     for number in range(200):
-        budgets.earn()
+        budgets.earn("s")
         if context.random.random() < 0.5:
             served += 1
             continue
@@ -267,7 +272,7 @@
             redirects=0,
             sent=1,
             time_left_s=1.0,
-            budget=budgets.for_outcome(outcome),
+            budget=budgets.after(outcome, "s"),
         )
         if decision is Decision.RETRY:
             retried += 1
@@ -286,7 +291,7 @@
         limits=lambda: RetryLimits(share=0.0, reserve=1.0),
         refused_limits=lambda: context.limits,
     )
-    assert budgets.for_outcome(unknown) is budgets.common
+    assert budgets.after(unknown, "s") is budgets.common
 
 
 @then("at least 70% are served with it, and the budgets bound the retries of both")
--- a/src/comfreytray/calls/connections.py
+++ b/src/comfreytray/calls/connections.py
@@ -10,6 +10,7 @@
 from eventlet.green import socket
 
 from comfreytray.calls.call import Call, CallCutError, Outcome, Reply, fail
+from comfreytray.calls.liveness import Check, Liveness
 from comfreytray.calls.streams import CallStream, CallStreams, Outbox
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
@@ -25,13 +26,6 @@
 MAX_OUTBOX_BYTES = 4_194_304
 """Unsent bytes on a connection above which it takes no further call or chunk."""
 IDLE_TIMEOUT_S = 60.0
-PING_AFTER_S = 1.0
-"""Time without bytes from an owner, with calls in flight, after which it is pinged."""
-PING_TIMEOUT_S = 2.0
-"""Time after an unanswered ping at which the connection is closed."""
-MIN_CHECKS_SINCE_PING = 4
-"""Checks after a ping before a connection is closed, so that a node that was itself
-paused first reads what has arrived."""
 
 
 class Writer:
@@ -96,9 +90,7 @@
         self.streams = streams
         self.clock = clock
         self.on_closed = on_closed
-        self.last_received_at = clock.monotonic()
-        self.pinged_at = 0.0
-        self._checks_since_ping = 0
+        self.liveness = Liveness(clock=clock, outbox=streams.outbox)
         self.writer = Writer(sock=sock, outbox=streams.outbox, on_lost=self.close)
 
     def close(self) -> None:
@@ -111,21 +103,13 @@
 
     def check(self) -> None:
         """Ping an owner that is silent; close the connection if it does not answer."""
-        now = self.clock.monotonic()
-        if self.pinged_at > self.last_received_at:
-            self._checks_since_ping += 1
-            if (
-                now - self.pinged_at >= PING_TIMEOUT_S
-                and self._checks_since_ping >= MIN_CHECKS_SINCE_PING
-            ):
-                logs.warn(logs.Event.STREAM_CLOSED, reason="no answer to a ping")
-                self.close()
-            return
-        if self.streams.stream_by_id and now - self.last_received_at >= PING_AFTER_S:
-            self.pinged_at = now
-            self._checks_since_ping = 0
+        asked = self.liveness.check(has_calls=bool(self.streams.stream_by_id))
+        if asked is Check.PING:
             self.streams.ping()
             self.writer.flush()
+        elif asked is Check.CLOSE:
+            logs.warn(logs.Event.STREAM_CLOSED, reason="no answer to a ping")
+            self.close()
 
     def read(self) -> None:
         """Receive frames until the connection ends."""
@@ -137,7 +121,7 @@
                 if not received:
                     break
                 turns.take()
-                self.last_received_at = self.clock.monotonic()
+                self.liveness.receive()
                 failure = self.streams.receive(received)
                 if failure is not None:
                     reason = failure.detail or failure.kind.value
@@ -236,9 +220,11 @@
     def _fail_at_deadline(
         self, connection: OwnerConnection, stream: CallStream
     ) -> Outcome:
-        not_sent = connection.streams.outbox.sent < stream.end_offset
+        streams = connection.streams
+        is_unsent = streams.outbox.sent < stream.end_offset
+        is_alone = len(streams.stream_by_id) == 1
         self._cancel(connection, stream)
-        if not_sent:
+        if is_unsent and is_alone:
             connection.close()
             return fail(Kind.DEADLINE_BEFORE_RUN, "not sent")
         outcome = fail(Kind.DEADLINE_WHILE_RUNNING, "no answer from the owner")
@@ -338,7 +324,7 @@
         for connection in self.connections:
             if (
                 not connection.streams.stream_by_id
-                and connection.last_received_at < limit
+                and connection.liveness.last_received_at < limit
             ):
                 connection.close()
 
--- a/src/comfreytray/calls/dispatch.py
+++ b/src/comfreytray/calls/dispatch.py
@@ -89,7 +89,7 @@
 
     def run(self, call: Call) -> Reply | Outcome:
         """Run a call at endpoints of its service and return the result."""
-        self.budgets.earn()
+        self.budgets.earn(call.service)
         attempts = _Attempts()
         while True:
             record = self._pick(call, attempts)
@@ -161,7 +161,7 @@
             redirects=attempts.redirects,
             sent=attempts.sent,
             time_left_s=call.deadline - self.clock.monotonic(),
-            budget=self.budgets.for_outcome(outcome),
+            budget=self.budgets.after(outcome, call.service),
         )
         attempts.ran = outcome.ran = combine_ran(attempts.ran, outcome.ran)
         if not isinstance(attempts.last, Reply):
--- a/src/comfreytray/calls/identification.py
+++ b/src/comfreytray/calls/identification.py
@@ -5,7 +5,6 @@
 
 from comfreytray.calls.call import Call
 from comfreytray.calls.dialect import Dialect
-from comfreytray.calls.nesting import NESTED_PRIORITY
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.configuration.accounts import Account
 from comfreytray.configuration.snapshots import Route, Snapshot
@@ -27,16 +26,10 @@
         *,
         dialect: Dialect,
         is_current: Callable[[], bool],
-        is_nested: Callable[[str], bool],
     ) -> None:
-        """Create it.
-
-        `is_current` tells whether the configuration may be relied on, `is_nested`
-        whether the upstream beside the node makes the call of an id.
-        """
+        """Create it; `is_current` tells whether the configuration may be relied on."""
         self.is_current = is_current
         self._dialect = dialect
-        self._is_nested = is_nested
         self._credentials_key = environ_key(dialect.credentials)
 
     def find_account(
@@ -67,5 +60,3 @@
         call.priority = rank_priority(route, account)
         if account is not None:
             call.customer = account.customer
-        elif self._is_nested(call.call_id):
-            call.priority = NESTED_PRIORITY
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -71,6 +71,8 @@
         rate = CallRate(clock=clock, advertised=bool(dialect.limit))
         self.admission = Admission(clock=clock, slots=0, rate=rate)
         self.measures = OwnMeasures()
+        self.reports_pace = False
+        """Whether the instance reports how fast its machine is at the moment."""
         self.running = RunningCalls(separator=dialect.nested_separator)
         self._on_leaving = on_leaving
         self._admit_timer: Any = None
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -104,7 +104,7 @@
             clock=clock,
             splitter=Splitter(),
             is_current=is_current,
-            is_nested=self.owner.running.is_nested,
+            is_nested=self._is_nested,
         )
         self.body_budget = self.reader.budget
         self.client = StreamClient(own_id=own_id, clock=clock, metrics=metrics)
@@ -322,6 +322,14 @@
             run = self.keyed.run
         return traced(self.tracer, "entry", call, run)
 
+    def _is_nested(self, call_id: str) -> bool:
+        """Whether a call goes before fresh ones, as the upstream makes it in a call."""
+        snapshot = self.snapshot()
+        has_accounts = snapshot is not None and snapshot.accounts is not None
+        if not has_accounts and not self.owner.reports_pace:
+            return False
+        return self.owner.running.is_nested(call_id)
+
     def _run_for_other_node(self, call: Call) -> Reply | Outcome:
         if call.service == PEER_SERVICE:
             return self.peers.answer(call)
--- a/src/comfreytray/calls/requests.py
+++ b/src/comfreytray/calls/requests.py
@@ -16,6 +16,7 @@
 )
 from comfreytray.calls.dialect import Dialect
 from comfreytray.calls.identification import Identification, environ_key
+from comfreytray.calls.nesting import NESTED_PRIORITY
 from comfreytray.calls.splits import Splitter
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.errors import Failure, Kind
@@ -76,9 +77,8 @@
         whether the upstream beside the node makes the call of an id.
         """
         self.dialect = dialect
-        self.identification = Identification(
-            dialect=dialect, is_current=is_current, is_nested=is_nested
-        )
+        self.is_nested = is_nested
+        self.identification = Identification(dialect=dialect, is_current=is_current)
         self.caller = caller
         self.clock = clock
         self.splitter = splitter
@@ -132,6 +132,8 @@
         call = self._call(environ, route, body, now, now + left_s, depth, key)
         if snapshot.accounts is not None:
             self.identification.apply(call, route, account)
+        if account is None and self.is_nested(call.call_id):
+            call.priority = NESTED_PRIORITY
         return call
 
     def call_id(self, environ: Environ) -> str:
--- a/src/comfreytray/calls/retries.py
+++ b/src/comfreytray/calls/retries.py
@@ -22,6 +22,8 @@
 REFUSED_SLACK_FRACTION = 0.25
 """The same for retries of calls that upstreams refused without running them, which
 repeat no nested calls."""
+MAX_SERVICES = 256
+"""Services whose budgets are kept."""
 MAX_REDIRECTS = 3
 MAX_REDIRECTS_WHEN_OVERLOADED = 1
 """Where one endpoint is overloaded, few others have room."""
@@ -154,23 +156,35 @@
         refused_limits: Callable[[], RetryLimits | None],
     ) -> None:
         self.common = RetryBudget(clock=clock, limits=limits)
+        self._clock = clock
+        self._limits = limits
         self._refused_limits = refused_limits
-        self._refused = RetryBudget(
-            clock=clock, limits=lambda: refused_limits() or limits()
-        )
+        self._refused_by_service: dict[str, RetryBudget] = {}
 
-    def earn(self) -> None:
-        """Count a call."""
+    def earn(self, service: str) -> None:
+        """Count a call to a service."""
         self.common.earn()
         if self._refused_limits() is not None:
-            self._refused.earn()
+            self._refused(service).earn()
 
-    def for_outcome(self, outcome: Outcome) -> RetryBudget:
+    def after(self, outcome: Outcome, service: str) -> RetryBudget:
         """Return the budget that a retry after an outcome spends from."""
         if outcome.ran is Ran.NO and self._refused_limits() is not None:
-            return self._refused
+            return self._refused(service)
         return self.common
 
+    def _refused(self, service: str) -> RetryBudget:
+        """Return the budget of a service; each limits the retries of its own calls."""
+        budgets = self._refused_by_service
+        if service not in budgets:
+            if len(budgets) >= MAX_SERVICES:
+                budgets.clear()
+            budgets[service] = RetryBudget(
+                clock=self._clock,
+                limits=lambda: self._refused_limits() or self._limits(),
+            )
+        return budgets[service]
+
 
 def decide_retry(
     call: Call,
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -295,8 +295,9 @@
         )
 
     def _refused_limits(self) -> RetryLimits | None:
-        """Return the budget of refused calls; None where there are no accounts."""
-        if self.snapshot is None or self.snapshot.accounts is None:
+        """Return the budget of refused calls; None where it is part of the common one."""
+        has_accounts = self.snapshot is not None and self.snapshot.accounts is not None
+        if not has_accounts and not self.calls.owner.reports_pace:
             return None
         return RetryLimits.for_refused(
             **attrs.asdict(self.options.retries), nodes=len(self.directory.view.by_id)
