--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -295,7 +295,7 @@
         )
 
     def _refused_limits(self) -> RetryLimits | None:
-        """Return the budget of refused calls; None where it is part of the common one."""
+        """Return the budget of refused calls; None if they have none of their own."""
         has_accounts = self.snapshot is not None and self.snapshot.accounts is not None
         if not has_accounts and not self.calls.owner.reports_pace:
             return None
