Reject malformed status lines of upstreams

Cause: the library reads a status with int(), so +200, 0200, 2_00 and 0_200 reached a caller as 200; a reason with a carriage return reached it as well. Such answers were passed on in all 12 combinations of dialect, entry and connection (new, kept, behind interim answers). The statuses 000, 99, 099, 101, 600, 999, 1000, +20, 20, -200, 2e2, an empty one and digits of other scripts were rejected before.

Change: the status line is matched by a strict pattern: three ASCII digits and a reason without control characters. A complete but malformed line is reported as answer-cut, as a status out of range was; before, 000 on a kept connection counted as a connection that the upstream had reset.

--- a/src/comfreytray/calls/heads.py
+++ b/src/comfreytray/calls/heads.py
@@ -7,7 +7,13 @@
 
 import re
 from collections.abc import Callable
-from http.client import HTTPException, HTTPResponse, IncompleteRead
+from http.client import (
+    BadStatusLine,
+    HTTPException,
+    HTTPResponse,
+    IncompleteRead,
+    RemoteDisconnected,
+)
 from typing import Any, Protocol
 
 MAX_LINE_BYTES = 8192
@@ -22,6 +28,10 @@
 _CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 """Bytes that a value must not have; a tab is allowed."""
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,12}+)[ \t]*+(?:;[^\r\n]*+)?\r?\n")
+_STATUS_LINE = re.compile(
+    rb"(HTTP/1\.[01])[ \t]++([0-9]{3})(?:[ \t]++([^\x00-\x08\x0a-\x1f\x7f]*+))?\r?\n"
+)
+"""The library reads the status with int(), which takes +200, 0200 and 2_00 for 200."""
 _BLANK_LINES = frozenset({b"\r\n", b"\n"})
 _BODYLESS_STATUSES = frozenset({204, 304})
 
@@ -118,7 +128,6 @@
     headers: Any
     msg: Any
     _method: str
-    _read_status: Callable[[], tuple[str, int, str]]
     _check_close: Callable[[], bool]
 
     def __init__(
@@ -130,8 +139,8 @@
     def begin(self) -> None:
         """Read the head, after any informational (1xx) responses."""
         version, status, reason = self._read_final_status()
-        if not 200 <= status <= 599 or version not in ("HTTP/1.0", "HTTP/1.1"):
-            raise HeadError("invalid status line")
+        if not 200 <= status <= 599:
+            raise HeadError(f"status {status} out of range")
         self.code = self.status = status
         self.reason = reason.strip()
         self.version = 11 if version == "HTTP/1.1" else 10
@@ -155,6 +164,18 @@
             read_fields(self.fp)
         raise HeadError(f"more than {MAX_INTERIM_ANSWERS} interim answers")
 
+    def _read_status(self) -> tuple[str, int, str]:
+        line = self.fp.readline(MAX_LINE_BYTES)
+        if not line:
+            raise RemoteDisconnected("connection closed without an answer")
+        match = _STATUS_LINE.fullmatch(line)
+        if match is not None:
+            reason = (match[3] or b"").decode("latin-1")
+            return match[1].decode(), int(match[2]), reason
+        if line.endswith(b"\n"):
+            raise HeadError("malformed status line")
+        raise BadStatusLine("truncated")
+
     def _read_next_chunk_size(self) -> int:
         match = _CHUNK_LINE.fullmatch(self.fp.readline(MAX_CHUNK_LINE_BYTES))
         if match is None:
