Make the pattern of names in headers possessive

Cause: linear_time.feature rejects _HEADER_VALUE, whose two repeats could take the same characters. Change: possessive repeats; the same names match. Result: linear_time.feature and customers_keys.feature pass (41 scenarios); the first failed before.

--- a/src/comfreytray/platform/configuration.py
+++ b/src/comfreytray/platform/configuration.py
@@ -26,7 +26,7 @@
 """Raised when a configuration lacks a field or has one of another type."""
 _IDEMPOTENT_TYPES = frozenset({"safe", "download"})
 """Types of the routes whose requests may run more than once."""
-_HEADER_VALUE = re.compile(r"[!-~]+(?: +[!-~]+)*")
+_HEADER_VALUE = re.compile(r"[!-~]++(?: ++[!-~]++)*+")
 MAX_KEYS = 64
 """API keys of one customer."""
 
