Load neither asyncio nor OpenSSL in a node on the platform

Cause: a node's imports hold 38.6 MB of its 64 MB. eventlet imports asyncio for its hub on an asyncio loop; urllib3, eventlet and http.client import ssl, and hashlib OpenSSL's digests. A node on the platform speaks plain HTTP, uses the epoll hub and makes BLAKE2 digests only.

Change: platform/earlyimports marks ssl and _hashlib as absent, which every library in use supports, and has asyncio loaded at its first use, so that eventlet's asyncio hub works as before. eventlet.monkey_patch(subprocess=False): a node starts no processes.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -15,13 +15,16 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
-from comfreytray.platform import earlystart  # noqa: E402
+from comfreytray.platform import earlyimports, earlystart  # noqa: E402
 
 early = earlystart.begin() if __name__ == "__main__" else None
 
-import eventlet  # noqa: E402
+earlyimports.leave_out_tls()
+with earlyimports.load_at_first_use("asyncio"):
+    import eventlet
 
-eventlet.monkey_patch()
+# A node starts no processes.
+eventlet.monkey_patch(subprocess=False)
 
 from comfreytray.platform.main import main  # noqa: E402
 
