Withdraw calls that were not written when their callers left

Cause: calls wait behind large bodies on a connection; a call whose caller left or whose deadline passed was still written later. Change: calls/outbox, split off streams, keeps the frames of calls apart until they are written, so that they can be withdrawn; a withdrawn call is proved not to have run, and costs no other call its connection. The check of the queued pongs reads the outbox to its end, as a write takes a bounded block now.

--- a/features/calls_liveness.feature
+++ b/features/calls_liveness.feature
@@ -24,3 +24,8 @@
     Given a connection on which a body waits behind an owner that reads nothing
     When a second call with a short deadline ends before it is sent
     Then the first call is still open
+
+  Scenario: A call whose caller leaves before it was sent never reaches the owner
+    Given calls that wait behind a body that is being written
+    When the callers of some of them leave and the rest is written
+    Then the owner gets the others, in order, and none of those
--- a/features/steps/calls_liveness_steps.py
+++ b/features/steps/calls_liveness_steps.py
@@ -5,7 +5,9 @@
 from comfreytray.calls import connections
 from comfreytray.calls.connections import StreamClient
 from comfreytray.calls.liveness import Check, Liveness
-from comfreytray.calls.streams import Outbox
+from comfreytray.calls.outbox import MAX_BLOCK_BYTES, Outbox
+from comfreytray.calls.ownerstreams import OwnerStreams
+from comfreytray.calls.streams import CallStreams
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.metrics import Metrics
 from comfreytray.testing import FakeClock
@@ -39,7 +41,7 @@
     context.checks = []
     while context.outbox.size:
         taken = min(context.outbox.size, int(LINK_BYTES_PER_S * PERIOD_S))
-        context.outbox.peek_all()
+        context.outbox.peek()
         context.outbox.discard_sent(taken)
         context.clock.now += PERIOD_S
         context.checks.append(context.liveness.check(has_calls=True))
@@ -109,3 +111,36 @@
     assert not context.connection.streams.closed, context.second
     assert len(context.connection.streams.stream_by_id) == 1, context.second
     context.first.kill()
+
+
+@given("calls that wait behind a body that is being written")
+def queue_calls(context):
+    context.streams = CallStreams(caller_id="a", expected_id="b")
+    body = make_call(target="/large")
+    body.body = bytes(2 * MAX_BLOCK_BYTES)
+    context.streams.open(body, left_s=5.0)
+    context.written = context.streams.outbox.peek()
+    context.calls = [
+        context.streams.open(make_call(target=f"/{n}"), left_s=5.0) for n in range(6)
+    ]
+
+
+@when("the callers of some of them leave and the rest is written")
+def leave_some(context):
+    streams, outbox = context.streams, context.streams.outbox
+    assert all(streams.cancel(context.calls[n]) for n in (0, 3, 5))
+    outbox.discard_sent(len(context.written))
+    while outbox.size:
+        context.written += outbox.peek()
+        outbox.discard_sent(len(outbox.peek()))
+    assert outbox.sent == outbox.enqueued
+
+
+@then("the owner gets the others, in order, and none of those")
+def check_received(context):
+    opened = OwnerStreams(node_id="b", clock=SystemClock()).receive(context.written)
+    targets = [stream.call.target for stream in opened]
+    assert targets == ["/large", "/1", "/2", "/4"], targets
+    assert all(
+        context.streams.outbox.sent >= context.calls[n].end_offset for n in (1, 2, 4)
+    )
--- a/features/steps/calls_streams_steps.py
+++ b/features/steps/calls_streams_steps.py
@@ -9,8 +9,9 @@
 
 from comfreytray.calls import callframes
 from comfreytray.calls.call import Call, Load
+from comfreytray.calls.outbox import Outbox
 from comfreytray.calls.ownerstreams import OwnerStreams
-from comfreytray.calls.streams import CallStreams, Outbox
+from comfreytray.calls.streams import CallStreams
 from comfreytray.common.errors import Failure, Kind, Ran
 from comfreytray.testing import FakeClock
 
@@ -52,7 +53,7 @@
     def send(self, side, limit=None):
         """Move some of the bytes that one side wrote into its kernel buffer."""
         outbox = (self.caller if side == "caller" else self.owner).outbox
-        block = outbox.peek_all()
+        block = outbox.peek()
         size = len(block) if limit is None else min(limit, len(block))
         if not size:
             return
@@ -206,7 +207,7 @@
         pair.answer()
     pair.send("owner", owner_limit)
     pair.deliver("owner")
-    size = (len(pair.caller.outbox.peek_all()), len(pair.owner.outbox.peek_all()))
+    size = (len(pair.caller.outbox.peek()), len(pair.owner.outbox.peek()))
     pair.caller.connection_lost()
     pair.owner.connection_lost()
     pair.read()
@@ -240,9 +241,9 @@
 
 
 def _malformed_connections():
-    hello = CallStreams(caller_id="a", expected_id="b").outbox.peek_all()
+    hello = CallStreams(caller_id="a", expected_id="b").outbox.peek()
     call = callframes.pack_open(1, make_call("/1"), 1.0)
-    other_hello = CallStreams(caller_id="a", expected_id="elsewhere").outbox.peek_all()
+    other_hello = CallStreams(caller_id="a", expected_id="elsewhere").outbox.peek()
     yield "no hello", call, 0
     yield "id used again", hello + call + call, 1
     yield (
@@ -305,7 +306,7 @@
 def make_outbox(context):
     context.outbox = Outbox()
     context.outbox.push(callframes.pack_pong(1))
-    context.outbox.peek_all()
+    context.outbox.peek()
 
 
 @when("100000 pongs are queued")
@@ -323,8 +324,11 @@
 def check_held(context):
     sent = callframes.pack_pong(1) + b"".join(context.pongs)
     assert context.held_bytes < 3 * len(sent), (context.held_bytes, len(sent))
-    assert context.outbox.peek_all() == sent
-    context.outbox.discard_sent(5)
-    assert (
-        context.outbox.peek_all() == sent[5:] and context.outbox.size == len(sent) - 5
-    )
+    assert context.outbox.size == len(sent)
+    drained = b""
+    while context.outbox.size:
+        part = context.outbox.peek()[: 5 if not drained else None]
+        drained += part
+        context.outbox.discard_sent(len(part))
+        assert context.outbox.size == len(sent) - len(drained)
+    assert drained == sent
--- a/src/comfreytray/calls/connections.py
+++ b/src/comfreytray/calls/connections.py
@@ -11,7 +11,8 @@
 
 from comfreytray.calls.call import Call, CallCutError, Outcome, Reply, fail
 from comfreytray.calls.liveness import Check, Liveness
-from comfreytray.calls.streams import CallStream, CallStreams, Outbox
+from comfreytray.calls.outbox import Outbox
+from comfreytray.calls.streams import CallStream, CallStreams
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock
@@ -42,7 +43,7 @@
         """Write pending bytes without blocking; a greenlet writes the rest."""
         if self._writing or not self.outbox.size:
             return
-        block = self.outbox.peek_all()
+        block = self.outbox.peek()
         try:
             sent = self.sock.fd.send(block)
         except BlockingIOError:
@@ -66,7 +67,7 @@
     def _write_pending(self) -> None:
         try:
             while self.outbox.size:
-                self.outbox.discard_sent(self.sock.send(self.outbox.peek_all()))
+                self.outbox.discard_sent(self.sock.send(self.outbox.peek()))
         except OSError:
             self.on_lost()
         finally:
@@ -220,13 +221,10 @@
     def _fail_at_deadline(
         self, connection: OwnerConnection, stream: CallStream
     ) -> Outcome:
-        streams = connection.streams
-        is_unsent = streams.outbox.sent < stream.end_offset
-        is_alone = len(streams.stream_by_id) == 1
-        self._cancel(connection, stream)
-        if is_unsent and is_alone:
-            connection.close()
+        if connection.streams.cancel(stream):
             return fail(Kind.DEADLINE_BEFORE_RUN, "not sent")
+        if not connection.streams.closed:
+            connection.writer.flush()
         outcome = fail(Kind.DEADLINE_WHILE_RUNNING, "no answer from the owner")
         outcome.sent = True
         return outcome
--- a/src/comfreytray/calls/liveness.py
+++ b/src/comfreytray/calls/liveness.py
@@ -7,7 +7,7 @@
 
 from enum import Enum
 
-from comfreytray.calls.streams import Outbox
+from comfreytray.calls.outbox import Outbox
 from comfreytray.common.interfaces import Clock
 
 PING_AFTER_S = 1.0
--- a/src/comfreytray/calls/ownerstreams.py
+++ b/src/comfreytray/calls/ownerstreams.py
@@ -6,7 +6,8 @@
 
 from comfreytray.calls import callframes
 from comfreytray.calls.call import Call, Headers, Load, Outcome, fail
-from comfreytray.calls.streams import Outbox, do_nothing
+from comfreytray.calls.outbox import Outbox
+from comfreytray.calls.streams import do_nothing
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import invariant
 from comfreytray.common.interfaces import Clock
--- a/src/comfreytray/calls/streams.py
+++ b/src/comfreytray/calls/streams.py
@@ -11,54 +11,11 @@
 
 from comfreytray.calls import callframes
 from comfreytray.calls.call import IDLE, Call, Headers, Load, Outcome, fail
+from comfreytray.calls.outbox import Block, Outbox
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import invariant
 
 
-class Outbox:
-    """Bytes still to be written, and counts of the bytes queued and sent so far."""
-
-    def __init__(self) -> None:
-        self.pending: deque[bytes | bytearray] = deque()
-        """A block that is being sent, then what was queued meanwhile, joined: a frame
-        of a few bytes as an object of its own would take ten times its size."""
-        self.enqueued = 0
-        self.sent = 0
-
-    @property
-    def size(self) -> int:
-        """Number of bytes not yet sent."""
-        return self.enqueued - self.sent
-
-    def push(self, packed: bytes) -> int:
-        """Queue bytes; return the offset of their end in the connection."""
-        last = self.pending[-1] if self.pending else None
-        if isinstance(last, bytearray):
-            last += packed
-        else:
-            self.pending.append(bytearray(packed))
-        self.enqueued += len(packed)
-        return self.enqueued
-
-    def peek_all(self) -> bytes:
-        """Return all pending bytes as one block, without removing them."""
-        if not self.pending:
-            return b""
-        block = self.pending[0]
-        if len(self.pending) > 1 or isinstance(block, bytearray):
-            block = b"".join(self.pending)
-            self.pending.clear()
-            self.pending.append(block)
-        return block
-
-    def discard_sent(self, size: int) -> None:
-        """Remove `size` bytes, which the kernel has accepted, from the front."""
-        self.sent += size
-        block = self.pending.popleft()
-        if size < len(block):
-            self.pending.appendleft(block[size:])
-
-
 def do_nothing() -> None:
     """Do nothing: the default for a change that nobody waits for."""
 
@@ -68,6 +25,8 @@
     """The stream of one call on the calling side."""
 
     stream_id: int
+    block: Block
+    """Frame of the call, while it waits to be written."""
     end_offset: int
     """Offset in the connection at which the frame of the call ends."""
     notify: Callable[[], None] = do_nothing
@@ -114,9 +73,8 @@
         invariant(not self.closed, "no call is opened on a closed connection")
         self._last_id += 1
         packed = callframes.pack_open(self._last_id, call, left_s)
-        stream = CallStream(
-            stream_id=self._last_id, end_offset=self.outbox.push(packed)
-        )
+        block = self.outbox.push_call(packed)
+        stream = CallStream(stream_id=self._last_id, block=block, end_offset=block.end)
         self.stream_by_id[stream.stream_id] = stream
         return stream
 
@@ -128,12 +86,17 @@
             self.outbox.push(callframes.pack_credit(stream.stream_id, len(chunk)))
         return chunk
 
-    def cancel(self, stream: CallStream) -> None:
-        """Cancel a call; later frames for it are dropped."""
-        if self.stream_by_id.pop(stream.stream_id, None) is None:
-            return
-        if not self.closed:
-            self.outbox.push(callframes.pack_cancel(stream.stream_id))
+    def cancel(self, stream: CallStream) -> bool:
+        """Cancel a call; later frames for it are dropped.
+
+        Return whether it was withdrawn, so that the owner never gets it.
+        """
+        if self.stream_by_id.pop(stream.stream_id, None) is None or self.closed:
+            return False
+        if self.outbox.withdraw(stream.block):
+            return True
+        self.outbox.push(callframes.pack_cancel(stream.stream_id))
+        return False
 
     def ping(self) -> None:
         """Queue a liveness probe of the owner."""
