Explain where a request would go, without sending it

Cause: operators had no way to see why a request goes to one endpoint, or is rejected, but to send it and read the log lines. Change: calls/explanation takes a request the way of a call through copies of the parts that hold state: a request reader with a budget and split of its own, the guard's verdict, and calls/estimates, a copy of the router without jitter. Quotas and concurrency limits are asked through two Protocols, which nothing implements yet. Result: calls_explain.feature passes (8 scenarios): the first endpoint is the one that the next call goes to, ten rejections have the status of the real answer in both dialects, and no state changes; that scenario fails if the estimates share the router's views or random numbers, or the reader the node's split. commands, configuration, shell, calls_routing, customers_keys and layout pass.

--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -10,6 +10,8 @@
 from behave import given, then, when
 from ruamel.yaml import YAML
 
+from comfreytray.calls.estimates import Exclusion
+from comfreytray.commands import display
 from comfreytray.common import messages
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.configuration.compiler import compile_snapshot
@@ -115,6 +117,9 @@
     ids |= {f"cause.{cause.value}" for cause in Cause}
     ids |= {f"word.{word.value}" for word in Word}
     ids |= {f"item.{kind.value}" for kind in ItemKind}
+    ids |= {f"explain.{reason.value}" for reason in Exclusion}
+    ids |= {f"explain.title-{name}" for name in display.CANDIDATE_COLUMNS}
+    ids |= {f"explain.{name}" for name in ("ignores-ejections", "is-sampled")}
     prefixes = set()
     ids |= {"summary.edit", "summary.remove", "summary.roll-back"}
     for path in SOURCE.rglob("*.py"):
--- a/src/comfreytray/administration/routes.py
+++ b/src/comfreytray/administration/routes.py
@@ -7,6 +7,7 @@
 from cattrs.preconf.json import make_converter
 
 from comfreytray.administration.api import AdminApi, Request, parse_json
+from comfreytray.administration.explainroutes import ExplainRoutes
 from comfreytray.administration.holdroutes import HoldRoutes
 from comfreytray.administration.statusreply import build_status_reply
 from comfreytray.calls.proxy import CallPath
@@ -69,6 +70,7 @@
     api.add("GET", "/v1/circuits", state.circuits)
     api.add("GET", "/v1/holds", holds.list_all)
     api.add("DELETE", "/v1/holds/<request>", holds.release, edits=True)
+    api.add("POST", "/v1/explain", ExplainRoutes(calls=node.calls).explain)
     api.add("GET", "/v1/metrics", state.metrics)
     api.add("GET", "/v1/settings", state.settings)
     api.add("GET", "/v1/health", state.health)
--- a/src/comfreytray/commands/cli.py
+++ b/src/comfreytray/commands/cli.py
@@ -9,100 +9,23 @@
 import os
 import sys
 import time
-import uuid
 import warnings
-from collections.abc import Callable
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import NoReturn
 
 import fire
 
 from comfreytray.administration.api import to_jsonable
 from comfreytray.commands import display
-from comfreytray.commands.client import AdminClient
+from comfreytray.commands.inquiries import parse_inquiry
+from comfreytray.commands.session import Session
 from comfreytray.common import messages, settings
-from comfreytray.common.errors import EXIT_NOT_YET_IN_FORCE, EXIT_USAGE, Failure, Kind
+from comfreytray.common.errors import EXIT_NOT_YET_IN_FORCE, EXIT_USAGE, Failure
 from comfreytray.common.exceptions import SettingError
 
 POLL_INTERVAL_S = 0.2
-CHANGE_ATTEMPTS = 3
-RETRY_DELAY_S = 1.0
 WAIT_TIMEOUT_S = 60.0
 
-# Kinds of failure after which a change may still have been accepted.
-_RETRIED_KINDS = frozenset(
-    {Kind.STORE_OUTCOME_UNKNOWN, Kind.NODE_UNREACHABLE, Kind.INTERNAL}
-)
-
-
-class _Session:
-    """The settings of one command, and how it sends requests and prints results."""
-
-    def __init__(self, flags: dict[str, object]) -> None:
-        self.as_json = bool(flags.pop("json", False))
-        self.change_id = str(flags.pop("change", "")) or None
-        self.settings = settings.load(flags, os.environ)
-        self.language = self.settings.language
-
-    def client(self) -> AdminClient:
-        return AdminClient(
-            url=self.settings.admin_url,
-            token=self.settings.admin_token,
-            operator=self.settings.operator,
-            language=self.language,
-        )
-
-    def run(
-        self,
-        ask: Callable[[AdminClient], Any],
-        format_result: Callable[[Any, str], str],
-    ) -> Any:
-        """Send a request, print its result and return it; exit on a failure."""
-        with self.client() as client:
-            result = ask(client)
-        if isinstance(result, Failure):
-            self.fail(result)
-        self.print(result, format_result)
-        return result
-
-    def change(self, *request: str, **options: Any) -> None:
-        """Request a change and print it; retry while its outcome is unknown.
-
-        All attempts carry the same change id, so the change is accepted once. If the
-        outcome stays unknown, the `--change` flag for another retry is printed.
-        """
-        change_id = self.change_id or uuid.uuid4().hex
-
-        def ask(client: AdminClient) -> Any:
-            result: Any = None
-            for _ in range(CHANGE_ATTEMPTS):
-                result = client.ask(*request, change_id=change_id, **options)
-                if not isinstance(result, Failure) or result.kind not in _RETRIED_KINDS:
-                    return result
-                time.sleep(RETRY_DELAY_S)
-            print(f"--change={change_id}", file=sys.stderr)
-            return result
-
-        self.run(ask, display.change)
-
-    def print(self, result: Any, format_result: Callable[[Any, str], str]) -> None:
-        if self.as_json:
-            print(json.dumps(result, ensure_ascii=False))
-            return
-        print(format_result(result, self.language))
-
-    def fail(self, failure: Failure) -> NoReturn:
-        """Print why the command failed and exit with the code of its kind."""
-        message = messages.text(failure, language=self.language)
-        if failure.detail and failure.kind is not Kind.NODE_UNREACHABLE:
-            message = failure.detail
-        if self.as_json:
-            body = {"error": {"kind": failure.kind.value, "message": message}}
-            print(json.dumps(body, ensure_ascii=False))
-        else:
-            print(message, file=sys.stderr)
-        raise SystemExit(failure.answer.exit_code)
-
 
 def _read_text(file: str) -> str:
     return sys.stdin.read() if file == "-" else Path(file).read_text("utf-8")
@@ -119,7 +42,7 @@
 
         Example: comfreytray template list --language=fr
         """
-        _Session(flags).run(
+        Session(flags).run(
             lambda client: client.ask("GET", "items", self._kind), display.items
         )
 
@@ -128,7 +51,7 @@
 
         Example: comfreytray customer show clb-ha-noi --language=vi
         """
-        session = _Session(flags)
+        session = Session(flags)
         query: dict[str, object] = {"version": version, "language": session.language}
         session.run(
             lambda client: client.ask("GET", "items", self._kind, name, query=query),
@@ -141,7 +64,7 @@
         Example: comfreytray template check dat-san dat-san.yaml
         """
         body = _read_text(file).encode()
-        _Session(flags).run(
+        Session(flags).run(
             lambda client: client.ask(
                 "POST", "items", self._kind, name, "check", body=body
             ),
@@ -156,14 +79,14 @@
         Example: comfreytray customer edit clb-hue clb-hue.yaml --operator=lan
         """
         body = _read_text(file).encode()
-        _Session(flags).change("PUT", "items", self._kind, name, body=body, base=base)
+        Session(flags).change("PUT", "items", self._kind, name, body=body, base=base)
 
     def remove(self, name: str, **flags: object) -> None:
         """Remove an item in a new version.
 
         Example: comfreytray customer remove clb-hue --operator=lan
         """
-        _Session(flags).change("DELETE", "items", self._kind, name)
+        Session(flags).change("DELETE", "items", self._kind, name)
 
     def diff(
         self, name: str, from_version: int, to_version: int, **flags: object
@@ -173,7 +96,7 @@
         Example: comfreytray template diff dat-san 3 5
         """
         query: dict[str, object] = {"from": from_version, "to": to_version}
-        _Session(flags).run(
+        Session(flags).run(
             lambda client: client.ask(
                 "GET", "items", self._kind, name, "diff", query=query
             ),
@@ -209,7 +132,7 @@
         """
         from comfreytray.configuration.folders import read_folder
 
-        session = _Session(flags)
+        session = Session(flags)
         items = read_folder(Path(folder), language=session.language)
         if isinstance(items, Failure):
             session.fail(items)
@@ -221,7 +144,7 @@
 
         Example: comfreytray versions --limit=5
         """
-        _Session(flags).run(
+        Session(flags).run(
             lambda client: client.ask("GET", "versions", query={"limit": limit}),
             display.versions,
         )
@@ -231,7 +154,7 @@
 
         Example: comfreytray roll_back 4 --operator=lan
         """
-        _Session(flags).change("POST", "versions", str(version), "roll-back")
+        Session(flags).change("POST", "versions", str(version), "roll-back")
 
     def status(
         self, version: int | None = None, wait: bool = False, **flags: object
@@ -240,7 +163,7 @@
 
         Example: comfreytray status 7 --wait --language=vi
         """
-        session = _Session(flags)
+        session = Session(flags)
         name = "newest" if version is None else str(version)
         deadline = time.monotonic() + WAIT_TIMEOUT_S
         shown = ""
@@ -265,14 +188,14 @@
 
         Example: comfreytray nodes --json
         """
-        _Session(flags).run(lambda client: client.ask("GET", "nodes"), display.nodes)
+        Session(flags).run(lambda client: client.ask("GET", "nodes"), display.nodes)
 
     def endpoints(self, **flags: object) -> None:
         """List the endpoints that take calls, by service.
 
         Example: comfreytray endpoints --language=fr
         """
-        _Session(flags).run(
+        Session(flags).run(
             lambda client: client.ask("GET", "endpoints"), display.endpoints
         )
 
@@ -281,37 +204,55 @@
 
         Example: comfreytray circuits
         """
-        _Session(flags).run(lambda client: client.ask("GET", "circuits"), display.tree)
+        Session(flags).run(lambda client: client.ask("GET", "circuits"), display.tree)
 
     def holds(self, **flags: object) -> None:
         """List the requests that are held back, since instances end under them.
 
         Example: comfreytray holds
         """
-        _Session(flags).run(lambda client: client.ask("GET", "holds"), display.holds)
+        Session(flags).run(lambda client: client.ask("GET", "holds"), display.holds)
 
     def release(self, request: str, **flags: object) -> None:
         """Let a request run again, by the name that `holds` lists.
 
         Example: comfreytray release r21b7adbacee73eb0a2f6b4b878f9824d
         """
-        _Session(flags).run(
+        Session(flags).run(
             lambda client: client.ask("DELETE", "holds", str(request)), display.tree
         )
 
+    def explain(
+        self, method: str, url: str, headers: str = "", body: str = "", **flags: object
+    ) -> None:
+        """Show where a request would be sent now and why, without sending it.
+
+        `--headers` takes "Name: value; Name: value", `--body` a file (- for standard
+        input).
+
+        Example: comfreytray explain GET hanoi.canhdieu.example/san/me-tri/lich
+        """
+        text = _read_text(body) if body else ""
+        inquiry = parse_inquiry(method, url, headers=str(headers), body=text)
+        data = json.dumps(inquiry).encode()
+        Session(flags).run(
+            lambda client: client.ask("POST", "explain", body=data),
+            display.explanation,
+        )
+
     def metrics(self, **flags: object) -> None:
         """Show the counters, byte counts and durations of a node.
 
         Example: comfreytray metrics --json
         """
-        _Session(flags).run(lambda client: client.ask("GET", "metrics"), display.tree)
+        Session(flags).run(lambda client: client.ask("GET", "metrics"), display.tree)
 
     def settings(self, **flags: object) -> None:
         """Print the effective settings, with secrets masked.
 
         Example: comfreytray settings --language=vi
         """
-        session = _Session(flags)
+        session = Session(flags)
         session.print(settings.effective(session.settings), display.tree)
 
 
--- a/src/comfreytray/commands/display.py
+++ b/src/comfreytray/commands/display.py
@@ -5,6 +5,18 @@
 
 from comfreytray.common import messages
 
+MS_PER_S = 1000
+CANDIDATE_COLUMNS = (
+    "node",
+    "data-centre",
+    "expected",
+    "cost",
+    "in-flight",
+    "slowdown",
+    "failures",
+    "state",
+)
+
 
 def _table(rows: Iterable[Iterable[object]]) -> str:
     cells = [[str(cell) for cell in row] for row in rows]
@@ -123,6 +135,86 @@
     return _table(rows) or messages.text("display.nothing", language=language)
 
 
+def explanation(result: Any, language: str) -> str:
+    """Format where a request would be sent, and why."""
+    lines = []
+    if result["route"]:
+        lines.append(messages.text("explain.route", language=language, **result))
+    if result["rejection"]:
+        lines += _rejection(result["rejection"], language)
+    for service in result["services"]:
+        lines += ["", *_service(service, language)]
+    return "\n".join(lines)
+
+
+def _rejection(rejection: Any, language: str) -> list[str]:
+    kind = rejection["kind"]
+    reason = messages.text(f"kind.{kind}", language=language, **rejection["fields"])
+    status = rejection["status"]
+    lines = [
+        messages.text("explain.rejected", language=language, status=status, kind=kind),
+        f"  {reason}",
+    ]
+    if rejection["detail"]:
+        lines.append(f"  {rejection['detail']}")
+    return lines
+
+
+def _service(service: Any, language: str) -> list[str]:
+    ranking = service["ranking"]
+    share = f"{service['share']:.0%}"
+    name = service["service"]
+    lines = [
+        messages.text("explain.service", language=language, service=name, share=share)
+    ]
+    if service["rejection"]:
+        lines += _rejection(service["rejection"], language)
+    if service["isolated_node_id"]:
+        node = service["isolated_node_id"]
+        lines.append(messages.text("explain.isolated", language=language, node=node))
+    for flag in ("ignores_ejections", "is_sampled"):
+        if ranking[flag]:
+            key = f"explain.{flag.replace('_', '-')}"
+            lines.append(messages.text(key, language=language))
+    lines.append(_candidates(service, language))
+    for excluded in ranking["excluded"]:
+        reason = messages.text(f"explain.{excluded['reason']}", language=language)
+        left = f" ({excluded['left_s']:.1f} s)" if excluded["left_s"] else ""
+        lines.append(
+            f"{excluded['node_id']}  {excluded['data_centre']}  {reason}{left}"
+        )
+    return [line for line in lines if line]
+
+
+def _candidates(service: Any, language: str) -> str:
+    rows = [
+        [
+            candidate["node_id"],
+            candidate["data_centre"],
+            f"{candidate['expected_s'] * MS_PER_S:.1f} ms",
+            f"{candidate['cost']:.4f}",
+            f"{candidate['in_flight']}/{_slots(service, candidate)}",
+            f"{candidate['slowdown']:.2f}",
+            f"{candidate['failure_share']:.1%}",
+            candidate["state"],
+        ]
+        for candidate in service["ranking"]["candidates"]
+    ]
+    if not rows:
+        return ""
+    titles = [
+        messages.text(f"explain.title-{name}", language=language)
+        for name in CANDIDATE_COLUMNS
+    ]
+    return _table([titles, *rows])
+
+
+def _slots(service: Any, candidate: Any) -> int:
+    """Return the concurrency limit of an endpoint, or its slots if none is known."""
+    limit: int = service["limit_by_node"].get(candidate["node_id"], candidate["slots"])
+    return limit
+
+
 def tree(result: Any, language: str, indent: int = 0) -> str:
     """Format nested values as indented lines."""
     pad = "  " * indent
