Write the bytecode of a node's modules when the platform builds it

Cause: where PYTHONDONTWRITEBYTECODE is set, as here, each start of a node compiles 117 modules. Change: the build command ends with compileall. The bytecode is checked by the hash of its source, so it stays valid in copies that don't keep the times of files, and is never out of date.

--- a/features/steps/platform_imports_steps.py
+++ b/features/steps/platform_imports_steps.py
@@ -3,13 +3,19 @@
 import hashlib
 import json
 import os
+import shutil
 import subprocess
 import sys
+import tempfile
+import tomllib
 from pathlib import Path
 
 from behave import then, when
 
-NODE = Path(__file__).resolve().parents[2] / "deploy" / "node.py"
+ROOT = Path(__file__).resolve().parents[2]
+NODE = ROOT / "deploy" / "node.py"
+CHECKED_HASH = 3
+"""Flags of bytecode that is valid while its source has the recorded hash."""
 DATA = b"a node's digest"
 _REPORT_MODULES = f"""
 import hashlib, json, sys
@@ -19,6 +25,14 @@
     "sha256": hashlib.sha256({DATA!r}).hexdigest(),
 }}))
 """
+_REPORT_BYTECODE = """
+import json, sys
+print(json.dumps({
+    name: module.__cached__
+    for name, module in sys.modules.items()
+    if name.startswith("comfreytray")
+}))
+"""
 _USE_HUB = """
 import json, socket, sys
 import eventlet
@@ -39,8 +53,8 @@
 """
 
 
-def _run(script, **variables):
-    imports = f"import runpy; runpy.run_path({str(NODE)!r}, run_name='imports')\n"
+def _run(script, node=NODE, **variables):
+    imports = f"import runpy; runpy.run_path({str(node)!r}, run_name='imports')\n"
     result = subprocess.run(
         [sys.executable, "-c", imports + script],
         env=os.environ | {"EVENTLET_NO_GREENDNS": "yes"} | variables,
@@ -83,3 +97,36 @@
     assert context.report["got"] == "PING", context.report
     assert context.report["hub"] == "eventlet.hubs.asyncio", context.report["hub"]
     assert "asyncio" in context.report["modules"]
+
+
+@when("the last part of the build command has run on a copy without bytecode")
+def build_copy(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    ignore = shutil.ignore_patterns("__pycache__")
+    for name in ("src", "deploy"):
+        shutil.copytree(ROOT / name, Path(folder.name, name), ignore=ignore)
+    build = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["build"]
+    _, _, command = build.rpartition(" && ")
+    assert command.startswith("python3 -m compileall "), command
+    words = [sys.executable, *command.split()[1:]]
+    subprocess.run(words, cwd=folder.name, check=True, timeout=60)
+    # Stands for a copy of the tree that does not keep the times of files.
+    for path in Path(folder.name, "src").rglob("*.py"):
+        os.utime(path, (0, 0))
+    context.cached = _run(
+        _REPORT_BYTECODE,
+        node=Path(folder.name, "deploy", "node.py"),
+        PYTHONDONTWRITEBYTECODE="1",
+        PYTHONPATH="",
+    )
+    context.folder = folder.name
+
+
+@then("each module of the node is loaded from bytecode that its source's hash checks")
+def check_bytecode(context):
+    assert len(context.cached) > 100, len(context.cached)
+    for name, path in context.cached.items():
+        assert path.startswith(context.folder), (name, path)
+        flags = int.from_bytes(Path(path).read_bytes()[4:8], "little")
+        assert flags == CHECKED_HASH, (name, flags)
