Read the explain command's account state where it is kept now

Cause: the check of accounts moved to identification while the command was built. Change: one attribute. Measured: explain, layout, platform_imports, shell and commands pass.

--- a/src/comfreytray/calls/explanation.py
+++ b/src/comfreytray/calls/explanation.py
@@ -190,7 +190,7 @@
             caller=self._reader.caller,
             clock=self._clock,
             splitter=Splitter(),
-            is_current=self._reader.is_current,
+            is_current=self._reader.identification.is_current,
         )
         reader.stop = self._reader.stop
         return reader.read(_environ(inquiry), snapshot)
