Read the retry tokens where they are kept now

Cause: the dispatcher has two budgets since the retries of refused calls. Change: the steps of calls_explain read the common one.

--- a/features/steps/calls_explain_steps.py
+++ b/features/steps/calls_explain_steps.py
@@ -220,7 +220,7 @@
     # An endpoint that no call has met yet must not become known by an explanation.
     context.fleet.add("f", script=_answer)
     context.state = _state(context)
-    context.tokens = context.path.dispatcher.budget.tokens
+    context.tokens = context.path.dispatcher.budgets.common.tokens
     targets = ["/x", "/y?z=1", "/x/../y"]
     headers = (("Comfreytray-Deadline-Ms", "900"), ("Idempotency-Key", "k"))
     for number in range(EXPLANATIONS):
@@ -244,7 +244,7 @@
     ]
     assert not changes, changes
     # Tokens of the retry budget decay; a call would add one of them.
-    assert context.path.dispatcher.budget.tokens <= context.tokens
+    assert context.path.dispatcher.budgets.common.tokens <= context.tokens
 
 
 @then("the next calls are split as if nothing had been explained")
