Find by trials how many concurrent calls an upstream handles well

Cause: some upstreams slow down long before their slots are full. The owner used all announced slots, so that calls took longer and fewer were done in time. Nothing uses it yet. Ruled out: comparing times of ordinary operation alone, where many calls run at once because they take long.

--- /dev/null
+++ b/features/concurrency.feature
@@ -0,0 +1,51 @@
+Feature: The limit on concurrent calls follows what an upstream handles well
+
+  Scenario Outline: An upstream that gains from every slot keeps its slots
+    Given an upstream whose <property>
+    When calls at <load> times its capacity are replayed, with and without the limit
+    Then its work in time is at least 0.95 of that with fixed slots
+    And it has all its slots for 0.8 of the time and never less than 3
+
+    Examples:
+      | property                                       | load |
+      | calls are all of its own                       | 0.5  |
+      | calls are all of its own                       | 1.1  |
+      | pace is 70                                     | 1.5  |
+      | pace is 160 and jumps to 400 for 600 ms        | 0.7  |
+      | pace jumps by 2.5 for 600 ms                   | 1.0  |
+      | calls wait for a service that is slow at times | 1.0  |
+
+  Scenario: An upstream that slows down from half of its slots gets two calls at once
+    Given an upstream whose throughput falls from the third call on
+    When calls at 0.9 times its capacity are replayed, with and without the limit
+    Then its work in time is at least 1.15 of that with fixed slots
+    And it has all its slots for at most 0.25 of the time
+
+  Scenario: A slot that adds only latency is left unused for part of the time
+    Given an upstream whose fourth call adds no throughput
+    When calls at 1.3 times its capacity are replayed, with and without the limit
+    Then its work in time is at least 0.95 of that with fixed slots
+    And it has all its slots for at most 0.7 of the time
+
+  Scenario: The limit follows an upstream whose behaviour changes
+    Given an upstream whose calls are all of its own
+    When its throughput falls from the third call on, and a minute later no longer does
+    Then its work in time while it falls is at least 1.05 of that with fixed slots
+    And all its slots are in use again half a minute after that
+
+  Scenario: Without a pace nothing is limited
+    Given an upstream whose throughput falls from the third call on
+    When calls are replayed and the upstream reports no pace
+    Then it has all its slots all the time
+
+  Scenario: A new instance, new slots, a cold start and a missing pace
+    Given an upstream that was found to handle two calls
+    Then another instance starts with all its slots
+    And changed slots are all used
+    And the times of a cold instance are not used
+    And an answer without a pace ends the limit half a second after the last one
+
+  Scenario: Whatever an upstream reports of its load is read or ignored
+    When reports of any text are read
+    Then each gives numbers in range or nothing
+    And "3,0,4,160" has the pace 160 and "3,0,4" has none
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -47,6 +47,7 @@
     ENDPOINT_ENDED = "endpoint-ended"
     ENDPOINT_LEAVING = "endpoint-leaving"
     ENDPOINT_LIMITED = "endpoint-limited"
+    ENDPOINT_CONCURRENCY = "endpoint-concurrency"
     ENDPOINT_EJECTED = "endpoint-ejected"
     ENDPOINT_RESTORED = "endpoint-restored"
     AGE_EXCEEDED = "age-exceeded"
--- /dev/null
+++ b/src/comfreytray/concurrency/__init__.py
@@ -0,0 +1,1 @@
+"""Adaptive concurrency: the limit on concurrent calls that suits an upstream."""
