Limit concurrent calls beside upstreams that report a pace

Cause: the limit found by concurrency/ was not in force. Slots that became fewer were noticed only when another call came, so a slot that became free went to a waiting call by the old number. A restarted node used all slots beside an instance that still worked on calls of the earlier process. Change: the owner reads X-Server-Load (Dialect.load) in each answer, counts its runs at the limiter and reads the slots again at each end of a call. Calls that the upstream reports beyond those of this process take slots. Load has the pace and the slots in use; the frames HEAD and REFUSE carry them, so call streams have protocol version 3. Without a pace the announced slots are used as before. Measured: "Slots that shrink" in concurrency.feature fails without the new reading of the slots and passes with it.

--- a/features/concurrency.feature
+++ b/features/concurrency.feature
@@ -49,3 +49,23 @@
     When reports of any text are read
     Then each gives numbers in range or nothing
     And "3,0,4,160" has the pace 160 and "3,0,4" has none
+
+  Scenario: Slots that shrink while calls run and wait are not exceeded
+    Given an upstream of 4 slots with 4 calls that run and 3 that wait
+    When its heartbeat announces 2 slots and 2 calls end
+    Then no call that waits was sent
+    When the other calls end
+    Then no more than 2 of the others ran at once, and all are answered
+
+  Scenario: Calls that a restarted node has not sent itself take slots
+    Given an instance that still works on 3 calls of the node's earlier process
+    When it has answered one call of the new process
+    Then the new process uses one slot
+    When the earlier calls have ended and it has answered another call
+    Then the new process uses 4 slots
+
+  Scenario: Another node learns an endpoint's pace with each answer
+    Given two nodes of an upstream that reports a pace of 160
+    When one calls the upstream through the other
+    Then it knows the pace and the slots in use
+    And an owner refuses a peer of the protocol version before
--- /dev/null
+++ b/features/steps/concurrency_nodes_steps.py
@@ -0,0 +1,133 @@
+"""Slots, restarts and paces at nodes on loopback."""
+
+import eventlet
+import msgpack
+from attrs import evolve
+from behave import given, then, when
+from calls_rig import add_fleet, answer, until
+
+from comfreytray.calls import callframes
+from comfreytray.calls.ownerstreams import OwnerStreams
+from comfreytray.common.errors import Failure, Kind
+from comfreytray.platform.headers import DIALECT
+from comfreytray.testing import FakeClock
+
+SEAL = "X-Response-Seal: s"
+
+
+def owner_of(context, node_id="a"):
+    return context.fleet.path_by_id[node_id].owner
+
+
+@given("an upstream of 4 slots with 4 calls that run and 3 that wait")
+def make_full(context):
+    context.may_end = 0
+
+    def script(head, body):
+        number = len(context.upstream.ran)
+        while number > context.may_end:
+            eventlet.sleep(0.002)
+        return answer(200, b"ok", SEAL)
+
+    fleet = add_fleet(context, ["a"], script, dialect=DIALECT)
+    context.upstream = fleet.upstream_by_id["a"]
+    admission = owner_of(context).admission
+    # Before the first answer the owner admits fewer calls than slots.
+    context.may_end = 1
+    assert fleet.call("a", target="/first").status == 200
+    context.calls = [eventlet.spawn(fleet.call, "a") for _ in range(7)]
+    assert until(lambda: admission.held == 4 and admission.queued == 3)
+    assert until(lambda: context.upstream.running == 4)
+
+
+@when("its heartbeat announces 2 slots and 2 calls end")
+def shrink(context):
+    local = context.fleet.local_by_id["a"]
+    endpoint = evolve(local.endpoint, slots=2)
+    context.fleet.local_by_id["a"] = evolve(local, endpoint=endpoint)
+    context.may_end += 2
+    assert until(lambda: sum(call.dead for call in context.calls) == 2)
+
+
+@then("no call that waits was sent")
+def check_none_sent(context):
+    admission = owner_of(context).admission
+    assert (admission.held, admission.queued) == (2, 3)
+    assert len(context.upstream.ran) == 5
+
+
+@when("the other calls end")
+def end_others(context):
+    context.upstream.most_running = 0
+    context.may_end = 100
+    context.got = [call.wait() for call in context.calls]
+
+
+@then("no more than 2 of the others ran at once, and all are answered")
+def check_answered(context):
+    assert [got.status for got in context.got] == [200] * 7
+    assert context.upstream.most_running <= 2, context.upstream.most_running
+
+
+@given("an instance that still works on 3 calls of the node's earlier process")
+def make_restarted(context):
+    context.earlier = 3
+
+    def script(head, body):
+        report = f"X-Server-Load: {context.earlier + 1},0,4,100"
+        return answer(200, b"ok", SEAL, report)
+
+    add_fleet(context, ["a"], script, dialect=DIALECT)
+
+
+@when("it has answered one call of the new process")
+def answer_one(context):
+    assert context.fleet.call("a").status == 200
+
+
+@then("the new process uses one slot")
+def check_one_slot(context):
+    assert owner_of(context).admission.slots == 1
+
+
+@when("the earlier calls have ended and it has answered another call")
+def end_earlier(context):
+    context.earlier = 0
+    answer_one(context)
+
+
+@then("the new process uses 4 slots")
+def check_all_slots(context):
+    assert owner_of(context).admission.slots == 4
+
+
+@given("two nodes of an upstream that reports a pace of 160")
+def make_paced(context):
+    def script(head, body):
+        return answer(200, b"ok", SEAL, "X-Server-Load: 1,0,4,160")
+
+    add_fleet(context, ["a", "b"], script, dialect=DIALECT)
+    context.fleet.hidden = {"b"}
+
+
+@when("one calls the upstream through the other")
+def call_through(context):
+    assert context.fleet.call("b").status == 200
+
+
+@then("it knows the pace and the slots in use")
+def check_told(context):
+    view = context.fleet.path_by_id["b"].router.view_by_id["a"]
+    (report,) = view.load_report_by_priority.values()
+    assert (report.load.pace, report.load.slots) == (160.0, 4)
+    gauges = context.fleet.path_by_id["a"].metrics.gauge_by_name
+    assert gauges["upstream_pace"] == 160.0
+    assert gauges["upstream_concurrency_limit"] == 4
+
+
+@then("an owner refuses a peer of the protocol version before")
+def check_version(context):
+    hello = (callframes.HELLO, callframes.PROTOCOL_VERSION - 1, "x", "a")
+    streams = OwnerStreams(node_id="a", clock=FakeClock())
+    refused = streams.receive(msgpack.packb(hello))
+    assert isinstance(refused, Failure) and refused.kind is Kind.BAD_FRAME, refused
--- a/src/comfreytray/calls/call.py
+++ b/src/comfreytray/calls/call.py
@@ -124,6 +124,10 @@
     """Mean seconds for which a call holds a slot; 0 if unknown."""
     held_s: float = 0.0
     """Seconds for which the answered call held its slot; 0 if unknown."""
+    pace: float = 0.0
+    """How long work takes now, in percent of the usual time; 0 if not reported."""
+    slots: int = 0
+    """Slots in use, at most those announced; 0 if the announced ones are."""
 
 
 IDLE = Load()
--- a/src/comfreytray/calls/callframes.py
+++ b/src/comfreytray/calls/callframes.py
@@ -13,7 +13,7 @@
 from comfreytray.calls.call import MAX_BODY_BYTES, Call, Headers, Load, Outcome
 from comfreytray.common.errors import Failure, Kind, Ran
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 HELLO = 40
 OPEN = 41
 HEAD = 42
@@ -58,12 +58,13 @@
         int,  # 20: time until the answer is due, in microseconds
     ),
     # stream id, status, reason, headers, body, last,
-    # load: used, service time, held
-    HEAD: (int, int, str, tuple, bytes, bool, float, float, float),
+    # load: used, service time, pace, slots, held
+    HEAD: (int, int, str, tuple, bytes, bool, float, float, float, int, float),
     DATA: (int, bytes, bool),  # stream id, chunk, last
     CREDIT: (int, int),  # stream id, bytes granted
-    # stream id, kind, ran, detail, sent, retry after, load: used, service time
-    REFUSE: (int, str, str, str, bool, float, float, float),
+    # stream id, kind, ran, detail, sent, retry after,
+    # load: used, service time, pace, slots
+    REFUSE: (int, str, str, str, bool, float, float, float, float, int),
     CANCEL: (int,),
     CUT: (int, str, str),  # stream id, kind, detail
     PING: (int,),
@@ -139,8 +140,7 @@
             headers,
             body,
             last,
-            float(load.used),
-            float(load.service_time_s),
+            *_load_fields(load),
             float(load.held_s),
         )
     )
@@ -168,18 +168,23 @@
             failure.detail,
             outcome.sent,
             float(failure.retry_after_s or 0.0),
-            float(outcome.load.used),
-            float(outcome.load.service_time_s),
+            *_load_fields(outcome.load),
         )
     )
 
 
+def _load_fields(load: Load) -> tuple[float, float, float, int]:
+    return (float(load.used), float(load.service_time_s), float(load.pace), load.slots)
+
+
 def parse_load(values: Frame) -> Load:
     """Read the load from the last fields of a frame."""
     return Load(
         used=values[0],
         service_time_s=values[1],
-        held_s=values[2] if len(values) > 2 else 0.0,
+        pace=values[2],
+        slots=values[3],
+        held_s=values[4] if len(values) > 4 else 0.0,
     )
 
 
@@ -283,7 +288,7 @@
 
 
 def _check_head(frame: Frame) -> str:
-    if not _are_headers(frame[4]) or not _are_non_negative(frame[7:10]):
+    if not _are_headers(frame[4]) or not _are_non_negative(frame[7:12]):
         return "malformed headers or load in an answer"
     return (
         "" if 200 <= frame[2] <= 599 else f"status {frame[2]} of an answer out of range"
@@ -297,7 +302,7 @@
 def _check_refuse(frame: Frame) -> str:
     if find_kind(frame[2]) is None or find_ran(frame[3]) is None:
         return "unknown kind or outcome"
-    return "" if _are_non_negative(frame[6:9]) else "number out of range in a refusal"
+    return "" if _are_non_negative(frame[6:11]) else "number out of range in a refusal"
 
 
 def _are_non_negative(values: Frame) -> bool:
--- a/src/comfreytray/calls/dialect.py
+++ b/src/comfreytray/calls/dialect.py
@@ -79,6 +79,9 @@
     """Header that an upstream adds to a success; one without it counts as a failure."""
     limit: str = ""
     """Header in which an upstream advertises the calls a second that it accepts."""
+    load: str = ""
+    """Header in which an upstream reports the calls running and queued, its slots and
+    perhaps its pace."""
     leaving: str = ""
     """Header by which an upstream says that it leaves; its value is then 1."""
     credentials: str = ""
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -29,6 +29,8 @@
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import EndpointState, LocalUpstream
 from comfreytray.common.signals import Signal
+from comfreytray.concurrency.limiter import ConcurrencyLimiter, Run
+from comfreytray.concurrency.reports import parse_load_report
 
 UPSTREAM_FAILURES = frozenset(
     {
@@ -69,6 +71,7 @@
         self.dialect = dialect
         rate = CallRate(clock=clock, advertised=bool(dialect.limit))
         self.admission = Admission(clock=clock, slots=0, rate=rate)
+        self.concurrency = ConcurrencyLimiter(clock=clock)
         self.measures = OwnMeasures()
         self._on_leaving = on_leaving
         self._admit_timer: Any = None
@@ -97,7 +100,7 @@
     @property
     def load(self) -> Load:
         """Return the load that the least urgent calls meet."""
-        return self.admission.load_for(LEAST_PRIORITY)
+        return self._load_for(LEAST_PRIORITY)
 
     @property
     def in_flight(self) -> int:
@@ -115,7 +118,7 @@
         permit = self.guard.admit(call)
         if isinstance(permit, Failure):
             self._log_refused(call, permit)
-            return Outcome.of(permit, load=self.admission.load_for(call.priority))
+            return Outcome.of(permit, load=self._load_for(call.priority))
         try:
             result = self._admit_and_run(call, permit)
         except BaseException:
@@ -142,28 +145,31 @@
         )
         if isinstance(ticket, Failure):
             self._log_refused(call, ticket)
-            return Outcome.of(ticket, load=self.admission.load_for(call.priority))
+            return Outcome.of(ticket, load=self._load_for(call.priority))
         failure = self._wait(ticket, call)
         if failure is not None:
             self._log_refused(call, failure)
-            return Outcome.of(failure, load=self.admission.load_for(call.priority))
+            return Outcome.of(failure, load=self._load_for(call.priority))
         invariant(ticket.state is TicketState.HELD, "a call runs only with a slot")
         # The instance may have left, or another one come, while the call waited.
         upstream = self._upstream_for(call)
         if isinstance(upstream, Outcome):
             self._release(ticket, permit)
             return upstream
+        run = self.concurrency.begin(call.kind)
         reply = self.pool.call(
             upstream,
             call,
-            on_end=lambda: self._release(ticket, permit),
+            on_end=lambda: self._end_run(run, ticket, permit),
         )
         if isinstance(reply, Outcome):
             instance = upstream.endpoint.instance_id
             self.call_log.failed_at_upstream(call, reply, instance=instance)
         held_s = self.clock.monotonic() - ticket.admitted_at
-        reply.load = evolve(self.admission.load_for(call.priority), held_s=held_s)
+        reply.load = evolve(self._load_for(call.priority), held_s=held_s)
         self._measure(upstream.endpoint.instance_id, call, reply, held_s)
+        if isinstance(reply, Reply) and reply.status not in FAILED_STATUSES:
+            self.concurrency.record(run)
         return reply
 
     def _upstream_for(self, call: Call) -> LocalUpstream | Outcome:
@@ -180,8 +186,21 @@
             return ended
         return upstream
 
+    def _load_for(self, priority: int) -> Load:
+        """Return the load that a call of a priority meets, with the upstream's pace."""
+        load = self.admission.load_for(priority)
+        pace = self.concurrency.pace
+        return evolve(load, pace=pace, slots=self.admission.slots) if pace else load
+
+    def _end_run(self, run: Run, ticket: Ticket, permit: Permit) -> None:
+        self.concurrency.end(run)
+        self._release(ticket, permit)
+
     def _release(self, ticket: Ticket, permit: Permit) -> None:
         permit.end()
+        # The slots may have become fewer since the last call came; a call that waits
+        # must not be admitted to one that is gone.
+        self._refresh_limits()
         self.admission.release(ticket)
         self._schedule_admission()
 
@@ -189,6 +208,10 @@
         """Process what an instance says of itself in the head of an answer."""
         if self.dialect.says_leaving(fields):
             self._on_leaving(instance_id)
+        if self.dialect.load:
+            report = parse_load_report(fields.get(self.dialect.load))
+            self.concurrency.learn(instance_id, report)
+            self._refresh_limits()
         if self.dialect.limit:
             limit_per_s = parse_decimal(fields.get(self.dialect.limit))
             self.admission.rate.learn(instance_id, limit_per_s)
@@ -208,6 +231,7 @@
 
     def _admit_waiting(self) -> None:
         self._admit_timer = None
+        self._refresh_limits()
         self.admission.admit_queued()
         self._schedule_admission()
 
@@ -236,12 +260,24 @@
             limit_per_s=self.admission.rate.limit_per_s,
         )
 
+    def _refresh_limits(self) -> None:
+        upstream = self.local_upstream()
+        if upstream is not None:
+            self._apply_limits(upstream)
+
     def _apply_limits(self, upstream: LocalUpstream) -> None:
-        self.admission.resize(
-            min(upstream.endpoint.slots, upstream.endpoint.connections)
+        endpoint = upstream.endpoint
+        limit = self.concurrency.limit(
+            endpoint.instance_id,
+            min(endpoint.slots, endpoint.connections),
+            is_cold=endpoint.state is EndpointState.COLD,
         )
-        self.admission.rate.follow(upstream.endpoint.instance_id)
-        self.pool.connections = upstream.endpoint.connections
+        self.pool.connections = endpoint.connections
+        self.admission.rate.follow(endpoint.instance_id)
+        self.admission.resize(limit)
+        if self.concurrency.pace:
+            self.metrics.gauge("upstream_concurrency_limit", limit)
+            self.metrics.gauge("upstream_pace", self.concurrency.pace)
 
     def _wait(self, ticket: Ticket, call: Call) -> Failure | None:
         """Wait until a call holds a slot; return the failure if it gets none."""
--- a/src/comfreytray/platform/headers.py
+++ b/src/comfreytray/platform/headers.py
@@ -42,6 +42,7 @@
     # The upstream sets it on each complete success.
     proof="X-Response-Seal",
     limit="Server-Limit",
+    load="X-Server-Load",
     leaving="Server-Leaving",
     credentials="Authorization",
     key_scheme="Token",
