Avoid endpoints whose pace is high

Cause: some upstreams take 2.5 times as long for 600 ms at a time. The moving average of a node's own calls, a few a second, shows it when it is over. Change: the router multiplies an endpoint's expected time by the newest pace divided by the mean pace of the calls in its moving average, so that a constant pace is not counted twice. The weight falls to 0 within a second; a lower pace counts for 3 % only. The share of slots in use is reckoned from the slots that the owner uses. Without a pace the factor is exactly 1. Measured: with 20 nodes and 6 endpoints, fewer than half as many calls as before go to an endpoint that tells 2.5 times its mean pace, and as many 2 s later; at most half go to one that tells half its mean (concurrency.feature).

--- a/features/concurrency.feature
+++ b/features/concurrency.feature
@@ -69,3 +69,11 @@
     When one calls the upstream through the other
     Then it knows the pace and the slots in use
     And an owner refuses a peer of the protocol version before
+
+  Scenario: Calls avoid an endpoint while its pace is high, and old paces mean little
+    Given 20 nodes that know 6 endpoints of the same speed
+    When one endpoint tells a pace of 2.5 times its mean
+    Then fewer than half as many calls as before go to it, and as many 2 s later
+    When one endpoint tells a pace of half its mean
+    Then no more than half of the calls go to it, and as many as before 1 s later
+    And a constant pace changes no expected time
--- a/features/steps/concurrency_nodes_steps.py
+++ b/features/steps/concurrency_nodes_steps.py
@@ -1,17 +1,26 @@
-"""Slots, restarts and paces at nodes on loopback."""
+"""Slots, restarts and paces at nodes on loopback, and the choice of an endpoint."""
+
+import random
 
 import eventlet
 import msgpack
 from attrs import evolve
 from behave import given, then, when
 from calls_rig import add_fleet, answer, until
+from calls_routing_steps import record
 
 from comfreytray.calls import callframes
+from comfreytray.calls.call import Load
 from comfreytray.calls.ownerstreams import OwnerStreams
+from comfreytray.calls.routing import Router
 from comfreytray.common.errors import Failure, Kind
+from comfreytray.common.records import MembershipView
 from comfreytray.platform.headers import DIALECT
 from comfreytray.testing import FakeClock
 
+NODES = 20
+ENDPOINTS = 6
+CALLS_PER_NODE = 20
 SEAL = "X-Response-Seal: s"
 
 
@@ -131,3 +140,105 @@
     streams = OwnerStreams(node_id="a", clock=FakeClock())
     refused = streams.receive(msgpack.packb(hello))
     assert isinstance(refused, Failure) and refused.kind is Kind.BAD_FRAME, refused
+
+
+# The choice of an endpoint
+
+
+def make_routers(context):
+    records = tuple(record(f"e{number}") for number in range(ENDPOINTS))
+    own = record("own", service="other")
+    view = MembershipView(
+        by_id={r.node_id: r for r in records}, endpoints_by_service={"s": records}
+    )
+    context.routers = [
+        Router(
+            node=lambda: own,
+            members=lambda: view,
+            clock=context.clock,
+            random=random.Random(seed),
+        )
+        for seed in range(NODES)
+    ]
+    return records
+
+
+def tell(router, endpoint, pace, took_s=0.1):
+    load = Load(used=0.2, service_time_s=0.1, held_s=took_s, pace=pace, slots=4)
+    router.finish(router.begin(endpoint), took_s=took_s, load=load, kind="k")
+
+
+def share_of_first(context):
+    """Return the share of the calls of all nodes that go to the first endpoint."""
+    picked = [
+        router.pick("s", kind="k").node_id
+        for router in context.routers
+        for _ in range(CALLS_PER_NODE)
+    ]
+    return picked.count("e0") / len(picked)
+
+
+@given("20 nodes that know 6 endpoints of the same speed")
+def make_nodes(context):
+    context.clock = FakeClock()
+    context.records = make_routers(context)
+    for router in context.routers:
+        for _ in range(20):
+            for endpoint in context.records:
+                tell(router, endpoint, 100.0)
+    context.share = share_of_first(context)
+
+
+def tell_all(context, pace):
+    """Tell all nodes a pace of the first endpoint in a refusal, which has no time."""
+    load = Load(used=0.2, service_time_s=0.1, pace=pace, slots=4)
+    for router in context.routers:
+        view = router.begin(context.records[0])
+        refused = Failure(kind=Kind.OVERLOADED)
+        router.fail(view, refused, took_s=0.0, load=load)
+
+
+@when("one endpoint tells a pace of 2.5 times its mean")
+def tell_slow(context):
+    tell_all(context, 250.0)
+
+
+@then("fewer than half as many calls as before go to it, and as many 2 s later")
+def check_avoided(context):
+    assert share_of_first(context) < 0.5 * context.share
+    context.clock.now += 2.0
+    later = share_of_first(context)
+    assert abs(later - context.share) < 0.06, (later, context.share)
+
+
+@when("one endpoint tells a pace of half its mean")
+def tell_fast(context):
+    tell_all(context, 50.0)
+
+
+@then("no more than half of the calls go to it, and as many as before 1 s later")
+def check_no_herd(context):
+    context.clock.now += 0.2
+    assert share_of_first(context) <= 0.5, share_of_first(context)
+    context.clock.now += 1.0
+    later = share_of_first(context)
+    assert abs(later - context.share) < 0.06, (later, context.share)
+
+
+@then("a constant pace changes no expected time")
+def check_constant(context):
+    costs = []
+    for pace in (0.0, 160.0):
+        records = make_routers(context)
+        router = context.routers[0]
+        for _ in range(30):
+            for endpoint in records:
+                is_slow = endpoint.node_id == "e0"
+                took_s = 0.16 if is_slow else 0.1
+                tell(router, endpoint, pace if is_slow else pace and 100.0, took_s)
+        factors = [router.view_by_id[r.node_id].pace.factor(1e9) for r in records]
+        assert set(factors) == {1.0}
+        now = context.clock.now
+        view = router.view_by_id["e0"]
+        costs.append(view.slowdown * view.pace.factor(now))
+    assert abs(costs[0] - costs[1]) < 1e-9, costs
--- a/src/comfreytray/calls/endpoints.py
+++ b/src/comfreytray/calls/endpoints.py
@@ -6,6 +6,8 @@
 from attrs import define, field
 
 from comfreytray.calls.call import IDLE, Load
+from comfreytray.common.records import NodeRecord
+from comfreytray.concurrency.toldpace import ToldPace
 
 LOAD_DECAY_S = 1.0
 """Seconds after which the weight of a reported load has decayed to 1/e."""
@@ -48,6 +50,7 @@
     known before the member list shows it."""
     shed_until: float = 0.0
     """Until when other endpoints are preferred, since this one shed a call."""
+    pace: ToldPace = field(factory=ToldPace)
     load_report_by_priority: dict[int, ReportedLoad] = field(factory=dict)
 
     def is_of(self, incarnation: int, instance_id: str) -> bool:
@@ -71,6 +74,12 @@
         }
 
 
+def count_slots(record: NodeRecord, report: ReportedLoad) -> int:
+    """Return the slots of an endpoint that its owner uses, at least 1."""
+    announced = record.endpoint.slots if record.endpoint else 1
+    return max(1, min(announced, report.load.slots or announced))
+
+
 def estimate_used_share(
     view: EndpointView, report: ReportedLoad, slots: int, now: float
 ) -> float:
--- a/src/comfreytray/calls/routing.py
+++ b/src/comfreytray/calls/routing.py
@@ -18,6 +18,7 @@
     EndpointView,
     ReportedLoad,
     assume_unknown_are_fast,
+    count_slots,
     estimate_used_share,
 )
 from comfreytray.calls.leavinginstances import LeavingInstances
@@ -219,15 +220,18 @@
     def _store_load(self, view: EndpointView, load: Load, priority: int) -> None:
         if load is IDLE:
             return
+        now = self.clock.monotonic()
         view.load_report_by_priority[priority] = ReportedLoad(
-            load=load, at=self.clock.monotonic(), in_flight=view.in_flight
+            load=load, at=now, in_flight=view.in_flight
         )
+        view.pace.learn(load.pace, now)
 
     def _learn(self, view: EndpointView, kind: str, took_s: float) -> None:
         """Update the endpoint's slowdown and the mean time of the kind of call."""
         took_s = max(took_s, MIN_SERVICE_TIME_S)
         base_s = self.service_time_s_by_kind.setdefault(kind, took_s)
         view.is_known = True
+        view.pace.count_measured()
         view.slowdown += SLOWDOWN_WEIGHT * (took_s / base_s - view.slowdown)
         base_s += SERVICE_TIME_WEIGHT * (took_s - base_s)
         self.service_time_s_by_kind[kind] = base_s
@@ -299,13 +303,13 @@
         """Estimate the seconds until an endpoint would answer a call."""
         view = self.view(record, now)
         service_s = self.service_time_s_by_kind.get(kind, FIRST_SERVICE_TIME_S)
-        slots = max(1, record.endpoint.slots if record.endpoint else 1)
         load_report = view.load_report_by_priority.get(priority, NO_REPORTED_LOAD)
+        slots = count_slots(record, load_report)
         used = estimate_used_share(view, load_report, slots, now)
         penalty = view.slowdown - 1.0 + FAILURE_PENALTY * view.failure_share
         penalty *= math.exp2((view.last_used - now) / PENALTY_HALF_LIFE_S)
         penalty = self._add_shared(penalty, record.node_id, now)
-        run_s = service_s * max(MIN_SLOWDOWN, 1.0 + penalty)
+        run_s = service_s * max(MIN_SLOWDOWN, 1.0 + penalty) * view.pace.factor(now)
         run_s *= 1.0 + FULL_ENDPOINT_SLOWDOWN * min(1.0, used) ** 2
         if self.is_cold(record):
             run_s *= COLD_SLOWDOWN
