Test that calls which were given up still take slots

Cause: a call that the node gives up at its deadline frees its slot while the upstream may still work on it; no test showed that such calls are counted. Change: a scenario with two calls given up, then one answered.

--- a/features/concurrency.feature
+++ b/features/concurrency.feature
@@ -59,10 +59,15 @@
 
   Scenario: Calls that a restarted node has not sent itself take slots
     Given an instance that still works on 3 calls of the node's earlier process
-    When it has answered one call of the new process
-    Then the new process uses one slot
-    When the earlier calls have ended and it has answered another call
-    Then the new process uses 4 slots
+    When it has answered one more call
+    Then the node uses 1 slot
+    When the earlier calls have ended and it has answered one more call
+    Then the node uses 4 slots
+
+  Scenario: Calls that were given up take slots while the upstream works on them
+    Given an instance that works on 2 calls which the node gave up at their deadline
+    When it has answered one more call
+    Then the node uses 2 slots
 
   Scenario: Another node learns an endpoint's pace with each answer
     Given two nodes of an upstream that reports a pace of 160
--- a/features/steps/concurrency_nodes_steps.py
+++ b/features/steps/concurrency_nodes_steps.py
@@ -89,25 +89,39 @@
     add_fleet(context, ["a"], script, dialect=DIALECT)
 
 
-@when("it has answered one call of the new process")
-def answer_one(context):
-    assert context.fleet.call("a").status == 200
+@given("an instance that works on 2 calls which the node gave up at their deadline")
+def make_given_up(context):
+    def script(head, body):
+        while b"/slow" in head and context.is_slow:
+            eventlet.sleep(0.005)
+        report = f"X-Server-Load: {context.upstream.running},0,4,100"
+        return answer(200, b"ok", SEAL, report)
+
+    context.is_slow = True
+    context.add_cleanup(setattr, context, "is_slow", False)
+    fleet = add_fleet(context, ["a"], script, dialect=DIALECT)
+    context.upstream = fleet.upstream_by_id["a"]
+    for _ in range(2):
+        got = fleet.call("a", target="/slow", headers=["X-Deadline-Ms: 50"])
+        assert got.status == 504, got.status
+    assert context.upstream.running == 2
 
 
-@then("the new process uses one slot")
-def check_one_slot(context):
-    assert owner_of(context).admission.slots == 1
+@when("it has answered one more call")
+def answer_one(context):
+    assert context.fleet.call("a").status == 200
 
 
-@when("the earlier calls have ended and it has answered another call")
+@when("the earlier calls have ended and it has answered one more call")
 def end_earlier(context):
     context.earlier = 0
     answer_one(context)
 
 
-@then("the new process uses 4 slots")
-def check_all_slots(context):
-    assert owner_of(context).admission.slots == 4
+@then("the node uses {slots:d} slot")
+@then("the node uses {slots:d} slots")
+def check_slots(context, slots):
+    assert owner_of(context).admission.slots == slots
 
 
 @given("two nodes of an upstream that reports a pace of 160")
