--- a/features/steps/calls_precedence_steps.py
+++ b/features/steps/calls_precedence_steps.py
@@ -10,6 +10,7 @@
 from comfreytray.calls.retries import Decision, RetryBudgets, RetryLimits, decide_retry
 from comfreytray.calls.tickets import TicketState
 from comfreytray.common.errors import Failure, Kind, Ran
+from comfreytray.concurrency.reports import LoadReport
 from comfreytray.configuration.accounts import Account, build_accounts
 from comfreytray.configuration.snapshots import Route
 from comfreytray.platform.headers import DIALECT
@@ -65,7 +66,10 @@
 
 @given("the upstream reports the pace of its machine")
 def report_pace(context):
-    context.path.owner.reports_pace = True
+    context.path.owner.concurrency.learn(
+        "a", LoadReport(running=1, queued=0, slots=SLOTS, pace=100.0)
+    )
+    assert context.path.owner.reports_pace
 
 
 def _priorities(context):
