--- a/features/calls_liveness.feature
+++ b/features/calls_liveness.feature
@@ -10,6 +10,11 @@
     When the answer to the ping comes 4.5 s after it
     Then the connection is never closed
 
+  Scenario: An answer to another call does not show that a body has arrived
+    Given a connection on which 200 KB were sent and none is waiting
+    When the owner answers a small call and then nothing for 4.5 s
+    Then the connection is never closed
+
   Scenario Outline: A connection to an owner that takes nothing more is closed
     Given a connection on which <sent> were sent and none is waiting
     When nothing comes from the owner any more
--- a/features/calls_precedence.feature
+++ b/features/calls_precedence.feature
@@ -31,6 +31,23 @@
     When one of them sends 8 times as much for 20 s
     Then each of the others has at least 95% of its calls served
 
+  Scenario Outline: No customer starves behind another one's calls
+    Given an upstream of 4 slots and the customers a and b
+    When a sends <a> calls a second at <a ranks> and b sends 20 at <b ranks> for 20 s
+    Then at least a quarter as many of b's calls as of a's are served
+
+    Examples:
+      | a   | a ranks              | b ranks              |
+      | 160 | priority 0, route 0  | priority 0, route 1  |
+      | 60  | priority 0, route 0  | priority 0, route 1  |
+      | 160 | priority 0, route 0  | priority 1, route 0  |
+      | 60  | priority 0, route 0  | priority 1, route 0  |
+
+  Scenario: A caller without an account can't pass calls off as nested
+    Given a node whose upstream runs the call p-1 of a caller without an account
+    When calls with the ids p-1.c, p-2.c, p-1 and p-1c come without a key
+    Then no call has the priority of nested calls
+
   Scenario: Calls that upstreams refuse at random are tried once more
     Given upstreams that refuse half of the calls without running them
     When 200 calls come, with and without a budget for refused calls
--- a/features/customers_keys.feature
+++ b/features/customers_keys.feature
@@ -38,6 +38,8 @@
       | field      | value      |
       | api_keys   | null       |
       | api_keys   | 7          |
+      | api_keys   | "k-2"      |
+      | api_keys   | ["k-2 "]   |
       | api_keys   | [""]       |
       | api_keys   | [3]        |
       | rate_per_s | "many"     |
--- a/features/steps/calls_liveness_steps.py
+++ b/features/steps/calls_liveness_steps.py
@@ -4,7 +4,7 @@
 
 from comfreytray.calls import connections
 from comfreytray.calls.connections import StreamClient
-from comfreytray.calls.liveness import Check, Liveness
+from comfreytray.calls.liveness import PING_AFTER_S, Check, Liveness
 from comfreytray.calls.outbox import MAX_BLOCK_BYTES, Outbox
 from comfreytray.calls.ownerstreams import OwnerStreams
 from comfreytray.calls.streams import CallStreams
@@ -62,6 +62,13 @@
     context.checks.append(context.liveness.check(has_calls=True))
 
 
+@when("the owner answers a small call and then nothing for {after:g} s")
+def answer_small(context, after):
+    context.liveness.check(has_calls=True)
+    context.liveness.receive()
+    answer_late(context, after - PING_AFTER_S)
+
+
 @then("the connection is never closed")
 def check_kept(context):
     assert Check.CLOSE not in context.checks, context.checks
--- a/features/steps/calls_precedence_steps.py
+++ b/features/steps/calls_precedence_steps.py
@@ -13,6 +13,7 @@
 from comfreytray.concurrency.reports import LoadReport
 from comfreytray.configuration.accounts import Account, build_accounts
 from comfreytray.configuration.snapshots import Route
+from comfreytray.customers.credentials import rank_priority
 from comfreytray.platform.headers import DIALECT
 from comfreytray.testing import FakeClock
 
@@ -25,7 +26,7 @@
 IDS = ("p-1.c", "p-2.c", "p-1", "p-1c")
 
 
-def _add_fleet(context, accounts):
+def _add_fleet(context, accounts, key=""):
     context.hold = True
 
     def script(head, body):
@@ -48,7 +49,11 @@
     )
     context.path = fleet.add("a", script=script)
     context.parent = eventlet.spawn(
-        fleet.call, "a", "GET", "/x", headers=["X-Attempt-Id: p-1"]
+        fleet.call,
+        "a",
+        "GET",
+        "/x",
+        headers=["X-Attempt-Id: p-1", f"Authorization: Token {key}"],
     )
     assert until(lambda: context.path.owner.admission.held == 1)
     assert until(lambda: fleet.upstream_by_id["a"].running == 1)
@@ -56,6 +61,11 @@
 
 @given("a node whose upstream makes a call while it runs the call p-1")
 def add_with_accounts(context):
+    _add_fleet(context, build_accounts([(Account(customer="vela"), ["k-1"])]), "k-1")
+
+
+@given("a node whose upstream runs the call p-1 of a caller without an account")
+def add_anonymous(context):
     _add_fleet(context, build_accounts([(Account(customer="vela"), ["k-1"])]))
 
 
@@ -249,6 +259,44 @@
     assert min(shares.values()) >= 0.95, shares
 
 
+@given("an upstream of 4 slots and the customers a and b")
+def make_two(context):
+    context.replay = _Replay()
+
+
+@when("a sends {a:d} calls a second at {a_ranks} and b sends 20 at {b_ranks} for 20 s")
+def replay_two(context, a, a_ranks, b_ranks):
+    priority_by_name = {"a": _priority(a_ranks), "b": _priority(b_ranks)}
+    context.replay.run(
+        {"a": a, "b": 20},
+        20.0,
+        lambda name: context.replay.offer(
+            name, customer=name, priority=priority_by_name[name]
+        ),
+    )
+
+
+def _priority(ranks):
+    customer, route = (int(part.split()[-1]) for part in ranks.split(", "))
+    return rank_priority(
+        Route(
+            customer="",
+            name="r",
+            path="/",
+            methods=frozenset(),
+            service="s",
+            priority=route,
+        ),
+        Account(customer="c", priority=customer),
+    )
+
+
+@then("at least a quarter as many of b's calls as of a's are served")
+def check_not_starved(context):
+    shares = {name: context.replay.served_share(name) for name in "ab"}
+    assert shares["b"] >= shares["a"] / 4, shares
+
+
 @given("upstreams that refuse half of the calls without running them")
 def make_refusing(context):
     context.clock = FakeClock()
--- a/src/comfreytray/administration/explainroutes.py
+++ b/src/comfreytray/administration/explainroutes.py
@@ -40,6 +40,8 @@
     try:
         inquiry = _converter.structure(document, Inquiry)
         inquiry.body.encode()
+        for name, value in inquiry.headers:
+            (name + value).encode("latin-1")
     except Exception as error:
         # The text of the error may hold an API key.
         detail = f"request to explain: {type(error).__name__}"
--- a/src/comfreytray/calls/limits.py
+++ b/src/comfreytray/calls/limits.py
@@ -17,7 +17,16 @@
 from comfreytray.calls.call import Load
 from comfreytray.calls.callrates import CallRate
 from comfreytray.calls.demand import Demand
-from comfreytray.calls.queueorder import find_queue_to_shorten, order_of
+from comfreytray.calls.queueorder import (
+    TURN_PERIOD,
+    count_before,
+    count_ranked,
+    count_turns_before,
+    demand_priority,
+    find_queue_to_shorten,
+    order_of,
+    turn_of,
+)
 from comfreytray.calls.runtimes import RunTimes
 from comfreytray.calls.tickets import CustomerQueue, Rank, Ticket, TicketState
 from comfreytray.common.errors import Failure, Kind
@@ -56,6 +65,7 @@
         """Whether new calls are refused because the node is leaving."""
         self._queue_by_customer: dict[str, CustomerQueue] = {}
         self._sequence = itertools.count()
+        self._turns = 0
 
     @property
     def load(self) -> float:
@@ -98,7 +108,8 @@
             priority=priority,
             due=due,
         )
-        self._demand.count(priority, self.run_times.mean_of(ticket.kind), now)
+        run_s = self.run_times.mean_of(ticket.kind)
+        self._demand.count(demand_priority(ticket), run_s, now)
         self.admit_queued()
         queue = self._queue_by_customer.get(customer)
         if queue is None:
@@ -107,7 +118,7 @@
         if has_room and not queue.queued:
             self._admit(ticket, queue, now)
             return ticket
-        rank = self._rank(ticket, now)
+        rank = self._rank(ticket, queue, now)
         refused = self._refuse_early(queue, ticket, rank, now)
         if refused is not None:
             self._drop_if_empty(customer, queue)
@@ -184,7 +195,7 @@
         now = self.clock.monotonic()
         slots = max(1, self.slots)
         last = Rank(late=False, priority=priority, until=math.inf)
-        ahead = self._queued_before(last)
+        ahead = count_ranked(self._queue_by_customer.values(), last)
         spare = self._demand.spare_slots(slots, priority, now)
         service_time_s = self.run_times.mean_s * slots / spare
         # A caller's node reckons the wait from the share of slots in use. A wait for
@@ -194,24 +205,14 @@
         used = max((self.held + ahead) / slots, as_used)
         return Load(used=used, service_time_s=service_time_s)
 
-    def _rank(self, ticket: Ticket, now: float) -> Rank:
+    def _rank(self, ticket: Ticket, queue: CustomerQueue, now: float) -> Rank:
         if not ticket.due:
             return Rank(late=False, priority=ticket.priority, until=ticket.deadline)
         timely = Rank(late=False, priority=ticket.priority, until=ticket.due)
-        wait_s = self._expected_wait_s(timely, now)
+        wait_s = self._expected_wait_s(ticket, queue, timely, now)
         late = now + wait_s + self.run_times.mean_of(ticket.kind) > ticket.due
         return evolve(timely, late=late)
 
-    def _queued_before(self, rank: Rank) -> int:
-        """Return the number of waiting calls that go before a call of a rank."""
-        if not self.queued:
-            return 0
-        return sum(
-            entry[0] <= rank
-            for queue in self._queue_by_customer.values()
-            for entry in queue.heap
-        )
-
     def _retry_after_s(self) -> float:
         """Return the queue's drain time, with jitter so few callers return at once."""
         drain_s = self.queued / max(1, self.slots) * self.run_times.mean_s
@@ -223,7 +224,7 @@
         self, queue: CustomerQueue, ticket: Ticket, rank: Rank, now: float
     ) -> Failure | None:
         """Return why a call can't be queued, or None once there is room for it."""
-        wait_s = self._expected_wait_s(rank, now)
+        wait_s = self._expected_wait_s(ticket, queue, rank, now)
         delay_s = self._retry_after_s()
         over_share = ticket.share < 1.0 and queue.held >= self._slot_cap(ticket.share)
         if over_share and queue.queued >= self._slot_cap(ticket.share):
@@ -244,11 +245,19 @@
             return None
         return Failure(kind=Kind.OVERLOADED, detail="queue", retry_after_s=delay_s)
 
-    def _expected_wait_s(self, rank: Rank, now: float) -> float:
-        before = self._queued_before(rank)
-        spare = self._demand.spare_slots(self.slots, rank.priority, now)
+    def _expected_wait_s(
+        self, ticket: Ticket, queue: CustomerQueue, rank: Rank, now: float
+    ) -> float:
+        queues = self._queue_by_customer.values()
+        before = count_before(queues, queue, rank)
+        priority = demand_priority(ticket)
+        spare = self._demand.spare_slots(self.slots, priority, now)
         wait_s = (before + 1) / spare * self.run_times.mean_s
-        return max(wait_s, self._rate_wait_s(before, rank.priority, now))
+        if ticket.customer:
+            turns = count_turns_before(queues, queue, rank) + 1
+            turn_slots = max(1, self.slots) / TURN_PERIOD
+            wait_s = min(wait_s, turns / turn_slots * self.run_times.mean_s)
+        return max(wait_s, self._rate_wait_s(before, priority, now))
 
     def _rate_wait_s(self, ahead: int, priority: int, now: float) -> float:
         if not self.rate.is_limited:
@@ -333,4 +342,8 @@
             for queue in self._queue_by_customer.values()
             if queue.heap and queue.held < self._slot_cap(queue.heap[0][2].share)
         ]
-        return min(eligible, key=order_of) if eligible else None
+        if not eligible:
+            return None
+        self._turns += 1
+        is_turn = self._turns % TURN_PERIOD == 0
+        return min(eligible, key=turn_of if is_turn else order_of)
--- a/src/comfreytray/calls/liveness.py
+++ b/src/comfreytray/calls/liveness.py
@@ -5,6 +5,7 @@
 well, and closing the connection would lose all calls on it.
 """
 
+from collections import deque
 from enum import Enum
 
 from comfreytray.calls.outbox import Outbox
@@ -40,17 +41,18 @@
         self._pinged_at = 0.0
         self._checks_since_ping = 0
         self._sent_at_check = 0
-        self._sent_at_receipt = 0
+        self._sends = deque([(self.last_received_at, 0)])
+        """Times of checks, and the bytes queued until then."""
         self._timeout_s = PING_TIMEOUT_S
 
     def receive(self) -> None:
         """Note that bytes came from the owner."""
         self.last_received_at = self._clock.monotonic()
-        self._sent_at_receipt = self._outbox.sent
 
     def check(self, *, has_calls: bool) -> Check:
         """Return what to do now; called once per period."""
         now = self._clock.monotonic()
+        self._note_sends(now)
         is_taking = self._outbox.sent > self._sent_at_check and self._outbox.size > 0
         self._sent_at_check = self._outbox.sent
         if self._pinged_at > self.last_received_at:
@@ -71,5 +73,17 @@
     def _begin_ping(self, now: float) -> None:
         self._pinged_at = now
         self._checks_since_ping = 0
-        is_large = self._outbox.enqueued - self._sent_at_receipt >= LARGE_SEND_BYTES
+        recent_bytes = self._outbox.enqueued - self._sends[0][1]
+        is_large = recent_bytes >= LARGE_SEND_BYTES
         self._timeout_s = LARGE_SEND_TIMEOUT_S if is_large else PING_TIMEOUT_S
+
+    def _note_sends(self, now: float) -> None:
+        """Keep what was queued until each check of the last `LARGE_SEND_TIMEOUT_S`.
+
+        An answer to another call doesn't show that a body has arrived: the kernel may
+        still hold it.
+        """
+        self._sends.append((now, self._outbox.enqueued))
+        oldest = now - LARGE_SEND_TIMEOUT_S
+        while len(self._sends) > 1 and self._sends[1][0] <= oldest:
+            self._sends.popleft()
--- a/src/comfreytray/calls/nesting.py
+++ b/src/comfreytray/calls/nesting.py
@@ -18,26 +18,37 @@
     def __init__(self, *, separator: str) -> None:
         self._separator = separator
         self._calls_by_id: dict[str, int] = {}
+        self._calls_by_known_id: dict[str, int] = {}
+        """Those of customers, and those that are nested themselves."""
 
     def begin(self, call: Call) -> None:
         """Note that a call is sent to the upstream."""
-        if self._separator and call.call_id:
-            self._calls_by_id[call.call_id] = self._calls_by_id.get(call.call_id, 0) + 1
+        for counts in self._counts_of(call):
+            counts[call.call_id] = counts.get(call.call_id, 0) + 1
 
     def end(self, call: Call) -> None:
         """Note that a call has ended."""
-        left = self._calls_by_id.get(call.call_id, 0) - 1
-        if left > 0:
-            self._calls_by_id[call.call_id] = left
-        else:
-            self._calls_by_id.pop(call.call_id, None)
-
-    def is_nested(self, call_id: str) -> bool:
+        for counts in self._counts_of(call):
+            left = counts.get(call.call_id, 0) - 1
+            if left > 0:
+                counts[call.call_id] = left
+            else:
+                counts.pop(call.call_id, None)
+
+    def is_nested(self, call_id: str, *, of_customers: bool) -> bool:
         """Whether the upstream makes a call of this id while it runs another one.
 
-        Callers can't pass for an upstream unless they know the id of a call that runs.
+        With `of_customers` the calls of callers without an account don't count: these
+        choose ids themselves, and could pass each other's calls off as nested.
         """
-        if not self._separator or not self._calls_by_id:
+        counts = self._calls_by_known_id if of_customers else self._calls_by_id
+        if not self._separator or not counts:
             return False
         parent, separator, _ = call_id.rpartition(self._separator)
-        return bool(separator) and parent in self._calls_by_id
+        return bool(separator) and parent in counts
+
+    def _counts_of(self, call: Call) -> list[dict[str, int]]:
+        if not self._separator or not call.call_id:
+            return []
+        is_known = bool(call.customer) or call.priority == NESTED_PRIORITY
+        return [self._calls_by_id] + [self._calls_by_known_id] * is_known
--- a/src/comfreytray/calls/outbox.py
+++ b/src/comfreytray/calls/outbox.py
@@ -20,7 +20,7 @@
 
     @property
     def end(self) -> int:
-        """Return the offset behind the last byte."""
+        """Return the offset behind the last byte, while it is queued."""
         return self.start + len(self.data)
 
 
@@ -96,6 +96,8 @@
         first = self._blocks[0]
         self.size -= size
         if size == len(first.data):
+            # The stream of a call refers to its block for as long as the call runs.
+            first.data = b""
             self._blocks.popleft()
             self._is_writing = False
             return
@@ -119,6 +121,7 @@
             if size > MAX_BLOCK_BYTES:
                 break
             parts.append(bytes(following.data))
+            following.data = b""
             del self._blocks[1]
         if len(parts) > 1:
             first.data = b"".join(parts)
--- a/src/comfreytray/calls/retries.py
+++ b/src/comfreytray/calls/retries.py
@@ -18,10 +18,11 @@
 NODE_SLACK_FRACTION = 0.5
 """Fraction of a shared retry slack that the nodes may use at once; the rest is for
 repeated nested calls, too."""
-REFUSED_RATIO_FRACTION = 0.5
+REFUSED_RATIO_FRACTION = 0.3
 REFUSED_SLACK_FRACTION = 0.25
 """The same for retries of calls that upstreams refused without running them, which
-repeat no nested calls."""
+repeat no nested calls. Saved tokens and those earned meanwhile may be spent in one
+window, so this fraction counts twice."""
 MAX_SERVICES = 256
 """Services whose budgets are kept."""
 MAX_REDIRECTS = 3
@@ -89,7 +90,7 @@
         """Return one node's part of the budget for calls that were refused unrun."""
         return cls(
             share=ratio * REFUSED_RATIO_FRACTION,
-            reserve=max(1.0, slack * REFUSED_SLACK_FRACTION / max(1, nodes)),
+            reserve=slack * REFUSED_SLACK_FRACTION / max(1, nodes),
             window_s=window_s,
         )
 
--- a/src/comfreytray/concurrency/limiter.py
+++ b/src/comfreytray/concurrency/limiter.py
@@ -22,8 +22,8 @@
 be told which part of the call ran at which pace."""
 MIN_TOOK_S = 0.0001
 OTHERS_REPORTS = 3
-"""Answers of which each must report calls that this node does not know. The numbers in
-a single answer may be older than the ends of calls that this node has seen."""
+"""Newest answers of which the one with the fewest unknown calls counts. The numbers in
+an answer may be older than the ends of calls that this node has seen."""
 OTHERS_VALID_S = 1.0
 MAX_OTHERS_S = 15.0
 """Time after which calls that are still unknown are no longer believed: an upstream may
@@ -150,6 +150,7 @@
 
     def _reset(self, instance_id: str) -> None:
         self._instance_id = instance_id
+        self._period += 1
         self._pace.set(0.0)
         self._reported_slots = 0
         self._others.clear()
--- a/src/comfreytray/customers/credentials.py
+++ b/src/comfreytray/customers/credentials.py
@@ -11,8 +11,8 @@
 def precedence_of(priority: int) -> int:
     """Return the part of a call's priority that ranks before the shares of customers.
 
-    It is the priority granted to the customer, where there are accounts; the priorities
-    of routes count only among the calls of one customer.
+    It is the priority granted to the customer or, if it has none, that of the route;
+    other priorities of routes count only among the calls of one customer.
     """
     return priority // (MAX_ROUTE_PRIORITY + 1)
 
--- a/src/comfreytray/platform/configuration.py
+++ b/src/comfreytray/platform/configuration.py
@@ -74,7 +74,12 @@
         keys_by_account: list[tuple[Account, list[str]]] = []
         has_accounts = False
         for resource in document["resources"]:
-            kind, spec = resource["resource_kind"], resource["spec"]
+            kind = resource["resource_kind"]
+            if kind == "tenants":
+                has_accounts = True
+                keys_by_account += _account_if_valid(resource)
+                continue
+            spec = resource["spec"]
             if kind == "routes":
                 name = resource["metadata"]["name"]
                 packed, route = self._route(name, spec)
@@ -85,9 +90,6 @@
             elif kind == "services":
                 name = resource["metadata"]["name"]
                 connections_by_service[name] = int(spec["max_connections"])
-            elif kind == "tenants":
-                has_accounts = True
-                keys_by_account += _account_if_valid(resource)
         self._route_by_name = route_by_name
         return Snapshot(
             head=Head(version=version, digest=b""),
@@ -119,9 +121,12 @@
 
 def _account(resource: Mapping[str, Any]) -> tuple[Account, list[str]]:
     spec = resource["spec"]
-    keys = [checked_text(key) for key in spec["api_keys"] or ()]
-    if len(keys) > MAX_KEYS or not all(keys):
-        raise ValueError(f"expected up to {MAX_KEYS} keys, none of them empty")
+    listed = spec["api_keys"]
+    if type(listed) is not list or len(listed) > MAX_KEYS:
+        raise TypeError(f"expected a list of up to {MAX_KEYS} keys")
+    keys = [checked_text(key) for key in listed]
+    if not all(_HEADER_VALUE.fullmatch(key) for key in keys):
+        raise ValueError("expected keys that can be sent in a header")
     priority = spec.get("priority")
     customer = checked_text(resource["metadata"]["name"])
     if _HEADER_VALUE.fullmatch(customer) is None:
