Apply the configuration's limits on requests

Cause: the `limits` of a configuration were ignored; a head was refused by fixed sizes, its time counted only from the end of the request line, and a slow one was closed without an answer.

A refused head is answered after the requests before it on the connection. Without a configuration the figures are those from before. Reading bodies moved from requests.py to requestbodies.py.

--- a/features/steps/calls_http_steps.py
+++ b/features/steps/calls_http_steps.py
@@ -8,7 +8,7 @@
 from calls_rig import add_fleet, answer, are_slots_free, count_runs, read_answer, until
 from eventlet.green import socket
 
-from comfreytray.calls import connections, requests
+from comfreytray.calls import connections, requestbodies
 from comfreytray.calls.connections import shut_down_socket
 
 HEAD = b"POST /%s HTTP/1.1\r\nHost: canhdieu.test\r\n"
@@ -64,9 +64,9 @@
 
 @when("ambiguous, oversized, slow and malformed requests are sent")
 def send_malformed(context):
-    timeout_s = requests.BODY_TIMEOUT_S
-    requests.BODY_TIMEOUT_S = 0.05
-    context.add_cleanup(setattr, requests, "BODY_TIMEOUT_S", timeout_s)
+    timeout_s = requestbodies.BODY_TIMEOUT_S
+    requestbodies.BODY_TIMEOUT_S = 0.05
+    context.add_cleanup(setattr, requestbodies, "BODY_TIMEOUT_S", timeout_s)
     context.refused = []
     for data, kind in _malformed_requests():
         sock = context.fleet.raw("a", data)
--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -22,6 +22,7 @@
     MembershipView,
     NodeRecord,
 )
+from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS
 from comfreytray.configuration.content import Head
 from comfreytray.configuration.snapshots import Route, Snapshot
 from comfreytray.testing import MemoryStore
@@ -73,6 +74,7 @@
         self.path_by_id, self.upstream_by_id, self.http_by_id = {}, {}, {}
         self.greenlets = []
         self.accounts = None
+        self.limits = DEFAULT_CALLER_LIMITS
         self.routes = (
             Route(
                 customer="canhdieu",
@@ -173,6 +175,7 @@
             routes_by_customer={"canhdieu": self.routes},
             customer_by_host={"canhdieu.test": "canhdieu"},
             accounts=self.accounts,
+            limits=self.limits,
         )
 
     def raw(self, node_id, data):
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -7,6 +7,7 @@
 from comfreytray.calls.callers import CallerConnections, Listener
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.clock import SystemClock
+from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS
 
 REQUEST = b"GET /%s HTTP/1.1\r\nHost: a.example\r\n\r\n"
 ANSWER = b"x" * 100_000
@@ -17,7 +18,10 @@
     def __init__(self):
         self.clock = SystemClock()
         self.callers = CallerConnections()
-        self.head_started_by_socket = {}
+        self.pending_head_by_socket = {}
+
+    def caller_limits(self):
+        return DEFAULT_CALLER_LIMITS
 
     def encode_refusal(self, failure, accept_language):
         return b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
--- a/src/comfreytray/calls/callers.py
+++ b/src/comfreytray/calls/callers.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import eventlet
+from attrs import frozen
 from eventlet.event import Event
 
 POLL_S = 0.02
@@ -13,6 +14,19 @@
 _PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
 
 
+class HeadTimeoutError(Exception):
+    """Raised in the greenlet that reads a head which was not complete in time."""
+
+
+@frozen(kw_only=True)
+class PendingHead:
+    """A request head of which the first byte has arrived."""
+
+    greenlet: Any
+    """The greenlet that reads it."""
+    started_at: float
+
+
 class CallerConnections:
     """Tracks which connections of callers are idle and which carry a request."""
 
--- a/src/comfreytray/calls/heads.py
+++ b/src/comfreytray/calls/heads.py
@@ -66,16 +66,21 @@
         return self._values_by_name.get(name, [])
 
 
-def read_fields(source: LineSource) -> Fields:
+def read_fields(
+    source: LineSource,
+    *,
+    max_bytes: int = MAX_HEAD_BYTES,
+    max_line_bytes: int = MAX_LINE_BYTES,
+) -> Fields:
     """Read header fields up to the blank line; raises HeadError."""
     fields = Fields()
     size = 0
     while True:
-        line = source.readline(MAX_LINE_BYTES)
+        line = source.readline(max_line_bytes)
         if line in _BLANK_LINES:
             return fields
         size += len(line)
-        if len(line) >= MAX_LINE_BYTES or size > MAX_HEAD_BYTES:
+        if len(line) >= max_line_bytes or size > max_bytes:
             raise HeadTooLargeError(f"header line or fields too large: {size} bytes")
         if len(fields.pairs) >= MAX_FIELDS:
             raise HeadTooLargeError(f"more than {MAX_FIELDS} header fields")
--- a/src/comfreytray/calls/httpserver.py
+++ b/src/comfreytray/calls/httpserver.py
@@ -14,9 +14,13 @@
 from eventlet import wsgi
 
 from comfreytray.calls.bodies import StrictInput
-from comfreytray.calls.callers import CallerConnections
+from comfreytray.calls.callers import (
+    CallerConnections,
+    HeadTimeoutError,
+    PendingHead,
+)
 from comfreytray.calls.heads import (
-    MAX_LINE_BYTES,
+    MAX_HEAD_BYTES,
     Fields,
     HeadError,
     HeadTooLargeError,
@@ -27,10 +31,9 @@
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
+from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS, CallerLimits
 from comfreytray.configuration.snapshots import SAFE_METHODS
 
-HEAD_TIMEOUT_S = 10.0
-KEEPALIVE_TIMEOUT_S = 75.0
 SOCKET_TIMEOUT_S = 30.0
 MAX_CONNECTIONS = 2048
 LINGER_S = 0.5
@@ -42,7 +45,7 @@
     rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) (/[\x21-\x7e]*) (HTTP/1\.[01])\r?\n"
 )
 _METHODS = frozenset({"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"})
-_TOO_LARGE = (HeadTooLargeError, wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge)
+_LINE_END_BYTES = 2
 
 
 class ServerContext(Protocol):
@@ -50,7 +53,11 @@
 
     clock: Clock
     callers: CallerConnections
-    head_started_by_socket: dict[Any, float]
+    pending_head_by_socket: dict[Any, PendingHead]
+
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits on requests that are in force."""
+        ...
 
     def encode_refusal(self, failure: Failure, accept_language: str) -> bytes:
         """Return the complete HTTP response for a head that is refused."""
@@ -66,22 +73,51 @@
         headers: Any
         pipeline: Pipeline
         close_connection: Any
+        limits: CallerLimits
+        """Limits that were in force when the head began."""
+        has_timed_out = False
+        """Whether no byte came for the idle time."""
         lingers = False
         """Whether the caller may still send bytes that the node will not read."""
 
         def _read_request_line(self) -> bytes:
-            line: bytes = super()._read_request_line()
-            if not line:
-                return line
-            if len(line) >= MAX_LINE_BYTES:
+            try:
+                if not self._await_request():
+                    return b""
+                line: bytes = self.rfile.readline(self.limits.max_line_bytes)
+            except HeadTimeoutError:
+                self._refuse(Failure(kind=Kind.HEAD_TOO_SLOW, detail="request line"))
+                return b""
+            except OSError:
+                return b""
+            if len(line) >= self.limits.max_line_bytes:
+                context.pending_head_by_socket.pop(self.connection, None)
                 self._refuse(
                     Failure(kind=Kind.HEAD_TOO_LARGE, detail="request line too long")
                 )
                 return b""
-            context.callers.mark_busy(self.connection)
-            context.head_started_by_socket[self.connection] = context.clock.monotonic()
             return line
 
+        def _await_request(self) -> bool:
+            """Wait for the first byte of a request; false if there is none in time."""
+            self.limits = context.caller_limits()
+            # The server reads it for its Keep-Alive header.
+            self.server.keepalive = self.limits.idle_timeout_s
+            sock = self.connection
+            sock.settimeout(self.limits.idle_timeout_s)
+            try:
+                if not self.rfile.peek(1):
+                    return False
+            except TimeoutError:
+                self.has_timed_out = True
+                return False
+            sock.settimeout(SOCKET_TIMEOUT_S)
+            context.callers.mark_busy(sock)
+            context.pending_head_by_socket[sock] = PendingHead(
+                greenlet=eventlet.getcurrent(), started_at=context.clock.monotonic()
+            )
+            return True
+
         def handle(self) -> None:
             self.pipeline = Pipeline(
                 target=self.wfile,
@@ -93,11 +129,12 @@
                 self._wait_for_responses()
             finally:
                 self.pipeline.close()
+                context.pending_head_by_socket.pop(self.connection, None)
                 context.callers.remove(self.connection)
 
         def _wait_for_responses(self) -> None:
             """Wait for the pending responses unless the caller has hung up."""
-            if self.raw_requestline or context.callers.stopping:
+            if self.raw_requestline or self.has_timed_out or context.callers.stopping:
                 self.pipeline.wait_until_empty()
 
         def handle_one_request(self) -> None:
@@ -133,16 +170,20 @@
         def parse_request(self) -> bool:
             self.close_connection = True
             self.headers = None
+            failure = None
             try:
                 self._read_head()
-            except _TOO_LARGE as error:
-                self._refuse(Failure(kind=Kind.HEAD_TOO_LARGE, detail=str(error)))
-                return False
+            except HeadTimeoutError:
+                failure = Failure(kind=Kind.HEAD_TOO_SLOW, detail="header fields")
+            except HeadTooLargeError as error:
+                failure = Failure(kind=Kind.HEAD_TOO_LARGE, detail=str(error))
             except HeadError as error:
-                self._refuse(Failure(kind=Kind.BAD_REQUEST, detail=str(error)))
-                return False
+                failure = Failure(kind=Kind.BAD_REQUEST, detail=str(error))
             finally:
-                context.head_started_by_socket.pop(self.connection, None)
+                context.pending_head_by_socket.pop(self.connection, None)
+            if failure is not None:
+                self._refuse(failure)
+                return False
             if self.command not in _METHODS:
                 self._refuse(
                     Failure(kind=Kind.METHOD_NOT_SUPPORTED, detail="unsupported method")
@@ -157,7 +198,15 @@
             self.requestline = self.raw_requestline.decode("latin-1").rstrip()
             self.command, self.path = match[1].decode(), match[2].decode()
             self.request_version = match[3].decode()
-            self.headers = read_fields(self.rfile)
+            limits = self.limits
+            self.headers = read_fields(
+                # The server's own wrapper has fixed limits.
+                self.rfile.fp,
+                max_bytes=limits.max_header_bytes
+                - len(self.raw_requestline)
+                - _LINE_END_BYTES,
+                max_line_bytes=limits.max_line_bytes,
+            )
             _check_head(self.request_version, self.headers)
             connection = self.headers.get("connection", "").lower()
             if self.request_version == "HTTP/1.1":
@@ -202,6 +251,7 @@
             )
 
         def _refuse(self, failure: Failure) -> None:
+            self.pipeline.wait_until_empty()
             headers = getattr(self, "headers", None)
             language = headers.get("accept-language", "") if headers else ""
             self.wfile.write(context.encode_refusal(failure, language))
@@ -228,10 +278,10 @@
         application,
         custom_pool=eventlet.GreenPool(MAX_CONNECTIONS),
         protocol=protocol_for(context),
-        keepalive=KEEPALIVE_TIMEOUT_S,
+        keepalive=DEFAULT_CALLER_LIMITS.idle_timeout_s,
         socket_timeout=SOCKET_TIMEOUT_S,
         log_output=False,
-        url_length_limit=MAX_LINE_BYTES,
+        url_length_limit=MAX_HEAD_BYTES,
         debug=False,
         minimum_chunk_size=1,
         capitalize_response_headers=False,
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from comfreytray.calls import httpserver, requests
+from comfreytray.calls import httpserver, requestbodies, requests
 from comfreytray.calls.answers import MessageFor, buffer_reply, plain_message
 from comfreytray.calls.call import Call, CallCancelledError, Outcome, Reply, fail
 from comfreytray.calls.callers import CallerConnections, Listener
@@ -34,6 +34,7 @@
 from comfreytray.common.interfaces import Clock, ObjectStore
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import LocalUpstream, MembershipView, NodeRecord
+from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS, CallerLimits
 from comfreytray.configuration.snapshots import Snapshot
 
 if TYPE_CHECKING:
@@ -142,8 +143,9 @@
             client=self.client,
             router=self.router,
             keyed=self.keyed,
+            limits=self.caller_limits,
         )
-        self.head_started_by_socket = self.reaper.head_started_by_socket
+        self.pending_head_by_socket = self.reaper.pending_head_by_socket
         self._greenlets: list[Any] = []
         self._listener: Listener | None = None
 
@@ -273,17 +275,22 @@
             )
         except CallCancelledError:
             self.metrics.count("calls_cancelled")
-            requests.close_after(environ)
+            requestbodies.close_after(environ)
             return self.responder.refuse(environ, start_response, fail(Kind.CANCELLED))
         except Exception as error:
             logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
             return self.responder.refuse(environ, start_response, fail(Kind.INTERNAL))
         finally:
             self.reaper.untrack(tracked)
-            requests.release_body(environ, self.body_budget)
+            requestbodies.release_body(environ, self.body_budget)
             if not streaming:
                 self.in_flight -= 1
 
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits on requests of the configuration in force."""
+        snapshot = self.snapshot()
+        return DEFAULT_CALLER_LIMITS if snapshot is None else snapshot.limits
+
     def encode_refusal(self, failure: Failure, accept_language: str) -> bytes:
         """Return the complete HTTP response for a head that is refused."""
         return self.responder.encode_refusal(failure, accept_language)
--- a/src/comfreytray/calls/reaper.py
+++ b/src/comfreytray/calls/reaper.py
@@ -1,19 +1,24 @@
 """Periodic cleanup: callers that hung up, slow request heads, idle connections."""
 
 import socket as plain_socket
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import eventlet
 from attrs import define
 
 from comfreytray.calls.call import CallCancelledError
-from comfreytray.calls.callers import CallerConnections
+from comfreytray.calls.callers import (
+    CallerConnections,
+    HeadTimeoutError,
+    PendingHead,
+)
 from comfreytray.calls.connections import StreamClient
-from comfreytray.calls.httpserver import HEAD_TIMEOUT_S
 from comfreytray.calls.owner import Owner
 from comfreytray.calls.routing import Router
 from comfreytray.common import logs
 from comfreytray.common.interfaces import Clock
+from comfreytray.configuration.callerlimits import CallerLimits
 
 if TYPE_CHECKING:
     from comfreytray.calls.keyed import KeyedCalls
@@ -48,6 +53,7 @@
         client: StreamClient,
         router: Router,
         keyed: "KeyedCalls | None",
+        limits: Callable[[], CallerLimits],
     ) -> None:
         self.clock = clock
         self.callers = callers
@@ -55,8 +61,9 @@
         self.client = client
         self.router = router
         self.keyed = keyed
+        self.limits = limits
         self.tracked_calls: set[TrackedCall] = set()
-        self.head_started_by_socket: dict[Any, float] = {}
+        self.pending_head_by_socket: dict[Any, PendingHead] = {}
 
     def track(self, environ: dict[str, Any]) -> TrackedCall:
         """Track the caller of a call, which runs in the current greenlet."""
@@ -89,10 +96,10 @@
 
     def _has_work(self) -> bool:
         waiting = self.owner.admission.queued
-        return bool(self.tracked_calls or self.head_started_by_socket or waiting)
+        return bool(self.tracked_calls or self.pending_head_by_socket or waiting)
 
     def sweep(self) -> None:
-        """Cancel calls whose callers hung up and close connections with slow heads."""
+        """Cancel calls whose callers hung up and refuse heads that are too slow."""
         now = self.clock.monotonic()
         for tracked in list(self.tracked_calls):
             if now - tracked.started_at < CALLER_CHECK_DELAY_S:
@@ -102,13 +109,19 @@
             if _has_hung_up(tracked.sock):
                 self.tracked_calls.discard(tracked)
                 eventlet.kill(tracked.greenlet, CallCancelledError())
-        for sock, started_at in list(self.head_started_by_socket.items()):
-            if now - started_at >= HEAD_TIMEOUT_S:
-                del self.head_started_by_socket[sock]
-                sock.shutdown(plain_socket.SHUT_RDWR)
+        self._refuse_slow_heads(now)
         self.owner.admission.expire()
         self.client.check()
 
+    def _refuse_slow_heads(self, now: float) -> None:
+        if not self.pending_head_by_socket:
+            return
+        started_before = now - self.limits().header_timeout_s
+        for sock, head in list(self.pending_head_by_socket.items()):
+            if head.started_at <= started_before:
+                self.pending_head_by_socket.pop(sock, None)
+                eventlet.kill(head.greenlet, HeadTimeoutError())
+
     def _close_idle(self) -> None:
         self.owner.pool.close_idle()
         self.client.close_idle()
--- a/src/comfreytray/calls/requests.py
+++ b/src/comfreytray/calls/requests.py
@@ -4,17 +4,15 @@
 from typing import Any
 from urllib.parse import unquote
 
-import eventlet
-
 from comfreytray.calls.call import (
     LENGTH_HEADER,
-    MAX_BODY_BYTES,
     MAX_DEPTH,
     Call,
     Reply,
     request_headers,
 )
 from comfreytray.calls.dialect import Dialect
+from comfreytray.calls.requestbodies import BodyBudget, read_body
 from comfreytray.calls.splits import Splitter
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.errors import Failure, Kind
@@ -23,10 +21,6 @@
 from comfreytray.configuration.snapshots import Route, Snapshot
 from comfreytray.customers.credentials import identify, rank_priority
 
-BODY_TIMEOUT_S = 10.0
-READ_BYTES = 65_536
-MAX_RESERVED_BYTES = 12 * MAX_BODY_BYTES
-"""Bytes of request bodies that a node holds at one time."""
 MAX_KEY_LENGTH = 255
 MAX_DEADLINE_MS = 86_400_000
 MS_PER_S = 1000.0
@@ -40,29 +34,6 @@
     return "HTTP_" + header.upper().replace("-", "_")
 
 
-class BodyBudget:
-    """Limits the bytes of request bodies that a node holds at one time."""
-
-    def __init__(self, *, limit: int = MAX_RESERVED_BYTES) -> None:
-        self.limit = limit
-        self.reserved = 0
-
-    def reserve(self, size: int) -> bool:
-        """Reserve bytes for a body; whether the limit allows it."""
-        if self.reserved + size > self.limit:
-            return False
-        self.reserved += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Release the reserved bytes of a body."""
-        self.reserved -= size
-
-
-class _BodyTimeoutError(Exception):
-    """Raised when a body was not read within its time-out."""
-
-
 class RequestReader:
     """Converts requests of callers into calls, by the header names of one dialect."""
 
@@ -120,7 +91,7 @@
                 kind=Kind.BAD_REQUEST,
                 detail=f"idempotency key longer than {MAX_KEY_LENGTH} characters",
             )
-        body = read_body(environ, self.budget)
+        body = read_body(environ, self.budget, limit=snapshot.limits.max_body_bytes)
         if isinstance(body, Failure):
             return body
         if self.stop is not None:
@@ -227,56 +198,6 @@
         return min(route.timeout_s, left_ms / MS_PER_S)
 
 
-def read_body(environ: Environ, budget: BodyBudget) -> bytes | Failure:
-    """Read a complete body, within the limits on size and time."""
-    chunked = "HTTP_TRANSFER_ENCODING" in environ
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    if not chunked and length == 0:
-        return b""
-    if length > MAX_BODY_BYTES:
-        return Failure(kind=Kind.BODY_TOO_LARGE)
-    size = MAX_BODY_BYTES if chunked else length
-    if not budget.reserve(size):
-        return Failure(kind=Kind.OVERLOADED, detail="too many request bodies in memory")
-    environ["comfreytray.reserved"] = size
-    try:
-        with eventlet.Timeout(BODY_TIMEOUT_S, _BodyTimeoutError()):
-            body = _read_parts(environ["wsgi.input"])
-    except (_BodyTimeoutError, TimeoutError):
-        close_after(environ)
-        return Failure(kind=Kind.BODY_TOO_SLOW)
-    except (OSError, ValueError, EOFError):
-        close_after(environ)
-        return Failure(kind=Kind.BAD_REQUEST, detail="malformed body")
-    if len(body) > MAX_BODY_BYTES:
-        return Failure(kind=Kind.BODY_TOO_LARGE)
-    if not chunked and len(body) < length:
-        close_after(environ)
-        return Failure(
-            kind=Kind.BAD_REQUEST,
-            detail=f"body truncated: got {len(body)} of {length} bytes",
-        )
-    environ["comfreytray.body_read"] = True
-    return body
-
-
-def _read_parts(source: Any) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    while size <= MAX_BODY_BYTES:
-        part = source.read(READ_BYTES)
-        if not part:
-            break
-        parts.append(part)
-        size += len(part)
-    return b"".join(parts)
-
-
-def release_body(environ: Environ, budget: BodyBudget) -> None:
-    """Release the bytes reserved for the body of a request."""
-    budget.release(environ.pop("comfreytray.reserved", 0))
-
-
 def must_buffer(environ: Environ, reply: Reply) -> bool:
     """Whether the caller could take a truncated answer for a complete one."""
     protocol = environ.get("comfreytray.protocol")
@@ -285,22 +206,6 @@
     return all(name != LENGTH_HEADER for name, _ in reply.headers)
 
 
-def has_unread_body(environ: Environ) -> bool:
-    """Whether a request has a body that was not read to its end."""
-    if environ.get("comfreytray.body_read"):
-        return False
-    length = environ.get("CONTENT_LENGTH") or "0"
-    return "HTTP_TRANSFER_ENCODING" in environ or length != "0"
-
-
-def close_after(environ: Environ) -> None:
-    """Have the server close the connection after the answer."""
-    protocol = environ.get("comfreytray.protocol")
-    if protocol is not None:
-        protocol.close_connection = True
-        protocol.lingers = has_unread_body(environ)
-
-
 def _route(environ: Environ, snapshot: Snapshot) -> Route | Failure:
     path = _raw_path(environ)
     decoded = unquote(path)
--- a/src/comfreytray/calls/responder.py
+++ b/src/comfreytray/calls/responder.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from comfreytray.calls import requests
 from comfreytray.calls.answers import (
     MessageFor,
     StreamedBody,
@@ -12,6 +11,7 @@
 )
 from comfreytray.calls.call import Outcome, Reply
 from comfreytray.calls.dialect import Dialect
+from comfreytray.calls.requestbodies import close_after, has_unread_body
 from comfreytray.common.errors import Failure
 from comfreytray.common.metrics import Metrics
 
@@ -40,7 +40,7 @@
     ) -> Iterable[bytes]:
         """Answer a call; `on_end` is called at the end of a streamed answer."""
         if self.closes_connections:
-            requests.close_after(environ)
+            close_after(environ)
         status = f"{reply.status} {reply.reason or 'Status'}"
         start_response(status, list(reply.headers))
         if reply.rest is None:
@@ -59,8 +59,8 @@
         language = environ.get("HTTP_ACCEPT_LANGUAGE", "")
         text = self.message_for(outcome.failure, language)
         status, headers, body = build_refusal(outcome, text, self.dialect)
-        if requests.has_unread_body(environ) or self.closes_connections:
-            requests.close_after(environ)
+        if has_unread_body(environ) or self.closes_connections:
+            close_after(environ)
         start_response(status, headers)
         return [body]
 
--- a/src/comfreytray/common/errors.py
+++ b/src/comfreytray/common/errors.py
@@ -26,8 +26,10 @@
 
     BAD_REQUEST = "bad-request"
     HEAD_TOO_LARGE = "head-too-large"
+    HEAD_TOO_SLOW = "head-too-slow"
     BODY_TOO_LARGE = "body-too-large"
     BODY_TOO_SLOW = "body-too-slow"
+    BODY_CUT = "body-cut"
     METHOD_NOT_SUPPORTED = "method-not-supported"
     UNKNOWN_CUSTOMER = "unknown-customer"
     NO_ROUTE = "no-route"
@@ -113,8 +115,10 @@
 ANSWER_BY_KIND: dict[Kind, Answer] = {
     Kind.BAD_REQUEST: _answer(400, Ran.NO, Retry.NEVER, None, EXIT_USAGE),
     Kind.HEAD_TOO_LARGE: _answer(431, Ran.NO, Retry.NEVER),
+    Kind.HEAD_TOO_SLOW: _answer(408, Ran.NO, Retry.LATER, 1),
     Kind.BODY_TOO_LARGE: _answer(413, Ran.NO, Retry.NEVER),
     Kind.BODY_TOO_SLOW: _answer(408, Ran.NO, Retry.LATER, 1),
+    Kind.BODY_CUT: _answer(400, Ran.UNKNOWN, Retry.IF_IDEMPOTENT),
     Kind.METHOD_NOT_SUPPORTED: _answer(405, Ran.NO, Retry.NEVER),
     Kind.UNKNOWN_CUSTOMER: _answer(404, Ran.NO, Retry.NEVER, None, EXIT_NOT_FOUND),
     Kind.NO_ROUTE: _answer(404, Ran.NO, Retry.NEVER, None, EXIT_NOT_FOUND),
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -19,6 +19,7 @@
     VERSION_APPLIED = "version-applied"
     VERSION_REFUSED = "version-refused"
     ACCOUNT_REFUSED = "account-refused"
+    LIMIT_REFUSED = "limit-refused"
     VERSION_IGNORED = "version-ignored"
     VERSION_RESTORED = "version-restored"
     CHANGE_ACCEPTED = "change-accepted"
--- a/src/comfreytray/configuration/snapshots.py
+++ b/src/comfreytray/configuration/snapshots.py
@@ -6,6 +6,7 @@
 
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.configuration.accounts import Accounts
+from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS, CallerLimits
 from comfreytray.configuration.content import Head
 from comfreytray.configuration.paths import comparable
 
@@ -72,6 +73,8 @@
     """Maximum number of connections to one instance of a service, where it is set."""
     accounts: Accounts | None = None
     """Accounts of customers with API keys; None if calls need no key."""
+    limits: CallerLimits = DEFAULT_CALLER_LIMITS
+    """Limits on the requests of callers."""
     _routes_by_prefix_by_customer: Mapping[str, Mapping[str, tuple[Route, ...]]] = (
         field(init=False, eq=False, repr=False)
     )
--- a/src/comfreytray/platform/configuration.py
+++ b/src/comfreytray/platform/configuration.py
@@ -10,8 +10,10 @@
 from comfreytray.common.logs import Event, warn
 from comfreytray.common.outerjson import checked_int, checked_text
 from comfreytray.configuration.accounts import Account, build_accounts
+from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS
 from comfreytray.configuration.content import Head
 from comfreytray.configuration.snapshots import Route, ServiceShare, Snapshot
+from comfreytray.platform.callerlimits import read_limits
 
 OBJECT_KEY = "config/main"
 """Key of the configuration in the object store."""
@@ -66,6 +68,7 @@
         route_by_name: dict[str, tuple[Mapping[str, Any], Route]] = {}
         keys_by_account: list[tuple[Account, list[str]]] = []
         has_accounts = False
+        limits = DEFAULT_CALLER_LIMITS
         for resource in document["resources"]:
             kind, spec = resource["resource_kind"], resource["spec"]
             if kind == "routes":
@@ -81,6 +84,8 @@
             elif kind == "tenants":
                 has_accounts = True
                 keys_by_account += _account_if_valid(resource)
+            elif kind == "limits":
+                limits = read_limits(spec)
         self._route_by_name = route_by_name
         return Snapshot(
             head=Head(version=version, digest=b""),
@@ -90,6 +95,7 @@
             customer_by_host={host: host for host in routes_by_host},
             connections_by_service=connections_by_service,
             accounts=build_accounts(keys_by_account) if has_accounts else None,
+            limits=limits,
         )
 
     def _route(self, name: str, spec: Mapping[str, Any]) -> Route:
