Carry request bodies over call streams in parts, with credit

Cause: a call and its whole body were one frame, so a body had to fit into memory at both nodes and could not exceed 1 MiB.

Change: a frame BODY_FOLLOWS announces a body before its call; the body then comes in DATA frames against CREDIT that the node beside the upstream grants from the first read on, as answers have it in the other direction. A node asks another once, by a message, whether it takes such bodies, since a node of an earlier version closes the connection at an unknown frame. The owner reserves memory for each body. Nothing makes such calls yet. The writer of connections.py moved to streamwriter.py.

--- a/features/steps/calls_streams_steps.py
+++ b/features/steps/calls_streams_steps.py
@@ -251,6 +251,18 @@
         1,
     )
     yield "answer from a caller", hello + callframes.pack_data(1, b"", last=True), 0
+    announced = hello + callframes.pack_body_follows(1, 9) + call
+    part = callframes.pack_data(1, b"x", last=False)
+    yield "part of a whole body", hello + call + part, 1
+    yield "part before credit", announced + part, 1
+    yield "less than declared", announced + callframes.pack_data(1, b"", last=True), 1
+    yield (
+        "body announced for another call",
+        hello + callframes.pack_body_follows(2, 9) + call,
+        0,
+    )
+    yield "two bodies announced", hello + 2 * callframes.pack_body_follows(1, 9), 0
+    yield "negative length", hello + callframes.pack_body_follows(1, -2) + call, 0
     yield "unknown tag", hello + msgpack.packb([59, 1]), 0
     yield "wrong length", hello + msgpack.packb([41, 1]), 0
     yield "map", hello + msgpack.packb({1: 2}), 0
--- a/src/comfreytray/calls/call.py
+++ b/src/comfreytray/calls/call.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field, frozen
 
+from comfreytray.calls.uploads import Upload
 from comfreytray.common.errors import Failure, Kind, Ran
 from comfreytray.common.exceptions import ComfreytrayError
 
@@ -24,6 +25,7 @@
 MAX_DEPTH = 32
 """Nested calls allowed in a chain."""
 MAX_BODY_BYTES = 1_048_576
+"""Largest body that is buffered whole; a larger one is streamed."""
 
 _HOP_BY_HOP = frozenset(
     {
@@ -83,6 +85,7 @@
     headers: Headers
     """End-to-end headers only."""
     body: bytes
+    """The whole body; empty if it is streamed as `upload`."""
     deadline: float
     """Monotonic time of this process, in seconds."""
     idempotent: bool
@@ -112,6 +115,8 @@
     """Whether it runs in isolation at this owner."""
     max_attempts: int = 0
     """Maximum number of endpoints to try; 0 leaves it to the retry policy."""
+    upload: Upload | None = None
+    """A body that is too large to be buffered."""
 
 
 @frozen(kw_only=True)
--- a/src/comfreytray/calls/callframes.py
+++ b/src/comfreytray/calls/callframes.py
@@ -24,12 +24,14 @@
 CUT = 47
 PING = 48
 PONG = 49
+BODY_FOLLOWS = 50
 
 WINDOW_BYTES = 262_144
 """Flow control: bytes of an answer in flight before the reader must grant credit."""
 CHUNK_BYTES = 65_536
 MAX_FRAME_BYTES = MAX_BODY_BYTES + 262_144
 MAX_ID = 2**53
+UNKNOWN_LENGTH = -1
 MAX_HEADERS = 200
 MICROSECONDS_PER_S = 1_000_000
 
@@ -60,14 +62,18 @@
     # stream id, status, reason, headers, body, last,
     # load: used, service time, held
     HEAD: (int, int, str, tuple, bytes, bool, float, float, float),
-    DATA: (int, bytes, bool),  # stream id, chunk, last
-    CREDIT: (int, int),  # stream id, bytes granted
+    # Stream id, chunk, last: of an answer, or of the body of a call.
+    DATA: (int, bytes, bool),
+    CREDIT: (int, int),  # stream id, bytes granted to the sender of DATA
     # stream id, kind, ran, detail, sent, retry after, load: used, service time
     REFUSE: (int, str, str, str, bool, float, float, float),
     CANCEL: (int,),
     CUT: (int, str, str),  # stream id, kind, detail
     PING: (int,),
     PONG: (int,),
+    # Stream id and declared length (or `UNKNOWN_LENGTH`) of the body that the call
+    # opened by the next frame has in DATA frames.
+    BODY_FOLLOWS: (int, int),
 }
 _KIND_BY_VALUE = {kind.value: kind for kind in Kind}
 _RAN_BY_VALUE = {ran.value: ran for ran in Ran}
@@ -119,6 +125,12 @@
     )
 
 
+def pack_body_follows(stream_id: int, length: int | None) -> bytes:
+    """Pack the announcement of a call whose body follows in parts."""
+    announced = UNKNOWN_LENGTH if length is None else length
+    return _pack((BODY_FOLLOWS, stream_id, announced))  # type: ignore[no-any-return]
+
+
 def pack_head(
     stream_id: int,
     *,
@@ -147,12 +159,12 @@
 
 
 def pack_data(stream_id: int, chunk: bytes, *, last: bool) -> bytes:
-    """Pack a further part of an answer's body."""
+    """Pack a part of a body."""
     return _pack((DATA, stream_id, chunk, last))  # type: ignore[no-any-return]
 
 
 def pack_credit(stream_id: int, size: int) -> bytes:
-    """Pack flow-control credit for `size` further bytes of an answer."""
+    """Pack flow-control credit for `size` further bytes of a body."""
     return _pack((CREDIT, stream_id, size))  # type: ignore[no-any-return]
 
 
@@ -304,6 +316,10 @@
     return all(math.isfinite(value) and value >= 0 for value in values)
 
 
+def _check_body_follows(frame: Frame) -> str:
+    return "" if UNKNOWN_LENGTH <= frame[2] <= MAX_ID else "length out of range"
+
+
 def _check_cut(frame: Frame) -> str:
     return "unknown kind" if find_kind(frame[2]) is None else ""
 
@@ -314,4 +330,5 @@
     CREDIT: _check_credit,
     REFUSE: _check_refuse,
     CUT: _check_cut,
+    BODY_FOLLOWS: _check_body_follows,
 }
--- a/src/comfreytray/calls/connections.py
+++ b/src/comfreytray/calls/connections.py
@@ -1,6 +1,5 @@
 """Client side of call streams: one TCP connection to each owner."""
 
-import contextlib
 from collections.abc import Callable, Iterator
 from types import TracebackType
 from typing import Any
@@ -9,8 +8,10 @@
 from attrs import define, field
 from eventlet.green import socket
 
-from comfreytray.calls.call import Call, CallCutError, Outcome, Reply, fail
-from comfreytray.calls.streams import CallStream, CallStreams, Outbox
+from comfreytray.calls.call import Call, CallCutError, Load, Outcome, Reply, fail
+from comfreytray.calls.streams import CallStream, CallStreams
+from comfreytray.calls.streamuploads import StreamSink, ask_for_uploads, send_upload
+from comfreytray.calls.streamwriter import Writer, shut_down_socket
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock
@@ -34,53 +35,6 @@
 paused first reads what has arrived."""
 
 
-class Writer:
-    """Writes an outbox to a socket without blocking its caller."""
-
-    def __init__(self, *, sock: Any, outbox: Outbox, on_lost: Callable[[], None]):
-        self.sock = sock
-        self.outbox = outbox
-        self.on_lost = on_lost
-        self._writing = False
-        self._close_when_written = False
-
-    def flush(self) -> None:
-        """Write pending bytes without blocking; a greenlet writes the rest."""
-        if self._writing or not self.outbox.size:
-            return
-        block = self.outbox.peek_all()
-        try:
-            sent = self.sock.fd.send(block)
-        except BlockingIOError:
-            sent = 0
-        except OSError:
-            self.on_lost()
-            return
-        self.outbox.discard_sent(sent)
-        if self.outbox.size:
-            self._writing = True
-            eventlet.spawn_n(self._write_pending)
-
-    def close(self) -> None:
-        """Shut the socket down and close it once no greenlet writes to it."""
-        shut_down_socket(self.sock)
-        if self._writing:
-            self._close_when_written = True
-        else:
-            self.sock.close()
-
-    def _write_pending(self) -> None:
-        try:
-            while self.outbox.size:
-                self.outbox.discard_sent(self.sock.send(self.outbox.peek_all()))
-        except OSError:
-            self.on_lost()
-        finally:
-            self._writing = False
-            if self._close_when_written:
-                self.sock.close()
-
-
 class OwnerConnection:
     """One connection to an owner."""
 
@@ -98,6 +52,8 @@
         self.on_closed = on_closed
         self.last_received_at = clock.monotonic()
         self.pinged_at = 0.0
+        self.takes_uploads: bool | None = None
+        """Whether the owner takes bodies in parts; None if it was not asked yet."""
         self._checks_since_ping = 0
         self.writer = Writer(sock=sock, outbox=streams.outbox, on_lost=self.close)
 
@@ -195,12 +151,39 @@
             return fail(Kind.DEADLINE_BEFORE_RUN, "before sending")
         if connection.streams.outbox.size > MAX_OUTBOX_BYTES:
             return fail(Kind.NODE_UNREACHABLE, "connection is backed up")
+        if call.upload is not None and not self._takes_uploads(connection, call):
+            # With a load of its own, as the endpoint need not be avoided otherwise.
+            refused = fail(Kind.OVERLOADED, "node takes no bodies in parts")
+            refused.load = Load()
+            return refused
+        return self._run(connection, call)
+
+    def _takes_uploads(self, connection: OwnerConnection, call: Call) -> bool:
+        """Whether an owner takes bodies in parts; asks it once."""
+        if connection.takes_uploads is None:
+            result = self._run(connection, ask_for_uploads(call))
+            if isinstance(result, Reply):
+                connection.takes_uploads = True
+            elif result.failure.kind is Kind.BAD_REQUEST:
+                connection.takes_uploads = False
+        return bool(connection.takes_uploads) and not connection.streams.closed
+
+    def _run(self, connection: OwnerConnection, call: Call) -> Reply | Outcome:
         signal = Signal()
+        left_s = call.deadline - self.clock.monotonic()
         stream = connection.streams.open(call, left_s=left_s)
         stream.notify = signal.fire
         connection.writer.flush()
         try:
-            return self._wait_for_head(connection, stream, signal, call)
+            if call.upload is None:
+                return self._wait_for_head(connection, stream, signal, call)
+            return send_upload(
+                call.upload,
+                StreamSink(
+                    streams=connection.streams, stream=stream, writer=connection.writer
+                ),
+                lambda: self._wait_for_head(connection, stream, signal, call),
+            )
         except BaseException:
             self._cancel(connection, stream)
             raise
@@ -341,9 +324,3 @@
                 and connection.last_received_at < limit
             ):
                 connection.close()
-
-
-def shut_down_socket(sock: Any) -> None:
-    """Shut down both directions; the greenlet that reads the socket closes it."""
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
--- a/src/comfreytray/calls/ownerstreams.py
+++ b/src/comfreytray/calls/ownerstreams.py
@@ -6,6 +6,7 @@
 
 from comfreytray.calls import callframes
 from comfreytray.calls.call import Call, Headers, Load, Outcome, fail
+from comfreytray.calls.receiveduploads import ReceivedUpload
 from comfreytray.calls.streams import Outbox, do_nothing
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import invariant
@@ -22,6 +23,8 @@
     call: Call
     credit: int = callframes.WINDOW_BYTES
     """Bytes that may still be sent before the caller grants more."""
+    upload: ReceivedUpload | None = None
+    """Body of the call that arrives in parts."""
     cancelled: bool = False
     notify: Callable[[], None] = do_nothing
     """Called after credit was granted or the call was cancelled."""
@@ -37,7 +40,13 @@
         self.hello: callframes.Hello | None = None
         self.stream_by_id: dict[int, OwnerStream] = {}
         self.closed = False
+        self.flush: Callable[[], None] = do_nothing
+        """Called after a frame was queued that nothing else would send."""
         self._last_id = 0
+        self._last_upload_id = 0
+        """Stream id of the last call with a body in parts."""
+        self._following: tuple[int, int] | None = None
+        """Stream id and length of the body that the next call has."""
         self._decoder = callframes.Decoder()
 
     def receive(self, received: bytes) -> list[OwnerStream] | Failure:
@@ -129,19 +138,26 @@
             return self._receive_hello(frame)
         if tag == callframes.OPEN:
             return self._receive_open(frame)
+        if tag == callframes.BODY_FOLLOWS and self._following is None:
+            self._following = frame[1:3]
+            return None
         if tag == callframes.PING:
             self.outbox.push(callframes.pack_pong(frame[1]))
             return None
-        if tag not in (callframes.CREDIT, callframes.CANCEL):
+        if tag not in (callframes.CREDIT, callframes.CANCEL, callframes.DATA):
             return Failure(
                 kind=Kind.BAD_FRAME, detail=f"unexpected tag {tag} from a caller"
             )
+        if tag == callframes.DATA and frame[1] > self._last_upload_id:
+            return Failure(kind=Kind.BAD_FRAME, detail="part of a body not announced")
         stream = self.stream_by_id.get(frame[1])
         if stream is None:
             return None
         if tag == callframes.CANCEL:
             self._cancel(stream)
             return None
+        if tag == callframes.DATA:
+            return _receive_part(stream, frame)
         stream.credit += frame[2]
         if stream.credit > callframes.WINDOW_BYTES:
             return Failure(kind=Kind.BAD_FRAME, detail="credit exceeds the window")
@@ -168,6 +184,15 @@
             )
         self._last_id = stream_id
         stream = OwnerStream(stream_id=stream_id, call=self._build_call(frame))
+        if self._following is not None:
+            announced_id, length = self._following
+            self._following = None
+            if announced_id != stream_id or stream.call.body:
+                return Failure(
+                    kind=Kind.BAD_FRAME, detail="announced body of another call"
+                )
+            self._last_upload_id = stream_id
+            self._attach_upload(stream, length)
         self.stream_by_id[stream_id] = stream
         if self.hello is not None and self.hello.expected_id != self.node_id:
             self.refuse(stream, fail(Kind.WRONG_NODE, "another node has this address"))
@@ -177,6 +202,19 @@
             return None
         return stream
 
+    def _attach_upload(self, stream: OwnerStream, length: int) -> None:
+        def grant(size: int) -> None:
+            if self._is_open(stream):
+                self.outbox.push(callframes.pack_credit(stream.stream_id, size))
+                self.flush()
+
+        stream.upload = stream.call.upload = ReceivedUpload(
+            length=None if length == callframes.UNKNOWN_LENGTH else length,
+            deadline=stream.call.deadline,
+            clock=self.clock,
+            grant=grant,
+        )
+
     def _build_call(self, frame: callframes.Frame) -> Call:
         now = self.clock.monotonic()
         left_s = frame[9] / callframes.MICROSECONDS_PER_S
@@ -203,6 +241,13 @@
         )
 
 
+def _receive_part(stream: OwnerStream, frame: callframes.Frame) -> Failure | None:
+    if stream.upload is None:
+        return Failure(kind=Kind.BAD_FRAME, detail="part of a body not announced")
+    error = stream.upload.receive(frame[2], last=frame[3])
+    return Failure(kind=Kind.BAD_FRAME, detail=error) if error else None
+
+
 def split_chunks(body: bytes) -> Iterator[bytes]:
     """Split a body into chunks that each fit into one frame."""
     view = memoryview(body)
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -28,6 +28,7 @@
 from comfreytray.calls.splits import Splitter
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.calls.streamserver import StreamServer
+from comfreytray.calls.streamuploads import UPLOADS_TOPIC
 from comfreytray.calls.tracing import Tracer, traced
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
@@ -117,11 +118,13 @@
             learn=self.guard.learn,
         )
         self.peers.register(NOTICES_TOPIC, self.notices.receive)
+        self.peers.register(UPLOADS_TOPIC, lambda _: b"")
         self.server = StreamServer(
             node_id=own_id,
             clock=clock,
             handle=self._run_for_other_node,
             load=lambda: self.owner.load,
+            budget=self.body_budget,
         )
         self.dispatcher = Dispatcher(
             node=node,
--- a/src/comfreytray/calls/streams.py
+++ b/src/comfreytray/calls/streams.py
@@ -81,6 +81,11 @@
     buffered_bytes: int = 0
     complete: bool = False
     """Whether the last byte of the answer was received."""
+    has_upload: bool = False
+    upload_credit: int = 0
+    """Bytes of the call's body that may be sent before the owner grants more."""
+    notify_credit: Callable[[], None] = do_nothing
+    """Called after the owner granted credit."""
     outcome: Outcome | None = None
 
     @property
@@ -113,9 +118,14 @@
         """Queue the frame of a call and return its stream."""
         invariant(not self.closed, "no call is opened on a closed connection")
         self._last_id += 1
+        if call.upload is not None:
+            length = call.upload.length
+            self.outbox.push(callframes.pack_body_follows(self._last_id, length))
         packed = callframes.pack_open(self._last_id, call, left_s)
         stream = CallStream(
-            stream_id=self._last_id, end_offset=self.outbox.push(packed)
+            stream_id=self._last_id,
+            end_offset=self.outbox.push(packed),
+            has_upload=call.upload is not None,
         )
         self.stream_by_id[stream.stream_id] = stream
         return stream
@@ -128,6 +138,13 @@
             self.outbox.push(callframes.pack_credit(stream.stream_id, len(chunk)))
         return chunk
 
+    def send_part(self, stream: CallStream, part: bytes, *, last: bool) -> None:
+        """Queue a part of the body of a call."""
+        invariant(len(part) <= stream.upload_credit, "credits are never overdrawn")
+        stream.upload_credit -= len(part)
+        if stream.stream_id in self.stream_by_id and not self.closed:
+            self.outbox.push(callframes.pack_data(stream.stream_id, part, last=last))
+
     def cancel(self, stream: CallStream) -> None:
         """Cancel a call; later frames for it are dropped."""
         if self.stream_by_id.pop(stream.stream_id, None) is None:
@@ -214,6 +231,15 @@
         stream.notify()
         return None
 
+    def _receive_credit(
+        self, stream: CallStream, frame: callframes.Frame
+    ) -> Failure | None:
+        stream.upload_credit += frame[2]
+        if not stream.has_upload or stream.upload_credit > callframes.WINDOW_BYTES:
+            return Failure(kind=Kind.BAD_FRAME, detail="credit exceeds the window")
+        stream.notify_credit()
+        return None
+
     def _receive_refuse(
         self, stream: CallStream, frame: callframes.Frame
     ) -> Failure | None:
@@ -248,6 +274,7 @@
 _HANDLER_BY_TAG = {
     callframes.HEAD: CallStreams._receive_head,
     callframes.DATA: CallStreams._receive_data,
+    callframes.CREDIT: CallStreams._receive_credit,
     callframes.REFUSE: CallStreams._receive_refuse,
     callframes.CUT: CallStreams._receive_cut,
 }
--- a/src/comfreytray/calls/streamserver.py
+++ b/src/comfreytray/calls/streamserver.py
@@ -9,13 +9,11 @@
 
 from comfreytray.calls import callframes
 from comfreytray.calls.call import IDLE, Call, CallCutError, Load, Outcome, Reply, fail
-from comfreytray.calls.connections import (
-    MAX_OUTBOX_BYTES,
-    READ_BYTES,
-    Writer,
-    shut_down_socket,
-)
+from comfreytray.calls.connections import MAX_OUTBOX_BYTES, READ_BYTES
 from comfreytray.calls.ownerstreams import OwnerStream, OwnerStreams, split_chunks
+from comfreytray.calls.requestbodies import BodyBudget
+from comfreytray.calls.streamwriter import Writer, shut_down_socket
+from comfreytray.calls.uploads import UPLOAD_RESERVED_BYTES
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock
@@ -45,11 +43,14 @@
         clock: Clock,
         handle: Handler,
         load: Callable[[], Load],
+        budget: BodyBudget,
     ) -> None:
+        """Create it; `budget` limits the bytes of bodies that arrive in parts."""
         self.node_id = node_id
         self.clock = clock
         self.handle = handle
         self.load = load
+        self.budget = budget
         self._sockets: set[Any] = set()
 
     def __enter__(self) -> "StreamServer":
@@ -84,6 +85,7 @@
             shut_down_socket(sock)
 
         writer = Writer(sock=sock, outbox=streams.outbox, on_lost=close)
+        streams.flush = writer.flush
         turns = Turns()
         try:
             while not streams.closed:
@@ -149,7 +151,7 @@
 
     def _run(self) -> None:
         try:
-            result = self.server.handle(self.stream.call)
+            result = self._handle()
         except Exception as error:
             logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
             result = fail(Kind.INTERNAL, type(error).__name__)
@@ -165,6 +167,20 @@
             result.close()
             self.writer.flush()
 
+    def _handle(self) -> Reply | Outcome:
+        """Run the call, with memory reserved for a body that arrives in parts."""
+        upload = self.stream.upload
+        if upload is None:
+            return self.server.handle(self.stream.call)
+        budget = self.server.budget
+        if not budget.reserve(UPLOAD_RESERVED_BYTES):
+            return fail(Kind.OVERLOADED, "too many request bodies in memory")
+        try:
+            return self.server.handle(self.stream.call)
+        finally:
+            upload.close()
+            budget.release(UPLOAD_RESERVED_BYTES)
+
     def _answer(self, reply: Reply) -> None:
         parts = (
             split_chunks(reply.body)
--- /dev/null
+++ b/src/comfreytray/calls/uploads.py
@@ -0,0 +1,32 @@
+"""Request bodies that are streamed, since they are too large to be buffered."""
+
+from typing import Protocol
+
+from comfreytray.common.exceptions import ComfreytrayError
+
+PART_BYTES = 65_536
+"""Largest part of a body."""
+UPLOAD_WINDOW_BYTES = 262_144
+"""Flow control: bytes of a body that one node sends to another in advance."""
+UPLOAD_RESERVED_BYTES = UPLOAD_WINDOW_BYTES + 2 * PART_BYTES
+"""Bytes that a node holds at most for one body: the window, and one part each that
+is being received and sent."""
+
+
+class UploadError(ComfreytrayError):
+    """Raised when a body breaks off; `failure` tells why."""
+
+
+class Upload(Protocol):
+    """A body that is read once, part by part."""
+
+    length: int | None
+    """Declared bytes; None if only the end of the body shows its length."""
+    started: bool
+    """Whether any of it was taken, after which it can't be sent elsewhere."""
+    complete: bool
+    """Whether its last byte was taken."""
+
+    def read(self) -> bytes:
+        """Wait for the next part, empty at the end; raises UploadError."""
+        ...
--- a/src/comfreytray/replication/links.py
+++ b/src/comfreytray/replication/links.py
@@ -7,8 +7,8 @@
 import eventlet
 from eventlet.green import socket
 
-from comfreytray.calls.connections import Writer, shut_down_socket
 from comfreytray.calls.streams import Outbox
+from comfreytray.calls.streamwriter import Writer, shut_down_socket
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock
