Stream request bodies of more than 1 MiB to the upstream

Cause: a body was buffered whole, so the 64 MiB that a configuration allows could not be taken.

Change: a body beyond the buffer of 1 MiB is read from its caller in parts as the upstream takes them, on the entry's own instance and over the call stream. Its call moves to another endpoint only before its first part was handed on. With an idempotency key the limit stays at 1 MiB. The fingerprint has the declared length in place of the body.

--- a/src/comfreytray/calls/exchange.py
+++ b/src/comfreytray/calls/exchange.py
@@ -7,7 +7,7 @@
 from attrs import define
 
 from comfreytray.calls.call import CallCutError
-from comfreytray.calls.heads import StrictResponse
+from comfreytray.calls.heads import HeadError, StrictResponse
 from comfreytray.calls.upstreamconnection import UpstreamConnection
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
@@ -15,6 +15,8 @@
 CHUNK_BYTES = 65_536
 MAX_BUFFERED_BYTES = 262_144
 """Size up to which an answer is buffered before any of it is passed on."""
+MAX_SKIPPED_BYTES = 1_048_576
+"""Size up to which the body of an answer to an earlier call is skipped."""
 
 
 class Release(Protocol):
@@ -99,3 +101,12 @@
 
 def _answer_cut(detail: str) -> Failure:
     return Failure(kind=Kind.ANSWER_CUT, detail=detail)
+
+
+def skip_body(response: StrictResponse) -> None:
+    """Read the answer to another call to its end; raises HeadError if it is long."""
+    size = 0
+    while part := response.read(CHUNK_BYTES):
+        size += len(part)
+        if size > MAX_SKIPPED_BYTES:
+            raise HeadError(f"answer to another call exceeds {MAX_SKIPPED_BYTES} bytes")
--- a/src/comfreytray/calls/fingerprints.py
+++ b/src/comfreytray/calls/fingerprints.py
@@ -17,7 +17,11 @@
 
 
 def fingerprint_of(call: Call) -> bytes:
-    """Return the fingerprint of a request's method, host, target, caller and body."""
+    """Return the fingerprint of a request's method, host, target, caller and body.
+
+    Of a streamed body only the declared length counts, since a request must be known
+    before its body has arrived.
+    """
     if not call.fingerprint:
         digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
         for part in _parts(call):
@@ -50,4 +54,8 @@
     host = HeaderLookup(call.headers).get("host") or ""
     for text in (call.method, host, call.target, call.caller):
         yield text.encode("utf-8", "surrogateescape")
-    yield call.body
+    if call.upload is None:
+        yield call.body
+    else:
+        yield b"streamed"
+        yield b"%d" % (-1 if call.upload.length is None else call.upload.length)
--- a/src/comfreytray/calls/requestbodies.py
+++ b/src/comfreytray/calls/requestbodies.py
@@ -5,7 +5,9 @@
 import eventlet
 
 from comfreytray.calls.call import MAX_BODY_BYTES
+from comfreytray.calls.uploads import PART_BYTES, UPLOAD_RESERVED_BYTES, UploadError
 from comfreytray.common.errors import Failure, Kind
+from comfreytray.common.interfaces import Clock
 
 BODY_TIMEOUT_S = 10.0
 READ_BYTES = 65_536
@@ -38,21 +40,125 @@
     """Raised when a body was not read within its time-out."""
 
 
-def read_body(environ: Environ, budget: BodyBudget, *, limit: int) -> bytes | Failure:
-    """Read a complete body, within the limits on size and time."""
-    chunked = "HTTP_TRANSFER_ENCODING" in environ
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    if not chunked and length == 0:
+class CallerUpload:
+    """A body that is read from the connection of its caller as it is sent on."""
+
+    def __init__(
+        self,
+        *,
+        environ: Environ,
+        prefix: bytes,
+        limit: int,
+        deadline: float,
+        clock: Clock,
+    ) -> None:
+        """Create it; `prefix` is what was read of a chunked body before."""
+        self.length = _declared_length(environ)
+        self.started = False
+        self.complete = False
+        self._environ = environ
+        self._prefix = memoryview(prefix)
+        self._limit = limit
+        self._deadline = deadline
+        self._clock = clock
+        self._taken_bytes = 0
+
+    def receive_first(self) -> Failure | None:
+        """Receive the first part in advance; return why it did not come."""
+        try:
+            self._prefix = memoryview(self._receive())
+        except UploadError as error:
+            return error.failure
+        return None
+
+    def read(self) -> bytes:
+        """Wait for the next part, empty at the end; raises UploadError."""
+        self.started = True
+        part = bytes(self._prefix[:PART_BYTES])
+        self._prefix = self._prefix[PART_BYTES:]
+        if not part:
+            part = self._receive()
+        self._taken_bytes += len(part)
+        if self._taken_bytes > self._limit:
+            raise UploadError(Failure(kind=Kind.BODY_TOO_LARGE))
+        if self.length is None:
+            self.complete = not part
+        else:
+            self.complete = self._taken_bytes == self.length
+        if self.complete:
+            self._environ["comfreytray.body_read"] = True
+        return part
+
+    def _receive(self) -> bytes:
+        left_s = self._deadline - self._clock.monotonic()
+        timeout = _BodyTimeoutError()
+        try:
+            with eventlet.Timeout(max(0.0, min(BODY_TIMEOUT_S, left_s)), timeout):
+                part = _read_parts(self._environ["wsgi.input"], PART_BYTES)
+        except (_BodyTimeoutError, TimeoutError) as error:
+            is_due = self._clock.monotonic() >= self._deadline
+            kind = Kind.DEADLINE_BEFORE_RUN if is_due else Kind.BODY_TOO_SLOW
+            raise UploadError(Failure(kind=kind, detail="within the body")) from error
+        except (OSError, ValueError, EOFError) as error:
+            raise _truncated("malformed body") from error
+        if self.length is not None:
+            taken = self._taken_bytes + len(part)
+            if taken < self.length and len(part) < PART_BYTES:
+                raise _truncated(f"body truncated: got {taken} of {self.length} bytes")
+        return part
+
+
+def read_body(
+    environ: Environ,
+    budget: BodyBudget,
+    *,
+    limit: int,
+    deadline: float,
+    clock: Clock,
+) -> bytes | CallerUpload | Failure:
+    """Read a complete body, or the beginning of one that is too large to be buffered.
+
+    Memory stays reserved until `release_body`.
+    """
+    length = _declared_length(environ)
+    if length == 0:
         return b""
-    if length > limit:
+    if length is not None and length > limit:
         return Failure(kind=Kind.BODY_TOO_LARGE)
-    size = limit if chunked else length
-    if not budget.reserve(size):
-        return Failure(kind=Kind.OVERLOADED, detail="too many request bodies in memory")
-    environ["comfreytray.reserved"] = size
+    prefix = b""
+    if length is None or length <= MAX_BODY_BYTES:
+        body = _read_buffered(environ, budget, length, min(limit, MAX_BODY_BYTES))
+        if isinstance(body, Failure) or environ.get("comfreytray.body_read"):
+            return body
+        if limit <= MAX_BODY_BYTES or len(body) > limit:
+            return Failure(kind=Kind.BODY_TOO_LARGE)
+        prefix = body
+    if not _reserve(environ, budget, UPLOAD_RESERVED_BYTES):
+        return _budget_exceeded()
+    upload = CallerUpload(
+        environ=environ, prefix=prefix, limit=limit, deadline=deadline, clock=clock
+    )
+    # A caller that sends nothing must not hold a slot of an upstream meanwhile.
+    failure = None if prefix else upload.receive_first()
+    return failure or upload
+
+
+def _declared_length(environ: Environ) -> int | None:
+    """Return the length of a body, None for a chunked one."""
+    if "HTTP_TRANSFER_ENCODING" in environ:
+        return None
+    return int(environ.get("CONTENT_LENGTH") or 0)
+
+
+def _read_buffered(
+    environ: Environ, budget: BodyBudget, length: int | None, limit: int
+) -> bytes | Failure:
+    """Read a body to its end, or more than `limit` bytes of a chunked one."""
+    if not _reserve(environ, budget, limit if length is None else length):
+        return _budget_exceeded()
     try:
         with eventlet.Timeout(BODY_TIMEOUT_S, _BodyTimeoutError()):
-            body = _read_parts(environ["wsgi.input"], limit)
+            body = _read_parts(environ["wsgi.input"], limit + 1)
     except (_BodyTimeoutError, TimeoutError):
         close_after(environ)
         return Failure(kind=Kind.BODY_TOO_SLOW)
@@ -60,22 +166,20 @@
         close_after(environ)
         return Failure(kind=Kind.BAD_REQUEST, detail="malformed body")
     if len(body) > limit:
-        return Failure(kind=Kind.BODY_TOO_LARGE)
-    if not chunked and len(body) < length:
+        return body
+    if length is not None and len(body) < length:
         close_after(environ)
-        return Failure(
-            kind=Kind.BAD_REQUEST,
-            detail=f"body truncated: got {len(body)} of {length} bytes",
-        )
+        return _truncated(f"body truncated: got {len(body)} of {length} bytes").failure
     environ["comfreytray.body_read"] = True
     return body
 
 
 def _read_parts(source: Any, limit: int) -> bytes:
+    """Read to the end, or `limit` bytes."""
     parts: list[bytes] = []
     size = 0
-    while size <= limit:
-        part = source.read(READ_BYTES)
+    while size < limit:
+        part = source.read(min(READ_BYTES, limit - size))
         if not part:
             break
         parts.append(part)
@@ -83,6 +187,21 @@
     return b"".join(parts)
 
 
+def _truncated(detail: str) -> UploadError:
+    return UploadError(Failure(kind=Kind.BAD_REQUEST, detail=detail))
+
+
+def _reserve(environ: Environ, budget: BodyBudget, size: int) -> bool:
+    if not budget.reserve(size):
+        return False
+    environ["comfreytray.reserved"] = environ.get("comfreytray.reserved", 0) + size
+    return True
+
+
+def _budget_exceeded() -> Failure:
+    return Failure(kind=Kind.OVERLOADED, detail="too many request bodies in memory")
+
+
 def release_body(environ: Environ, budget: BodyBudget) -> None:
     """Release the bytes reserved for the body of a request."""
     budget.release(environ.pop("comfreytray.reserved", 0))
--- a/src/comfreytray/calls/requests.py
+++ b/src/comfreytray/calls/requests.py
@@ -6,13 +6,14 @@
 
 from comfreytray.calls.call import (
     LENGTH_HEADER,
+    MAX_BODY_BYTES,
     MAX_DEPTH,
     Call,
     Reply,
     request_headers,
 )
 from comfreytray.calls.dialect import Dialect
-from comfreytray.calls.requestbodies import BodyBudget, read_body
+from comfreytray.calls.requestbodies import BodyBudget, CallerUpload, read_body
 from comfreytray.calls.splits import Splitter
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.errors import Failure, Kind
@@ -91,7 +92,17 @@
                 kind=Kind.BAD_REQUEST,
                 detail=f"idempotency key longer than {MAX_KEY_LENGTH} characters",
             )
-        body = read_body(environ, self.budget, limit=snapshot.limits.max_body_bytes)
+        limit = snapshot.limits.max_body_bytes
+        if key:
+            # Only the whole body shows whether a key is used again for another request.
+            limit = min(limit, MAX_BODY_BYTES)
+        body = read_body(
+            environ,
+            self.budget,
+            limit=limit,
+            deadline=now + left_s,
+            clock=self.clock,
+        )
         if isinstance(body, Failure):
             return body
         if self.stop is not None:
@@ -113,7 +124,7 @@
         self,
         environ: Environ,
         route: Route,
-        body: bytes,
+        body: bytes | CallerUpload,
         arrived: float,
         deadline: float,
         depth: int,
@@ -128,7 +139,8 @@
             method=method,
             target=_target(environ),
             headers=request_headers(_header_pairs(environ), self.dialect.set_by_node),
-            body=body,
+            body=body if isinstance(body, bytes) else b"",
+            upload=None if isinstance(body, bytes) else body,
             deadline=deadline,
             idempotent=idempotent,
             depth=depth,
--- a/src/comfreytray/calls/responder.py
+++ b/src/comfreytray/calls/responder.py
@@ -39,7 +39,9 @@
         on_end: Callable[[], None],
     ) -> Iterable[bytes]:
         """Answer a call; `on_end` is called at the end of a streamed answer."""
-        if self.closes_connections:
+        # After an early answer, the rest of a streamed body must not be read as a
+        # request.
+        if self.closes_connections or has_unread_body(environ):
             close_after(environ)
         status = f"{reply.status} {reply.reason or 'Status'}"
         start_response(status, list(reply.headers))
--- a/src/comfreytray/calls/retries.py
+++ b/src/comfreytray/calls/retries.py
@@ -135,6 +135,9 @@
 ) -> Decision:
     """Decide whether a failed attempt is followed by one at another endpoint."""
     kind = outcome.failure.kind
+    if call.upload is not None and (outcome.sent or call.upload.started):
+        # What was taken of the body is gone.
+        return Decision.GIVE_UP
     if call.max_attempts and sent >= call.max_attempts:
         return Decision.GIVE_UP
     if time_left_s < MIN_TIME_LEFT_S:
@@ -173,6 +176,8 @@
     """
     if status not in FAILED_STATUSES or not call.idempotent or call.retried:
         return False
+    if call.upload is not None:
+        return False
     if call.max_attempts and sent >= call.max_attempts:
         return False
     return time_left_s > max(MIN_TIME_LEFT_S, took_s) and budget.spend()
--- a/src/comfreytray/calls/streamuploads.py
+++ b/src/comfreytray/calls/streamuploads.py
@@ -16,8 +16,8 @@
 MAX_OUTBOX_BYTES = 131_072
 """Unsent bytes on a connection above which bodies wait, so that a call without one
 does not queue behind many bodies."""
-OUTBOX_POLL_S = 0.005
-CREDIT_WAIT_S = 1.0
+WAIT_S = 1.0
+"""Time after which a waiting body looks again; it is woken before."""
 
 
 class StreamSink:
@@ -37,9 +37,10 @@
     def wait_until_ready(self) -> None:
         """Wait for credit for a part, and until few bytes wait on the connection."""
         while self._stream.upload_credit < PART_BYTES:
-            self._signal.wait(CREDIT_WAIT_S)
+            self._signal.wait(WAIT_S)
         while self._streams.outbox.size > MAX_OUTBOX_BYTES:
-            self._signal.wait(OUTBOX_POLL_S)
+            self._writer.drain_waiters.append(self._signal.fire)
+            self._signal.wait(WAIT_S)
 
     def write_part(self, part: bytes, *, last: bool) -> None:
         """Send a part; raises OSError if the connection is lost."""
--- a/src/comfreytray/calls/streamwriter.py
+++ b/src/comfreytray/calls/streamwriter.py
@@ -17,6 +17,8 @@
         self.sock = sock
         self.outbox = outbox
         self.on_lost = on_lost
+        self.drain_waiters: list[Callable[[], None]] = []
+        """Called once, after bytes were written next."""
         self._writing = False
         self._close_when_written = False
 
@@ -49,6 +51,9 @@
         try:
             while self.outbox.size:
                 self.outbox.discard_sent(self.sock.send(self.outbox.peek_all()))
+                waiters, self.drain_waiters = self.drain_waiters, []
+                for wake in waiters:
+                    wake()
         except OSError:
             self.on_lost()
         finally:
--- a/src/comfreytray/calls/upstream.py
+++ b/src/comfreytray/calls/upstream.py
@@ -16,10 +16,11 @@
     fail,
 )
 from comfreytray.calls.dialect import NATIVE, Dialect, FieldLookup, Refusal
-from comfreytray.calls.exchange import CHUNK_BYTES, Exchange
+from comfreytray.calls.exchange import Exchange, skip_body
 from comfreytray.calls.heads import HeadError, StrictResponse
 from comfreytray.calls.idlelimit import IdleLimit
 from comfreytray.calls.instanceends import EndDetector, EndedInstance
+from comfreytray.calls.uploadpump import UploadPump
 from comfreytray.calls.upstreamconnection import UpstreamConnection
 from comfreytray.common.decimals import parse_decimal
 from comfreytray.common.errors import Failure, Kind
@@ -34,8 +35,6 @@
 """Time after a refused connection in which no further one is tried."""
 MAX_SKIPPED_ANSWERS = 4
 """Answers to earlier calls that may be skipped before the answer to a call."""
-MAX_SKIPPED_BYTES = 1_048_576
-"""Size up to which the body of such an answer is skipped."""
 
 
 def _ignore_head(instance_id: str, fields: FieldLookup) -> None:
@@ -154,7 +153,7 @@
     def release(self, connection: UpstreamConnection, *, reusable: bool) -> None:
         """Keep a connection for later calls, or close it."""
         self._call_by_connection.pop(connection, None)
-        if not reusable or connection.has_unclaimed_bytes:
+        if not reusable or not connection.is_between_calls:
             self._discard(connection)
             return
         connection.idle_since = self.clock.monotonic()
@@ -178,7 +177,8 @@
         idle_s = self._idle_limit.max_idle_s(idempotent=call.idempotent)
         now = self.clock.monotonic()
         idle_since_limit = now - idle_s
-        if self._refused_calls.includes(call):
+        if call.upload is not None or self._refused_calls.includes(call):
+            # Also for a streamed body, which can't be sent again.
             idle_since_limit = math.inf
         while self._idle and self._idle[-1].idle_since >= idle_since_limit:
             connection = self._idle.pop()
@@ -215,6 +215,25 @@
 
     def _exchange(
         self, exchange: Exchange, call: Call, instance_id: str
+    ) -> Reply | Outcome:
+        if call.upload is None:
+            return self._send_and_read(exchange, call, instance_id)
+        connection = exchange.connection
+        with UploadPump(upload=call.upload, sink=connection) as pump:
+            if not pump.read_first():
+                return pump.outcome(sent=False)
+            result = self._send_and_read(exchange, call, instance_id, pump)
+        if pump.failure is None:
+            return result
+        exchange.abort()
+        return pump.outcome(sent=connection.sent_bytes > 0)
+
+    def _send_and_read(
+        self,
+        exchange: Exchange,
+        call: Call,
+        instance_id: str,
+        pump: UploadPump | None = None,
     ) -> Reply | Outcome:
         connection = exchange.connection
         if call.deadline <= self.clock.monotonic():
@@ -223,7 +242,11 @@
         self._attempts += 1
         try:
             connection.write_call(call, instance_id, attempt=self._attempts)
+            if pump is not None:
+                pump.start()
             response = self._read_matching_head(connection, call)
+            if pump is not None:
+                pump.stop()
         except TimeoutError:
             return fail(Kind.DEADLINE_WHILE_RUNNING, "no answer")
         except HeadError as error:
@@ -296,7 +319,7 @@
             self.metrics.count("upstream_stray_answers")
             if answer_to is AnswerTo.DOUBTFUL:
                 return None
-            _skip_body(response)
+            skip_body(response)
         raise HeadError("only answers to other calls received")
 
     def _has_required_proof(self, response: StrictResponse) -> bool:
@@ -315,12 +338,3 @@
             return fail(Kind.WRONG_NODE, "another instance has the address")
         retry_after_s = parse_decimal(response.headers.get("Retry-After"))
         return fail(Kind.OVERLOADED, "upstream refused", retry_after_s)
-
-
-def _skip_body(response: StrictResponse) -> None:
-    """Read the answer to another call to its end; raises HeadError if it is long."""
-    size = 0
-    while part := response.read(CHUNK_BYTES):
-        size += len(part)
-        if size > MAX_SKIPPED_BYTES:
-            raise HeadError(f"answer to another call exceeds {MAX_SKIPPED_BYTES} bytes")
--- a/src/comfreytray/calls/upstreamconnection.py
+++ b/src/comfreytray/calls/upstreamconnection.py
@@ -21,6 +21,8 @@
 READ_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
 _PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
+_LAST_CHUNK = b"0\r\n\r\n"
+_CHUNKED = "Transfer-Encoding: chunked"
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
@@ -134,6 +136,10 @@
         self.sent_bytes = 0
         self.attempt = 0
         """Number of the last send, of all connections to the upstream."""
+        self.has_unsent_body = False
+        """Whether the rest of a streamed body is still to be sent."""
+        self._is_chunked = False
+        self._deadline = math.inf
         self.is_kept = False
         """Whether it served another call before the current one."""
         self._sock: Any = None
@@ -166,6 +172,11 @@
         """Whether bytes were received that belong to no answer."""
         return self._reader is None or self._reader.buffered_bytes > 0
 
+    @property
+    def is_between_calls(self) -> bool:
+        """Whether the last call was sent whole, and nothing came after its answer."""
+        return not (self.has_unclaimed_bytes or self.has_unsent_body)
+
     def is_reusable(self) -> bool:
         """Whether an idle connection is still open and has received nothing."""
         if self.has_unclaimed_bytes:
@@ -186,7 +197,10 @@
             return None if is_open else b""
 
     def write_call(self, call: Call, instance_id: str, *, attempt: int) -> None:
-        """Send a call with its remaining time; raises OSError, ValueError."""
+        """Send a call with its remaining time; raises OSError, ValueError.
+
+        A streamed body is not sent; its parts follow by `write_part`.
+        """
         self.is_kept = self.attempt > 0
         self.attempt = attempt
         left_s = call.deadline - self.clock.monotonic()
@@ -198,11 +212,36 @@
         )
         if self._reader is not None:
             self._reader.deadline = call.deadline
+        self._deadline = call.deadline
+        self.has_unsent_body = call.upload is not None
+        self._is_chunked = call.upload is not None and call.upload.length is None
+        self._send(block)
+
+    def wait_until_ready(self) -> None:
+        """Do nothing: writing a part of a body waits itself."""
+
+    def write_part(self, part: bytes, *, last: bool) -> None:
+        """Send a part of a streamed body; raises OSError."""
+        if self._is_chunked:
+            part = b"%x\r\n%b\r\n" % (len(part), part) if part else b""
+            part += _LAST_CHUNK if last else b""
+        self._send(part)
+        if last:
+            self.has_unsent_body = False
+
+    def abort_upload(self) -> None:
+        """Shut the connection down, so that the upstream sees that the body is cut."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(plain_socket.SHUT_RDWR)
+
+    def _send(self, block: bytes) -> None:
         view = memoryview(block)
-        while self.sent_bytes < len(block):
-            left_s = call.deadline - self.clock.monotonic()
+        while view:
+            left_s = self._deadline - self.clock.monotonic()
             self._sock.settimeout(max(MIN_TIMEOUT_S, left_s))
-            self.sent_bytes += self._sock.send(view[self.sent_bytes :])
+            sent = self._sock.send(view)
+            self.sent_bytes += sent
+            view = view[sent:]
 
     def read_head(self) -> StrictResponse:
         """Read the head of the next answer; raises OSError, HTTPException."""
@@ -238,7 +277,11 @@
     lines = [f"{call.method} {call.target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in call.headers]
     lines += [f"{name}: {value}" for name, value in node_fields]
-    if call.body or call.method in _METHODS_WITH_BODY:
+    if call.upload is not None:
+        length = call.upload.length
+        framing = f"Content-Length: {length}" if length is not None else _CHUNKED
+        lines.append(framing)
+    elif call.body or call.method in _METHODS_WITH_BODY:
         lines.append(f"Content-Length: {len(call.body)}")
     text = "\r\n".join(lines)
     if text.count("\n") != len(lines) - 1 or text.count("\r") != len(lines) - 1:
--- a/src/comfreytray/platform/callerlimits.py
+++ b/src/comfreytray/platform/callerlimits.py
@@ -9,7 +9,7 @@
 
 MAX_HEADER_BYTES = 65_536
 """Largest head that a node accepts, whatever the configuration allows."""
-MAX_BODY_BYTES = 1_048_576
+MAX_BODY_BYTES = 67_108_864
 """Largest body that a node accepts, whatever the configuration allows."""
 MAX_TIMEOUT_S = 3600.0
 
