--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -3,11 +3,11 @@
 import random
 from collections.abc import Callable, Iterable
 from types import TracebackType
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import eventlet
 
-from comfreytray.calls import httpserver, requests
+from comfreytray.calls import httpserver, requestbodies, requests
 from comfreytray.calls.answers import MessageFor, buffer_reply, plain_message
 from comfreytray.calls.call import Call, CallCancelledError, Outcome, Reply, fail
 from comfreytray.calls.callers import CallerConnections, Listener
@@ -16,6 +16,7 @@
 from comfreytray.calls.dialect import NATIVE, Dialect
 from comfreytray.calls.dispatch import Dispatcher
 from comfreytray.calls.guard import Guard
+from comfreytray.calls.keyedfactory import build_keyed_calls
 from comfreytray.calls.noticesender import TOPIC as NOTICES_TOPIC
 from comfreytray.calls.noticesender import NoticeSender
 from comfreytray.calls.owner import Owner
@@ -28,17 +29,16 @@
 from comfreytray.calls.splits import Splitter
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.calls.streamserver import StreamServer
+from comfreytray.calls.streamuploads import UPLOADS_TOPIC
 from comfreytray.calls.tracing import Tracer, traced
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock, ObjectStore
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import LocalUpstream, MembershipView, NodeRecord
+from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS, CallerLimits
 from comfreytray.configuration.snapshots import Snapshot
 
-if TYPE_CHECKING:
-    from comfreytray.calls.keyed import KeyedCalls
-
 DRAIN_POLL_S = 0.02
 
 Environ = dict[str, Any]
@@ -118,11 +118,13 @@
             learn=self.guard.learn,
         )
         self.peers.register(NOTICES_TOPIC, self.notices.receive)
+        self.peers.register(UPLOADS_TOPIC, lambda _: b"")
         self.server = StreamServer(
             node_id=own_id,
             clock=clock,
             handle=self._run_for_other_node,
             load=lambda: self.owner.load,
+            budget=self.body_budget,
         )
         self.dispatcher = Dispatcher(
             node=node,
@@ -136,7 +138,15 @@
             refused_limits=refused_limits,
             dialect=dialect,
         )
-        self.keyed = self._build_keyed_calls(node, members, store, random)
+        self.keyed = build_keyed_calls(
+            node=node,
+            members=members,
+            client=self.client,
+            run=self.dispatcher.run,
+            store=store,
+            clock=clock,
+            random=random,
+        )
         self.callers = CallerConnections()
         self.reaper = Reaper(
             clock=clock,
@@ -145,34 +155,12 @@
             client=self.client,
             router=self.router,
             keyed=self.keyed,
+            limits=self.caller_limits,
         )
-        self.head_started_by_socket = self.reaper.head_started_by_socket
+        self.pending_head_by_socket = self.reaper.pending_head_by_socket
         self._greenlets: list[Any] = []
         self._listener: Listener | None = None
 
-    def _build_keyed_calls(
-        self,
-        node: Callable[[], NodeRecord],
-        members: Callable[[], MembershipView],
-        store: ObjectStore | None,
-        random: random.Random,
-    ) -> "KeyedCalls | None":
-        """Return the handler of idempotency keys; a node without a store has none."""
-        if store is None:
-            return None
-        # Imported late: it would cost memory in a node that handles no keys.
-        from comfreytray.calls.keyed import KeyedCalls
-
-        return KeyedCalls(
-            node=node,
-            members=members,
-            client=self.client,
-            run=self.dispatcher.run,
-            store=store,
-            clock=self.clock,
-            random=random,
-        )
-
     def __enter__(self) -> "CallPath":
         for run in (self.reaper.run, self.notices.run):
             self._greenlets.append(eventlet.spawn(run))
@@ -276,17 +264,22 @@
             )
         except CallCancelledError:
             self.metrics.count("calls_cancelled")
-            requests.close_after(environ)
+            requestbodies.close_after(environ)
             return self.responder.refuse(environ, start_response, fail(Kind.CANCELLED))
         except Exception as error:
             logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
             return self.responder.refuse(environ, start_response, fail(Kind.INTERNAL))
         finally:
             self.reaper.untrack(tracked)
-            requests.release_body(environ, self.body_budget)
+            requestbodies.release_body(environ, self.body_budget)
             if not streaming:
                 self.in_flight -= 1
 
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits on requests of the configuration in force."""
+        snapshot = self.snapshot()
+        return DEFAULT_CALLER_LIMITS if snapshot is None else snapshot.limits
+
     def encode_refusal(self, failure: Failure, accept_language: str) -> bytes:
         """Return the complete HTTP response for a head that is refused."""
         return self.responder.encode_refusal(failure, accept_language)
