Send bodies to an owner when its link has room for them

Cause: at the loyalty site uploads of 60 to 360 KB go to six upstreams behind links of 5 Mbit/s. The entry keeps the body, so that retries are as before.

--- a/features/steps/calls_rig.py
+++ b/features/steps/calls_rig.py
@@ -1,5 +1,6 @@
 """Nodes and upstreams in one process on loopback, for the tests of the call path."""
 
+import math
 import os
 import random
 import socket as plain_socket
@@ -62,7 +63,9 @@
         clock=None,
         dialect=NATIVE,
         caller="",
+        link_bytes_per_s=math.inf,
     ):
+        self.link_bytes_per_s = link_bytes_per_s
         self.slots, self.connections = slots, connections
         self.dialect, self.caller = dialect, caller
         self.clock = clock or SystemClock()
@@ -142,6 +145,7 @@
             tracer=None,
             dialect=self.dialect,
             caller=lambda: self.caller,
+            link_bytes_per_s=self.link_bytes_per_s,
             on_leaving=lambda _: self.set_state(node_id, EndpointState.DRAINING),
         )
         path.__enter__()
--- a/src/comfreytray/calls/connections.py
+++ b/src/comfreytray/calls/connections.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import eventlet
-from attrs import define, field
+from attrs import define, evolve, field
 from eventlet.green import socket
 
 from comfreytray.calls.call import Call, CallCutError, Load, Outcome, Reply, fail
@@ -13,6 +13,7 @@
 from comfreytray.calls.streams import CallStream, CallStreams
 from comfreytray.calls.streamuploads import StreamSink, ask_for_uploads, send_upload
 from comfreytray.calls.streamwriter import Writer, shut_down_socket
+from comfreytray.calls.uploads import BufferedUpload
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock
@@ -26,6 +27,8 @@
 READ_BYTES = 65_536
 MAX_OUTBOX_BYTES = 4_194_304
 """Unsent bytes on a connection above which it takes no further call or chunk."""
+PACED_BODY_BYTES = 16_384
+"""Size from which a body is sent when the owner asks for it, if the links are known."""
 IDLE_TIMEOUT_S = 60.0
 
 
@@ -101,7 +104,11 @@
 class StreamClient:
     """Sends calls to owners, over one connection to each."""
 
-    def __init__(self, *, own_id: str, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, *, own_id: str, clock: Clock, metrics: Metrics, paces_bodies: bool = False
+    ) -> None:
+        """Create it; with `paces_bodies` owners say when a large body is sent."""
+        self.paces_bodies = paces_bodies
         self.own_id = own_id
         self.clock = clock
         self.metrics = metrics
@@ -135,6 +142,8 @@
             return fail(Kind.DEADLINE_BEFORE_RUN, "before sending")
         if connection.streams.outbox.size > MAX_OUTBOX_BYTES:
             return fail(Kind.NODE_UNREACHABLE, "connection is backed up")
+        if self.paces_bodies and len(call.body) >= PACED_BODY_BYTES:
+            call = evolve(call, body=b"", upload=BufferedUpload(call.body))
         if call.upload is not None and not self._takes_uploads(connection, call):
             # With a load of its own, as the endpoint need not be avoided otherwise.
             refused = fail(Kind.OVERLOADED, "node takes no bodies in parts")
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -1,5 +1,6 @@
 """The call path of a node: HTTP from callers, streams from other nodes."""
 
+import math
 import random
 from collections.abc import Callable, Iterable
 from types import TracebackType
@@ -67,6 +68,7 @@
         is_cold: Callable[[NodeRecord], bool] = has_cold_endpoint,
         on_leaving: Callable[[str], None] = lambda _: None,
         is_current: Callable[[], bool] = lambda: True,
+        link_bytes_per_s: float = math.inf,
     ) -> None:
         self.node = node
         self.snapshot = snapshot
@@ -107,7 +109,12 @@
             is_nested=self._is_nested,
         )
         self.body_budget = self.reader.budget
-        self.client = StreamClient(own_id=own_id, clock=clock, metrics=metrics)
+        self.client = StreamClient(
+            own_id=own_id,
+            clock=clock,
+            metrics=metrics,
+            paces_bodies=link_bytes_per_s < math.inf,
+        )
         self.peers = PeerCalls(client=self.client, clock=clock)
         self.notices = NoticeSender(
             node=node,
@@ -125,6 +132,7 @@
             handle=self._run_for_other_node,
             load=lambda: self.owner.load,
             budget=self.body_budget,
+            link_bytes_per_s=link_bytes_per_s,
         )
         self.dispatcher = Dispatcher(
             node=node,
--- a/src/comfreytray/calls/receiveduploads.py
+++ b/src/comfreytray/calls/receiveduploads.py
@@ -3,7 +3,8 @@
 from collections import deque
 from collections.abc import Callable
 
-from comfreytray.calls.uploads import UPLOAD_WINDOW_BYTES, UploadError
+from comfreytray.calls.inboundlink import InboundLink
+from comfreytray.calls.uploads import PART_BYTES, UPLOAD_WINDOW_BYTES, UploadError
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.signals import Signal
@@ -28,18 +29,18 @@
         self.started = False
         self.complete = False
         self.buffered_bytes = 0
-        self._deadline = deadline
+        self.deadline = deadline
         self._clock = clock
-        self._grant = grant
+        self.grant = grant
         self._parts: deque[bytes] = deque()
         self._received_bytes = 0
-        self._has_last = False
+        self.has_last = False
         self._closed = False
         self._signal = Signal()
 
     def receive(self, part: bytes, *, last: bool) -> str:
         """Take a part; return what is wrong with it, empty if nothing is."""
-        if self._has_last:
+        if self.has_last:
             return "part after the last one"
         if self._closed:
             return ""
@@ -54,7 +55,7 @@
             return f"body of {self._received_bytes} bytes, declared {self.length}"
         if part:
             self._parts.append(part)
-        self._has_last = last
+        self.has_last = last
         self._signal.fire()
         return ""
 
@@ -62,19 +63,27 @@
         """Wait for the next part, empty at the end; raises UploadError."""
         if not self.started:
             self.started = True
-            self._grant(UPLOAD_WINDOW_BYTES)
-        while not self._parts and not self._has_last:
-            left_s = self._deadline - self._clock.monotonic()
+            self.grant(UPLOAD_WINDOW_BYTES)
+        part = self.take()
+        self.complete = self.has_last and not self._parts
+        if part and not self.has_last:
+            self.grant(len(part))
+        return part
+
+    @property
+    def has_parts(self) -> bool:
+        """Whether a part was received that was not taken yet."""
+        return bool(self._parts)
+
+    def take(self) -> bytes:
+        """Wait for the next part, empty at the end; raises UploadError."""
+        while not self._parts and not self.has_last:
+            left_s = self.deadline - self._clock.monotonic()
             if left_s <= 0:
-                raise UploadError(
-                    Failure(kind=Kind.DEADLINE_BEFORE_RUN, detail="waiting for a body")
-                )
+                raise UploadError(_late("waiting for a body"))
             self._signal.wait(left_s)
         part = self._parts.popleft() if self._parts else b""
         self.buffered_bytes -= len(part)
-        self.complete = self._has_last and not self._parts
-        if part and not self._has_last:
-            self._grant(len(part))
         return part
 
     def close(self) -> None:
@@ -82,3 +91,30 @@
         self._closed = True
         self._parts.clear()
         self.buffered_bytes = 0
+
+
+def read_whole(upload: ReceivedUpload, link: InboundLink) -> bytes | Failure:
+    """Receive a body of known length, part by part as the link allows."""
+    parts: list[bytes] = []
+    left = upload.length or 0
+    upload.started = True
+    while left > 0:
+        size = min(PART_BYTES, left)
+        if not link.acquire(size, deadline=upload.deadline):
+            return _late("waiting for the link")
+        try:
+            upload.grant(PART_BYTES)
+            received = 0
+            while received < size and not (upload.has_last and not upload.has_parts):
+                parts.append(upload.take())
+                received += len(parts[-1])
+        except UploadError as error:
+            return error.failure
+        finally:
+            link.release(size)
+        left -= size
+    return b"".join(parts)
+
+
+def _late(detail: str) -> Failure:
+    return Failure(kind=Kind.DEADLINE_BEFORE_RUN, detail=detail)
--- a/src/comfreytray/calls/streamserver.py
+++ b/src/comfreytray/calls/streamserver.py
@@ -1,5 +1,6 @@
 """Server side of call streams: runs the calls that other nodes send."""
 
+import math
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Protocol
@@ -8,9 +9,20 @@
 from eventlet.green import socket
 
 from comfreytray.calls import callframes
-from comfreytray.calls.call import IDLE, Call, CallCutError, Load, Outcome, Reply, fail
+from comfreytray.calls.call import (
+    IDLE,
+    MAX_BODY_BYTES,
+    Call,
+    CallCutError,
+    Load,
+    Outcome,
+    Reply,
+    fail,
+)
 from comfreytray.calls.connections import MAX_OUTBOX_BYTES, READ_BYTES
+from comfreytray.calls.inboundlink import InboundLink
 from comfreytray.calls.ownerstreams import OwnerStream, OwnerStreams, split_chunks
+from comfreytray.calls.receiveduploads import ReceivedUpload, read_whole
 from comfreytray.calls.requestbodies import BodyBudget
 from comfreytray.calls.streamwriter import Writer, shut_down_socket
 from comfreytray.calls.uploads import UPLOAD_RESERVED_BYTES
@@ -44,13 +56,19 @@
         handle: Handler,
         load: Callable[[], Load],
         budget: BodyBudget,
+        link_bytes_per_s: float = math.inf,
     ) -> None:
-        """Create it; `budget` limits the bytes of bodies that arrive in parts."""
+        """Create it.
+
+        `budget` limits the bytes of bodies that arrive in parts, `link_bytes_per_s` is
+        the speed at which they can arrive.
+        """
         self.node_id = node_id
         self.clock = clock
         self.handle = handle
         self.load = load
         self.budget = budget
+        self.link = InboundLink(clock=clock, bytes_per_s=link_bytes_per_s)
         self._sockets: set[Any] = set()
 
     def __enter__(self) -> "StreamServer":
@@ -172,6 +190,8 @@
         upload = self.stream.upload
         if upload is None:
             return self.server.handle(self.stream.call)
+        if upload.length is not None and upload.length <= MAX_BODY_BYTES:
+            return self._receive_and_handle(upload, upload.length)
         budget = self.server.budget
         if not budget.reserve(UPLOAD_RESERVED_BYTES):
             return fail(Kind.OVERLOADED, "too many request bodies in memory")
@@ -181,6 +201,31 @@
             upload.close()
             budget.release(UPLOAD_RESERVED_BYTES)
 
+    def _receive_and_handle(self, upload: ReceivedUpload, size: int) -> Reply | Outcome:
+        """Receive a body of limited size, when it is its turn, and run the call."""
+        budget, link, call = self.server.budget, self.server.link, self.stream.call
+        now = self.server.clock.monotonic()
+        until = call.due if call.due > now else call.deadline
+        refused = link.announce(size, until=until)
+        if refused is not None:
+            return Outcome.of(refused)
+        reserved = budget.reserve(size)
+        try:
+            if not reserved:
+                return fail(Kind.OVERLOADED, "too many request bodies in memory")
+            try:
+                body = read_whole(upload, link)
+            finally:
+                link.withdraw(size)
+                upload.close()
+            if isinstance(body, Failure):
+                return Outcome.of(body)
+            call.body, call.upload = body, None
+            return self.server.handle(call)
+        finally:
+            if reserved:
+                budget.release(size)
+
     def _answer(self, reply: Reply) -> None:
         parts = (
             split_chunks(reply.body)
--- a/src/comfreytray/calls/uploads.py
+++ b/src/comfreytray/calls/uploads.py
@@ -17,6 +17,25 @@
     """Raised when a body breaks off; `failure` tells why."""
 
 
+class BufferedUpload:
+    """A body that is held whole and sent when the other node asks for it."""
+
+    def __init__(self, body: bytes) -> None:
+        self.length: int | None = len(body)
+        self.started = False
+        self.complete = False
+        self._body = memoryview(body)
+        self._taken = 0
+
+    def read(self) -> bytes:
+        """Return the next part, empty at the end."""
+        self.started = True
+        part = bytes(self._body[self._taken : self._taken + PART_BYTES])
+        self._taken += len(part)
+        self.complete = self._taken == len(self._body)
+        return part
+
+
 class Upload(Protocol):
     """A body that is read once, part by part."""
 
--- a/src/comfreytray/node/options.py
+++ b/src/comfreytray/node/options.py
@@ -1,6 +1,8 @@
 """The identity, the addresses and the limits of a node."""
 
-from attrs import frozen
+import math
+
+from attrs import field, frozen
 
 from comfreytray.common.interfaces import Address
 from comfreytray.replication.freshness import FreshnessLimits
@@ -37,6 +39,8 @@
     """Where callers connect."""
     capacity: int
     """Processor share of the machine, in percent of a core."""
+    link_bytes_per_s: float = field(default=math.inf, kw_only=True)
+    """Speed of the machine's link; infinite if it is not known."""
     heartbeat_s: float
     grace_s: float
     """Time between the signal to stop and the forced end of the process."""
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -134,6 +134,7 @@
             is_cold=self.directory.is_cold,
             on_leaving=self.register.drain,
             is_current=self._is_configuration_current,
+            link_bytes_per_s=options.link_bytes_per_s,
         )
         self.holds = feeds.holds(self.calls.guard)
         self.replicator = Replicator(
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -1,6 +1,7 @@
 """Load and check the settings file that the platform writes for a node."""
 
 import json
+import math
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -18,6 +19,7 @@
 )
 
 PERCENT = 100
+BYTES_PER_MEGABIT = 125_000
 
 
 @frozen(kw_only=True)
@@ -62,6 +64,7 @@
         replication_port=_first_free_port(document),
         http_address=_address(listen, "outbound"),
         capacity=_capacity(_json_object(document, "limits")),
+        link_bytes_per_s=_link_bytes_per_s(_json_object(document, "limits")),
         heartbeat_s=_number(document, "heartbeat_s"),
         grace_s=_bound(bounds, "grace_s"),
         retries=RetryBudget(
@@ -87,6 +90,13 @@
     return round(PERCENT * _number(limits, "cpu_share") * _number(limits, "cores"))
 
 
+def _link_bytes_per_s(limits: Mapping[str, Any]) -> float:
+    """Return the speed of the machine's link; infinite if the settings have none."""
+    if "link_mbps" not in limits:
+        return math.inf
+    return _number(limits, "link_mbps") * BYTES_PER_MEGABIT
+
+
 def _first_free_port(document: Mapping[str, Any]) -> int:
     """Return the first of the ports that are free for traffic between nodes."""
     ports = document.get("port_range")
