Keep the path of calls without a body as short as before

Change: a request without a body skips the reading of bodies, the check after an answer is one look-up, and the record of a pending head is a plain slotted object.

--- a/src/comfreytray/calls/callers.py
+++ b/src/comfreytray/calls/callers.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import eventlet
-from attrs import frozen
+from attrs import define
 from eventlet.event import Event
 
 POLL_S = 0.02
@@ -18,7 +18,7 @@
     """Raised in the greenlet that reads a head which was not complete in time."""
 
 
-@frozen(kw_only=True)
+@define(kw_only=True, eq=False)
 class PendingHead:
     """A request head of which the first byte has arrived."""
 
--- a/src/comfreytray/calls/requestbodies.py
+++ b/src/comfreytray/calls/requestbodies.py
@@ -138,6 +138,7 @@
     upload = CallerUpload(
         environ=environ, prefix=prefix, limit=limit, deadline=deadline, clock=clock
     )
+    environ["comfreytray.body_read"] = False
     # A caller that sends nothing must not hold a slot of an upstream meanwhile.
     failure = None if prefix else upload.receive_first()
     return failure or upload
@@ -215,6 +216,11 @@
     return "HTTP_TRANSFER_ENCODING" in environ or length != "0"
 
 
+def has_unread_upload(environ: Environ) -> bool:
+    """Whether a request has a streamed body that was not read to its end."""
+    return environ.get("comfreytray.body_read") is False
+
+
 def close_after(environ: Environ) -> None:
     """Have the server close the connection after the answer."""
     protocol = environ.get("comfreytray.protocol")
--- a/src/comfreytray/calls/requests.py
+++ b/src/comfreytray/calls/requests.py
@@ -13,7 +13,12 @@
     request_headers,
 )
 from comfreytray.calls.dialect import Dialect
-from comfreytray.calls.requestbodies import BodyBudget, CallerUpload, read_body
+from comfreytray.calls.requestbodies import (
+    BodyBudget,
+    CallerUpload,
+    has_unread_body,
+    read_body,
+)
 from comfreytray.calls.splits import Splitter
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.errors import Failure, Kind
@@ -92,19 +97,22 @@
                 kind=Kind.BAD_REQUEST,
                 detail=f"idempotency key longer than {MAX_KEY_LENGTH} characters",
             )
-        limit = snapshot.limits.max_body_bytes
-        if key:
-            # Only the whole body shows whether a key is used again for another request.
-            limit = min(limit, MAX_BODY_BYTES)
-        body = read_body(
-            environ,
-            self.budget,
-            limit=limit,
-            deadline=now + left_s,
-            clock=self.clock,
-        )
-        if isinstance(body, Failure):
-            return body
+        body: bytes | CallerUpload = b""
+        if has_unread_body(environ):
+            limit = snapshot.limits.max_body_bytes
+            if key:
+                # Only a whole body shows whether a key is used for another request.
+                limit = min(limit, MAX_BODY_BYTES)
+            read = read_body(
+                environ,
+                self.budget,
+                limit=limit,
+                deadline=now + left_s,
+                clock=self.clock,
+            )
+            if isinstance(read, Failure):
+                return read
+            body = read
         if self.stop is not None:
             refusal = self.stop.refusal(
                 now=self.clock.monotonic(), deadline=now + left_s
--- a/src/comfreytray/calls/responder.py
+++ b/src/comfreytray/calls/responder.py
@@ -11,7 +11,11 @@
 )
 from comfreytray.calls.call import Outcome, Reply
 from comfreytray.calls.dialect import Dialect
-from comfreytray.calls.requestbodies import close_after, has_unread_body
+from comfreytray.calls.requestbodies import (
+    close_after,
+    has_unread_body,
+    has_unread_upload,
+)
 from comfreytray.common.errors import Failure
 from comfreytray.common.metrics import Metrics
 
@@ -41,7 +45,7 @@
         """Answer a call; `on_end` is called at the end of a streamed answer."""
         # After an early answer, the rest of a streamed body must not be read as a
         # request.
-        if self.closes_connections or has_unread_body(environ):
+        if self.closes_connections or has_unread_upload(environ):
             close_after(environ)
         status = f"{reply.status} {reply.reason or 'Status'}"
         start_response(status, list(reply.headers))
