Decide on customers' quotas by leases of a coordinator

Cause: accounts have a rate and a burst that apply to all nodes together, and nothing enforced them. Nodes admit freely while the balance is comfortable, by leases of whole calls when it is not, and by a share of their own when the coordinator does not answer.

--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -67,6 +67,9 @@
     CALL_FAILED = "call-failed"
     CLAIMS_TAKEN_OVER = "claims-taken-over"
     CLAIMS_FENCED = "claims-fenced"
+    QUOTA_LIMITED = "quota-limited"
+    QUOTA_FREE = "quota-free"
+    QUOTA_COORDINATOR = "quota-coordinator"
     INTERNAL_ERROR = "internal-error"
 
 
--- /dev/null
+++ b/src/comfreytray/customers/quotaaccount.py
@@ -0,0 +1,121 @@
+"""The coordinator's account of one customer: its balance and what nodes hold of it."""
+
+import math
+
+from attrs import define, field
+
+from comfreytray.customers.quotaterms import QuotaTerms
+
+DEMAND_S = 1.0
+"""Time constant of the mean by which the load offered at a node is estimated."""
+EQUAL_SHARE = 0.25
+"""Part of the tokens that all nodes get alike, for load that moves to other nodes."""
+RESUME_S = 0.25
+"""Seconds of the rate by which the balance must recover before leases end."""
+LAPSED_S = 2.5
+"""Age at which a lease is no longer valid at any node; later than at the node."""
+MIN_INTERVAL_S = 0.02
+MAX_INTERVAL_S = 0.5
+"""Bounds of the time over which newly offered calls are taken to have come: a node with
+calls reports this often, and one that begins to get calls had none before."""
+
+
+@define(kw_only=True)
+class Lane:
+    """What the coordinator knows of one customer at one node."""
+
+    admitted: int
+    rejected: int
+    tokens: float = 0.0
+    """Tokens of the last lease that are not yet reported as used."""
+    leased_at: float = 0.0
+    demand_per_s: float = 0.0
+    seen_at: float = 0.0
+    lacks_tokens: bool = False
+    """Whether the newest report has rejected calls."""
+
+    def observe(self, offered: int, now: float) -> None:
+        """Update the load offered at the node."""
+        recent_s = min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, now - self.seen_at))
+        weight = 1.0 - math.exp(-recent_s / DEMAND_S)
+        recent_per_s = max(0, offered) / recent_s
+        self.demand_per_s = self.demand_at(now) + weight * recent_per_s
+        self.seen_at = now
+
+    def demand_at(self, now: float) -> float:
+        """Return the estimated load; it decays while nothing is reported."""
+        return self.demand_per_s * math.exp(-max(0.0, now - self.seen_at) / DEMAND_S)
+
+
+@define(kw_only=True)
+class Account:
+    """The balance of a customer; it may be negative until over-admission is repaid."""
+
+    terms: QuotaTerms
+    balance: float
+    refilled_to_s: float
+    """Accrued time, in seconds, up to which the balance was refilled."""
+    is_limited: bool = False
+    used_at: float = -math.inf
+    lane_by_id: dict[str, Lane] = field(factory=dict)
+
+    def refill(self, accrued_s: float) -> None:
+        """Add the rate for the accrued time since the last refill."""
+        added = self.terms.rate_per_s * (accrued_s - self.refilled_to_s)
+        self.balance = min(self.terms.burst, self.balance + added)
+        self.refilled_to_s = accrued_s
+
+    def change_terms(self, terms: QuotaTerms) -> None:
+        """Apply another quota; the balance changes with the burst."""
+        self.balance += min(0.0, terms.burst - self.terms.burst)
+        self.terms = terms
+
+    def update_limited(self, contact_share: float) -> bool:
+        """Decide whether nodes need leases; return whether they just became needed.
+
+        Nodes out of contact may use their blind shares, so the balance must be larger.
+        """
+        terms = self.terms
+        reserved = (1.0 - contact_share) * (terms.burst + terms.excess)
+        limit = terms.free_balance + reserved
+        resume = limit + min(
+            terms.rate_per_s * RESUME_S, max(0.0, terms.burst - limit) / 2
+        )
+        was_limited = self.is_limited
+        self.is_limited = self.balance < (resume if was_limited else limit)
+        return self.is_limited and not was_limited
+
+    def spendable(self, contact_share: float) -> float:
+        """Return the tokens that leases may hold at one time."""
+        spare = self.terms.leased_excess
+        reserved = (1.0 - contact_share) * (self.terms.burst + spare)
+        return max(0.0, self.balance + spare - reserved)
+
+    def lease(
+        self, node_id: str, *, contacts: int, contact_share: float, now: float
+    ) -> tuple[int, float]:
+        """Return the tokens of a node and the rate at which it may expect more."""
+        held = 0.0
+        demand = 0.0
+        for other_id, lane in self.lane_by_id.items():
+            if now - lane.leased_at > LAPSED_S:
+                lane.tokens = 0.0
+            demand += lane.demand_at(now)
+            if other_id != node_id:
+                held += lane.tokens
+        spendable = self.spendable(contact_share)
+        left = spendable - held
+        own = self.lane_by_id.get(node_id)
+        share = EQUAL_SHARE / max(1, contacts)
+        if own is not None and demand > 0:
+            share += (1.0 - EQUAL_SHARE) * own.demand_at(now) / demand
+        tokens = math.floor(max(0.0, min(spendable * share, left)))
+        keeps_one = own is not None and (own.lacks_tokens or own.tokens >= 1)
+        if not tokens and left >= 1 and keeps_one:
+            tokens = 1
+        if own is None and tokens:
+            own = self.lane_by_id[node_id] = Lane(admitted=-1, rejected=-1)
+        if own is not None:
+            own.tokens = float(tokens)
+            own.leased_at = now
+        return tokens, self.terms.rate_per_s * contact_share * share
--- /dev/null
+++ b/src/comfreytray/customers/quotagate.py
@@ -0,0 +1,341 @@
+"""A node's own decision on whether a call is within its customer's quota."""
+
+import math
+import random
+from collections.abc import Callable, Collection
+
+from attrs import define, evolve, field
+
+from comfreytray.common.errors import Failure, Kind
+from comfreytray.common.interfaces import Clock
+from comfreytray.common.metrics import Metrics
+from comfreytray.customers.quotamessages import Answer, Lease, Report, Usage
+from comfreytray.customers.quotashares import BlindShare, blind_share
+from comfreytray.customers.quotaterms import QuotaTerms
+from comfreytray.customers.quotausage import CustomerUsage
+
+VALID_S = 2.0
+"""Time after a report was sent for which its answer holds."""
+ACTIVE_S = 3.0
+"""Time after a call of a customer with a quota for which reports go on."""
+REPORT_PERIOD_S = 0.5
+MAX_REPORT_PERIOD_S = 1.2
+"""Longest period, so that one lost report does not end the validity of an answer."""
+REPORTS_PER_S = 130.0
+"""Reports that one coordinator should get in a second; with more nodes the period is
+longer."""
+URGENT_PERIOD_S = 0.1
+"""Shortest time between two reports."""
+URGENT_CALLS = 2.0
+URGENT_SHARE = 0.5
+"""Part of the node's equal share of the burst, at least `URGENT_CALLS`, from which
+admitted calls are reported at once."""
+MAX_CLOCK_LEAD_S = 1.0
+"""Lead of the wall clock over the monotonic clock, since the last answer, from which
+the machine counts as having been suspended and the answer as no longer valid."""
+NO_WAIT_S = 2.0
+"""Time after a report without an answer in which no call waits for one."""
+UNANSWERED_S = 0.25
+"""Time after a report, twice the longest round trip, from which free admission ends."""
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 10.0
+RETRY_JITTER = 0.25
+"""Part by which a Retry-After is lengthened at most, so that callers don't return all
+at once."""
+
+
+@define(kw_only=True)
+class _Contact:
+    """The newest answer of a coordinator."""
+
+    coordinator: str = ""
+    number: int = 0
+    valid_until: float = -math.inf
+    clock_lead_s: float = 0.0
+    """Wall clock less monotonic clock when the answer arrived."""
+    lease_by_customer: dict[str, Lease] = field(factory=dict)
+
+
+class QuotaGate:
+    """Admits calls by the coordinator's answers, or by a share that needs none."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        node_id: str,
+        session: int,
+        terms: Callable[[str], QuotaTerms | None],
+        member_ids: Callable[[], Collection[str]],
+        metrics: Metrics,
+        random: random.Random,
+    ) -> None:
+        self.metrics = metrics
+        self._clock = clock
+        self._node_id = node_id
+        self._session = session
+        self._terms = terms
+        self._member_ids = member_ids
+        self._random = random
+        self._customer_by_name: dict[str, CustomerUsage] = {}
+        self._changed: set[str] = set()
+        """Customers whose totals differ from the newest answered report."""
+        self._contact = _Contact()
+        self._started_at = clock.monotonic()
+        self._number = 0
+        self._answered_number = 0
+        self._reported_at = -math.inf
+        self._active_until = -math.inf
+        self._is_urgent = False
+        self._failed_at = -math.inf
+        self._unanswered_since = math.inf
+        self._acknowledged_at = self._started_at
+        self._share_by_customer: dict[str, tuple[object, QuotaTerms, BlindShare]] = {}
+
+    @property
+    def is_active(self) -> bool:
+        """Whether customers with a quota called in the last seconds."""
+        return self._clock.monotonic() < self._active_until
+
+    @property
+    def coordinator(self) -> str:
+        """Name of the coordinator whose answer is valid; empty if none is."""
+        return self._contact.coordinator if self._has_contact() else ""
+
+    @property
+    def lease_age_s(self) -> float:
+        """Seconds since the start of the validity of the newest answer."""
+        return self._clock.monotonic() - self._contact.valid_until + VALID_S
+
+    def admit(self, customer: str) -> Failure | None:
+        """Take a token for a call; returns why it is refused."""
+        terms = self._terms(customer)
+        if terms is None:
+            return None
+        state = self._customer(customer)
+        self._active_until = self._clock.monotonic() + ACTIVE_S
+        self._changed.add(customer)
+        wait_s = self._wait_s(customer, state, terms)
+        if wait_s is None:
+            state.admitted += 1
+            if self._uses_own_share(customer):
+                state.blind.tokens -= 1.0
+                self._is_urgent = True
+            else:
+                self._check_urgent(state, terms)
+            self.metrics.count("quota_admitted")
+            return None
+        state.rejected += 1
+        self.metrics.count("quota_rejected")
+        wait_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+        retry_after_s = wait_s * (1.0 + self._random.uniform(0.0, RETRY_JITTER))
+        reason = "leased" if self._has_contact() else "no coordinator"
+        return Failure(
+            kind=Kind.QUOTA_EXCEEDED,
+            detail=f"quota of {terms.rate_per_s:g} calls a second, {reason}",
+            retry_after_s=retry_after_s,
+        )
+
+    def must_wait(self, customer: str) -> bool:
+        """Whether an answer that is about to come could admit a call.
+
+        This holds for a node that has just started or has had no calls. It reports at
+        once; the call is not refused for want of an answer that takes one round trip.
+        """
+        terms = self._terms(customer)
+        if terms is None or self._has_contact():
+            return False
+        if self._wait_s(customer, self._customer(customer), terms) is None:
+            return False
+        now = self._clock.monotonic()
+        self._active_until = now + ACTIVE_S
+        self._is_urgent = True
+        return now - self._failed_at >= NO_WAIT_S
+
+    def refund(self, customer: str) -> None:
+        """Give back the token of a call that is proved not to have run."""
+        state = self._customer_by_name.get(customer)
+        if state is not None and state.admitted > 0:
+            state.admitted -= 1
+            self._changed.add(customer)
+            self.metrics.count("quota_refunded")
+
+    def note_failed(self) -> None:
+        """Note that a report was not answered, so that no call waits for an answer."""
+        self._failed_at = self._clock.monotonic()
+        self._is_urgent = True
+
+    def is_report_due(self) -> bool:
+        """Whether it is time to report; never while no customer with a quota calls."""
+        if not self.is_active:
+            return False
+        period_s = min(
+            MAX_REPORT_PERIOD_S,
+            max(REPORT_PERIOD_S, len(self._member_ids()) / REPORTS_PER_S),
+        )
+        if self._is_urgent:
+            period_s = URGENT_PERIOD_S
+        return self._clock.monotonic() - self._reported_at >= period_s
+
+    def build_report(self) -> Report:
+        """Return what is to be reported now."""
+        self._number += 1
+        self._reported_at = self._clock.monotonic()
+        self._is_urgent = False
+        self._unanswered_since = min(self._unanswered_since, self._reported_at)
+        rows: list[Usage] = []
+        for customer in sorted(self._changed):
+            state = self._customer_by_name[customer]
+            state.note_sent()
+            rows.append(
+                Usage(
+                    customer=customer,
+                    admitted=state.admitted,
+                    rejected=state.rejected,
+                    acknowledged=state.base,
+                )
+            )
+        limited = self._contact.lease_by_customer if self.coordinator else {}
+        return Report(
+            node_id=self._node_id,
+            session=self._session,
+            number=self._number,
+            prior=self.coordinator,
+            prior_limited=tuple(sorted(limited)),
+            usage=tuple(rows),
+        )
+
+    def take_answer(self, answer: Answer, *, sent_at: float) -> None:
+        """Apply the answer to the newest report, which was sent at `sent_at`."""
+        if answer.report == self._number:
+            self._acknowledge()
+        self._adopt(answer, valid_until=sent_at + VALID_S)
+
+    def take_push(self, answer: Answer) -> Report | None:
+        """Apply an answer that was not asked for and return a report.
+
+        Returns None, which refuses it, while the answer of another coordinator holds.
+        """
+        if self.coordinator not in ("", answer.coordinator):
+            return None
+        valid_until = self._clock.monotonic() + VALID_S
+        if answer.report == self._number:
+            self._acknowledge()
+        elif answer.report != self._answered_number:
+            # The tokens count from a report that this node can't tell the total of.
+            leases = tuple(evolve(lease, tokens=0) for lease in answer.leases)
+            answer = evolve(answer, leases=leases)
+        self._adopt(answer, valid_until=valid_until)
+        unanswered_since = self._unanswered_since
+        report = self.build_report()
+        self._unanswered_since = unanswered_since
+        return report
+
+    def _acknowledge(self) -> None:
+        """Count what the newest report held as known to the coordinator."""
+        self._answered_number = self._number
+        now = self._clock.monotonic()
+        passed_s = max(URGENT_PERIOD_S, now - self._acknowledged_at)
+        self._acknowledged_at = now
+        for customer in list(self._changed):
+            state = self._customer_by_name[customer]
+            if state.acknowledge(passed_s):
+                self._changed.discard(customer)
+
+    def _adopt(self, answer: Answer, *, valid_until: float) -> None:
+        contact = self._contact
+        is_same = contact.coordinator == answer.coordinator
+        if is_same and answer.number <= contact.number:
+            return
+        if answer.is_gathering:
+            # A new coordinator does not yet know what the leases before have left.
+            return
+        self._unanswered_since = math.inf
+        self._contact = _Contact(
+            coordinator=answer.coordinator,
+            number=answer.number,
+            valid_until=max(valid_until, contact.valid_until if is_same else 0.0),
+            clock_lead_s=self._clock.wall() - self._clock.monotonic(),
+            lease_by_customer={lease.customer: lease for lease in answer.leases},
+        )
+
+    def _has_contact(self) -> bool:
+        now = self._clock.monotonic()
+        contact = self._contact
+        if now >= contact.valid_until:
+            return False
+        return self._clock.wall() - now - contact.clock_lead_s <= MAX_CLOCK_LEAD_S
+
+    def _customer(self, customer: str) -> CustomerUsage:
+        state = self._customer_by_name.get(customer)
+        if state is None:
+            state = self._customer_by_name[customer] = CustomerUsage()
+        return state
+
+    def _wait_s(
+        self, customer: str, state: CustomerUsage, terms: QuotaTerms
+    ) -> float | None:
+        """Return the seconds until a token is expected; None if there is one."""
+        if not self._has_contact():
+            # `valid_until` may lie ahead if the machine was suspended.
+            lapsed_at = min(self._clock.monotonic(), self._contact.valid_until)
+            since = max(self._started_at, lapsed_at)
+            return self._own_wait_s(customer, state, terms, since=since, filled=False)
+        if self._uses_own_share(customer):
+            since = self._unanswered_since
+            return self._own_wait_s(customer, state, terms, since=since, filled=True)
+        lease = self._contact.lease_by_customer.get(customer)
+        used = state.admitted - state.base
+        if lease is None:
+            if used < terms.free_calls:
+                return None
+            self._is_urgent = True
+            return MIN_RETRY_S
+        if used < lease.tokens:
+            return None
+        return 1.0 / lease.rate_per_s if lease.rate_per_s > 0 else MAX_RETRY_S
+
+    def _uses_own_share(self, customer: str) -> bool:
+        """Whether the answer does not say what the node may admit now."""
+        if not self._has_contact():
+            return True
+        unanswered_s = self._clock.monotonic() - self._unanswered_since
+        is_leased = customer in self._contact.lease_by_customer
+        return unanswered_s > UNANSWERED_S and not is_leased
+
+    def _own_wait_s(
+        self,
+        customer: str,
+        state: CustomerUsage,
+        terms: QuotaTerms,
+        *,
+        since: float,
+        filled: bool,
+    ) -> float | None:
+        """Refill the node's own share from a time on; return as `_wait_s` does.
+
+        While an answer is still valid, the share is `filled` at first, and its rate is
+        at least that of the calls that the node has admitted until then.
+        """
+        now = self._clock.monotonic()
+        share = self._blind_share(customer, terms)
+        rate_per_s = share.rate_per_s
+        if filled and share.capacity:
+            rate_per_s = max(rate_per_s, state.mean_per_s)
+        return state.blind.wait_s(
+            share, rate_per_s=rate_per_s, since=since, filled=filled, now=now
+        )
+
+    def _blind_share(self, customer: str, terms: QuotaTerms) -> BlindShare:
+        members = self._member_ids()
+        cached = self._share_by_customer.get(customer)
+        if cached is None or cached[0] is not members or cached[1] != terms:
+            share = blind_share(terms, customer, self._node_id, members)
+            cached = self._share_by_customer[customer] = (members, terms, share)
+        return cached[2]
+
+    def _check_urgent(self, state: CustomerUsage, terms: QuotaTerms) -> None:
+        """Report at once when calls come faster than usual."""
+        equal_share = URGENT_SHARE * terms.burst / max(1, len(self._member_ids()))
+        if state.admitted - state.base >= max(URGENT_CALLS, equal_share):
+            self._is_urgent = True
--- /dev/null
+++ b/src/comfreytray/customers/quotamessages.py
@@ -0,0 +1,193 @@
+"""Messages about quotas between a node and the coordinator, as msgpack arrays.
+
+Counters are totals since the start of the node's process, so that a repeated or a lost
+message can't count a call twice or leave it out.
+"""
+
+from typing import Any
+
+import msgpack
+from attrs import frozen
+
+FORMAT = 1
+MAX_MESSAGE_BYTES = 262_144
+MAX_TEXT = 256
+MAX_ROWS = 4096
+MAX_COUNT = 2**53
+
+
+@frozen(kw_only=True)
+class Usage:
+    """Calls of a customer at a node, counted since the start of its process."""
+
+    customer: str
+    admitted: int
+    rejected: int
+    acknowledged: int
+    """Value of `admitted` in the newest report that was answered."""
+
+
+@frozen(kw_only=True)
+class Report:
+    """What a node tells its coordinator."""
+
+    node_id: str
+    session: int
+    """Distinguishes the processes of a node; later ones are greater."""
+    number: int
+    """Increases with each report of a session."""
+    prior: str = ""
+    """Coordinator whose answer was valid until now; empty if none."""
+    prior_limited: tuple[str, ...] = ()
+    """Customers that the prior coordinator had limited."""
+    usage: tuple[Usage, ...] = ()
+
+
+@frozen(kw_only=True)
+class Lease:
+    """How many calls of a limited customer a node may admit."""
+
+    customer: str
+    tokens: int
+    """Calls that the node may admit beyond the total in the report that is named."""
+    rate_per_s: float
+    """Rate at which the node can expect further tokens; 0 if unknown."""
+
+
+@frozen(kw_only=True)
+class Answer:
+    """What the coordinator tells a node; customers without a lease are free."""
+
+    coordinator: str
+    """Id of the node and session of its process."""
+    number: int
+    """Increases with each answer of a coordinator's process."""
+    report: int
+    """Number of the newest report that the coordinator has of the node."""
+    is_gathering: bool = False
+    """Whether most nodes have not yet reported, so that a call may wait a moment."""
+    leases: tuple[Lease, ...] = ()
+
+
+def encode_report(report: Report) -> bytes:
+    """Encode a report."""
+    rows = [
+        [row.customer, row.admitted, row.rejected, row.admitted - row.acknowledged]
+        for row in report.usage
+    ]
+    return _pack(
+        [
+            FORMAT,
+            report.node_id,
+            report.session,
+            report.number,
+            report.prior,
+            list(report.prior_limited),
+            rows,
+        ]
+    )
+
+
+def decode_report(message: bytes) -> Report | str:
+    """Decode a report; a text says what is malformed."""
+    try:
+        node_id, session, number, prior, limited, rows = _unpack(message, 7)
+        return Report(
+            node_id=_text(node_id),
+            session=_count(session),
+            number=_count(number),
+            prior=_text(prior),
+            prior_limited=tuple(_text(customer) for customer in _list(limited)),
+            usage=tuple(
+                Usage(
+                    customer=_text(customer),
+                    admitted=_count(admitted),
+                    rejected=_count(rejected),
+                    acknowledged=_count(admitted - _count(open_calls, low=-MAX_COUNT)),
+                )
+                for customer, admitted, rejected, open_calls in _list(rows)
+            ),
+        )
+    except (ValueError, TypeError) as error:
+        return f"{type(error).__name__}: {error!s:.80}"
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """Encode an answer."""
+    rows = [
+        [lease.customer, lease.tokens, round(lease.rate_per_s, 3)]
+        for lease in answer.leases
+    ]
+    return _pack(
+        [
+            FORMAT,
+            answer.coordinator,
+            answer.number,
+            answer.report,
+            answer.is_gathering,
+            rows,
+        ]
+    )
+
+
+def decode_answer(message: bytes) -> Answer | str:
+    """Decode an answer; a text says what is malformed."""
+    try:
+        coordinator, number, report, is_gathering, rows = _unpack(message, 6)
+        return Answer(
+            coordinator=_text(coordinator),
+            number=_count(number),
+            report=_count(report),
+            is_gathering=is_gathering is True,
+            leases=tuple(
+                Lease(
+                    customer=_text(customer),
+                    tokens=_count(tokens),
+                    rate_per_s=_rate(rate_per_s),
+                )
+                for customer, tokens, rate_per_s in _list(rows)
+            ),
+        )
+    except (ValueError, TypeError) as error:
+        return f"{type(error).__name__}: {error!s:.80}"
+
+
+def _pack(values: list[Any]) -> bytes:
+    packed: bytes = msgpack.packb(values)
+    return packed
+
+
+def _unpack(message: bytes, length: int) -> list[Any]:
+    if len(message) > MAX_MESSAGE_BYTES:
+        raise ValueError(f"message of {len(message)} bytes")
+    values = msgpack.unpackb(message)
+    if not isinstance(values, list) or len(values) != length or values[0] != FORMAT:
+        raise ValueError("unknown format")
+    return values[1:]
+
+
+def _list(value: object) -> list[Any]:
+    if not isinstance(value, list) or len(value) > MAX_ROWS:
+        raise ValueError("expected a list")
+    return value
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str) or len(value) > MAX_TEXT:
+        raise ValueError("expected a short text")
+    return value
+
+
+def _count(value: object, *, low: int = 0) -> int:
+    if type(value) is not int or not low <= value <= MAX_COUNT:
+        raise ValueError("expected a count")
+    return value
+
+
+def _rate(value: object) -> float:
+    if type(value) not in (int, float):
+        raise ValueError("expected a rate")
+    rate_per_s = float(value)  # type: ignore[arg-type]
+    if not 0.0 <= rate_per_s < MAX_COUNT:
+        raise ValueError("expected a rate")
+    return rate_per_s
--- /dev/null
+++ b/src/comfreytray/customers/quotaterms.py
@@ -0,0 +1,113 @@
+"""The terms of a customer's quota, and how its allowance is divided."""
+
+import math
+from collections.abc import Callable, Mapping
+
+import xxhash
+from attrs import frozen
+
+from comfreytray.configuration.accounts import Account, Accounts
+
+SURGE_FACTOR = 5.0
+"""Offered load, as a multiple of the rate, that free admission must withstand."""
+REACTION_S = 0.33
+"""Time from a surge at all nodes until all know of the limit: the time to an early
+report and the way to the coordinator and back."""
+SMALL_MARGIN = 10.0
+"""Calls added to the margin: customers with few calls cause no early reports."""
+FREE_PERIOD_S = 0.5
+"""Seconds of the rate that a node may admit, beyond the burst, between two answers."""
+LEASED_SHARE = 0.5
+"""Part of the permitted excess that leases may use; the rest covers lost answers."""
+HASH_RANGE = 2.0**64
+
+
+@frozen(kw_only=True)
+class QuotaBounds:
+    """How far the calls of a customer may exceed its quota."""
+
+    window_s: float = 5.0
+    overage: float = 0.0
+    """Calls allowed beyond the quota in any window, as a share of it."""
+    slack: float = 0.0
+    """Calls allowed beyond the quota and the overage in any window."""
+
+
+@frozen(kw_only=True)
+class QuotaTerms:
+    """The quota of a customer together with the bounds on its excess."""
+
+    rate_per_s: float
+    burst: float
+    bounds: QuotaBounds
+
+    @classmethod
+    def of(cls, account: Account, bounds: QuotaBounds) -> "QuotaTerms":
+        """Return the terms of an account that has a quota."""
+        return cls(rate_per_s=account.rate_per_s, burst=account.burst, bounds=bounds)
+
+    @property
+    def excess(self) -> float:
+        """Calls that may run beyond rate and burst in any window."""
+        quota = self.rate_per_s * self.bounds.window_s + self.burst
+        return quota * self.bounds.overage + self.bounds.slack
+
+    @property
+    def leased_excess(self) -> float:
+        """Part of the excess that leases may use."""
+        return self.excess * LEASED_SHARE
+
+    @property
+    def free_balance(self) -> float:
+        """Balance from which nodes may admit calls without a lease."""
+        surge_per_s = (SURGE_FACTOR - 1.0) * self.rate_per_s
+        return surge_per_s * REACTION_S + SMALL_MARGIN - self.excess
+
+    @property
+    def free_calls(self) -> float:
+        """Calls that one node may admit without a lease between two answers."""
+        return self.burst + self.rate_per_s * FREE_PERIOD_S
+
+
+class TermsSource:
+    """Finds the terms of customers in the accounts in force."""
+
+    def __init__(
+        self, *, accounts: Callable[[], Accounts | None], bounds: QuotaBounds
+    ) -> None:
+        self._accounts = accounts
+        self._bounds = bounds
+        self._known: Accounts | None = None
+        self._terms_by_customer: dict[str, QuotaTerms] = {}
+
+    def __call__(self, customer: str) -> QuotaTerms | None:
+        """Return the terms of a customer; None if it has no quota."""
+        accounts = self._accounts()
+        if accounts is not self._known:
+            self._known = accounts
+            granted = accounts.account_by_customer if accounts else {}
+            self._terms_by_customer = {
+                name: QuotaTerms.of(account, self._bounds)
+                for name, account in granted.items()
+                if account.is_limited
+            }
+        return self._terms_by_customer.get(customer)
+
+
+def rank_coordinators(capacity_by_id: Mapping[str, int]) -> list[str]:
+    """Return nodes in the order in which they are asked, by rendezvous hashing.
+
+    Weights are the squares of the processor shares, which favours large machines.
+    """
+
+    def score(node_id: str) -> float:
+        weight = max(1, capacity_by_id[node_id]) ** 2
+        return -math.log(hash01("quota", node_id)) / weight
+
+    return sorted(capacity_by_id, key=lambda node_id: (score(node_id), node_id))
+
+
+def hash01(salt: str, node_id: str) -> float:
+    """Return a number between 0 and 1 that is the same at all nodes."""
+    digest = xxhash.xxh64_intdigest(f"{salt}\x00{node_id}".encode())
+    return (digest + 1.0) / (HASH_RANGE + 2.0)
