Check quotas at the entry of a call

Cause: the call path had no place where a call over its customer's quota is refused. Change: CallPath asks the quotas before it dispatches a call of a configuration with accounts, and gives the token back where the outcome proves that the call did not run.

--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -30,11 +30,12 @@
 from comfreytray.calls.streamserver import StreamServer
 from comfreytray.calls.tracing import Tracer, traced
 from comfreytray.common import logs
-from comfreytray.common.errors import Failure, Kind
+from comfreytray.common.errors import Failure, Kind, Ran
 from comfreytray.common.interfaces import Clock, ObjectStore
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import LocalUpstream, MembershipView, NodeRecord
 from comfreytray.configuration.snapshots import Snapshot
+from comfreytray.customers.quotaadmission import QuotaAdmission
 
 if TYPE_CHECKING:
     from comfreytray.calls.keyed import KeyedCalls
@@ -75,6 +76,7 @@
         self.responder = Responder(
             dialect=dialect, metrics=metrics, message_for=message_for
         )
+        self.quota: QuotaAdmission | None = None
         self.in_flight = 0
         self.call_log = CallLog(clock=clock)
         self.reader = requests.RequestReader(
@@ -305,13 +307,25 @@
 
     def _run(self, call: Call) -> Reply | Outcome:
         started = self.clock.monotonic()
-        result = self._run_traced(call)
+        result = self._run_within_quota(call)
         duration_s = self.clock.monotonic() - started
         ended = "answered" if isinstance(result, Reply) else "refused"
         self.metrics.record_duration(f"calls_{ended}", duration_s)
         self.call_log.ended(call, result, self._configuration_version)
         return result
 
+    def _run_within_quota(self, call: Call) -> Reply | Outcome:
+        snapshot = self.snapshot()
+        if self.quota is None or snapshot is None or snapshot.accounts is None:
+            return self._run_traced(call)
+        failure = self.quota.admit(call.customer)
+        if failure is not None:
+            return Outcome.of(failure)
+        result = self._run_traced(call)
+        if isinstance(result, Outcome) and result.ran is Ran.NO:
+            self.quota.refund(call.customer)
+        return result
+
     def _run_traced(self, call: Call) -> Reply | Outcome:
         self.metrics.count("calls")
         run = self.dispatcher.run
--- a/src/comfreytray/node/options.py
+++ b/src/comfreytray/node/options.py
@@ -1,8 +1,9 @@
 """The identity, the addresses and the limits of a node."""
 
-from attrs import frozen
+from attrs import field, frozen
 
 from comfreytray.common.interfaces import Address
+from comfreytray.customers.quotaterms import QuotaBounds
 from comfreytray.replication.freshness import FreshnessLimits
 
 
@@ -43,3 +44,5 @@
     retries: RetryBudget
     freshness: FreshnessLimits
     """How old the node's configuration may be."""
+    quotas: QuotaBounds = field(factory=QuotaBounds)
+    """How far the calls of a customer may exceed its quota."""
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -28,12 +28,14 @@
 from comfreytray.common.stalls import StallMonitor
 from comfreytray.common.tasks import TaskGroup
 from comfreytray.configuration.snapshots import Snapshot
+from comfreytray.customers.quotaexchange import QuotaExchange
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.heartbeats import InstanceRegister
 from comfreytray.membership.ownrecord import OwnRecord
 from comfreytray.node.activation import ActiveConfiguration, DecodeConfiguration
 from comfreytray.node.noderecord import RecordSource
 from comfreytray.node.options import NodeOptions
+from comfreytray.node.quotas import build_quotas
 from comfreytray.node.recordsync import RecordSync, listed_record, poll_until
 from comfreytray.node.storefeeds import StoreFeeds
 from comfreytray.replication.measures import MeasureExchange
@@ -134,6 +136,8 @@
             on_leaving=self.register.drain,
             is_current=self._is_configuration_current,
         )
+        self.quotas = self._build_quotas()
+        self.calls.quota = self.quotas
         self.holds = feeds.holds(self.calls.guard)
         self.replicator = Replicator(
             node=self.record,
@@ -153,6 +157,19 @@
         self.directory.put(self.record())
         self.directory.capacity_by_id[options.node_id] = options.capacity
 
+    def _build_quotas(self) -> QuotaExchange:
+        return build_quotas(
+            options=self.options,
+            session=self.incarnation,
+            snapshot=lambda: self.snapshot,
+            members=lambda: self.directory.view,
+            capacity_by_id=self.directory.capacity_by_id,
+            peers=self.calls.peers,
+            clock=self.clock,
+            random=self.random,
+            metrics=self.metrics,
+        )
+
     def __enter__(self) -> "ProxyNode":
         with ExitStack() as stack:
             stack.enter_context(self.calls)
@@ -250,6 +267,7 @@
         )
         self._tasks.spawn("own-record", self.record_sync.run)
         self._tasks.spawn("holds", self.holds.run)
+        self._tasks.spawn("quotas", self.quotas.run)
         stalls = StallMonitor(period_s=TICK_S, clock=self.clock, metrics=self.metrics)
         self._tasks.run_every(
             TICK_S, {"stalls": stalls.check, "register": self.register.tick}
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -1,6 +1,7 @@
 """Load and check the settings file that the platform writes for a node."""
 
 import json
+import math
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -10,6 +11,7 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import SettingError
 from comfreytray.common.interfaces import Address
+from comfreytray.customers.quotaterms import QuotaBounds
 from comfreytray.node.options import NodeOptions, RetryBudget
 from comfreytray.replication.freshness import (
     DEFAULT_PROPAGATION_S,
@@ -18,6 +20,8 @@
 )
 
 PERCENT = 100
+DEFAULT_QUOTAS = QuotaBounds()
+MIN_WINDOW_S = 0.1
 
 
 @frozen(kw_only=True)
@@ -73,6 +77,13 @@
             propagation_s=bounds.get("config_deadline_s", DEFAULT_PROPAGATION_S),
             recovery_s=bounds.get("stable_window_s", DEFAULT_RECOVERY_S),
         ),
+        quotas=QuotaBounds(
+            window_s=_bound_from(
+                bounds, "quota_window_s", DEFAULT_QUOTAS.window_s, low=MIN_WINDOW_S
+            ),
+            overage=_bound_from(bounds, "quota_overage", DEFAULT_QUOTAS.overage),
+            slack=_bound_from(bounds, "quota_slack", DEFAULT_QUOTAS.slack),
+        ),
     )
     return PlatformSettings(
         node_options=options,
@@ -116,6 +127,16 @@
     return bounds[name]
 
 
+def _bound_from(
+    bounds: Mapping[str, float], name: str, default: float, *, low: float = 0.0
+) -> float:
+    """Return a bound that may be absent; raises SettingError if it is out of range."""
+    value = bounds.get(name, default)
+    if not low <= value < math.inf:
+        raise _setting_error(f"bounds.{name}", value, f"a number from {low:g}")
+    return value
+
+
 def _json_object(document: Mapping[str, Any], name: str) -> Mapping[str, Any]:
     value = document.get(name)
     if not isinstance(value, dict):
