--- a/src/comfreytray/customers/quotaaccount.py
+++ b/src/comfreytray/customers/quotaaccount.py
@@ -2,7 +2,7 @@
 
 import math
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from comfreytray.customers.quotaterms import QuotaTerms
 
@@ -14,12 +14,32 @@
 """Seconds of the rate by which the balance must recover before leases end."""
 LAPSED_S = 2.5
 """Age at which a lease is no longer valid at any node; later than at the node."""
+MORE_SHARE = 0.2
+"""Part of the tokens that must be left for a node to ask again at once. In a surge less
+is left, and calls are refused without waiting."""
 MIN_INTERVAL_S = 0.02
 MAX_INTERVAL_S = 0.5
 """Bounds of the time over which newly offered calls are taken to have come: a node with
 calls reports this often, and one that begins to get calls had none before."""
 
 
+def resume_balance(terms: QuotaTerms, limit: float) -> float:
+    """Return the balance from which leases end that began below a limit."""
+    step = min(terms.rate_per_s * RESUME_S, max(0.0, terms.burst - limit) / 2)
+    return limit + step
+
+
+@frozen(kw_only=True)
+class Grant:
+    """What a node gets of an account."""
+
+    tokens: int
+    rate_per_s: float
+    """Rate at which the node can expect further tokens."""
+    has_more: bool
+    """Whether tokens are left that no node holds."""
+
+
 @define(kw_only=True)
 class Lane:
     """What the coordinator knows of one customer at one node."""
@@ -75,14 +95,12 @@
 
         Nodes out of contact may use their blind shares, so the balance must be larger.
         """
-        terms = self.terms
-        reserved = (1.0 - contact_share) * (terms.burst + terms.excess)
-        limit = terms.free_balance + reserved
-        resume = limit + min(
-            terms.rate_per_s * RESUME_S, max(0.0, terms.burst - limit) / 2
-        )
+        reserved = (1.0 - contact_share) * (self.terms.burst + self.terms.excess)
+        limit = self.terms.free_balance + reserved
         was_limited = self.is_limited
-        self.is_limited = self.balance < (resume if was_limited else limit)
+        self.is_limited = self.balance < (
+            resume_balance(self.terms, limit) if was_limited else limit
+        )
         return self.is_limited and not was_limited
 
     def spendable(self, contact_share: float) -> float:
@@ -93,8 +111,8 @@
 
     def lease(
         self, node_id: str, *, contacts: int, contact_share: float, now: float
-    ) -> tuple[int, float]:
-        """Return the tokens of a node and the rate at which it may expect more."""
+    ) -> Grant:
+        """Grant tokens to a node, in proportion to the load that it is offered."""
         held = 0.0
         demand = 0.0
         for other_id, lane in self.lane_by_id.items():
@@ -106,8 +124,9 @@
         spendable = self.spendable(contact_share)
         left = spendable - held
         own = self.lane_by_id.get(node_id)
-        share = EQUAL_SHARE / max(1, contacts)
+        share = 1.0 / max(1, contacts)
         if own is not None and demand > 0:
+            share *= EQUAL_SHARE
             share += (1.0 - EQUAL_SHARE) * own.demand_at(now) / demand
         tokens = math.floor(max(0.0, min(spendable * share, left)))
         keeps_one = own is not None and (own.lacks_tokens or own.tokens >= 1)
@@ -118,4 +137,8 @@
         if own is not None:
             own.tokens = float(tokens)
             own.leased_at = now
-        return tokens, self.terms.rate_per_s * contact_share * share
+        return Grant(
+            tokens=tokens,
+            rate_per_s=self.terms.rate_per_s * contact_share * share,
+            has_more=left - tokens >= max(1.0, MORE_SHARE * spendable),
+        )
--- a/src/comfreytray/customers/quotacoordinator.py
+++ b/src/comfreytray/customers/quotacoordinator.py
@@ -8,7 +8,7 @@
 from comfreytray.common.budgets import TokenBucket
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.logs import Event, log
-from comfreytray.customers.quotaaccount import Account, Lane
+from comfreytray.customers.quotaaccount import Account, Lane, resume_balance
 from comfreytray.customers.quotamessages import Answer, Lease, Report, Usage
 from comfreytray.customers.quotaterms import QuotaTerms
 
@@ -133,14 +133,19 @@
             account = self._evaluate(customer, now)
             if account is None or not account.is_limited:
                 continue
-            tokens, rate_per_s = account.lease(
+            grant = account.lease(
                 node_id,
                 contacts=self._contacts,
                 contact_share=self.contact_share,
                 now=now,
             )
             leases.append(
-                Lease(customer=customer, tokens=tokens, rate_per_s=rate_per_s)
+                Lease(
+                    customer=customer,
+                    tokens=grant.tokens,
+                    rate_per_s=grant.rate_per_s,
+                    has_more=grant.has_more,
+                )
             )
         self._number += 1
         node = self._node_by_id.get(node_id)
@@ -265,7 +270,8 @@
         """
         lowest = -terms.leased_excess
         if self._taken_over_at > -math.inf and customer not in self._limited_before:
-            lowest = max(lowest, min(terms.burst, terms.free_balance))
+            free_balance = resume_balance(terms, terms.free_balance)
+            lowest = max(lowest, min(terms.burst, free_balance))
         passed_s = now - self._began_at
         return min(terms.burst, lowest + terms.rate_per_s * passed_s)
 
--- a/src/comfreytray/customers/quotaexchange.py
+++ b/src/comfreytray/customers/quotaexchange.py
@@ -78,9 +78,11 @@
             return
         end = self._clock.monotonic() + MAX_WAIT_S
         self._waiting += 1
+        self.gate.note_waiting(customer)
         try:
             while self.gate.must_wait(customer) and self._clock.monotonic() < end:
-                self._wake.fire()
+                if self.gate.is_report_due():
+                    self._wake.fire()
                 eventlet.sleep(WAIT_POLL_S)
         finally:
             self._waiting -= 1
--- a/src/comfreytray/customers/quotagate.py
+++ b/src/comfreytray/customers/quotagate.py
@@ -10,7 +10,7 @@
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.metrics import Metrics
 from comfreytray.customers.quotamessages import Answer, Lease, Report, Usage
-from comfreytray.customers.quotashares import BlindShare, blind_share
+from comfreytray.customers.quotashares import BlindShares
 from comfreytray.customers.quotaterms import QuotaTerms
 from comfreytray.customers.quotausage import CustomerUsage
 
@@ -90,7 +90,7 @@
         self._failed_at = -math.inf
         self._unanswered_since = math.inf
         self._acknowledged_at = self._started_at
-        self._share_by_customer: dict[str, tuple[object, QuotaTerms, BlindShare]] = {}
+        self._blind_shares = BlindShares(node_id=node_id, member_ids=member_ids)
 
     @property
     def is_active(self) -> bool:
@@ -139,18 +139,28 @@
     def must_wait(self, customer: str) -> bool:
         """Whether an answer that is about to come could admit a call.
 
-        This holds for a node that has just started or has had no calls. It reports at
+        This holds for a node that has just started or has had no calls, and for one
+        whose lease is used up while the coordinator has tokens left. It reports at
         once; the call is not refused for want of an answer that takes one round trip.
         """
         terms = self._terms(customer)
-        if terms is None or self._has_contact():
-            return False
-        if self._wait_s(customer, self._customer(customer), terms) is None:
+        if terms is None:
             return False
         now = self._clock.monotonic()
-        self._active_until = now + ACTIVE_S
+        if now - self._failed_at < NO_WAIT_S:
+            return False
+        if self._has_contact():
+            lease = self._contact.lease_by_customer.get(customer)
+            if lease is None or not lease.has_more:
+                return False
+        return self._wait_s(customer, self._customer(customer), terms) is not None
+
+    def note_waiting(self, customer: str) -> None:
+        """Note that a call waits for an answer, which makes a report due."""
+        self._customer(customer).rejected += 1
+        self._changed.add(customer)
+        self._active_until = self._clock.monotonic() + ACTIVE_S
         self._is_urgent = True
-        return now - self._failed_at >= NO_WAIT_S
 
     def refund(self, customer: str) -> None:
         """Give back the token of a call that is proved not to have run."""
@@ -249,6 +259,7 @@
             return
         if answer.is_gathering:
             # A new coordinator does not yet know what the leases before have left.
+            self._is_urgent = not self._has_contact()
             return
         self._unanswered_since = math.inf
         self._contact = _Contact(
@@ -267,10 +278,9 @@
         return self._clock.wall() - now - contact.clock_lead_s <= MAX_CLOCK_LEAD_S
 
     def _customer(self, customer: str) -> CustomerUsage:
-        state = self._customer_by_name.get(customer)
-        if state is None:
-            state = self._customer_by_name[customer] = CustomerUsage()
-        return state
+        if customer not in self._customer_by_name:
+            self._customer_by_name[customer] = CustomerUsage()
+        return self._customer_by_name[customer]
 
     def _wait_s(
         self, customer: str, state: CustomerUsage, terms: QuotaTerms
@@ -318,7 +328,7 @@
         at least that of the calls that the node has admitted until then.
         """
         now = self._clock.monotonic()
-        share = self._blind_share(customer, terms)
+        share = self._blind_shares.of(customer, terms)
         rate_per_s = share.rate_per_s
         if filled and share.capacity:
             rate_per_s = max(rate_per_s, state.mean_per_s)
@@ -326,14 +336,6 @@
             share, rate_per_s=rate_per_s, since=since, filled=filled, now=now
         )
 
-    def _blind_share(self, customer: str, terms: QuotaTerms) -> BlindShare:
-        members = self._member_ids()
-        cached = self._share_by_customer.get(customer)
-        if cached is None or cached[0] is not members or cached[1] != terms:
-            share = blind_share(terms, customer, self._node_id, members)
-            cached = self._share_by_customer[customer] = (members, terms, share)
-        return cached[2]
-
     def _check_urgent(self, state: CustomerUsage, terms: QuotaTerms) -> None:
         """Report at once when calls come faster than usual."""
         equal_share = URGENT_SHARE * terms.burst / max(1, len(self._member_ids()))
--- a/src/comfreytray/customers/quotamessages.py
+++ b/src/comfreytray/customers/quotamessages.py
@@ -23,6 +23,7 @@
     customer: str
     admitted: int
     rejected: int
+    """Calls that were rejected or had to wait for an answer."""
     acknowledged: int
     """Value of `admitted` in the newest report that was answered."""
 
@@ -52,6 +53,8 @@
     """Calls that the node may admit beyond the total in the report that is named."""
     rate_per_s: float
     """Rate at which the node can expect further tokens; 0 if unknown."""
+    has_more: bool = False
+    """Whether a node that needs more tokens may get some by asking at once."""
 
 
 @frozen(kw_only=True)
@@ -115,7 +118,7 @@
 def encode_answer(answer: Answer) -> bytes:
     """Encode an answer."""
     rows = [
-        [lease.customer, lease.tokens, round(lease.rate_per_s, 3)]
+        [lease.customer, lease.tokens, round(lease.rate_per_s, 3), lease.has_more]
         for lease in answer.leases
     ]
     return _pack(
@@ -144,8 +147,9 @@
                     customer=_text(customer),
                     tokens=_count(tokens),
                     rate_per_s=_rate(rate_per_s),
+                    has_more=has_more is True,
                 )
-                for customer, tokens, rate_per_s in _list(rows)
+                for customer, tokens, rate_per_s, has_more in _list(rows)
             ),
         )
     except (ValueError, TypeError) as error:
--- a/src/comfreytray/customers/quotashares.py
+++ b/src/comfreytray/customers/quotashares.py
@@ -1,7 +1,7 @@
 """The part of a quota that a node may use without an answer of the coordinator."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from attrs import define, frozen
 
@@ -44,6 +44,30 @@
     return BlindShare(rate_per_s=terms.rate_per_s / holders, capacity=1.0)
 
 
+class BlindShares:
+    """The shares of one node, computed again when the members or a quota change."""
+
+    def __init__(
+        self, *, node_id: str, member_ids: Callable[[], Collection[str]]
+    ) -> None:
+        self._node_id = node_id
+        self._member_ids = member_ids
+        self._known_ids: Collection[str] = ()
+        self._share_by_customer: dict[str, tuple[QuotaTerms, BlindShare]] = {}
+
+    def of(self, customer: str, terms: QuotaTerms) -> BlindShare:
+        """Return the share of a customer's quota."""
+        ids = self._member_ids()
+        if ids is not self._known_ids:
+            self._known_ids = ids
+            self._share_by_customer.clear()
+        known = self._share_by_customer.get(customer)
+        if known is None or known[0] != terms:
+            known = (terms, blind_share(terms, customer, self._node_id, ids))
+            self._share_by_customer[customer] = known
+        return known[1]
+
+
 @define(kw_only=True)
 class BlindBucket:
     """The tokens of one customer's blind share at this node."""
