--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -255,6 +255,15 @@
             instance_id=instance_id, kind=call.kind, took_s=held_s, failed=failed
         )
 
+    def report(self) -> dict[str, object]:
+        """Return the state of the admission as JSON-compatible values."""
+        return {
+            "slots": self.admission.slots,
+            "held": self.admission.held,
+            "queued": self.admission.queued,
+            "upstream_connections": self.pool.open_count,
+        }
+
     def leave(self) -> None:
         """Refuse new and waiting calls; running calls finish."""
         self.admission.leave()
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -33,12 +33,13 @@
 from comfreytray.calls.streamuploads import UPLOADS_TOPIC
 from comfreytray.calls.tracing import Tracer, traced
 from comfreytray.common import logs
-from comfreytray.common.errors import Failure, Kind
+from comfreytray.common.errors import Failure, Kind, Ran
 from comfreytray.common.interfaces import Clock, ObjectStore
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import LocalUpstream, MembershipView, NodeRecord
 from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS, CallerLimits
 from comfreytray.configuration.snapshots import Snapshot
+from comfreytray.customers.quotaadmission import QuotaAdmission
 
 DRAIN_POLL_S = 0.02
 
@@ -78,6 +79,8 @@
         self.responder = Responder(
             dialect=dialect, metrics=metrics, message_for=message_for
         )
+        self.encode_refusal = self.responder.encode_refusal
+        self.quota: QuotaAdmission | None = None
         self.in_flight = 0
         self.call_log = CallLog(clock=clock)
         own_id = node().node_id
@@ -240,12 +243,9 @@
         return {
             "in_flight": self.in_flight,
             "leaving": self.leaving,
-            "slots": self.owner.admission.slots,
-            "held": self.owner.admission.held,
-            "queued": self.owner.admission.queued,
-            "upstream_connections": self.owner.pool.open_count,
-            "panics": self.router.panics,
             "retry_tokens": round(self.dispatcher.budgets.common.tokens, 2),
+            **self.owner.report(),
+            "panics": self.router.panics,
             "endpoints": self.router.report(),
         }
 
@@ -288,10 +288,6 @@
         snapshot = self.snapshot()
         return DEFAULT_CALLER_LIMITS if snapshot is None else snapshot.limits
 
-    def encode_refusal(self, failure: Failure, accept_language: str) -> bytes:
-        """Return the complete HTTP response for a head that is refused."""
-        return self.responder.encode_refusal(failure, accept_language)
-
     @property
     def leaving(self) -> bool:
         """Whether connections of callers close after each answer."""
@@ -309,13 +305,25 @@
 
     def _run(self, call: Call) -> Reply | Outcome:
         started = self.clock.monotonic()
-        result = self._run_traced(call)
+        result = self._run_within_quota(call)
         duration_s = self.clock.monotonic() - started
         ended = "answered" if isinstance(result, Reply) else "refused"
         self.metrics.record_duration(f"calls_{ended}", duration_s)
         self.call_log.ended(call, result, self._configuration_version)
         return result
 
+    def _run_within_quota(self, call: Call) -> Reply | Outcome:
+        snapshot = self.snapshot()
+        if self.quota is None or snapshot is None or snapshot.accounts is None:
+            return self._run_traced(call)
+        failure = self.quota.admit(call.customer)
+        if failure is not None:
+            return Outcome.of(failure)
+        result = self._run_traced(call)
+        if isinstance(result, Outcome) and result.ran is Ran.NO:
+            self.quota.refund(call.customer)
+        return result
+
     def _run_traced(self, call: Call) -> Reply | Outcome:
         self.metrics.count("calls")
         run = self.dispatcher.run
--- a/src/comfreytray/node/options.py
+++ b/src/comfreytray/node/options.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from comfreytray.common.interfaces import Address
+from comfreytray.customers.quotaterms import QuotaBounds
 from comfreytray.replication.freshness import FreshnessLimits
 
 
@@ -47,3 +48,5 @@
     retries: RetryBudget
     freshness: FreshnessLimits
     """How old the node's configuration may be."""
+    quotas: QuotaBounds = field(factory=QuotaBounds)
+    """How far the calls of a customer may exceed its quota."""
