--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -109,6 +109,15 @@
         """Whether the instance reports how fast its machine is at the moment."""
         return self.concurrency.pace > 0
 
+    def is_nested(self, call_id: str, *, has_accounts: bool) -> bool:
+        """Whether the instance makes a call of this id while it runs another one.
+
+        Calls are told apart so only where there are accounts or a reported pace.
+        """
+        if not has_accounts and not self.reports_pace:
+            return False
+        return self.running.is_nested(call_id, of_customers=has_accounts)
+
     @property
     def in_flight(self) -> int:
         """Return the number of calls that hold a slot or wait for one."""
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -335,9 +335,7 @@
         """Whether a call goes before fresh ones, as the upstream makes it in a call."""
         snapshot = self.snapshot()
         has_accounts = snapshot is not None and snapshot.accounts is not None
-        if not has_accounts and not self.owner.reports_pace:
-            return False
-        return self.owner.running.is_nested(call_id, of_customers=has_accounts)
+        return self.owner.is_nested(call_id, has_accounts=has_accounts)
 
     def _run_for_other_node(self, call: Call) -> Reply | Outcome:
         if call.service == PEER_SERVICE:
