Keep reading while a connection with an unread body lingers

Cause: the read side was shut down before the rest of a body was discarded.

Change: the read side stays open where the rest of a body is to be discarded.

--- a/features/large_bodies.feature
+++ b/features/large_bodies.feature
@@ -93,6 +93,11 @@
       | native     | "a"   |
       | platform's | "a"   |
 
+  Scenario: A caller that only sends does not wait for long after an early answer
+    Given nodes "a" and "b" with the native dialect, and an upstream beside "b"
+    When the upstream answers early to callers whose bodies wait for it
+    Then the sending of each ends within 5 s
+
   Scenario: A node of an earlier version gets no body in parts
     Given nodes "a" and "b" with the native dialect, and an upstream beside "b"
     When "b" does not know bodies in parts and one is sent to "a"
--- a/features/steps/large_bodies_steps.py
+++ b/features/steps/large_bodies_steps.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import socket as plain_socket
+import time
 
 import eventlet
 from attrs import evolve
@@ -538,6 +539,39 @@
     assert context.fleet.path_by_id["b"].owner.pool.open_count == 0
 
 
+@when("the upstream answers early to callers whose bodies wait for it")
+def answer_early_to_senders(context):
+    context.numbers = itertools.count()
+    context.upstream.answer_at = MIB
+    pool = eventlet.GreenPool()
+    # So slow that the buffers on the way are full when the answer comes.
+    context.upstream.part_delay_s = 0.02
+    senders = [
+        pool.spawn(_send_only, context, "ab"[n % 2], (8 + n) * MIB) for n in range(4)
+    ]
+    context.waited_s = [sender.wait() for sender in senders]
+
+
+def _send_only(context, entry, size):
+    """Send a body without reading; return the seconds from its last progress."""
+    sock = context.fleet.raw(entry, _post(context, size))
+    sock.settimeout(10.0)
+    progress_at = time.monotonic()
+    with contextlib.suppress(OSError):
+        for start in range(0, size, CHUNK_BYTES):
+            sock.sendall(b"x" * min(CHUNK_BYTES, size - start))
+            progress_at = time.monotonic()
+    sock.close()
+    return time.monotonic() - progress_at
+
+
+# The node once shut its read side down first, so the kernel announced no more room
+# and callers waited for a minute.
+@then("the sending of each ends within 5 s")
+def check_senders(context):
+    assert max(context.waited_s) < 5.0, context.waited_s
+
+
 @when('"b" does not know bodies in parts and one is sent to "a"')
 def send_to_earlier_version(context):
     context.numbers = itertools.count()
--- a/src/comfreytray/calls/httpserver.py
+++ b/src/comfreytray/calls/httpserver.py
@@ -75,6 +75,8 @@
         close_connection: Any
         limits: CallerLimits
         """Limits that were in force when the head began."""
+        exchange: Any = None
+        """The copy of this object that answers a request in the same greenlet."""
         has_timed_out = False
         """Whether no byte came for the idle time."""
         lingers = False
@@ -122,7 +124,7 @@
             self.pipeline = Pipeline(
                 target=self.wfile,
                 on_idle=lambda: context.callers.mark_idle(self.connection),
-                on_close=lambda: context.callers.shut_reading(self.connection),
+                on_close=self._stop_reading,
             )
             try:
                 super().handle()
@@ -132,6 +134,16 @@
                 context.pending_head_by_socket.pop(self.connection, None)
                 context.callers.remove(self.connection)
 
+        def _stop_reading(self) -> None:
+            """Read no further request.
+
+            Where the rest of a body is to be discarded, the read side stays open: the
+            kernel would announce no more room in it, and a caller that only sends
+            would wait for a minute.
+            """
+            if not (self.lingers or (self.exchange and self.exchange.lingers)):
+                context.callers.shut_reading(self.connection)
+
         def _wait_for_responses(self) -> None:
             """Wait for the pending responses unless the caller has hung up."""
             if self.raw_requestline or self.has_timed_out or context.callers.stopping:
@@ -152,6 +164,7 @@
                 response.greenlet = eventlet.spawn(exchange._respond, response)
                 return
             response.greenlet = eventlet.getcurrent()
+            self.exchange = exchange
             exchange._respond(response)
             self.close_connection = exchange.close_connection
             self.lingers = exchange.lingers
