--- a/features/steps/large_bodies_steps.py
+++ b/features/steps/large_bodies_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import hashlib
 import itertools
+import json
 import random
 import socket as plain_socket
 import time
@@ -28,6 +29,7 @@
 from comfreytray.calls.uploads import PART_BYTES, UPLOAD_RESERVED_BYTES
 from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS
 from comfreytray.platform import callerlimits
+from comfreytray.platform.configuration import Decoder
 from comfreytray.platform.headers import DIALECT
 from standins.body_upstream import BodyUpstream
 
@@ -62,8 +64,11 @@
         "header_timeout_s": 3,
         "idle_timeout_s": 15.5,
     }
-    context.usual = callerlimits.read_limits(usual)
-    assert not context.lines
+    resource = {"resource_kind": "limits", "metadata": {}, "spec": usual}
+    document = {"version": 1, "resources": [resource]}
+    context.usual = Decoder()(json.dumps(document).encode()).limits
+    without = Decoder()(b'{"version": 1, "resources": []}').limits
+    assert without == DEFAULT_CALLER_LIMITS and not context.lines
     context.odd = {}
     for name in usual:
         for value in (0, -1, True, "7", [], float("nan"), float("inf"), 10**400):
