--- a/features/steps/large_bodies_steps.py
+++ b/features/steps/large_bodies_steps.py
@@ -3,8 +3,10 @@
 import contextlib
 import hashlib
 import itertools
+import json
 import random
 import socket as plain_socket
+import time
 
 import eventlet
 from attrs import evolve
@@ -27,6 +29,7 @@
 from comfreytray.calls.uploads import PART_BYTES, UPLOAD_RESERVED_BYTES
 from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS
 from comfreytray.platform import callerlimits
+from comfreytray.platform.configuration import Decoder
 from comfreytray.platform.headers import DIALECT
 from standins.body_upstream import BodyUpstream
 
@@ -61,8 +64,11 @@
         "header_timeout_s": 3,
         "idle_timeout_s": 15.5,
     }
-    context.usual = callerlimits.read_limits(usual)
-    assert not context.lines
+    resource = {"resource_kind": "limits", "metadata": {}, "spec": usual}
+    document = {"version": 1, "resources": [resource]}
+    context.usual = Decoder()(json.dumps(document).encode()).limits
+    without = Decoder()(b'{"version": 1, "resources": []}').limits
+    assert without == DEFAULT_CALLER_LIMITS and not context.lines
     context.odd = {}
     for name in usual:
         for value in (0, -1, True, "7", [], float("nan"), float("inf"), 10**400):
@@ -538,6 +544,39 @@
     assert context.fleet.path_by_id["b"].owner.pool.open_count == 0
 
 
+@when("the upstream answers early to callers whose bodies wait for it")
+def answer_early_to_senders(context):
+    context.numbers = itertools.count()
+    context.upstream.answer_at = MIB
+    pool = eventlet.GreenPool()
+    # So slow that the buffers on the way are full when the answer comes.
+    context.upstream.part_delay_s = 0.02
+    senders = [
+        pool.spawn(_send_only, context, "ab"[n % 2], (8 + n) * MIB) for n in range(4)
+    ]
+    context.waited_s = [sender.wait() for sender in senders]
+
+
+def _send_only(context, entry, size):
+    """Send a body without reading; return the seconds from its last progress."""
+    sock = context.fleet.raw(entry, _post(context, size))
+    sock.settimeout(10.0)
+    progress_at = time.monotonic()
+    with contextlib.suppress(OSError):
+        for start in range(0, size, CHUNK_BYTES):
+            sock.sendall(b"x" * min(CHUNK_BYTES, size - start))
+            progress_at = time.monotonic()
+    sock.close()
+    return time.monotonic() - progress_at
+
+
+# The node once shut its read side down first, so the kernel announced no more room
+# and callers waited for a minute.
+@then("the sending of each ends within 5 s")
+def check_senders(context):
+    assert max(context.waited_s) < 5.0, context.waited_s
+
+
 @when('"b" does not know bodies in parts and one is sent to "a"')
 def send_to_earlier_version(context):
     context.numbers = itertools.count()
