Carry the version of an instance in its node's record

Cause: roll-outs need to know which upstreams are of which version; heartbeats name it and it was dropped. Change: Endpoint.version, from the heartbeat's `version` (a text of up to 64 characters, else empty), in the stored record and, if there is one, as a seventh field of the gossip's endpoint. Records without it, and with an odd one, are read as before.

--- a/src/comfreytray/common/records.py
+++ b/src/comfreytray/common/records.py
@@ -6,9 +6,11 @@
 from attrs import field, frozen
 
 from comfreytray.common.interfaces import Address
+from comfreytray.common.outerjson import checked_text
 
 MAX_SLOTS = 65_535
 """Most calls, or connections, that an instance may say it takes at the same time."""
+MAX_VERSION_CHARACTERS = 64
 
 
 class NodeState(Enum):
@@ -42,6 +44,17 @@
     state: EndpointState = EndpointState.READY
     reported_load: float = 0.0
     """Share of capacity in use as the upstream reports it; may be late or wrong."""
+    version: str = ""
+    """Version of the service's program, as the instance reports it; empty if none."""
+
+
+def version_text(value: object) -> str:
+    """Return a reported version; empty if it is not a text of limited length."""
+    try:
+        version = checked_text(value)
+    except (TypeError, ValueError):
+        return ""
+    return version if len(version) <= MAX_VERSION_CHARACTERS else ""
 
 
 @frozen(kw_only=True)
--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -19,6 +19,7 @@
     MembershipView,
     NodeRecord,
     NodeState,
+    version_text,
 )
 
 PREFIX = "members/"
@@ -102,6 +103,7 @@
         slots=checked_int(plain["slots"], high=MAX_SLOTS),
         connections=checked_int(plain["connections"], high=MAX_SLOTS),
         state=EndpointState(plain["state"]),
+        version=version_text(plain.get("version")),
     )
 
 
--- a/src/comfreytray/membership/updates.py
+++ b/src/comfreytray/membership/updates.py
@@ -8,7 +8,13 @@
 import msgpack
 from attrs import define, field, frozen
 
-from comfreytray.common.records import Endpoint, EndpointState, NodeRecord, NodeState
+from comfreytray.common.records import (
+    Endpoint,
+    EndpointState,
+    NodeRecord,
+    NodeState,
+    version_text,
+)
 
 BIN_HEADER_BYTES = 3
 """Bytes of msgpack's header before each packed claim."""
@@ -61,18 +67,23 @@
         record.control_port,
         record.call_port,
         record.endpoint_revision,
-        endpoint
-        and [
-            endpoint.service,
-            endpoint.instance_id,
-            endpoint.slots,
-            endpoint.connections,
-            _CODE_BY_ENDPOINT_STATE[endpoint.state],
-            round(endpoint.reported_load * 100),
-        ],
+        endpoint and _plain_endpoint(endpoint),
     ]
 
 
+def _plain_endpoint(endpoint: Endpoint) -> list[object]:
+    plain: list[object] = [
+        endpoint.service,
+        endpoint.instance_id,
+        endpoint.slots,
+        endpoint.connections,
+        _CODE_BY_ENDPOINT_STATE[endpoint.state],
+        round(endpoint.reported_load * 100),
+    ]
+    # Nodes from before versions existed take only the six fields.
+    return [*plain, endpoint.version] if endpoint.version else plain
+
+
 def unpack_claim(data: bytes) -> Claim | None:
     """Unpack and validate a claim; None if it is malformed."""
     try:
@@ -124,7 +135,7 @@
 
 
 def _endpoint(plain: list[Any]) -> Endpoint:
-    service, instance_id, slots, connections, state, load_percent = plain
+    service, instance_id, slots, connections, state, load_percent, *version = plain
     return Endpoint(
         service=_name(service),
         instance_id=_name(instance_id),
@@ -132,6 +143,7 @@
         connections=_number(connections, MAX_INCARNATION),
         state=_ENDPOINT_STATES[_number(state, len(_ENDPOINT_STATES) - 1)],
         reported_load=_number(load_percent, 100_000) / 100,
+        version=version_text(version[0]) if version else "",
     )
 
 
--- a/src/comfreytray/platform/instances.py
+++ b/src/comfreytray/platform/instances.py
@@ -5,7 +5,13 @@
 from comfreytray.common import outerjson
 from comfreytray.common.interfaces import Address
 from comfreytray.common.outerjson import checked_int, checked_text
-from comfreytray.common.records import MAX_SLOTS, Endpoint, EndpointState, LocalUpstream
+from comfreytray.common.records import (
+    MAX_SLOTS,
+    Endpoint,
+    EndpointState,
+    LocalUpstream,
+    version_text,
+)
 from comfreytray.membership.heartbeats import Heartbeat
 from comfreytray.platform.settings import parse_address
 
@@ -46,6 +52,7 @@
         slots=slots,
         connections=DEFAULT_CONNECTIONS,
         state=state,
+        version=version_text(document.get("version")),
     )
     return Heartbeat(
         upstream=LocalUpstream(host=upstream[0], port=upstream[1], endpoint=endpoint),
