Write the status of an object in the platform's store

Cause: a roll-out's result is the status of the operator's object, which nothing could write or read. Change: PlatformStore.put_status (PUT on NAME/status, conditional on the object's revision); objects of the kind `rollouts` are decoded to spec and status. The stand-in takes a status. Measured: the scenario "A status is written under the condition of the object's revision" of rollouts.feature passes.

--- a/src/comfreytray/platform/objectstore.py
+++ b/src/comfreytray/platform/objectstore.py
@@ -15,6 +15,7 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, StoredObject, WatchBatch
 from comfreytray.common.keepalive import OPTIONS as KEEPALIVE_OPTIONS
+from comfreytray.platform.storeanswers import decode_era, read_body
 from comfreytray.platform.storedobjects import (
     MALFORMED_ERRORS,
     decode_all,
@@ -29,14 +30,9 @@
 """Time beyond the wait of a watch until the client gives up on its answer."""
 MAX_IDLE_CONNECTIONS = 4
 """Connections kept open between calls; more are opened when all are in use."""
-READ_BYTES = 65_536
-MAX_BODY_BYTES = 67_108_864
-"""Bytes of an answer; a watch returns each change of its span with the whole object."""
 BODY_TIMEOUT_S = 4.0
 """Time for the body of an answer, beyond the time-out of its call."""
 MS_PER_S = 1000
-ERA_HEADER = "Store-Era"
-"""Number of times that the store came back from an older copy."""
 _NOT_SENT_ERRORS = (http_errors.NewConnectionError, http_errors.ConnectTimeoutError)
 """Errors before a request was sent: a write was not applied."""
 _STATUS_HISTORY_GONE = 410
@@ -129,12 +125,33 @@
         creating = expected_version == 0
         path = f"{OBJECTS_PATH}/{quote(kind)}" if creating else _object_path(key)
         answer = self._write("POST" if creating else "PUT", path, body)
+        return self._written(key, answer, expected_version)
+
+    def put_status(
+        self, key: str, status: bytes, *, expected_version: int
+    ) -> StoredObject | Failure:
+        """Replace an object's status if its version is as expected."""
+        if self._is_outdated(expected_version):
+            return self._conflict(key)
+        revision = revisions.number_of(expected_version)
+        name = key.partition("/")[2]
+        body = {
+            "metadata": {"name": name, "revision": revision},
+            "status": json.loads(status),
+        }
+        answer = self._write("PUT", f"{_object_path(key)}/status", body)
+        return self._written(key, answer, expected_version)
+
+    def _written(
+        self, key: str, answer: _Answer | Failure, expected_version: int | None
+    ) -> StoredObject | Failure:
+        """Return the object that a write left, or its failure."""
         if isinstance(answer, Failure):
             return answer
         if self._is_outdated(expected_version):
             return self._unmet_condition(key)
         try:
-            return decode_object(kind, answer.body, answer.era)
+            return decode_object(key.partition("/")[0], answer.body, answer.era)
         except MALFORMED_ERRORS as error:
             return _outcome_unknown(f"malformed answer: {type(error).__name__}")
 
@@ -283,12 +300,12 @@
             preload_content=False,
         )
         try:
-            data = _read_body(response, deadline)
+            data = read_body(response, deadline)
         except BaseException:
             response.close()
             raise
         response.release_conn()
-        era = _decode_era(response)
+        era = decode_era(response)
         if era is None:
             era = self._era
         self._note_era(era)
@@ -300,32 +317,6 @@
         self._era = max(era, self._era)
 
 
-def _decode_era(response: urllib3.BaseHTTPResponse) -> int | None:
-    """Return the era of an answer, None if it names none; raises HTTPError."""
-    text = response.headers.get(ERA_HEADER)
-    if text is None:
-        return None
-    if not text.isdecimal() or int(text) > revisions.MAX_ERA:
-        raise http_errors.ProtocolError(
-            f"{ERA_HEADER}: expected a number up to {revisions.MAX_ERA}, got {text!r}"
-        )
-    return int(text)
-
-
-def _read_body(response: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
-    """Read a body within bounds of size and time; raises HTTPError beyond them."""
-    body = bytearray()
-    while part := response.read1(READ_BYTES):
-        body += part
-        if len(body) > MAX_BODY_BYTES:
-            raise http_errors.ProtocolError(
-                f"answer of the store: expected at most {MAX_BODY_BYTES} bytes"
-            )
-        if time.monotonic() > deadline:
-            raise http_errors.ProtocolError("answer of the store did not end in time")
-    return bytes(body)
-
-
 def _object_path(key: str) -> str:
     kind, _, name = key.partition("/")
     return f"{OBJECTS_PATH}/{quote(kind)}/{quote(name, safe='')}"
--- a/src/comfreytray/platform/storedobjects.py
+++ b/src/comfreytray/platform/storedobjects.py
@@ -16,6 +16,8 @@
     RecursionError,
 )
 """Raised when an answer lacks a field or has one of another type."""
+_KINDS_WITH_STATUS = frozenset({"rollouts"})
+"""Kinds whose value is an object of spec and status, in place of the spec alone."""
 
 
 def is_change(event: Any) -> bool:
@@ -52,8 +54,11 @@
     """Decode one object; raises one of `MALFORMED_ERRORS`."""
     metadata = decoded["metadata"]
     revision = outerjson.checked_int(metadata["revision"], high=revisions.MAX_NUMBER)
+    value = decoded["spec"]
+    if kind in _KINDS_WITH_STATUS:
+        value = {"spec": value, "status": decoded.get("status")}
     return StoredObject(
         key=f"{kind}/{outerjson.checked_text(metadata['name'])}",
-        value=json.dumps(decoded["spec"]).encode(),
+        value=json.dumps(value).encode(),
         version=revisions.in_era(era, revision),
     )
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -211,6 +211,7 @@
         self, method: str, kind: str, name: str, environ: dict[str, Any]
     ) -> Answer:
         body = json.loads(environ["wsgi.input"].read())
+        name, _, part = name.partition("/")
         name = name or body["metadata"]["name"]
         current = self.object_by_name[kind].get(name)
         expected_revision = body["metadata"].get("revision")
@@ -223,7 +224,11 @@
             and (current or {})["metadata"]["revision"] != expected_revision
         ):
             return 409, current
-        stored = self.put(kind, name, body["spec"], by_operator=False)
+        if part == "status" and current is not None:
+            spec, status = current["spec"], body["status"]
+        else:
+            spec, status = body["spec"], None
+        stored = self.put(kind, name, spec, status, by_operator=False)
         return (None, {}) if self.loses_answers else (200, stored)
 
 
