Let a rule restrict the endpoints of a call

Cause: the router knows no versions, and a roll-out has to keep calls from some. Change: calls/versions has the protocol VersionRules; the dispatcher asks it before each pick and tells it how each attempt ended; Router.pick takes the rule. Only the first attempt at a call may go to a version under roll-out; if that has no room, the call goes to the others. Without a rule nothing is copied. The failures that eject an endpoint move beside the ejection.

--- a/src/comfreytray/calls/dispatch.py
+++ b/src/comfreytray/calls/dispatch.py
@@ -23,6 +23,7 @@
     may_retry_answer,
 )
 from comfreytray.calls.routing import Router
+from comfreytray.calls.versions import NoVersionRules, VersionRules
 from comfreytray.common.errors import Failure, Kind, Ran
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.metrics import Metrics
@@ -39,6 +40,9 @@
 
     excluded: list[str] = field(factory=list)
     """Ids of the nodes that were tried."""
+    is_repeat: bool = False
+    """Whether an endpoint was chosen before; only the first choice may be a version
+    under roll-out."""
     redirects: int = 0
     sent: int = 0
     """Attempts that reached, or may have reached, an upstream."""
@@ -79,6 +83,7 @@
         self.clock = clock
         self.metrics = metrics
         self.dialect = dialect
+        self.versions: VersionRules = NoVersionRules()
         self.budget = RetryBudget(clock=clock, limits=retry_limits)
 
     def run(self, call: Call) -> Reply | Outcome:
@@ -107,22 +112,35 @@
             return refused
         attempts.is_isolated = False
         if verdict is Verdict.FREE and not attempts.is_suspect:
-            return self.router.pick(
-                call.service,
-                exclude=attempts.excluded,
-                kind=call.kind,
-                priority=call.priority,
-                target_s=self._target_left_s(call),
-            )
+            return self._pick_free(call, attempts)
         if attempts.ran_isolated:
             return Failure(kind=Kind.REQUEST_ISOLATED, detail="not retried")
         if attempts.sent:
             eventlet.sleep(NEWS_DELAY_S)
         attempts.is_isolated = True
         return self.router.pick_isolated(
-            call.service, fingerprint_of(call), exclude=attempts.excluded
+            call.service,
+            fingerprint_of(call),
+            exclude=attempts.excluded,
+            select=self.versions.choose(call.service, call.kind, is_repeat=True),
         )
 
+    def _pick_free(self, call: Call, attempts: "_Attempts") -> NodeRecord | Failure:
+        """Pick by cost; if a version under roll-out has no room, among the others."""
+        while True:
+            is_repeat, attempts.is_repeat = attempts.is_repeat, True
+            select = self.versions.choose(call.service, call.kind, is_repeat=is_repeat)
+            picked = self.router.pick(
+                call.service,
+                exclude=attempts.excluded,
+                kind=call.kind,
+                priority=call.priority,
+                target_s=self._target_left_s(call),
+                select=select,
+            )
+            if select is None or is_repeat or not isinstance(picked, Failure):
+                return picked
+
     def _may_retry(
         self, call: Call, reply: Reply, attempts: "_Attempts", took_s: float
     ) -> bool:
@@ -193,6 +211,7 @@
             raise
         took_s = self.clock.monotonic() - started
         _record_attempt(call, record, result, took_s)
+        self.versions.ended(call, record, result, took_s)
         if isinstance(result, Outcome):
             result.node_id = record.node_id
             self.router.fail(
--- a/src/comfreytray/calls/ejection.py
+++ b/src/comfreytray/calls/ejection.py
@@ -6,7 +6,7 @@
 
 from comfreytray.calls.endpoints import EndpointView
 from comfreytray.common import logs
-from comfreytray.common.errors import Failure
+from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.records import NodeRecord
 
 EJECT_AFTER_FAILURES = 5
@@ -15,6 +15,17 @@
 EJECT_MAX_SHARE = 0.5
 """Share of the endpoints of a service that may be ejected at once."""
 MAX_DOUBLINGS = 10
+COUNTED_FAILURES = frozenset(
+    {
+        Kind.CONNECT_FAILED,
+        Kind.NODE_UNREACHABLE,
+        Kind.LOST_AFTER_SEND,
+        Kind.ANSWER_CUT,
+        Kind.DEADLINE_WHILE_RUNNING,
+        Kind.INTERNAL,
+    }
+)
+"""Failures that count against an endpoint."""
 
 
 class Ejection:
--- a/src/comfreytray/calls/routing.py
+++ b/src/comfreytray/calls/routing.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from comfreytray.calls.call import IDLE, Load
-from comfreytray.calls.ejection import Ejection
+from comfreytray.calls.ejection import COUNTED_FAILURES, Ejection
 from comfreytray.calls.endpoints import (
     NO_REPORTED_LOAD,
     EndpointView,
@@ -24,6 +24,7 @@
 from comfreytray.calls.measures import SharedMeasures
 from comfreytray.calls.placement import CrossZoneCosts, Placement, guess_round_trip_s
 from comfreytray.calls.sampling import Sampler
+from comfreytray.calls.versions import Endpoints, Select
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
@@ -110,9 +111,10 @@
         kind: str = "",
         priority: int = 0,
         target_s: float = 0.0,
+        select: Select | None = None,
     ) -> NodeRecord | Failure:
         """Return the endpoint of a service with the lowest expected cost."""
-        records = self.members().endpoints_by_service.get(service, ())
+        records = self._listed(service, select)
         now = self.clock.monotonic()
         own = self.node()
         sample = self._sampler.sample(service, records, own.region)
@@ -129,10 +131,15 @@
         )
 
     def pick_isolated(
-        self, service: str, request: bytes, *, exclude: Sequence[str] = ()
+        self,
+        service: str,
+        request: bytes,
+        *,
+        exclude: Sequence[str] = (),
+        select: Select | None = None,
     ) -> NodeRecord | Failure:
         """Return the endpoint for a request in isolation, the same at each node."""
-        records = self.members().endpoints_by_service.get(service, ())
+        records = self._listed(service, select)
         now = self.clock.monotonic()
         usable = self._usable(records, exclude, now)
         if not usable:
@@ -143,6 +150,11 @@
             key=lambda r: xxhash.xxh64_intdigest(request + r.node_id.encode()),
         )
 
+    def _listed(self, service: str, select: Select | None) -> Endpoints:
+        """Return the listed endpoints of a service that a rule leaves."""
+        records = self.members().endpoints_by_service.get(service, ())
+        return records if select is None else select(records)
+
     def _usable(
         self, records: Sequence[NodeRecord], exclude: Sequence[str], now: float
     ) -> list[NodeRecord]:
@@ -253,7 +265,7 @@
             return
         if failure.kind is Kind.OVERLOADED and load is IDLE:
             view.shed_until = now + SHED_AVOIDANCE_S * self.random.uniform(0.5, 1.5)
-        if failure.kind not in _COUNTED_FAILURES:
+        if failure.kind not in COUNTED_FAILURES:
             return
         view.failure_share += FAILURE_WEIGHT * (1.0 - view.failure_share)
         self._ejection.record_failure(view, failure, now)
@@ -329,15 +341,3 @@
             return penalty
         failing = FAILURE_PENALTY * self.shared.failure_share(node_id, now)
         return max(slowdown - 1.0 + failing, OWN_PENALTY_WEIGHT * penalty)
-
-
-_COUNTED_FAILURES = frozenset(
-    {
-        Kind.CONNECT_FAILED,
-        Kind.NODE_UNREACHABLE,
-        Kind.LOST_AFTER_SEND,
-        Kind.ANSWER_CUT,
-        Kind.DEADLINE_WHILE_RUNNING,
-        Kind.INTERNAL,
-    }
-)
