Carry out roll-outs on the platform where the contract asks for them

Cause: the operator's `rollouts/<service>` had no effect. Change: settings with the contract `rollout` give bounds (exposure_share, exposure_slack, rollback_s); then a third feed, last on all nodes, brings the orders, and the node's part in them gets the calls' ends and the streams between nodes. Without the contract no feed, rule or topic is there.

--- a/src/comfreytray/node/options.py
+++ b/src/comfreytray/node/options.py
@@ -4,6 +4,7 @@
 
 from comfreytray.common.interfaces import Address
 from comfreytray.replication.freshness import FreshnessLimits
+from comfreytray.rollouts.bounds import RolloutBounds
 
 
 @frozen(kw_only=True)
@@ -43,3 +44,5 @@
     retries: RetryBudget
     freshness: FreshnessLimits
     """How old the node's configuration may be."""
+    rollouts: RolloutBounds | None = None
+    """Bounds of roll-outs; None where there are none."""
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -39,6 +39,8 @@
 from comfreytray.replication.measures import MeasureExchange
 from comfreytray.replication.replica import ContentOrder, no_order
 from comfreytray.replication.replicator import Replicator
+from comfreytray.rollouts.coordinator import Rollouts
+from comfreytray.rollouts.statuswriter import StatusStore
 
 LISTEN_BACKLOG = 1024
 MAX_INTERFACE_CONNECTIONS = 64
@@ -63,13 +65,17 @@
         *,
         options: NodeOptions,
         store: ObjectStore,
+        status_store: StatusStore | None = None,
         configuration_key: str,
         decode_configuration: DecodeConfiguration,
         configuration_order: ContentOrder = no_order,
         dialect: Dialect,
         listeners: Mapping[Address, Any] | None = None,
     ) -> None:
-        """Create a node; `listeners` are sockets that listen already."""
+        """Create a node; `listeners` are sockets that listen already.
+
+        Roll-outs need `status_store`, and bounds in the options.
+        """
         self.options = options
         self._listeners = listeners or {}
         self.store = store
@@ -135,11 +141,13 @@
             is_current=self._is_configuration_current,
         )
         self.holds = feeds.holds(self.calls.guard)
+        self.rollouts = self._build_rollouts(status_store)
+        rollout_feeds = [feeds.rollouts(part.apply) for part in self.rollouts]
         self.replicator = Replicator(
             node=self.record,
             view=lambda: self.directory.view,
             capacity_by_id=self.directory.capacity_by_id,
-            feeds=(self.members, self.configuration),
+            feeds=(self.members, self.configuration, *rollout_feeds),
             clock=self.clock,
             metrics=self.metrics,
             freshness=options.freshness,
@@ -159,6 +167,8 @@
             self._tasks = stack.enter_context(TaskGroup())
             self._open()
             stack.enter_context(self.replicator)
+            for part in self.rollouts:
+                stack.enter_context(part)
             self._stack = stack.pop_all()
         log(
             Event.NODE_STARTED,
@@ -177,6 +187,24 @@
         self._stack.close()
         log(Event.NODE_STOPPED, node=self.options.node_id)
 
+    def _build_rollouts(self, store: StatusStore | None) -> tuple[Rollouts, ...]:
+        """Return this node's part in roll-outs, if there are any."""
+        if self.options.rollouts is None or store is None:
+            return ()
+        part = Rollouts(
+            node=self.record,
+            members=lambda: self.directory.view,
+            peers=self.calls.peers,
+            store=store,
+            clock=self.clock,
+            random=self.random,
+            metrics=self.metrics,
+            bounds=self.options.rollouts,
+            is_cold=self.directory.is_cold,
+        )
+        self.calls.dispatcher.versions = part.gate
+        return (part,)
+
     @property
     def snapshot(self) -> Snapshot | None:
         """Return the configuration in force."""
--- a/src/comfreytray/node/storefeeds.py
+++ b/src/comfreytray/node/storefeeds.py
@@ -12,6 +12,7 @@
 from comfreytray.replication.feed import Feed
 from comfreytray.replication.replica import ContentOrder, no_order
 from comfreytray.replication.sources import Plan
+from comfreytray.rollouts.orders import PREFIX as ROLLOUTS_PREFIX
 from comfreytray.store.subscriptions import Subscription
 
 CONFIGURATION_WAIT_S = 4.0
@@ -24,6 +25,10 @@
 """Pause after changes of members where one node reads them for a group."""
 STANDBY_BATCH_DELAY_S = 3.0
 """The same for the second watcher, which hears of them from the first."""
+ROLLOUTS_WAIT_S = 8.0
+"""Longest wait of a watch of the orders."""
+ROLLOUTS_BATCH_DELAY_S = 0.2
+"""Short, as an order has to be decided in seconds; orders are rare."""
 HOLDS_PREFIX = f"{MEMBERS_PREFIX}held."
 """Beside the members' records, so that the same calls bring both."""
 RETRY_MIN_S = 0.1
@@ -89,6 +94,22 @@
         apply = on_objects or directory.apply
         return Feed(subscribe=subscribe, on_objects=apply, order=order_of)
 
+    def rollouts(self, on_objects: Callable[[Iterable[StoredObject]], None]) -> Feed:
+        """Return the feed of the orders of roll-outs and their status."""
+
+        def subscribe(on_batch: Callable[[WatchBatch], None]) -> Subscription:
+            return Subscription(
+                store=self._store,
+                prefix=ROLLOUTS_PREFIX,
+                clock=self._clock,
+                backoff=self.backoff(),
+                wait_s=ROLLOUTS_WAIT_S,
+                gap_s=lambda: ROLLOUTS_BATCH_DELAY_S,
+                on_batch=on_batch,
+            )
+
+        return Feed(subscribe=subscribe, on_objects=on_objects)
+
     def holds(self, guard: Guard) -> HoldRecords:
         """Return the records of requests that are held back."""
         return HoldRecords(
--- a/src/comfreytray/platform/main.py
+++ b/src/comfreytray/platform/main.py
@@ -45,6 +45,7 @@
     node = ProxyNode(
         options=settings.node_options,
         store=store,
+        status_store=store,
         configuration_key=configuration.OBJECT_KEY,
         decode_configuration=configuration.Decoder(),
         configuration_order=configuration.order_of,
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -16,8 +16,15 @@
     DEFAULT_RECOVERY_S,
     FreshnessLimits,
 )
+from comfreytray.rollouts.bounds import (
+    DEFAULT_EXPOSURE_SHARE,
+    DEFAULT_EXPOSURE_SLACK,
+    DEFAULT_ROLLBACK_S,
+    RolloutBounds,
+)
 
 PERCENT = 100
+ROLLOUT_CONTRACT = "rollout"
 
 
 @frozen(kw_only=True)
@@ -73,6 +80,7 @@
             propagation_s=bounds.get("config_deadline_s", DEFAULT_PROPAGATION_S),
             recovery_s=bounds.get("stable_window_s", DEFAULT_RECOVERY_S),
         ),
+        rollouts=_rollout_bounds(document, bounds),
     )
     return PlatformSettings(
         node_options=options,
@@ -82,6 +90,20 @@
     )
 
 
+def _rollout_bounds(
+    document: Mapping[str, Any], bounds: Mapping[str, float]
+) -> RolloutBounds | None:
+    """Return the bounds of roll-outs; None without their contract."""
+    contracts = document.get("contracts")
+    if not isinstance(contracts, list) or ROLLOUT_CONTRACT not in contracts:
+        return None
+    return RolloutBounds(
+        exposure_share=bounds.get("exposure_share", DEFAULT_EXPOSURE_SHARE),
+        exposure_slack=bounds.get("exposure_slack", DEFAULT_EXPOSURE_SLACK),
+        rollback_s=bounds.get("rollback_s", DEFAULT_ROLLBACK_S),
+    )
+
+
 def _capacity(limits: Mapping[str, Any]) -> int:
     """Return the processor share of the machine, in percent of a core."""
     return round(PERCENT * _number(limits, "cpu_share") * _number(limits, "cores"))
