Add up reports as they come, and copy what a report carries

Cause: the decider summed all reports each 0.5 s, which grows with nodes times routes. Change: the sums are kept and each report replaces its predecessor in them; a report no longer shares its tallies with the node's own.

--- a/src/comfreytray/rollouts/decider.py
+++ b/src/comfreytray/rollouts/decider.py
@@ -173,9 +173,14 @@
         now: float,
     ) -> None:
         rate_per_s = 0.0
-        if known is not None and now > known.at:
-            more = report.offered - known.report.offered
-            rate_per_s = max(0.0, more / (now - known.at))
+        if known is not None:
+            if now > known.at:
+                more = report.offered - known.report.offered
+                rate_per_s = max(0.0, more / (now - known.at))
+            for kind, tally in known.report.tally_by_kind.items():
+                self._tally_by_kind[kind].add(tally, sign=-1)
+        for kind, tally in report.tally_by_kind.items():
+            self._tally_by_kind.setdefault(kind, RouteTally()).add(tally)
         self._reported_by_run[run] = _Reported(
             report=report, at=now, rate_per_s=rate_per_s
         )
@@ -206,13 +211,8 @@
         )
 
     def _add_up(self, since_s: float) -> None:
-        """Sum the reports, and learn the rate of calls by route."""
-        sums: dict[str, RouteTally] = {}
-        for reported in self._reported_by_run.values():
-            for kind, tally in reported.report.tally_by_kind.items():
-                sums.setdefault(kind, RouteTally()).add(tally)
-        self._tally_by_kind = sums
-        for kind, tally in sums.items():
+        """Learn the rate of calls by route, and what may still be sent."""
+        for kind, tally in self._tally_by_kind.items():
             answers = tally.old.answers + tally.new.answers
             before = self._answers_by_kind.get(kind, 0)
             rate = max(0.0, (answers - before) / since_s)
--- a/src/comfreytray/rollouts/evidence.py
+++ b/src/comfreytray/rollouts/evidence.py
@@ -66,11 +66,12 @@
         bucket = bucket_of(took_s)
         self.count_by_bucket[bucket] = self.count_by_bucket.get(bucket, 0) + 1
 
-    def add(self, other: "Tally") -> None:
-        """Add the answers of another tally."""
-        self.failed += other.failed
+    def add(self, other: "Tally", *, sign: int = 1) -> None:
+        """Add the answers of another tally, or with a sign of -1 subtract them."""
+        self.failed += sign * other.failed
         for bucket, count in other.count_by_bucket.items():
-            self.count_by_bucket[bucket] = self.count_by_bucket.get(bucket, 0) + count
+            before = self.count_by_bucket.get(bucket, 0)
+            self.count_by_bucket[bucket] = before + sign * count
 
     def median_bucket(self) -> int | None:
         """Return the bucket of the median time; None if too few answers are known."""
@@ -99,10 +100,16 @@
     old: Tally = field(factory=Tally)
     new: Tally = field(factory=Tally)
 
-    def add(self, other: "RouteTally") -> None:
-        """Add the answers of another tally."""
-        self.old.add(other.old)
-        self.new.add(other.new)
+    def add(self, other: "RouteTally", *, sign: int = 1) -> None:
+        """Add the answers of another tally, or with a sign of -1 subtract them."""
+        self.old.add(other.old, sign=sign)
+        self.new.add(other.new, sign=sign)
+
+    def copy(self) -> "RouteTally":
+        """Return a tally that later answers don't change."""
+        made = RouteTally()
+        made.add(self)
+        return made
 
 
 def bucket_of(took_s: float) -> int:
--- a/src/comfreytray/rollouts/servicestate.py
+++ b/src/comfreytray/rollouts/servicestate.py
@@ -161,7 +161,7 @@
             offered=self._offered,
             sent=self._sent,
             is_rejected=self.is_rejected,
-            tally_by_kind=self._tally_by_kind,
+            tally_by_kind={k: tally.copy() for k, tally in self._tally_by_kind.items()},
         )
 
     def take(self, grant: Grant, *, asked_at: float) -> bool:
