Report only the routes that have changed, and shares as integers

Cause: reports of all routes took 46 KB/s at the decider with 60 nodes and 10 routes, above a node's 23 KB/s for control. Change: a report holds the routes that changed since the decider's last grant; a decider of another generation is told all.

--- a/src/comfreytray/rollouts/decider.py
+++ b/src/comfreytray/rollouts/decider.py
@@ -48,6 +48,8 @@
     """The last report of one run of a node, and its rate of calls."""
 
     report: Report
+    tally_by_kind: dict[str, RouteTally]
+    """The newest sums of all its routes."""
     at: float
     rate_per_s: float = 0.0
 
@@ -173,16 +175,18 @@
         now: float,
     ) -> None:
         rate_per_s = 0.0
-        if known is not None:
-            if now > known.at:
-                more = report.offered - known.report.offered
-                rate_per_s = max(0.0, more / (now - known.at))
-            for kind, tally in known.report.tally_by_kind.items():
-                self._tally_by_kind[kind].add(tally, sign=-1)
+        if known is not None and now > known.at:
+            more = report.offered - known.report.offered
+            rate_per_s = max(0.0, more / (now - known.at))
+        tally_by_kind = {} if known is None else known.tally_by_kind
         for kind, tally in report.tally_by_kind.items():
-            self._tally_by_kind.setdefault(kind, RouteTally()).add(tally)
+            total = self._tally_by_kind.setdefault(kind, RouteTally())
+            if kind in tally_by_kind:
+                total.add(tally_by_kind[kind], sign=-1)
+            total.add(tally)
+            tally_by_kind[kind] = tally
         self._reported_by_run[run] = _Reported(
-            report=report, at=now, rate_per_s=rate_per_s
+            report=report, tally_by_kind=tally_by_kind, at=now, rate_per_s=rate_per_s
         )
         self._seen_at = min(self._seen_at, now - report.age_ms / 1000)
 
--- a/src/comfreytray/rollouts/evidence.py
+++ b/src/comfreytray/rollouts/evidence.py
@@ -105,6 +105,11 @@
         self.old.add(other.old, sign=sign)
         self.new.add(other.new, sign=sign)
 
+    @property
+    def answers(self) -> tuple[int, int]:
+        """Return the numbers of the answers of both versions."""
+        return self.old.answers, self.new.answers
+
     def copy(self) -> "RouteTally":
         """Return a tally that later answers don't change."""
         made = RouteTally()
--- a/src/comfreytray/rollouts/messages.py
+++ b/src/comfreytray/rollouts/messages.py
@@ -12,13 +12,15 @@
 
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.rollouts.evidence import MAX_BUCKET, RouteTally, Tally
-from comfreytray.rollouts.orders import State, is_share
+from comfreytray.rollouts.orders import State
 
 MAX_ROUTES = 64
 """Routes of a service that are told apart; the others count as one."""
 MAX_TEXT_CHARACTERS = 1024
 MAX_COUNT = 2**53
 MAX_REVISION = 2**63 - 1
+SHARE_UNITS = 10_000
+"""Shares travel as integers of this part."""
 _STATES = (None, *State)
 
 
@@ -41,6 +43,7 @@
     is_rejected: bool = False
     """Whether a decider has told the node that the version is rolled back."""
     tally_by_kind: Mapping[str, RouteTally] = field(factory=dict)
+    """Sums of the routes that have changed since the decider's last grant."""
 
 
 @frozen(kw_only=True)
@@ -122,8 +125,8 @@
             grant.order,
             grant.generation,
             _STATES.index(grant.state),
-            grant.share,
-            list(grant.share_by_kind.items()),
+            round(grant.share * SHARE_UNITS),
+            [(k, round(s * SHARE_UNITS)) for k, s in grant.share_by_kind.items()],
             grant.most,
             grant.instances,
             grant.turn,
@@ -176,9 +179,7 @@
 
 
 def _share(value: object) -> float:
-    if not is_share(value):
-        raise ValueError("expected a share from 0 to 1")
-    return value  # type: ignore[return-value]
+    return _number(value, SHARE_UNITS) / SHARE_UNITS
 
 
 def _malformed(error: Exception) -> Failure:
--- a/src/comfreytray/rollouts/orders.py
+++ b/src/comfreytray/rollouts/orders.py
@@ -1,7 +1,6 @@
 """Orders of roll-outs and their status, as the store holds them."""
 
 import json
-import math
 from enum import Enum
 from typing import Any
 
@@ -142,8 +141,3 @@
         )
     except (ValueError, TypeError, KeyError, AttributeError):
         return None
-
-
-def is_share(value: object) -> bool:
-    """Whether a value is a number from 0 to 1."""
-    return type(value) is float and math.isfinite(value) and 0.0 <= value <= 1.0
--- a/src/comfreytray/rollouts/servicestate.py
+++ b/src/comfreytray/rollouts/servicestate.py
@@ -62,6 +62,12 @@
         self._sequence = 0
         self._offered = self._sent = 0
         self._tally_by_kind: dict[str, RouteTally] = {}
+        self._told_by_kind: dict[str, tuple[int, int]] = {}
+        """Answers of each route up to the last report."""
+        self._known_by_kind: dict[str, tuple[int, int]] = {}
+        """The same up to the last report that the decider has answered."""
+        self._known_generation = 0
+        """Generation of that decider; another one is told all routes."""
         self._evidence = Evidence()
         self._is_stopped = False
         self._generation = 0
@@ -151,6 +157,7 @@
             return None
         self._sequence += 1
         self._asked_wall = self._clock.wall()
+        self._told_by_kind = {k: t.answers for k, t in self._tally_by_kind.items()}
         return Report(
             service=self._service,
             order=self.order.order_id,
@@ -161,7 +168,11 @@
             offered=self._offered,
             sent=self._sent,
             is_rejected=self.is_rejected,
-            tally_by_kind={k: tally.copy() for k, tally in self._tally_by_kind.items()},
+            tally_by_kind={
+                kind: tally.copy()
+                for kind, tally in self._tally_by_kind.items()
+                if self._known_by_kind.get(kind) != tally.answers
+            },
         )
 
     def take(self, grant: Grant, *, asked_at: float) -> bool:
@@ -172,6 +183,9 @@
         if grant.generation < self._generation or not grant.generation:
             return False
         self._generation = grant.generation
+        is_known = grant.generation == self._known_generation
+        self._known_by_kind = self._told_by_kind if is_known else {}
+        self._known_generation = grant.generation
         if grant.state is State.COMPLETED:
             self._end(State.COMPLETED)
         elif grant.state is State.ROLLED_BACK:
