--- a/src/comfreytray/node/activation.py
+++ b/src/comfreytray/node/activation.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Callable, Iterable
 
+from attrs import evolve
+
 from comfreytray.common import revisions
 from comfreytray.common.errors import Failure
 from comfreytray.common.interfaces import StoredObject
 from comfreytray.common.logs import Event, log, warn
 from comfreytray.common.metrics import Metrics
+from comfreytray.common.records import LocalUpstream
 from comfreytray.configuration.snapshots import Snapshot
 
 DecodeConfiguration = Callable[[bytes], Snapshot | Failure]
@@ -34,6 +37,16 @@
                 continue
             self._activate(snapshot, stored.version)
 
+    def limit(self, upstream: LocalUpstream | None) -> LocalUpstream | None:
+        """Return an instance with the connections that the configuration allows it."""
+        if upstream is None or self.snapshot is None:
+            return upstream
+        endpoint = upstream.endpoint
+        connections = self.snapshot.connections_by_service.get(endpoint.service)
+        if connections is None or connections == endpoint.connections:
+            return upstream
+        return evolve(upstream, endpoint=evolve(endpoint, connections=connections))
+
     def _activate(self, snapshot: Snapshot, revision: int) -> None:
         current = self.snapshot
         if current is not None and snapshot.head.version <= current.head.version:
--- a/src/comfreytray/node/options.py
+++ b/src/comfreytray/node/options.py
@@ -7,6 +7,7 @@
 from comfreytray.common.interfaces import Address
 from comfreytray.customers.quotaterms import QuotaBounds
 from comfreytray.replication.freshness import FreshnessLimits
+from comfreytray.rollouts.bounds import RolloutBounds
 
 
 @frozen(kw_only=True)
@@ -50,3 +51,5 @@
     """How old the node's configuration may be."""
     quotas: QuotaBounds = field(factory=QuotaBounds)
     """How far the calls of a customer may exceed its quota."""
+    rollouts: RolloutBounds | None = None
+    """Bounds of roll-outs; None where there are none."""
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -6,7 +6,6 @@
 from types import TracebackType
 from typing import Any
 
-import attrs
 import eventlet
 import eventlet.wsgi
 from eventlet.greenio import GreenSocket
@@ -21,14 +20,12 @@
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import (
     Endpoint,
-    LocalUpstream,
     NodeRecord,
     NodeState,
 )
 from comfreytray.common.stalls import StallMonitor
 from comfreytray.common.tasks import TaskGroup
 from comfreytray.configuration.snapshots import Snapshot
-from comfreytray.customers.quotaexchange import QuotaExchange
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.heartbeats import InstanceRegister
 from comfreytray.membership.ownrecord import OwnRecord
@@ -37,10 +34,13 @@
 from comfreytray.node.options import NodeOptions
 from comfreytray.node.quotas import build_quotas
 from comfreytray.node.recordsync import RecordSync, listed_record, poll_until
+from comfreytray.node.retrylimits import NodeRetryLimits
+from comfreytray.node.rolloutparts import build_rollouts
 from comfreytray.node.storefeeds import StoreFeeds
 from comfreytray.replication.measures import MeasureExchange
 from comfreytray.replication.replica import ContentOrder, no_order
 from comfreytray.replication.replicator import Replicator
+from comfreytray.rollouts.statuswriter import StatusStore
 
 LISTEN_BACKLOG = 1024
 MAX_INTERFACE_CONNECTIONS = 64
@@ -65,13 +65,17 @@
         *,
         options: NodeOptions,
         store: ObjectStore,
+        status_store: StatusStore | None = None,
         configuration_key: str,
         decode_configuration: DecodeConfiguration,
         configuration_order: ContentOrder = no_order,
         dialect: Dialect,
         listeners: Mapping[Address, Any] | None = None,
     ) -> None:
-        """Create a node; `listeners` are sockets that listen already."""
+        """Create a node; `listeners` are sockets that listen already.
+
+        Roll-outs need `status_store`, and bounds in the options.
+        """
         self.options = options
         self._listeners = listeners or {}
         self.store = store
@@ -118,34 +122,59 @@
             register=self.register,
             clock=self.clock,
         )
+        self._retry_limits = NodeRetryLimits(
+            budget=options.retries, nodes=lambda: len(self.directory.view.by_id)
+        )
         self._stop = eventlet.event.Event()
         self._stack = ExitStack()
         self.calls = CallPath(
             node=self.record,
             members=lambda: self.directory.view,
             snapshot=lambda: self.snapshot,
-            local_upstream=self._local_upstream,
+            local_upstream=lambda: self._active.limit(self.register.upstream),
             clock=self.clock,
             random=self.random,
             store=None,
             metrics=self.metrics,
             caller=lambda: options.service,
             dialect=dialect,
-            retry_limits=self._retry_limits,
+            retry_limits=self._retry_limits.of_all,
             refused_limits=self._refused_limits,
             is_cold=self.directory.is_cold,
             on_leaving=self.register.drain,
             is_current=self._is_configuration_current,
             link_bytes_per_s=options.link_bytes_per_s,
         )
-        self.quotas = self._build_quotas()
+        self.quotas = build_quotas(
+            options=options,
+            session=self.incarnation,
+            snapshot=lambda: self.snapshot,
+            members=lambda: self.directory.view,
+            capacity_by_id=self.directory.capacity_by_id,
+            peers=self.calls.peers,
+            clock=self.clock,
+            random=self.random,
+            metrics=self.metrics,
+        )
         self.calls.quota = self.quotas
         self.holds = feeds.holds(self.calls.guard)
+        self.rollouts = build_rollouts(
+            bounds=options.rollouts,
+            store=status_store,
+            calls=self.calls,
+            node=self.record,
+            members=lambda: self.directory.view,
+            clock=self.clock,
+            random=self.random,
+            metrics=self.metrics,
+            is_cold=self.directory.is_cold,
+        )
+        rollout_feeds = [feeds.rollouts(part.apply) for part in self.rollouts]
         self.replicator = Replicator(
             node=self.record,
             view=lambda: self.directory.view,
             capacity_by_id=self.directory.capacity_by_id,
-            feeds=(self.members, self.configuration),
+            feeds=(self.members, self.configuration, *rollout_feeds),
             clock=self.clock,
             metrics=self.metrics,
             freshness=options.freshness,
@@ -159,25 +188,14 @@
         self.directory.put(self.record())
         self.directory.capacity_by_id[options.node_id] = options.capacity
 
-    def _build_quotas(self) -> QuotaExchange:
-        return build_quotas(
-            options=self.options,
-            session=self.incarnation,
-            snapshot=lambda: self.snapshot,
-            members=lambda: self.directory.view,
-            capacity_by_id=self.directory.capacity_by_id,
-            peers=self.calls.peers,
-            clock=self.clock,
-            random=self.random,
-            metrics=self.metrics,
-        )
-
     def __enter__(self) -> "ProxyNode":
         with ExitStack() as stack:
             stack.enter_context(self.calls)
             self._tasks = stack.enter_context(TaskGroup())
             self._open()
             stack.enter_context(self.replicator)
+            for part in self.rollouts:
+                stack.enter_context(part)
             self._stack = stack.pop_all()
         log(
             Event.NODE_STARTED,
@@ -290,37 +308,17 @@
         )
         self.calls.serve_http(listener)
 
-    def _local_upstream(self) -> LocalUpstream | None:
-        """Return the instance with the connections that the configuration allows it."""
-        upstream = self.register.upstream
-        if upstream is None or self.snapshot is None:
-            return upstream
-        connections = self.snapshot.connections_by_service.get(
-            upstream.endpoint.service
-        )
-        if connections is None or connections == upstream.endpoint.connections:
-            return upstream
-        endpoint = attrs.evolve(upstream.endpoint, connections=connections)
-        return attrs.evolve(upstream, endpoint=endpoint)
-
     def _is_configuration_current(self) -> bool:
         """Whether no change can be missing that should be in force by now."""
         age_s = self.clock.monotonic() - self.configuration.verified_at
         return age_s <= self.options.freshness.propagation_s
 
-    def _retry_limits(self) -> RetryLimits:
-        return RetryLimits.for_node(
-            **attrs.asdict(self.options.retries), nodes=len(self.directory.view.by_id)
-        )
-
     def _refused_limits(self) -> RetryLimits | None:
         """Return the budget of refused calls; None if they have none of their own."""
         has_accounts = self.snapshot is not None and self.snapshot.accounts is not None
         if not has_accounts and not self.calls.owner.reports_pace:
             return None
-        return RetryLimits.for_refused(
-            **attrs.asdict(self.options.retries), nodes=len(self.directory.view.by_id)
-        )
+        return self._retry_limits.of_refused()
 
     def _apply_members(self, objects: Iterable[StoredObject]) -> None:
         self.directory.apply(self.holds.take(objects))
