--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -106,8 +106,14 @@
 class Fleet:
     """The processes of a fleet, all ended when the context is left."""
 
-    def __init__(self, *, store_region: str = "local") -> None:
+    def __init__(
+        self,
+        *,
+        store_region: str = "local",
+        node_environment: dict[str, str] | None = None,
+    ) -> None:
         self.ports = Ports()
+        self.node_environment = node_environment
         self.nodes: list[FleetNode] = []
         self.store_region = store_region
         self.store_port = self.ports.take()
@@ -173,12 +179,13 @@
             values["peers"] = peers
         arguments = ["-m", "comfreytray", "node"]
         arguments += [f"--{name}={value}" for name, value in values.items()]
+        process = self._start_node_process(arguments, node_id)
         node = FleetNode(
             node_id=node_id,
             region=region,
             data_centre=data_centre,
             arguments=arguments,
-            process=self.own(Process(arguments=arguments, name=node_id)),
+            process=process,
             http_port=ports["http_port"],
             admin_port=ports["admin_port"],
             control_port=ports["control_port"],
@@ -197,7 +204,13 @@
     def begin_restart(self, node: FleetNode) -> None:
         """Kill a node and start it again with its settings, without waiting."""
         node.process.kill()
-        node.process = self.own(Process(arguments=node.arguments, name=node.node_id))
+        node.process = self._start_node_process(node.arguments, node.node_id)
+
+    def _start_node_process(self, arguments: list[str], name: str) -> Process:
+        environment = self.node_environment
+        return self.own(
+            Process(arguments=arguments, environment=environment, name=name)
+        )
 
     def start_upstream(
         self,
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -266,6 +266,7 @@
     key_header: str = "",
     deadline_ms: int = 0,
     repeats: int = 0,
+    body_bytes: int = 0,
     keep_outcomes: bool = False,
 ) -> None:
     """Call comma-separated addresses in turn and print the results as JSON.
@@ -289,6 +290,7 @@
         seed=seed,
         key_header=key_header,
         repeats=repeats,
+        body=b"x" * body_bytes,
         late_after_s=deadline_ms / 1000,
         headers={DEADLINE_HEADER: str(deadline_ms)} if deadline_ms else {},
     )
