Soak customers with API keys that are added and withdrawn

Cause: the fault soak had no accounts, so nothing tested keys under faults.

The checks: a wrong key never runs; the upstream sees the customer of the key and never a key; 6 s (RECOVERY_S) after the version or the last fault that kept a node from it, a withdrawn key does not run and an added one is not answered 401; no log holds a key. 401 counts as not executed. The check of schedules covers fifteen seeds in place of ten, and that new kinds stay out of earlier ones.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,13 +4,14 @@
 
 from behave import then, when
 
-from soak.faults import FIRST_SEED_OF_LATER_KINDS, KINDS, draw_schedule
+from soak.faults import FIRST_SEED_BY_KIND, KINDS, draw_schedule
 from standins.processes import python_environment
 
 ROOT = Path(__file__).parents[2]
-TEN_SEEDS = (
-    *range(5),
-    *range(FIRST_SEED_OF_LATER_KINDS, FIRST_SEED_OF_LATER_KINDS + 5),
+SEEDS = tuple(
+    first + number
+    for first in sorted({0, *FIRST_SEED_BY_KIND.values()})
+    for number in range(5)
 )
 
 
@@ -34,10 +35,10 @@
     assert "runs; answers" in output
 
 
-@when("the fault schedules of ten seeds are drawn twice")
+@when("the fault schedules of fifteen seeds are drawn twice")
 def draw_schedules(context):
     context.schedules = [
-        [list(draw_schedule(seed, nodes=5, seconds=60.0)) for seed in TEN_SEEDS]
+        [list(draw_schedule(seed, nodes=5, seconds=60.0)) for seed in SEEDS]
         for _ in range(2)
     ]
 
@@ -48,3 +49,10 @@
     assert first == second
     kinds = {fault.kind for schedule in first for fault in schedule}
     assert kinds == set(KINDS)
+
+
+@then("no schedule holds a kind that applies only from a later seed on")
+def check_first_seeds(context):
+    for seed, schedule in zip(SEEDS, context.schedules[0], strict=True):
+        first_seeds = [FIRST_SEED_BY_KIND.get(fault.kind, 0) for fault in schedule]
+        assert max(first_seeds) <= seed
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -46,6 +46,11 @@
     )
     runs = sum(promises.runs_by_id.values())
     print(f"seed {result.seed}: {runs} runs; answers {counts}", flush=True)
+    if result.keys is not None:
+        print(
+            f"  keys: {result.keys.withdrawn_calls} calls had to be refused, "
+            f"{result.keys.added_calls} with an added key accepted"
+        )
     for line in promises.violations[:10]:
         print(f"  BROKEN: {line}")
     if promises.violations:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,8 @@
 
 from attrs import frozen
 
+from soak.keys import FIRST_SEED_WITH_ACCOUNTS
+
 _COMMON_KINDS = (
     "node-kill",
     "node-stop",
@@ -34,10 +36,15 @@
 CRASHED = "upstream-crashed"
 SILENT = "store-silent"
 LEFT_AND_KILLED = "upstream-replaced-and-node-killed"
-LATER_KINDS = frozenset({SILENT, LEFT_AND_KILLED})
-FIRST_SEED_OF_LATER_KINDS = 8000
+KEY_WITHDRAWN = "key-withdrawn"
+KEY_ADDED = "key-added"
+FIRST_SEED_BY_KIND = {
+    SILENT: 8000,
+    LEFT_AND_KILLED: 8000,
+    KEY_WITHDRAWN: FIRST_SEED_WITH_ACCOUNTS,
+    KEY_ADDED: FIRST_SEED_WITH_ACCOUNTS,
+}
 """Earlier seeds, which stand in tests and pages, keep their schedules."""
-KINDS = (*_COMMON_KINDS, RESTORED, DEADLY, CRASHED, SILENT, LEFT_AND_KILLED)
 FLEET_WIDE_KINDS = frozenset(
     {
         RESTORED,
@@ -48,6 +55,8 @@
         "store-cuts-watches",
         "store-loses-answers",
         "configuration",
+        KEY_WITHDRAWN,
+        KEY_ADDED,
     }
 )
 """Kinds that affect all nodes, whichever node the fault names."""
@@ -61,8 +70,11 @@
     CRASHED: 6.0,
     SILENT: 5.0,
     LEFT_AND_KILLED: 4.0,
+    KEY_WITHDRAWN: 3.0,
+    KEY_ADDED: 3.0,
 }
 """Mean time between two faults of the kinds that are drawn apart."""
+KINDS = (*_COMMON_KINDS, *MEAN_GAP_S_BY_KIND)
 REPEAT_SHARE = 0.3
 """Share of faults that are soon followed by another of the same kind and node."""
 
@@ -77,6 +89,15 @@
     duration_s: float
 
 
+def disturbed_nodes(fault: Fault, *, nodes: int) -> range:
+    """Return the nodes that a fault may keep from the newest configuration."""
+    if fault.kind.startswith("store-"):
+        return range(nodes)
+    if fault.kind.startswith(("node-", "link-")) or fault.kind == LEFT_AND_KILLED:
+        return range(fault.node, fault.node + 1)
+    return range(0)
+
+
 def draw_schedule(seed: int, *, nodes: int, seconds: float) -> Iterator[Fault]:
     """Yield the faults of a run in order of time; a seed always yields the same."""
     return heapq.merge(
@@ -84,7 +105,7 @@
         *(
             _draw_apart(seed, kind, nodes=nodes, seconds=seconds)
             for kind in MEAN_GAP_S_BY_KIND
-            if seed >= FIRST_SEED_OF_LATER_KINDS or kind not in LATER_KINDS
+            if seed >= FIRST_SEED_BY_KIND.get(kind, 0)
         ),
         key=lambda fault: fault.at_s,
     )
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -9,6 +9,7 @@
 import eventlet
 from attrs import define, field
 
+from soak.keypromises import KeyChecker
 from soak.promises import PromiseChecker
 from standins.scripted import CRASH, RESET, Upstream, answer
 
@@ -46,6 +47,8 @@
     control: tuple[str, int]
     service: str
     promises: PromiseChecker
+    keys: KeyChecker | None = None
+    """None if the configuration has no accounts."""
     random: random.Random
     faults: set[str] = field(factory=set)
     generation: int = 1
@@ -156,6 +159,9 @@
             instance=self.instance_id,
             at_s=time.monotonic(),
         )
+        if self.keys is not None:
+            customer = headers.get("x-tenant", "")
+            self.keys.record_run(call_id, head=head, customer=customer, node=self.node)
         path = head.split(b" ")[1]
         if path.startswith(DEADLY_PATH):
             now = time.monotonic()
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -23,7 +23,10 @@
 """Time after the last of them within which all nodes that are well know it."""
 MAX_DEADLY_RUNS = 3
 """Runs of such a request that nodes which are well may start after that."""
-NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+RECOVERY_S = 6.0
+"""Time after the last fault by which nodes have the newest configuration in force;
+longer than a silent watch, a back-off and a heartbeat interval together."""
+NOT_EXECUTED_STATUSES = frozenset({401, 408, 421, 429, 503})
 """Statuses with which a node states that a call did not run."""
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,16 +12,17 @@
 import eventlet
 from attrs import frozen
 
+from soak.configuration import HOST, PUBLIC_PREFIX
 from soak.faults import draw_schedule
-from soak.promises import PromiseChecker
-from soak.site import HOST, OUTBOUND, Site
+from soak.keypromises import KeyChecker
+from soak.keys import Credentials, every_credentials
+from soak.promises import RECOVERY_S, PromiseChecker
+from soak.site import OUTBOUND, Site
 
 CALLERS_PER_NODE = 3
 CALL_GAP_RANGE_S = (0.0, 0.06)
 DEADLINE_MS = 1500
 START_TIMEOUT_S = 20.0
-RECOVERY_S = 6.0
-"""Longer than a silent watch, a back-off and a heartbeat interval together."""
 RECOVERY_CALLS = 100
 
 
@@ -33,19 +34,31 @@
     folder: Path
     """Holds the settings and logs of the nodes."""
     promises: PromiseChecker
+    keys: KeyChecker | None
+    """None if the configuration had no accounts."""
 
 
 class Caller:
     """Call one node over a persistent connection, reopened when it breaks."""
 
-    def __init__(self, *, host: str, promises: PromiseChecker, name: str) -> None:
-        self._host, self._promises, self._name = host, promises, name
+    def __init__(self, *, site: Site, node: int, name: str) -> None:
+        self._host, self._node, self._name = site.hosts[node], node, name
+        self._promises, self._keys = site.promises, site.keys
         self._numbers = itertools.count()
         self._connection: http.client.HTTPConnection | None = None
 
-    def call(self, *, idempotent: bool) -> int:
+    def call(self, *, idempotent: bool, credentials: Credentials | None = None) -> int:
         """Make one call; return its status, 0 if there was no answer."""
         call_id = f"{self._name}.{next(self._numbers)}"
+        path = "/safe/x" if idempotent else "/unsafe/x"
+        fields: dict[str, str] = {}
+        if credentials is not None:
+            assert self._keys is not None
+            self._keys.record_call(call_id, credentials, self._node)
+            fields = credentials.headers()
+            if credentials.is_public:
+                path = f"{PUBLIC_PREFIX}x"
+                idempotent = True
         if self._connection is None:
             self._connection = http.client.HTTPConnection(
                 self._host, OUTBOUND, timeout=DEADLINE_MS / 1000 + 1.0
@@ -54,11 +67,12 @@
         try:
             self._connection.request(
                 "GET" if idempotent else "POST",
-                "/safe/x" if idempotent else "/unsafe/x",
+                path,
                 headers={
                     "Host": HOST,
                     "X-Attempt-Id": call_id,
                     "X-Deadline-Ms": str(DEADLINE_MS),
+                    **fields,
                 },
             )
             answer = self._connection.getresponse()
@@ -77,6 +91,8 @@
             body=body,
             answered_id=answered_id,
         )
+        if credentials is not None and self._keys is not None:
+            self._keys.record_answer(call_id, status)
         return status
 
 
@@ -97,7 +113,10 @@
         for caller in callers:
             caller.wait()
         _check_recovery(site)
-        return Result(seed=seed, folder=folder, promises=site.promises)
+        if site.keys is not None:
+            _check_keys(site)
+            site.keys.check_logs(node.log for node in site.nodes)
+        return Result(seed=seed, folder=folder, promises=site.promises, keys=site.keys)
 
 
 def _wait_for_start(site: Site) -> None:
@@ -112,11 +131,10 @@
     site: Site, number: int, name: int, seed: int, stop: threading.Event
 ) -> None:
     generator = random.Random(f"{seed} {number} {name}")
-    caller = Caller(
-        host=site.hosts[number], promises=site.promises, name=f"c{number}.{name}"
-    )
+    caller = Caller(site=site, node=number, name=f"c{number}.{name}")
     while not stop.is_set():
-        caller.call(idempotent=generator.random() < 0.5)
+        credentials = site.ring.draw_credentials(generator) if site.ring else None
+        caller.call(idempotent=generator.random() < 0.5, credentials=credentials)
         eventlet.sleep(generator.uniform(*CALL_GAP_RANGE_S))
 
 
@@ -134,11 +152,22 @@
 def _check_recovery(site: Site) -> None:
     served = 0
     callers = [
-        Caller(host=host, promises=site.promises, name=f"last{number}")
-        for number, host in enumerate(site.hosts)
+        Caller(site=site, node=number, name=f"last{number}")
+        for number in range(len(site.hosts))
     ]
+    credentials = site.ring.lasting_credentials() if site.ring else None
     for number in range(RECOVERY_CALLS):
-        served += callers[number % len(callers)].call(idempotent=True) == 200
+        caller = callers[number % len(callers)]
+        served += caller.call(idempotent=True, credentials=credentials) == 200
     site.promises.check_recovery(
         served=served, asked=RECOVERY_CALLS, newest=site.version, held=site.versions()
     )
+
+
+def _check_keys(site: Site) -> None:
+    """Call each node with each key that was ever granted."""
+    assert site.ring is not None
+    for number in range(len(site.hosts)):
+        caller = Caller(site=site, node=number, name=f"keys{number}")
+        for credentials in every_credentials(site.ring):
+            caller.call(idempotent=False, credentials=credentials)
--- a/soak/site.py
+++ b/soak/site.py
@@ -2,29 +2,34 @@
 
 import http.client
 import json
-import os
 import random
 import re
 import signal
-import subprocess
-import sys
 import time
 from pathlib import Path
 from types import TracebackType
-from typing import Any
 
 import eventlet
-from attrs import define, evolve
-
-from soak.faults import CRASHED, LEFT_AND_KILLED, RESTORED, SILENT, Fault
+from attrs import evolve
+
+from soak.configuration import HOST, SERVICE, build_resources
+from soak.faults import (
+    CRASHED,
+    KEY_ADDED,
+    LEFT_AND_KILLED,
+    RESTORED,
+    SILENT,
+    Fault,
+    disturbed_nodes,
+)
 from soak.instances import DEADLY_PATH, HEARTBEAT_S, Instance
+from soak.keypromises import KeyChecker
+from soak.keys import FIRST_SEED_WITH_ACCOUNTS, Disturbances, Keyring
+from soak.nodeprocess import NodeProcess
 from soak.promises import LIMIT_WINDOW_S, PromiseChecker
 from soak.relay import Relay
 from standins.platform_store import StoreStandIn
 
-ROOT = Path(__file__).resolve().parent.parent
-SERVICE = "lichbay"
-HOST = "clubs.example"
 OUTBOUND, INBOUND, READY, CONTROL, APPLICATION, REPLICATION = range(21_001, 21_007)
 METRICS_PORT = 9464
 DEADLY_REQUESTS = 2
@@ -40,62 +45,6 @@
 _LINK_MODES = {"link-silent": "silent", "link-one-way": "one-way", "link-slow": "slow"}
 
 
-@define(kw_only=True, eq=False)
-class NodeProcess:
-    """Own the process of one node; signals go to its process id only."""
-
-    number: int
-    settings: Path
-    log: Path
-    popen: subprocess.Popen[bytes] | None = None
-    version_in_force: int = 0
-    busy: bool = False
-    """Whether a fault is stopping, pausing or starting the process now."""
-
-    def start(self) -> None:
-        """Start the process."""
-        environment = {
-            **os.environ,
-            "COMFREYTRAY_NODE_FILE": str(self.settings),
-            "EVENTLET_NO_GREENDNS": "yes",
-        }
-        with self.log.open("ab") as log:
-            self.popen = subprocess.Popen(
-                [sys.executable, "deploy/node.py"],
-                cwd=ROOT,
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-        self.version_in_force = 0
-
-    @property
-    def handles_sighup(self) -> bool:
-        """Whether SIGHUP is caught or ignored; a starting interpreter ends on it."""
-        if self.popen is None or self.popen.poll() is not None:
-            return False
-        status = Path(f"/proc/{self.popen.pid}/status").read_text()
-        masks = re.findall(r"^Sig(?:Ign|Cgt):\s*([0-9a-f]+)", status, re.MULTILINE)
-        bit = 1 << (signal.SIGHUP - 1)
-        return any(int(mask, 16) & bit for mask in masks)
-
-    def send(self, signal_number: int) -> None:
-        """Send a signal if the process runs."""
-        if self.popen is not None and self.popen.poll() is None:
-            self.popen.send_signal(signal_number)
-
-    def wait(self, timeout_s: float) -> None:
-        """Wait for the process to end; kill it after `timeout_s`."""
-        assert self.popen is not None
-        end = time.monotonic() + timeout_s
-        while self.popen.poll() is None and time.monotonic() < end:
-            eventlet.sleep(0.02)
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
-        self.popen.wait()
-
-
 class Site:
     """Own all parts of a run and end the node processes on exit.
 
@@ -106,6 +55,10 @@
     def __init__(self, *, nodes: int, seed: int, folder: Path) -> None:
         self.random = random.Random(seed)
         self.promises = PromiseChecker()
+        self.disturbances = Disturbances()
+        self.ring = Keyring(seed=seed) if seed >= FIRST_SEED_WITH_ACCOUNTS else None
+        """None if the configuration has no accounts."""
+        self.keys = self._key_checker()
         self.store = StoreStandIn()
         self.version = 0
         # Parallel runs use the same ports, so each takes a random loopback network.
@@ -137,37 +90,17 @@
     def configure(self) -> None:
         """Write the next version of the configuration, as an operator does."""
         self.version += self.random.randrange(1, 4)
-        routes = [("/safe/", "safe"), ("/unsafe/", "unsafe")]
-        resources: list[dict[str, Any]] = [
-            {
-                "resource_kind": "routes",
-                "metadata": {"name": kind},
-                "spec": {
-                    "hostname": HOST,
-                    "path_prefix": prefix,
-                    "type": kind,
-                    "timeout_s": 2.0,
-                    "target_latency_s": 0.5,
-                    "priority": 1,
-                    "max_attempts": 3,
-                    "service": SERVICE,
-                },
-            }
-            for prefix, kind in routes
-        ]
-        resources.append(
-            {
-                "resource_kind": "services",
-                "metadata": {"name": SERVICE},
-                "spec": {"health_path": "/health", "max_connections": 64},
-            }
-        )
+        resources = build_resources(self.ring)
         self.store.put(
             "config", "main", {"version": self.version, "resources": resources}
         )
 
     def apply(self, fault: Fault) -> None:
         """Start a fault, wait for its duration and end it; blocks its greenlet."""
+        with self.disturbances.during(disturbed_nodes(fault, nodes=len(self.nodes))):
+            self._apply(fault)
+
+    def _apply(self, fault: Fault) -> None:
         match fault.kind.partition("-")[0]:
             case "node":
                 self._apply_node_fault(fault)
@@ -181,6 +114,8 @@
                 self._send_deadly(fault)
             case "configuration":
                 self.configure()
+            case "key":
+                self._change_keys(fault)
 
     def clear_faults(self) -> None:
         """End all faults that are still on."""
@@ -197,6 +132,15 @@
         """Return each node's version in force; 0 if the node does not answer."""
         return [self._version_at(number) for number in range(len(self.nodes))]
 
+    def _change_keys(self, fault: Fault) -> None:
+        """Write a configuration with one key more, or one less."""
+        assert self.ring is not None
+        if fault.kind == KEY_ADDED:
+            self.ring.add()
+        else:
+            self.ring.withdraw()
+        self.configure()
+
     def _apply_node_fault(self, fault: Fault) -> None:
         node = self.nodes[fault.node]
         if fault.kind == "node-reload":
@@ -286,7 +230,9 @@
         end = time.monotonic() + fault.duration_s
         while time.monotonic() < end:
             host = self.random.choice(self.hosts)
-            eventlet.spawn_n(_send, host, path)
+            credentials = self.ring.lasting_credentials() if self.ring else None
+            fields = credentials.headers() if credentials else {}
+            eventlet.spawn_n(_send, host, path, fields)
             eventlet.sleep(self.random.uniform(*DEADLY_GAP_RANGE_S))
 
     def _poll_versions(self) -> None:
@@ -315,6 +261,13 @@
         found = re.search(r"^comfreytray_version_in_force (\d+)", text, re.MULTILINE)
         return int(found[1]) if found else 0
 
+    def _key_checker(self) -> KeyChecker | None:
+        if self.ring is None:
+            return None
+        return KeyChecker(
+            violations=self.promises.violations, disturbances=self.disturbances
+        )
+
     def _instance(self, number: int) -> Instance:
         host = self.hosts[number]
         return Instance(
@@ -324,6 +277,7 @@
             control=(host, CONTROL),
             service=SERVICE,
             promises=self.promises,
+            keys=self.keys,
             random=self.random,
         )
 
@@ -356,10 +310,10 @@
         )
 
 
-def _send(host: str, path: str) -> None:
+def _send(host: str, path: str, fields: dict[str, str]) -> None:
     connection = http.client.HTTPConnection(host, OUTBOUND, timeout=2.0)
     try:
-        connection.request("GET", path, headers={"Host": HOST})
+        connection.request("GET", path, headers={"Host": HOST, **fields})
         connection.getresponse().read()
     except (OSError, http.client.HTTPException):
         return
