--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -208,10 +208,9 @@
 
     def _release(self, ticket: Ticket, permit: Permit) -> None:
         permit.end()
-        if self.admission.queued:
-            # The slots may have become fewer since the last call came; a call that
-            # waits must not be admitted to one that is gone.
-            self._refresh_limits()
+        # The slots may have become fewer since the last call came; a call that waits
+        # must not be admitted to one that is gone.
+        self._refresh_limits()
         self.admission.release(ticket)
         self._schedule_admission()
 
@@ -221,9 +220,8 @@
             self._on_leaving(instance_id)
         if self.dialect.load:
             report = parse_load_report(fields.get(self.dialect.load))
-            if report is not None or self.reports_pace:
-                self.concurrency.learn(instance_id, report)
-                self._refresh_limits()
+            self.concurrency.learn(instance_id, report)
+            self._refresh_limits()
         if self.dialect.limit:
             limit_per_s = parse_decimal(fields.get(self.dialect.limit))
             self.admission.rate.learn(instance_id, limit_per_s)
--- a/src/comfreytray/concurrency/limiter.py
+++ b/src/comfreytray/concurrency/limiter.py
@@ -58,9 +58,8 @@
         self._instance_id = ""
         self._slots = 0
         self._is_cold = False
-        now = clock.monotonic()
-        self._running = StepIntegral(now=now)
-        self._pace = StepIntegral(now=now)
+        self._running = StepIntegral(clock=clock)
+        self._pace = StepIntegral(clock=clock)
         self._paced_at = 0.0
         self._reported_slots = 0
         self._others_since = 0.0
@@ -102,7 +101,7 @@
                 self._reset(instance_id)
             return
         self._paced_at = now
-        self._pace.set(report.pace, now)
+        self._pace.set(report.pace)
         self._reported_slots = report.slots
         unknown = report.running + report.queued - int(self._running.value)
         is_first = not self._others or now - self._others[-1][0] > OTHERS_VALID_S
@@ -112,16 +111,15 @@
 
     def begin(self, kind: str) -> Run:
         """Count a call that is sent to the upstream."""
-        now = self._clock.monotonic()
         run = Run(
             kind=kind,
             period=self._period,
-            began_at=now,
-            running_sum=self._running.sum_until(now),
-            pace_sum=self._pace.sum_until(now),
+            began_at=self._clock.monotonic(),
+            running_sum=self._running.sum,
+            pace_sum=self._pace.sum,
             first_pace=self.pace,
         )
-        self._running.set(self._running.value + 1, now)
+        self._running.set(self._running.value + 1)
         return run
 
     def end(self, run: Run) -> None:
@@ -129,13 +127,11 @@
         if run.has_ended:
             return
         run.has_ended = True
-        now = self._clock.monotonic()
-        run.took_s = now - run.began_at
+        run.took_s = self._clock.monotonic() - run.began_at
         if run.took_s > 0.0:
-            running_sum = self._running.sum_until(now) - run.running_sum
-            run.running = running_sum / run.took_s
-            run.pace = (self._pace.sum_until(now) - run.pace_sum) / run.took_s
-        self._running.set(self._running.value - 1, now)
+            run.running = (self._running.sum - run.running_sum) / run.took_s
+            run.pace = (self._pace.sum - run.pace_sum) / run.took_s
+        self._running.set(self._running.value - 1)
 
     def record(self, run: Run) -> None:
         """Use the time of a call that has ended with a success."""
@@ -153,12 +149,11 @@
         return 1.0 / MAX_PACE_CHANGE <= change <= MAX_PACE_CHANGE
 
     def _reset(self, instance_id: str) -> None:
-        now = self._clock.monotonic()
         self._instance_id = instance_id
-        self._pace.set(0.0, now)
+        self._pace.set(0.0)
         self._reported_slots = 0
         self._others.clear()
-        self._others_since = now
+        self._others_since = self._clock.monotonic()
         self._trials = None
 
     def _find_limit(self) -> int:
@@ -185,10 +180,8 @@
         return min((count for at, count in self._others if at >= since), default=0)
 
     def _log(self) -> None:
-        if self._limit == self._logged:
-            return
         now = self._clock.monotonic()
-        if now - self._logged_at < LOG_INTERVAL_S:
+        if self._limit == self._logged or now - self._logged_at < LOG_INTERVAL_S:
             return
         if self._logged and self.pace:
             logs.log(
