Rename what a newcomer to the code stumbled on

Cause: a reader of the whole change found names that are not the usual terms of the field (blind shares, lanes, told pace), constants explained by a measured run, and documents that described an earlier form of the code.

The bounds of the settings for roll-outs are checked at the start. No behaviour of calls changes.

--- a/src/comfreytray/calls/call.py
+++ b/src/comfreytray/calls/call.py
@@ -116,7 +116,7 @@
     max_attempts: int = 0
     """Maximum number of endpoints to try; 0 leaves it to the retry policy."""
     upload: Upload | None = None
-    """A body that is too large to be buffered."""
+    """A body that is sent in parts; None if `body` holds it."""
 
 
 @frozen(kw_only=True)
--- a/src/comfreytray/calls/connections.py
+++ b/src/comfreytray/calls/connections.py
@@ -27,8 +27,8 @@
 READ_BYTES = 65_536
 MAX_OUTBOX_BYTES = 4_194_304
 """Unsent bytes on a connection above which it takes no further call or chunk."""
-PACED_BODY_BYTES = 16_384
-"""Size from which a body is sent when the owner asks for it, if the links are known."""
+ANNOUNCED_BODY_BYTES = 16_384
+"""Size from which a body is announced, and sent once the owner grants credit."""
 IDLE_TIMEOUT_S = 60.0
 
 
@@ -105,10 +105,15 @@
     """Sends calls to owners, over one connection to each."""
 
     def __init__(
-        self, *, own_id: str, clock: Clock, metrics: Metrics, paces_bodies: bool = False
+        self,
+        *,
+        own_id: str,
+        clock: Clock,
+        metrics: Metrics,
+        announces_bodies: bool = False,
     ) -> None:
-        """Create it; with `paces_bodies` owners say when a large body is sent."""
-        self.paces_bodies = paces_bodies
+        """Create it; with `announces_bodies` the owner decides when a body is sent."""
+        self.announces_bodies = announces_bodies
         self.own_id = own_id
         self.clock = clock
         self.metrics = metrics
@@ -142,10 +147,10 @@
             return fail(Kind.DEADLINE_BEFORE_RUN, "before sending")
         if connection.streams.outbox.size > MAX_OUTBOX_BYTES:
             return fail(Kind.NODE_UNREACHABLE, "connection is backed up")
-        if self.paces_bodies and len(call.body) >= PACED_BODY_BYTES:
+        if self.announces_bodies and len(call.body) >= ANNOUNCED_BODY_BYTES:
             call = evolve(call, body=b"", upload=BufferedUpload(call.body))
         if call.upload is not None and not self._takes_uploads(connection, call):
-            # With a load of its own, as the endpoint need not be avoided otherwise.
+            # A load other than IDLE keeps the router from avoiding the endpoint.
             refused = fail(Kind.OVERLOADED, "node takes no bodies in parts")
             refused.load = Load()
             return refused
--- a/src/comfreytray/calls/dialect.py
+++ b/src/comfreytray/calls/dialect.py
@@ -72,8 +72,8 @@
     call_id: str = ""
     """Header with the id of a caller's attempt, which the upstream echoes."""
     nested_separator: str = ""
-    """Separator between the id of a call and what its upstream adds for the id of a
-    call that it makes meanwhile; empty if ids don't show that."""
+    """Separator between the id of a call and the suffix of a nested call's id; empty if
+    ids don't show nesting."""
     attempt: str = ""
     """Header with the number of a send to an upstream, which an upstream may echo."""
     instance: str = ""
--- a/src/comfreytray/calls/endpoints.py
+++ b/src/comfreytray/calls/endpoints.py
@@ -7,7 +7,7 @@
 
 from comfreytray.calls.call import IDLE, Load
 from comfreytray.common.records import NodeRecord
-from comfreytray.concurrency.toldpace import ToldPace
+from comfreytray.concurrency.reportedpace import ReportedPace
 
 LOAD_DECAY_S = 1.0
 """Seconds after which the weight of a reported load has decayed to 1/e."""
@@ -50,7 +50,7 @@
     known before the member list shows it."""
     shed_until: float = 0.0
     """Until when other endpoints are preferred, since this one shed a call."""
-    pace: ToldPace = field(factory=ToldPace)
+    pace: ReportedPace = field(factory=ReportedPace)
     load_report_by_priority: dict[int, ReportedLoad] = field(factory=dict)
 
     def is_of(self, incarnation: int, instance_id: str) -> bool:
--- a/src/comfreytray/calls/estimates.py
+++ b/src/comfreytray/calls/estimates.py
@@ -8,7 +8,11 @@
 from attrs import frozen
 
 from comfreytray.calls.ejection import Ejection
-from comfreytray.calls.endpoints import EndpointView
+from comfreytray.calls.endpoints import (
+    NO_REPORTED_LOAD,
+    EndpointView,
+    count_slots,
+)
 from comfreytray.calls.routing import Router
 from comfreytray.calls.sampling import MAX_FAR, MAX_NEAR
 from comfreytray.common.records import NodeRecord
@@ -177,7 +181,9 @@
             state=record.state.value,
             expected_s=self._expected_s(record, own, kind, priority, now),
             cost=self._cost(record, own, kind, priority, target_s, now),
-            slots=record.endpoint.slots if record.endpoint else 0,
+            slots=count_slots(
+                record, view.load_report_by_priority.get(priority, NO_REPORTED_LOAD)
+            ),
             in_flight=view.in_flight,
             slowdown=view.slowdown,
             failure_share=view.failure_share,
--- a/src/comfreytray/calls/explanation.py
+++ b/src/comfreytray/calls/explanation.py
@@ -191,6 +191,7 @@
             clock=self._clock,
             splitter=Splitter(),
             is_current=self._reader.identification.is_current,
+            is_nested=self._reader.is_nested,
         )
         reader.stop = self._reader.stop
         return reader.read(_environ(inquiry), snapshot)
--- a/src/comfreytray/calls/identification.py
+++ b/src/comfreytray/calls/identification.py
@@ -52,10 +52,9 @@
 
     def apply(self, call: Call, route: Route, account: Account | None) -> None:
         """Set the customer and the priority of a call, and withhold its credentials."""
+        withheld = self._dialect.set_with_accounts
         call.headers = tuple(
-            pair
-            for pair in call.headers
-            if pair[0].lower() not in self._dialect.set_with_accounts
+            pair for pair in call.headers if pair[0].lower() not in withheld
         )
         call.priority = rank_priority(route, account)
         if account is not None:
--- a/src/comfreytray/calls/limits.py
+++ b/src/comfreytray/calls/limits.py
@@ -18,14 +18,14 @@
 from comfreytray.calls.callrates import CallRate
 from comfreytray.calls.demand import Demand
 from comfreytray.calls.queueorder import (
-    TURN_PERIOD,
+    FAIR_SHARE_PERIOD,
     count_before,
+    count_before_by_shares,
     count_ranked,
-    count_turns_before,
     demand_priority,
+    fair_share_order_of,
     find_queue_to_shorten,
     order_of,
-    turn_of,
 )
 from comfreytray.calls.runtimes import RunTimes
 from comfreytray.calls.tickets import CustomerQueue, Rank, Ticket, TicketState
@@ -65,7 +65,8 @@
         """Whether new calls are refused because the node is leaving."""
         self._queue_by_customer: dict[str, CustomerQueue] = {}
         self._sequence = itertools.count()
-        self._turns = 0
+        self._assigned = 0
+        """Slots that were assigned to waiting calls."""
 
     @property
     def load(self) -> float:
@@ -254,8 +255,8 @@
         spare = self._demand.spare_slots(self.slots, priority, now)
         wait_s = (before + 1) / spare * self.run_times.mean_s
         if ticket.customer:
-            turns = count_turns_before(queues, queue, rank) + 1
-            turn_slots = max(1, self.slots) / TURN_PERIOD
+            turns = count_before_by_shares(queues, queue, rank) + 1
+            turn_slots = max(1, self.slots) / FAIR_SHARE_PERIOD
             wait_s = min(wait_s, turns / turn_slots * self.run_times.mean_s)
         return max(wait_s, self._rate_wait_s(before, priority, now))
 
@@ -344,6 +345,6 @@
         ]
         if not eligible:
             return None
-        self._turns += 1
-        is_turn = self._turns % TURN_PERIOD == 0
-        return min(eligible, key=turn_of if is_turn else order_of)
+        self._assigned += 1
+        is_by_shares = self._assigned % FAIR_SHARE_PERIOD == 0
+        return min(eligible, key=fair_share_order_of if is_by_shares else order_of)
--- a/src/comfreytray/calls/outbox.py
+++ b/src/comfreytray/calls/outbox.py
@@ -16,7 +16,8 @@
     start: int
     """Offset in the connection."""
     data: bytes | bytearray
-    is_call: bool = False
+    is_sealed: bool = False
+    """Whether nothing may be appended: a call, or a block handed to the kernel."""
 
     @property
     def end(self) -> int:
@@ -52,7 +53,7 @@
         is_first = len(self._blocks) == 1
         if (
             last is None
-            or last.is_call
+            or last.is_sealed
             or last.end != self.enqueued
             or (is_first and self._is_writing)
         ):
@@ -64,7 +65,7 @@
 
     def push_call(self, packed: bytes) -> Block:
         """Queue the frame of a call, which may be withdrawn."""
-        block = Block(start=self.enqueued, data=packed, is_call=True)
+        block = Block(start=self.enqueued, data=packed, is_sealed=True)
         self._blocks.append(block)
         self._count(packed)
         return block
@@ -125,4 +126,4 @@
             del self._blocks[1]
         if len(parts) > 1:
             first.data = b"".join(parts)
-            first.is_call = True
+            first.is_sealed = True
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -112,7 +112,7 @@
     def is_nested(self, call_id: str, *, has_accounts: bool) -> bool:
         """Whether the instance makes a call of this id while it runs another one.
 
-        Calls are told apart so only where there are accounts or a reported pace.
+        False unless there are accounts or a reported pace.
         """
         if not has_accounts and not self.reports_pace:
             return False
--- a/src/comfreytray/calls/peercalls.py
+++ b/src/comfreytray/calls/peercalls.py
@@ -1,6 +1,6 @@
 """Messages between nodes that share the call streams with the calls."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Protocol
 
 from comfreytray.calls.call import Call, Outcome, Reply, fail
@@ -69,8 +69,3 @@
             logs.warn(logs.Event.FRAME_REFUSED, topic=call.target, reason=answer.detail)
             return Outcome.of(answer)
         return Reply(status=200, reason="Taken", headers=(), body=answer)
-
-    @property
-    def topics(self) -> Mapping[str, Handler]:
-        """Return the handlers by topic."""
-        return self._handler_by_topic
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -116,7 +116,7 @@
             own_id=own_id,
             clock=clock,
             metrics=metrics,
-            paces_bodies=link_bytes_per_s < math.inf,
+            announces_bodies=link_bytes_per_s < math.inf,
         )
         self.peers = PeerCalls(client=self.client, clock=clock)
         self.notices = NoticeSender(
@@ -332,7 +332,7 @@
         return traced(self.tracer, "entry", call, run)
 
     def _is_nested(self, call_id: str) -> bool:
-        """Whether a call goes before fresh ones, as the upstream makes it in a call."""
+        """Whether the local upstream makes a call while it runs another one."""
         snapshot = self.snapshot()
         has_accounts = snapshot is not None and snapshot.accounts is not None
         return self.owner.is_nested(call_id, has_accounts=has_accounts)
--- a/src/comfreytray/calls/queueorder.py
+++ b/src/comfreytray/calls/queueorder.py
@@ -14,8 +14,8 @@
 
 _FIRST = Rank(late=False, priority=NESTED_PRIORITY, until=0.0)
 MIN_SHARE = 0.01
-TURN_PERIOD = 4
-"""Slots of which one goes by the customers' shares, whatever the precedence."""
+FAIR_SHARE_PERIOD = 4
+"""Every slot of this number goes by the customers' shares alone."""
 
 
 def order_of(queue: CustomerQueue) -> tuple[tuple[bool, int], float, Rank]:
@@ -24,17 +24,17 @@
     return (rank.precedence, queue.held / max(ticket.share, MIN_SHARE), rank)
 
 
-def turn_of(queue: CustomerQueue) -> tuple[float, Rank]:
+def fair_share_order_of(queue: CustomerQueue) -> tuple[float, Rank]:
     """Return the sort key of a queue by its customer's share alone."""
     rank, _, ticket = queue.heap[0]
     return (queue.held / max(ticket.share, MIN_SHARE), rank)
 
 
 def demand_priority(ticket: Ticket) -> int:
-    """Return the priority by which other calls count as more urgent.
+    """Return the priority by which the demand of calls is compared.
 
-    Between customers it is their precedence: the routes of one customer must not make
-    the calls of another one look hopeless.
+    Between customers only their precedence counts, so that a customer with urgent
+    routes does not get the calls of another one refused early.
     """
     if not ticket.customer:
         return ticket.priority
@@ -65,7 +65,7 @@
     return before
 
 
-def count_turns_before(
+def count_before_by_shares(
     queues: Collection[CustomerQueue], own: CustomerQueue, rank: Rank
 ) -> int:
     """Return how many calls go before one of a rank in the slots that go by turns."""
--- a/src/comfreytray/calls/receiveduploads.py
+++ b/src/comfreytray/calls/receiveduploads.py
@@ -76,7 +76,7 @@
         return bool(self._parts)
 
     def take(self) -> bytes:
-        """Wait for the next part, empty at the end; raises UploadError."""
+        """Wait for the next part without granting credit; raises UploadError."""
         while not self._parts and not self.has_last:
             left_s = self.deadline - self._clock.monotonic()
             if left_s <= 0:
--- a/src/comfreytray/calls/retries.py
+++ b/src/comfreytray/calls/retries.py
@@ -21,8 +21,8 @@
 REFUSED_RATIO_FRACTION = 0.3
 REFUSED_SLACK_FRACTION = 0.25
 """The same for retries of calls that upstreams refused without running them, which
-repeat no nested calls. Saved tokens and those earned meanwhile may be spent in one
-window, so this fraction counts twice."""
+repeat no nested calls. One window may spend saved tokens and those earned in it, up to
+twice this fraction."""
 MAX_SERVICES = 256
 """Services whose budgets are kept."""
 MAX_REDIRECTS = 3
--- a/src/comfreytray/calls/uploads.py
+++ b/src/comfreytray/calls/uploads.py
@@ -1,4 +1,4 @@
-"""Request bodies that are streamed, since they are too large to be buffered."""
+"""Request bodies that are sent in parts, from a connection or from memory."""
 
 from typing import Protocol
 
--- a/src/comfreytray/concurrency/limiter.py
+++ b/src/comfreytray/concurrency/limiter.py
@@ -123,7 +123,7 @@
         return run
 
     def end(self, run: Run) -> None:
-        """Count a call as ended; later calls do nothing."""
+        """Count a call as ended; a second time has no effect."""
         if run.has_ended:
             return
         run.has_ended = True
--- a/src/comfreytray/concurrency/toldpace.py
+++ b/src/comfreytray/concurrency/reportedpace.py
@@ -1,4 +1,4 @@
-"""The pace of an endpoint as its owner told it, for the choice among endpoints."""
+"""The pace of an endpoint as its owner reports it, for the choice among endpoints."""
 
 from attrs import define
 
@@ -16,7 +16,7 @@
 
 
 @define(kw_only=True, eq=False)
-class ToldPace:
+class ReportedPace:
     """The newest pace of an endpoint, and the mean pace of the measured calls.
 
     The measured slowdown of an endpoint contains its pace at those calls already, so
--- a/src/comfreytray/customers/quotaaccount.py
+++ b/src/comfreytray/customers/quotaaccount.py
@@ -47,7 +47,7 @@
 
 
 @define(kw_only=True)
-class Lane:
+class NodeUsage:
     """What the coordinator knows of one customer at one node."""
 
     admitted: int
@@ -83,7 +83,7 @@
 
 
 @define(kw_only=True)
-class Account:
+class QuotaAccount:
     """What a customer may still use of its quota in the current window.
 
     The balance is what the quota allows in a window less what was admitted in the last
@@ -92,13 +92,13 @@
 
     terms: QuotaTerms
     balance: float
-    refilled_to_s: float
+    window_end_s: float
     """Accrued time, in seconds, up to which the balance was refilled."""
     is_limited: bool = False
     demand_per_s: float = 0.0
     """Load offered at all nodes when the last lease was granted."""
     used_at: float = -math.inf
-    lane_by_id: dict[str, Lane] = field(factory=dict)
+    usage_by_node_id: dict[str, NodeUsage] = field(factory=dict)
 
     _uses: deque[_Use] = field(init=False)
     """Calls that were admitted in the window, oldest first."""
@@ -111,16 +111,16 @@
             return deque()
         step_s = self.terms.bounds.window_s / UNKNOWN_STEPS
         return deque(
-            _Use(at_s=self.refilled_to_s - step_s * n, calls=missing / UNKNOWN_STEPS)
+            _Use(at_s=self.window_end_s - step_s * n, calls=missing / UNKNOWN_STEPS)
             for n in reversed(range(UNKNOWN_STEPS))
         )
 
-    def refill(self, accrued_s: float) -> None:
+    def advance_window(self, accrued_s: float) -> None:
         """Give back the calls that were admitted before the window."""
         oldest_s = accrued_s - self.terms.bounds.window_s
         while self._uses and self._uses[0].at_s <= oldest_s:
             self.balance += self._uses.popleft().calls
-        self.refilled_to_s = accrued_s
+        self.window_end_s = accrued_s
 
     def use(self, calls: int) -> None:
         """Count calls that were admitted; below 0 if some were given back."""
@@ -128,10 +128,10 @@
             return
         self.balance -= calls
         last = self._uses[-1] if self._uses else None
-        if last is not None and self.refilled_to_s - last.at_s < MIN_USE_S:
+        if last is not None and self.window_end_s - last.at_s < MIN_USE_S:
             last.calls += calls
         else:
-            self._uses.append(_Use(at_s=self.refilled_to_s, calls=calls))
+            self._uses.append(_Use(at_s=self.window_end_s, calls=calls))
 
     def change_terms(self, terms: QuotaTerms) -> None:
         """Apply another quota; the balance changes with it."""
@@ -141,7 +141,7 @@
     def update_limited(self, contact_share: float) -> bool:
         """Decide whether nodes need leases; return whether they just became needed.
 
-        Nodes out of contact may use their blind shares, so the balance must be larger.
+        Nodes out of contact may use their fallback shares, which are reserved.
         """
         reserved = (1.0 - contact_share) * (self.terms.burst + self.terms.excess)
         limit = self.terms.free_balance + reserved
@@ -172,16 +172,16 @@
         """Grant tokens to a node, in proportion to the load that it is offered."""
         held = 0.0
         demand = 0.0
-        for other_id, lane in self.lane_by_id.items():
-            if now - lane.leased_at > LAPSED_S:
-                lane.tokens = 0.0
-            demand += lane.demand_at(now)
+        for other_id, node_usage in self.usage_by_node_id.items():
+            if now - node_usage.leased_at > LAPSED_S:
+                node_usage.tokens = 0.0
+            demand += node_usage.demand_at(now)
             if other_id != node_id:
-                held += lane.tokens
+                held += node_usage.tokens
         self.demand_per_s = demand
         spendable = self.spendable(contact_share)
         left = spendable - held
-        own = self.lane_by_id.get(node_id)
+        own = self.usage_by_node_id.get(node_id)
         share = 1.0 / max(1, contacts)
         own_demand = 0.0 if own is None else own.demand_at(now)
         if own_demand > 0:
@@ -193,7 +193,7 @@
         if not tokens and left >= 1 and keeps_one:
             tokens = 1
         if own is None and tokens:
-            own = self.lane_by_id[node_id] = Lane(admitted=-1, rejected=-1)
+            own = self.usage_by_node_id[node_id] = NodeUsage(admitted=-1, rejected=-1)
         if own is not None:
             own.tokens = float(tokens)
             own.leased_at = now
--- a/src/comfreytray/customers/quotacoordinator.py
+++ b/src/comfreytray/customers/quotacoordinator.py
@@ -8,14 +8,14 @@
 from comfreytray.common.budgets import TokenBucket
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.logs import Event, log
-from comfreytray.customers.quotaaccount import RESUME_CALLS, Account, Lane
+from comfreytray.customers.quotaaccount import RESUME_CALLS, NodeUsage, QuotaAccount
 from comfreytray.customers.quotamessages import Answer, Lease, Report, Usage
 from comfreytray.customers.quotaterms import QuotaTerms, report_period_s
 
 CONTACT_MARGIN_S = 0.4
 """Time beyond the period of reports for which a node counts as bound by leases. The
-sum is shorter than their validity at the node: a blind share is reserved before it is
-used. With a second, one of six parts of a network used all parts' quota for 1.5 s."""
+sum is shorter than their validity at the node, so that a fallback share is reserved
+before it is used."""
 PUSH_LEAD_S = 0.3
 """Time before the end of its contact at which a node that has no calls is asked."""
 PUSH_RETRY_S = 1.0
@@ -63,7 +63,7 @@
         """Nodes in contact, the longest silent first."""
         self._silent_by_id: dict[str, tuple[float, _Node]] = {}
         """Nodes out of contact, with the time from which they are."""
-        self._account_by_customer: dict[str, Account] = {}
+        self._account_by_customer: dict[str, QuotaAccount] = {}
         self._limited: set[str] = set()
         self._pushed_at_by_id: dict[str, float] = {}
         self._bound_at_by_id: dict[str, float] = {}
@@ -202,7 +202,7 @@
             self._pushed_at_by_id.pop(node_id, None)
             self._bound_at_by_id.pop(node_id, None)
             for account in self._account_by_customer.values():
-                account.lane_by_id.pop(node_id, None)
+                account.usage_by_node_id.pop(node_id, None)
 
     def _is_gathering(self, now: float) -> bool:
         gathers = now - self._gathering_since < GATHERING_S
@@ -246,7 +246,7 @@
             self._accrued_s += max(0.0, sent_at - silent_since) / members
         if not is_same:
             for account in self._account_by_customer.values():
-                account.lane_by_id.pop(node_id, None)
+                account.usage_by_node_id.pop(node_id, None)
         self._silent_by_id.pop(node_id, None)
         self._node_by_id.pop(node_id, None)
         self._node_by_id[node_id] = _Node(
@@ -283,7 +283,7 @@
         per_s = terms.window_calls / terms.bounds.window_s
         return min(terms.window_calls, lowest + per_s * accrued_s)
 
-    def _account(self, customer: str) -> Account | None:
+    def _account(self, customer: str) -> QuotaAccount | None:
         terms = self._terms(customer)
         account = self._account_by_customer.get(customer)
         if terms is None:
@@ -292,14 +292,14 @@
                 self._limited.discard(customer)
             return None
         if account is None:
-            account = self._account_by_customer[customer] = Account(
+            account = self._account_by_customer[customer] = QuotaAccount(
                 terms=terms,
                 balance=self._first_balance(customer, terms),
-                refilled_to_s=self._accrued_s,
+                window_end_s=self._accrued_s,
             )
         elif account.terms != terms:
             account.change_terms(terms)
-        account.refill(self._accrued_s)
+        account.advance_window(self._accrued_s)
         return account
 
     def _take_usage(
@@ -308,25 +308,26 @@
         account = self._account(usage.customer)
         if account is None:
             return
-        lane = account.lane_by_id.get(node_id)
+        node_usage = account.usage_by_node_id.get(node_id)
         admitted = usage.admitted - usage.acknowledged
         rejected = 0
-        if lane is not None and lane.admitted >= 0 and not was_elsewhere:
-            admitted = usage.admitted - lane.admitted
-            rejected = usage.rejected - lane.rejected
-        if lane is None:
-            lane = account.lane_by_id[node_id] = Lane(admitted=0, rejected=0)
-        lane.admitted, lane.rejected = usage.admitted, usage.rejected
-        lane.tokens = max(0.0, lane.tokens - admitted)
-        lane.lacks_tokens = rejected > 0
-        lane.observe(admitted + rejected, now)
+        if node_usage is not None and node_usage.admitted >= 0 and not was_elsewhere:
+            admitted = usage.admitted - node_usage.admitted
+            rejected = usage.rejected - node_usage.rejected
+        if node_usage is None:
+            node_usage = NodeUsage(admitted=0, rejected=0)
+            account.usage_by_node_id[node_id] = node_usage
+        node_usage.admitted, node_usage.rejected = usage.admitted, usage.rejected
+        node_usage.tokens = max(0.0, node_usage.tokens - admitted)
+        node_usage.lacks_tokens = rejected > 0
+        node_usage.observe(admitted + rejected, now)
         account.use(admitted)
         if admitted > 0 or rejected > 0:
             account.used_at = now
             self._active_until = now + ACTIVE_S
         self._evaluate(usage.customer, now)
 
-    def _evaluate(self, customer: str, now: float) -> Account | None:
+    def _evaluate(self, customer: str, now: float) -> QuotaAccount | None:
         """Update whether a customer is limited; return its account."""
         account = self._account(customer)
         if account is None:
--- a/src/comfreytray/customers/quotagate.py
+++ b/src/comfreytray/customers/quotagate.py
@@ -10,7 +10,7 @@
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.metrics import Metrics
 from comfreytray.customers.quotamessages import Answer, Lease, Report, Usage
-from comfreytray.customers.quotashares import BlindShares
+from comfreytray.customers.quotashares import FallbackShares
 from comfreytray.customers.quotaterms import (
     REPORT_PERIOD_S,
     QuotaTerms,
@@ -86,7 +86,7 @@
         self._failed_at = -math.inf
         self._unanswered_since = math.inf
         self._acknowledged_at = self._started_at
-        self._blind_shares = BlindShares(node_id=node_id, member_ids=member_ids)
+        self._fallback_shares = FallbackShares(node_id=node_id, member_ids=member_ids)
 
     @property
     def is_active(self) -> bool:
@@ -114,8 +114,8 @@
         wait_s = self._wait_s(customer, state, terms)
         if wait_s is None:
             state.admitted += 1
-            if self._uses_own_share(customer):
-                state.blind.tokens -= 1.0
+            if self._uses_fallback(customer):
+                state.fallback.tokens -= 1.0
                 self._is_urgent = True
             else:
                 lease = self._contact.lease_by_customer.get(customer)
@@ -289,10 +289,14 @@
             # `valid_until` may lie ahead if the machine was suspended.
             lapsed_at = min(self._clock.monotonic(), self._contact.valid_until)
             since = max(self._started_at, lapsed_at)
-            return self._own_wait_s(customer, state, terms, since=since, filled=False)
-        if self._uses_own_share(customer):
+            return self._fallback_wait_s(
+                customer, state, terms, since=since, filled=False
+            )
+        if self._uses_fallback(customer):
             since = self._unanswered_since
-            return self._own_wait_s(customer, state, terms, since=since, filled=True)
+            return self._fallback_wait_s(
+                customer, state, terms, since=since, filled=True
+            )
         lease = self._contact.lease_by_customer.get(customer)
         used = state.admitted - state.base
         if lease is None:
@@ -304,7 +308,7 @@
             return None
         return 1.0 / lease.rate_per_s if lease.rate_per_s > 0 else MAX_RETRY_S
 
-    def _uses_own_share(self, customer: str) -> bool:
+    def _uses_fallback(self, customer: str) -> bool:
         """Whether the answer does not say what the node may admit now."""
         if not self._has_contact():
             return True
@@ -312,7 +316,7 @@
         is_leased = customer in self._contact.lease_by_customer
         return unanswered_s > UNANSWERED_S and not is_leased
 
-    def _own_wait_s(
+    def _fallback_wait_s(
         self,
         customer: str,
         state: CustomerUsage,
@@ -327,10 +331,10 @@
         at least that of the calls that the node has admitted until then.
         """
         now = self._clock.monotonic()
-        share = self._blind_shares.of(customer, terms)
+        share = self._fallback_shares.of(customer, terms)
         rate_per_s = share.rate_per_s
         if filled and share.capacity:
             rate_per_s = max(rate_per_s, state.mean_per_s)
-        return state.blind.wait_s(
+        return state.fallback.wait_s(
             share, rate_per_s=rate_per_s, since=since, filled=filled, now=now
         )
--- a/src/comfreytray/customers/quotashares.py
+++ b/src/comfreytray/customers/quotashares.py
@@ -13,16 +13,16 @@
 
 
 @frozen(kw_only=True)
-class BlindShare:
+class FallbackShare:
     """The part of a quota that a node may use without hearing from a coordinator."""
 
     rate_per_s: float = 0.0
     capacity: float = 0.0
 
 
-def blind_share(
+def fallback_share(
     terms: QuotaTerms, customer: str, node_id: str, node_ids: Iterable[str]
-) -> BlindShare:
+) -> FallbackShare:
     """Return the share of a node; the shares of all nodes together keep to the bound.
 
     A node needs at least one token to admit a call. Where the quota and the excess
@@ -31,20 +31,20 @@
     ids = set(node_ids) | {node_id}
     if terms.burst >= len(ids):
         share = 1.0 / len(ids)
-        return BlindShare(
+        return FallbackShare(
             rate_per_s=terms.rate_per_s * share, capacity=terms.burst * share
         )
     holders = min(len(ids), int(terms.burst + terms.leased_excess))
     if holders < 1:
-        return BlindShare()
+        return FallbackShare()
     own = hash01(customer, node_id)
     rank = sum(hash01(customer, other) < own for other in ids)
     if rank >= holders:
-        return BlindShare()
-    return BlindShare(rate_per_s=terms.rate_per_s / holders, capacity=1.0)
+        return FallbackShare()
+    return FallbackShare(rate_per_s=terms.rate_per_s / holders, capacity=1.0)
 
 
-class BlindShares:
+class FallbackShares:
     """The shares of one node, computed again when the members or a quota change."""
 
     def __init__(
@@ -53,9 +53,9 @@
         self._node_id = node_id
         self._member_ids = member_ids
         self._known_ids: Collection[str] = ()
-        self._share_by_customer: dict[str, tuple[QuotaTerms, BlindShare]] = {}
+        self._share_by_customer: dict[str, tuple[QuotaTerms, FallbackShare]] = {}
 
-    def of(self, customer: str, terms: QuotaTerms) -> BlindShare:
+    def of(self, customer: str, terms: QuotaTerms) -> FallbackShare:
         """Return the share of a customer's quota."""
         ids = self._member_ids()
         if ids is not self._known_ids:
@@ -63,21 +63,21 @@
             self._share_by_customer.clear()
         known = self._share_by_customer.get(customer)
         if known is None or known[0] != terms:
-            known = (terms, blind_share(terms, customer, self._node_id, ids))
+            known = (terms, fallback_share(terms, customer, self._node_id, ids))
             self._share_by_customer[customer] = known
         return known[1]
 
 
 @define(kw_only=True)
-class BlindBucket:
-    """The tokens of one customer's blind share at this node."""
+class FallbackBucket:
+    """The tokens of one customer's fallback share at this node."""
 
     tokens: float = 0.0
     refilled_at: float = -math.inf
 
     def wait_s(
         self,
-        share: BlindShare,
+        share: FallbackShare,
         *,
         rate_per_s: float,
         since: float,
--- a/src/comfreytray/customers/quotausage.py
+++ b/src/comfreytray/customers/quotausage.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from comfreytray.customers.quotashares import BlindBucket
+from comfreytray.customers.quotashares import FallbackBucket
 from comfreytray.customers.quotaterms import QuotaTerms
 
 MEAN_S = 4.0
@@ -37,7 +37,7 @@
     """Total in the newest report that was answered."""
     mean_per_s: float = 0.0
     """Mean rate of admitted calls while reports were answered."""
-    blind: BlindBucket = field(factory=BlindBucket)
+    fallback: FallbackBucket = field(factory=FallbackBucket)
 
     def note_sent(self) -> None:
         """Note that the totals are in the newest report."""
--- a/src/comfreytray/platform/earlyimports.py
+++ b/src/comfreytray/platform/earlyimports.py
@@ -23,7 +23,7 @@
 _UNUSED = ("ssl", "_hashlib")
 
 
-class LateModule(ModuleType):
+class LazyModule(ModuleType):
     """Stands for a module that is loaded when one of its attributes is first read."""
 
     def __getattr__(self, name: str) -> Any:
@@ -39,11 +39,11 @@
 
 @contextmanager
 def load_at_first_use(name: str) -> Iterator[None]:
-    """Give importers within the context a `LateModule`, unless it is loaded already."""
+    """Give importers within the context a `LazyModule`, unless it is loaded already."""
     if name in sys.modules:
         yield
         return
-    late = LateModule(name)
+    late = LazyModule(name)
     sys.modules[name] = late
     try:
         yield
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -111,9 +111,11 @@
     if not isinstance(contracts, list) or ROLLOUT_CONTRACT not in contracts:
         return None
     return RolloutBounds(
-        exposure_share=bounds.get("exposure_share", DEFAULT_EXPOSURE_SHARE),
-        exposure_slack=bounds.get("exposure_slack", DEFAULT_EXPOSURE_SLACK),
-        rollback_s=bounds.get("rollback_s", DEFAULT_ROLLBACK_S),
+        exposure_share=_bound_from(bounds, "exposure_share", DEFAULT_EXPOSURE_SHARE),
+        exposure_slack=_bound_from(bounds, "exposure_slack", DEFAULT_EXPOSURE_SLACK),
+        rollback_s=_bound_from(
+            bounds, "rollback_s", DEFAULT_ROLLBACK_S, low=MIN_WINDOW_S
+        ),
     )
 
 
--- a/src/comfreytray/rollouts/evidence.py
+++ b/src/comfreytray/rollouts/evidence.py
@@ -13,11 +13,10 @@
 BUCKETS_PER_DOUBLING = 4
 MIN_TIME_S = 0.00025
 MAX_BUCKET = 80
-"""Bucket of 250 s and more."""
+"""Bucket of 262 s and more."""
 SLOW_BUCKETS = 6
-"""Distance from the median at which an answer is slow: a factor of 2.4 to 2.8. With 5,
-a good version was rolled back in 7 of 24 runs, since its slower instances had several
-times as many slow answers as the old version has on the whole."""
+"""Distance from the median at which an answer is slow: a factor of 2.4 to 2.8. A
+smaller distance counts the normal answers of slower instances."""
 MIN_TYPICAL_ANSWERS = 10
 """Answers of the old version on a route from which its usual time is known."""
 MIN_BAD_SHARE = 0.02
