--- a/src/comfreytray/platform/callerlimits.py
+++ b/src/comfreytray/platform/callerlimits.py
@@ -17,7 +17,7 @@
 
 
 def read_limits(spec: object) -> CallerLimits:
-    """Decode limits; one that is absent or odd keeps its default.
+    """Decode limits; one that is absent or malformed keeps its default.
 
     Larger ones than a node supports are lowered to what it supports.
     """
--- a/src/comfreytray/platform/configuration.py
+++ b/src/comfreytray/platform/configuration.py
@@ -116,7 +116,7 @@
 
 
 def _account_if_valid(resource: Mapping[str, Any]) -> list[tuple[Account, list[str]]]:
-    """Decode the account of a customer; an odd one is left out, the others hold."""
+    """Decode the account of a customer; a malformed one is left out."""
     try:
         return [_account(resource)]
     except _MALFORMED_ERRORS as error:
