Buffer the beginning of an answer in one piece of memory

Cause: the first 256 KiB of an answer were kept as a list of chunks.

Change: the parts are appended to one bytearray.

Result: features/calls_[a-e]* in one process, which failed 3 of 3 times before, passes (68 scenarios).

--- a/src/comfreytray/calls/exchange.py
+++ b/src/comfreytray/calls/exchange.py
@@ -55,12 +55,11 @@
 
     def read_buffered(self) -> bytes:
         """Read the answer to its end, or up to `MAX_BUFFERED_BYTES`."""
-        parts = [self._read(CHUNK_BYTES)]
-        size = len(parts[0])
-        while not self.done and size < MAX_BUFFERED_BYTES:
-            parts.append(self._read(CHUNK_BYTES))
-            size += len(parts[-1])
-        return b"".join(parts)
+        # Not a list of parts: an upstream may send chunks of one byte each.
+        buffered = bytearray(self._read(CHUNK_BYTES))
+        while not self.done and len(buffered) < MAX_BUFFERED_BYTES:
+            buffered += self._read(CHUNK_BYTES)
+        return bytes(buffered)
 
     def stream(self) -> Iterator[bytes]:
         """Yield the further parts of the answer."""
