--- a/src/comfreytray/calls/exchange.py
+++ b/src/comfreytray/calls/exchange.py
@@ -55,7 +55,7 @@
 
     def read_buffered(self) -> bytes:
         """Read the answer to its end, or up to `MAX_BUFFERED_BYTES`."""
-        # Not a list of parts: an upstream may send chunks of one byte each.
+        # A list of parts would take far more memory when chunks are of one byte.
         buffered = bytearray(self._read(CHUNK_BYTES))
         while not self.done and len(buffered) < MAX_BUFFERED_BYTES:
             buffered += self._read(CHUNK_BYTES)
