review: case 8, a confirmed departure is lost in a drill of the store (DRAIN)

Cause: a departure that was confirmed is kept by the store and by the node that confirmed it. A return of the store from an older copy and a kill of that node lose it, and a late heartbeat brings the instance back, although other nodes hold the newer record.

Nothing is fixed.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -9,6 +9,7 @@
 import os
 import random
 import select
+import signal
 import socket
 import subprocess
 import sys
@@ -74,6 +75,8 @@
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.changes: list[tuple[int, str, dict[str, Any], bool]] = []
         self.changed = threading.Condition()
+        self.era = 0
+        """Rises with each return from an older copy; told in all answers unless 0."""
         self.on_call: Callable[[str, str, str], None] = lambda *_: None
         """Called with the caller's address, the method and the path of a call."""
         self.server = _StoreServer((ip, 0), _StoreHandler)
@@ -86,6 +89,22 @@
         with self.changed:
             return self._put(kind, name, spec)["metadata"]["revision"]
 
+    def copy(self) -> tuple[int, dict[str, dict[str, dict[str, Any]]], int]:
+        """Return a copy of what the store holds."""
+        with self.changed:
+            held = {kind: dict(found) for kind, found in self.objects.items()}
+            return self.revision, held, len(self.changes)
+
+    def restore(
+        self, copy: tuple[int, dict[str, dict[str, dict[str, Any]]], int]
+    ) -> None:
+        """Come back from a copy: revisions go back, and the era rises."""
+        with self.changed:
+            self.revision, self.objects, changes = copy
+            del self.changes[changes:]
+            self.era += 1
+            self.changed.notify_all()
+
     def _put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         self.revision += 1
         before = self.objects.setdefault(kind, {}).get(name)
@@ -160,6 +179,8 @@
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(data)))
+        if self.server.store.era:
+            self.send_header("Store-Era", str(self.server.store.era))
         self.end_headers()
         self.wfile.write(data)
 
@@ -200,8 +221,11 @@
     def _watch(self, kind: str, after: int, wait_ms: int) -> None:
         store = self.server.store
         deadline = time.monotonic() + wait_ms / 1000
+        era = store.era
         with store.changed:
             while True:
+                if store.era != era or after > store.revision:
+                    break
                 events = [
                     {"removed": removed, "object": found}
                     for revision, of, found, removed in store.changes
@@ -211,9 +235,17 @@
                 if events or left_s <= 0 or store.mode != "serves":
                     break
                 store.changed.wait(min(left_s, 0.1))
-            data = json.dumps({"events": events, "store_revision": store.revision})
+            is_gone = store.era != era or after > store.revision
+            answer = {} if is_gone else self._changes(events)
         if not self._refused():
-            self._answer(200, json.loads(data))
+            self._answer(410 if is_gone else 200, answer)
+
+    def _changes(self, events: list[dict[str, Any]]) -> dict[str, Any]:
+        """Return the answer to a watch, apart from what changes later."""
+        revision = self.server.store.revision
+        found = json.dumps({"events": events, "store_revision": revision})
+        answer: dict[str, Any] = json.loads(found)
+        return answer
 
     def do_POST(self) -> None:
         """Create an object."""
@@ -742,6 +774,8 @@
     Each machine is a zone, a region and a service.
     """
     record = Record(Path(case) / "record.txt")
+    # So that a script which is ended by its time limit ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     net = free_net()
     with tempfile.TemporaryDirectory() as folder_name:
         folder = Path(folder_name)
