Write the answers of a connection in one greenlet at a time

Cause: Pipeline.write_ready wrote an answer that had already ended, and waited for the socket; the greenlet of the next answer found the same one finished with an empty buffer, took it for written, and wrote its own bytes to the same BufferedWriter. That raised "RuntimeError: reentrant call" after the buffer was cleared; `_respond` caught OSError only, so the answer was lost without a word and the connection went on. Told from the other hypotheses (answers matched wrongly between nodes; the attribution of answers on kept connections): one node and no stream between two shows it, and the trace names the reentrant call.

Change: the pipeline owns the socket and is its only writer, one greenlet at a time; an answer leaves the queue only when its last byte was written. Whatever ends a write or the greenlet of an answer early closes the connection. The same cause on related paths: `100 Continue`, the refusal of a malformed head and the WSGI server's own error pages were written past the pipeline, and flushed at the end of a connection; all have their turn now. Dropped answers are logged (`answers-dropped`) and counted.

The stub of planned_stop has the metrics that a server context has now.

--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -7,6 +7,7 @@
 from comfreytray.calls.callers import CallerConnections, Listener
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.clock import SystemClock
+from comfreytray.common.metrics import Metrics
 from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS
 
 REQUEST = b"GET /%s HTTP/1.1\r\nHost: a.example\r\n\r\n"
@@ -17,6 +18,7 @@
 class _CallPathStub:
     def __init__(self):
         self.clock = SystemClock()
+        self.metrics = Metrics()
         self.callers = CallerConnections()
         self.pending_head_by_socket = {}
 
--- a/src/comfreytray/calls/callers.py
+++ b/src/comfreytray/calls/callers.py
@@ -11,6 +11,10 @@
 POLL_S = 0.02
 FIRST_REQUEST_S = 0.5
 """Time in which the first request of a new connection is awaited during a stop."""
+LINGER_S = 0.5
+"""Time to read and discard what a caller still sends before the connection closes."""
+MAX_LINGER_BYTES = 2_097_152
+READ_BYTES = 65_536
 _PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
 
 
@@ -138,3 +142,18 @@
     """Shut down the read side of a connection; writes still go out."""
     with contextlib.suppress(OSError):
         sock.shutdown(plain_socket.SHUT_RD)
+
+
+def linger(sock: Any) -> None:
+    """Read on for a moment: closing with unread bytes would reset the connection.
+
+    A reset can reach the caller before the answer and discard it.
+    """
+    with contextlib.suppress(OSError), eventlet.Timeout(LINGER_S, False):
+        sock.shutdown(plain_socket.SHUT_WR)
+        remaining = MAX_LINGER_BYTES
+        while remaining > 0:
+            part = sock.recv(READ_BYTES)
+            if not part:
+                return
+            remaining -= len(part)
--- a/src/comfreytray/calls/httpserver.py
+++ b/src/comfreytray/calls/httpserver.py
@@ -1,10 +1,8 @@
 """HTTP server for callers: eventlet's WSGI server with strict head parsing."""
 
-import contextlib
 import copy
 import functools
 import re
-import socket as plain_socket
 import warnings
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -18,6 +16,7 @@
     CallerConnections,
     HeadTimeoutError,
     PendingHead,
+    linger,
 )
 from comfreytray.calls.heads import (
     MAX_HEAD_BYTES,
@@ -27,19 +26,21 @@
     body_framing,
     read_fields,
 )
-from comfreytray.calls.pipelines import Pipeline, PipelinedResponse
+from comfreytray.calls.pipelines import (
+    ClosingWriter,
+    DropReason,
+    Pipeline,
+    PipelinedResponse,
+)
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
+from comfreytray.common.metrics import Metrics
 from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS, CallerLimits
 from comfreytray.configuration.snapshots import SAFE_METHODS
 
 SOCKET_TIMEOUT_S = 30.0
 MAX_CONNECTIONS = 2048
-LINGER_S = 0.5
-"""Time to read and discard what a caller still sends before the connection closes."""
-MAX_LINGER_BYTES = 2_097_152
-READ_BYTES = 65_536
 
 _REQUEST_LINE = re.compile(
     rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) (/[\x21-\x7e]*) (HTTP/1\.[01])\r?\n"
@@ -52,6 +53,7 @@
     """What the server needs before a request reaches the application."""
 
     clock: Clock
+    metrics: Metrics
     callers: CallerConnections
     pending_head_by_socket: dict[Any, PendingHead]
 
@@ -71,6 +73,7 @@
         """Refuses ambiguous heads and answers pipelined requests in order."""
 
         headers: Any
+        wfile: Any
         pipeline: Pipeline
         close_connection: Any
         limits: CallerLimits
@@ -120,17 +123,24 @@
             )
             return True
 
-        def handle(self) -> None:
+        def setup(self) -> None:
+            super().setup()
             self.pipeline = Pipeline(
-                target=self.wfile,
+                send=self.connection.sendall,
                 on_idle=lambda: context.callers.mark_idle(self.connection),
                 on_close=self._stop_reading,
+                on_drop=_record_dropped(context.metrics),
             )
+            # Nothing but the pipeline writes to the connection.
+            self.wfile.close()
+            self.wfile = ClosingWriter(pipeline=self.pipeline)
+
+        def handle(self) -> None:
             try:
                 super().handle()
                 self._wait_for_responses()
             finally:
-                self.pipeline.close()
+                self.pipeline.close(DropReason.CALLER_LEFT)
                 context.pending_head_by_socket.pop(self.connection, None)
                 context.callers.remove(self.connection)
 
@@ -160,6 +170,10 @@
             exchange = copy.copy(self)
             exchange.wfile = response = self.pipeline.add_response()
             exchange.environ["comfreytray.protocol"] = exchange
+            request_input = exchange.environ["eventlet.input"]
+            if request_input.wfile is not None:
+                # A `100 Continue` has its turn like the answer that it precedes.
+                request_input.wfile = response
             if self.command in SAFE_METHODS and not _has_body(self.headers):
                 response.greenlet = eventlet.spawn(exchange._respond, response)
                 return
@@ -171,14 +185,18 @@
 
         def _respond(self, response: PipelinedResponse) -> None:
             """Run one request and write its answer into `response`."""
-            closes_connection = True
             try:
                 super().handle_one_response()
-                closes_connection = bool(self.close_connection)
-                response.finish(closes_connection=closes_connection)
+                response.finish(closes_connection=bool(self.close_connection))
             except OSError as error:
                 logs.log(logs.Event.CALLER_LOST, reason=type(error).__name__)
-                self.pipeline.close()
+            except Exception as error:
+                logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+            finally:
+                if not response.finished:
+                    # Without an end it would hold up all later answers.
+                    self.close_connection = True
+                    self.pipeline.close(DropReason.ANSWER_FAILED)
 
         def parse_request(self) -> bool:
             self.close_connection = True
@@ -264,17 +282,19 @@
             )
 
         def _refuse(self, failure: Failure) -> None:
-            self.pipeline.wait_until_empty()
             headers = getattr(self, "headers", None)
             language = headers.get("accept-language", "") if headers else ""
-            self.wfile.write(context.encode_refusal(failure, language))
-            self.wfile.flush()
             self.close_connection = True
             self.lingers = True
+            try:
+                self.wfile.write(context.encode_refusal(failure, language))
+            except OSError as error:
+                logs.log(logs.Event.CALLER_LOST, reason=type(error).__name__)
+            self.pipeline.wait_until_empty()
 
         def finish(self) -> None:
             if self.lingers:
-                _linger(self.connection, self.wfile)
+                linger(self.connection)
             super().finish()
 
     return StrictProtocol
@@ -308,20 +328,14 @@
     return key if key == "CONTENT_LENGTH" else f"HTTP_{key}"
 
 
-def _linger(sock: Any, wfile: Any) -> None:
-    """Read on for a moment: closing with unread bytes would reset the connection.
+def _record_dropped(metrics: Metrics) -> Callable[[int, DropReason], None]:
+    """Return what counts and logs the answers that a connection drops."""
 
-    A reset can reach the caller before the answer and discard it.
-    """
-    with contextlib.suppress(OSError), eventlet.Timeout(LINGER_S, False):
-        wfile.flush()
-        sock.shutdown(plain_socket.SHUT_WR)
-        remaining = MAX_LINGER_BYTES
-        while remaining > 0:
-            part = sock.recv(READ_BYTES)
-            if not part:
-                return
-            remaining -= len(part)
+    def record(count: int, reason: DropReason) -> None:
+        metrics.count("answers_dropped", count)
+        logs.log(logs.Event.ANSWERS_DROPPED, count=count, reason=reason.value)
+
+    return record
 
 
 def _has_body(headers: Fields) -> bool:
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -34,6 +34,7 @@
     HEARTBEAT_REFUSED = "heartbeat-refused"
     HEARTBEAT_STALE = "heartbeat-stale"
     CALLER_LOST = "caller-lost"
+    ANSWERS_DROPPED = "answers-dropped"
     CALL_ANSWERED = "call-answered"
     LINES_LEFT_OUT = "lines-left-out"
     CALLS_CUT = "calls-cut"
