Bound the answers and frames that nobody takes yet for the whole process

Cause: the answer to a request that is not the first of its connection was gathered in a list without a bound, and taking its parts from the call stream granted the owner credit for more, so that flow control between the nodes never stopped the instance. Told from a head without end (bounded, 16 KiB) and from the window of a call stream (held at 256 KiB in the trace): with the caller's node beside the instance, without any stream, memory grew alike (758 MB and 476 MB; 379 and 386 MB through another node).

Change: an answer that has 64 KiB waiting for its turn, or for its caller, is not read on; that stops the stream, and the instance. Whatever a process holds for callers (read ahead from an instance, received on streams, waiting for a turn, buffered for HTTP/1.0) counts against one bound, an eighth of the memory in the settings; so do the unsent bytes of the streams between nodes, of which each was bounded alone. Over the bound the largest is given up (`bytes-shed`, `answers_shed`, `outboxes_shed`). An answer that is given up before its first byte was sent is replaced by 502, in its place, so that the answers behind it still come; before, the connection closed.

--- /dev/null
+++ b/features/calls_unread_answers.feature
@@ -0,0 +1,52 @@
+Feature: Answers that nobody takes yet are bounded for the whole node
+
+  # One answer without end, sent ahead of its turn, took the node beyond its memory
+  # (review/7).
+  Scenario Outline: Answers without end wait for their turn (<kind>, <beside> node)
+    Given a node beside an upstream whose answers may never end
+    And another node without it
+    When a caller of the <beside> node sends a late lookup and two with <kind> without end
+    Then the other calls are answered
+    And the node holds at most 16 MB more than before
+    And it holds nothing more once the callers have left
+
+    Examples:
+      | kind      | beside  |
+      | chunks    | same    |
+      | chunks    | another |
+      | body      | same    |
+      | body      | another |
+      | long-body | same    |
+      | long-body | another |
+
+  Scenario Outline: An answer that is given up before its turn does not cost the others
+    Given a node beside an upstream whose answers may never end
+    And another node without it
+    When a caller of the <beside> node sends a late lookup, an endless one and a third
+    Then it gets 200, 502 and 200 on one connection
+
+    Examples:
+      | beside  |
+      | same    |
+      | another |
+
+  Scenario: Callers that read nothing take no more memory than the node has for answers
+    Given two nodes, of which one has 2 MB for answers
+    When 24 callers of that node ask for large answers and read nothing
+    Then it never holds more than 2 MB for them
+    And a caller that reads gets its answers
+    And it holds nothing more once the callers have left
+
+  Scenario: Callers of HTTP/1.0 take no more memory than the node has for answers
+    Given two nodes, of which one has 2 MB for answers
+    When 24 callers of HTTP/1.0 of that node ask for answers of unknown length
+    Then it never holds more than 2 MB for them
+    And it holds nothing more once the callers have left
+
+  Scenario: The largest holder gives up its bytes, and the sum is kept
+    When 200 seeded holders take and release bytes at random
+    Then no sum exceeded its limit, and each time the largest was given up
+
+  Scenario: A peer that reads nothing does not fill the memory for outboxes
+    When frames for 8 peers that read nothing are queued beyond the limit
+    Then only connections of peers that held most are closed, and the sum is kept
--- a/features/steps/calls_pipelines_order_steps.py
+++ b/features/steps/calls_pipelines_order_steps.py
@@ -10,6 +10,7 @@
 from eventlet.green import socket
 
 from comfreytray.calls.pipelines import Pipeline
+from comfreytray.calls.transitmemory import TransitMemory
 
 LARGE_BYTES = 8_000_000
 """More than the kernel takes for a connection whose caller does not read."""
@@ -191,6 +192,7 @@
     connection = _BlockingConnection(rng)
     pipeline = Pipeline(
         send=connection.send,
+        memory=TransitMemory(purpose="answers"),
         on_idle=lambda: None,
         on_close=lambda: None,
         on_drop=lambda count, reason: None,
--- a/features/steps/calls_slots_steps.py
+++ b/features/steps/calls_slots_steps.py
@@ -135,9 +135,7 @@
         eventlet.sleep(0.2)
     open_connections = context.fleet.path_by_id["a"].client.connections
     context.buffered = [
-        s.buffered_bytes
-        for c in open_connections
-        for s in c.streams.stream_by_id.values()
+        s.held_bytes for c in open_connections for s in c.streams.stream_by_id.values()
     ]
     context.ahead = context.sent
     context.got = read_answer(sock)
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -6,6 +6,7 @@
 from comfreytray.calls import callers, httpserver
 from comfreytray.calls.callers import CallerConnections, Listener
 from comfreytray.calls.stopping import StopSchedule
+from comfreytray.calls.transitmemory import TransitMemory
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.metrics import Metrics
 from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS
@@ -19,6 +20,7 @@
     def __init__(self):
         self.clock = SystemClock()
         self.metrics = Metrics()
+        self.answer_memory = TransitMemory(purpose="answers")
         self.callers = CallerConnections()
         self.pending_head_by_socket = {}
 
--- a/src/comfreytray/calls/answers.py
+++ b/src/comfreytray/calls/answers.py
@@ -1,10 +1,12 @@
 """Build HTTP answers from replies and failures."""
 
+import itertools
 import json
 import math
 from collections.abc import Callable, Iterator
+from typing import Protocol
 
-from attrs import define
+from attrs import define, field
 
 from comfreytray.calls.call import (
     ERROR_HEADER,
@@ -17,23 +19,52 @@
     fail,
 )
 from comfreytray.calls.dialect import NATIVE, Dialect
+from comfreytray.calls.transitmemory import ANSWERS_SHED, TransitMemory
 from comfreytray.common.errors import Failure, Kind
 
 MessageFor = Callable[[Failure, str], str]
 """Returns a failure's text in a language that an Accept-Language value allows."""
 
 
+class AnswerTarget(Protocol):
+    """Takes the bytes of an answer on their way to the caller."""
+
+    is_started: bool
+    """Whether any byte was sent to the caller."""
+    failure: Failure | None
+    """Why the answer was given up."""
+
+    def fail(self, failure: Failure) -> None:
+        """Give the answer up, and report the failure in its place."""
+        ...
+
+
 @define(kw_only=True, eq=False)
 class StreamedBody:
     """The WSGI body of a streamed answer; calls `on_end` when it is closed."""
 
     reply: Reply
     on_end: Callable[[], None]
+    target: AnswerTarget | None = None
 
     def __iter__(self) -> Iterator[bytes]:
-        if self.reply.body:
-            yield self.reply.body
-        yield from self.reply.rest or ()
+        try:
+            if self.reply.body:
+                body, self.reply.body = self.reply.body, b""
+                yield body
+                del body
+            for part in self.reply.rest or ():
+                self._check()
+                yield part
+        except CallCutError as error:
+            if self.target is not None and not self.target.is_started:
+                self.target.fail(error.failure)
+            raise
+
+    def _check(self) -> None:
+        """Raise CallCutError if the answer was given up."""
+        if self.target is not None and self.target.failure is not None:
+            raise CallCutError(self.target.failure)
 
     def close(self) -> None:
         """Release the resources of the answer, even if it was not read to its end."""
@@ -89,33 +120,61 @@
     return [] if seconds is None else [("Retry-After", f"{seconds:.3g}")]
 
 
-def encode_closing_refusal(
-    outcome: Outcome, text: str, dialect: Dialect = NATIVE
+def encode_refusal(
+    outcome: Outcome,
+    text: str,
+    dialect: Dialect = NATIVE,
+    *,
+    closes: bool,
+    with_body: bool = True,
 ) -> bytes:
-    """Return a complete HTTP answer after which the connection closes."""
+    """Return the complete HTTP answer that reports a failure.
+
+    `closes` tells that the connection closes after it; an answer to a HEAD request has
+    no body.
+    """
     status, headers, body = build_refusal(outcome, text, dialect)
     lines = [f"HTTP/1.1 {status}"]
     lines.extend(f"{name}: {value}" for name, value in headers)
-    lines.extend((f"{LENGTH_HEADER}: {len(body)}", "Connection: close", "", ""))
-    return "\r\n".join(lines).encode("latin-1") + body
+    lines.append(f"{LENGTH_HEADER}: {len(body)}")
+    if closes:
+        lines.append("Connection: close")
+    head = "\r\n".join((*lines, "", "")).encode("latin-1")
+    return head + body if with_body else head
+
+
+@define(kw_only=True, eq=False)
+class _BufferedAnswer:
+    """The parts of an answer that is read into memory whole."""
+
+    held_bytes: int = 0
+    parts: list[bytes] = field(factory=list)
+    is_shed: bool = False
+
+    def shed(self) -> None:
+        """Give the answer up; it ends when its next part comes."""
+        self.is_shed = True
+        self.parts.clear()
 
 
-def buffer_reply(reply: Reply) -> Reply | Outcome:
+def buffer_reply(reply: Reply, memory: TransitMemory) -> Reply | Outcome:
     """Read a streamed answer into memory.
 
     For callers whose connection can't show that an answer was cut short.
     """
-    parts = [reply.body]
-    size = len(reply.body)
+    buffered = _BufferedAnswer()
     try:
-        for part in reply.rest or ():
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BODY_BYTES:
+        for part in itertools.chain((reply.body,), reply.rest or ()):
+            buffered.parts.append(part)
+            memory.hold(buffered, len(part))
+            if buffered.is_shed:
+                return Outcome.of(ANSWERS_SHED)
+            if buffered.held_bytes > MAX_BODY_BYTES:
                 return fail(Kind.ANSWER_CUT, "too large without a length")
+        reply.body, reply.rest = b"".join(buffered.parts), None
     except CallCutError as error:
         return Outcome.of(error.failure)
     finally:
+        memory.release(buffered, buffered.held_bytes)
         reply.close()
-    reply.body, reply.rest = b"".join(parts), None
     return reply
--- a/src/comfreytray/calls/connections.py
+++ b/src/comfreytray/calls/connections.py
@@ -13,6 +13,7 @@
 from comfreytray.calls.streams import CallStream, CallStreams
 from comfreytray.calls.streamuploads import StreamSink, ask_for_uploads, send_upload
 from comfreytray.calls.streamwriter import Writer, shut_down_socket
+from comfreytray.calls.transitmemory import TransitMemory
 from comfreytray.calls.uploads import BufferedUpload
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
@@ -51,6 +52,7 @@
         self.takes_uploads: bool | None = None
         """Whether the owner takes bodies in parts; None if it was not asked yet."""
         self.writer = Writer(sock=sock, outbox=streams.outbox, on_lost=self.close)
+        streams.flush = self.writer.flush
 
     def close(self) -> None:
         """Shut the connection down and fail its open calls."""
@@ -111,8 +113,11 @@
         clock: Clock,
         metrics: Metrics,
         announces_bodies: bool = False,
+        answer_memory: TransitMemory | None = None,
+        outbox_memory: TransitMemory | None = None,
     ) -> None:
         """Create it; with `announces_bodies` the owner decides when a body is sent."""
+        self.answer_memory, self.outbox_memory = answer_memory, outbox_memory
         self.announces_bodies = announces_bodies
         self.own_id = own_id
         self.clock = clock
@@ -208,7 +213,7 @@
             load=stream.load,
         )
         if stream.complete:
-            reply.body = b"".join(stream.chunks)
+            reply.body = connection.streams.take_all(stream)
             return reply
         reply.close = lambda: self._cancel(connection, stream)
         reply.rest = self._stream_body(connection, stream, signal, call)
@@ -294,7 +299,12 @@
             signal.fire()
 
     def _register(self, key: tuple[str, Address], sock: Any, node_id: str) -> None:
-        streams = CallStreams(caller_id=self.own_id, expected_id=node_id)
+        streams = CallStreams(
+            caller_id=self.own_id,
+            expected_id=node_id,
+            answer_memory=self.answer_memory,
+            outbox_memory=self.outbox_memory,
+        )
 
         def unregister(closed: OwnerConnection) -> None:
             if self._connection_by_key.get(key) is closed:
--- a/src/comfreytray/calls/exchange.py
+++ b/src/comfreytray/calls/exchange.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
-from attrs import define
+from attrs import define, field
 
 from comfreytray.calls.call import CallCutError
 from comfreytray.calls.heads import HeadError, StrictResponse
+from comfreytray.calls.transitmemory import ANSWERS_SHED, TransitMemory
 from comfreytray.calls.upstreamconnection import UpstreamConnection
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
@@ -39,12 +40,16 @@
     response: StrictResponse | None = None
     done: bool = False
     on_end: Callable[[], None] | None = None
+    memory: TransitMemory = field(factory=lambda: TransitMemory(purpose="answers"))
+    held_bytes: int = 0
+    _is_shed: bool = False
 
     def end(self, *, reusable: bool) -> None:
         """Return the connection to the pool, or close it; later calls do nothing."""
         if self.done:
             return
         self.done = True
+        self.memory.release(self, self.held_bytes)
         self.release(self.connection, reusable=reusable)
         if self.on_end is not None:
             self.on_end()
@@ -54,25 +59,51 @@
         self.end(reusable=False)
 
     def read_buffered(self) -> bytes:
-        """Read the answer to its end, or up to `MAX_BUFFERED_BYTES`."""
+        """Read the answer to its end, or up to `MAX_BUFFERED_BYTES`.
+
+        Less is read while answers take much memory.
+        """
         # A list of parts would take far more memory when chunks are of one byte.
-        buffered = bytearray(self._read(CHUNK_BYTES))
-        while not self.done and len(buffered) < MAX_BUFFERED_BYTES:
-            buffered += self._read(CHUNK_BYTES)
-        return bytes(buffered)
+        buffered = bytearray()
+        try:
+            while not buffered or self._may_buffer(len(buffered)):
+                part = self._read(CHUNK_BYTES)
+                buffered += part
+                self._hold(part)
+                if self.done:
+                    break
+            return bytes(buffered)
+        finally:
+            self.memory.release(self, self.held_bytes)
 
     def stream(self) -> Iterator[bytes]:
         """Yield the further parts of the answer."""
         try:
             while not self.done:
-                yield self._read(CHUNK_BYTES)
+                part = self._read(CHUNK_BYTES)
+                self._hold(part)
+                yield part
+                self.memory.release(self, len(part))
         finally:
             self.abort()
 
+    def shed(self) -> None:
+        """Give the answer up; its reader gets the failure with its next part."""
+        self._is_shed = True
+
+    def _hold(self, part: bytes) -> None:
+        if not self.done:
+            self.memory.hold(self, len(part))
+
+    def _may_buffer(self, size: int) -> bool:
+        return size < MAX_BUFFERED_BYTES and not self.memory.is_short
+
     def _read(self, size: int) -> bytes:
         """Read a part of the answer; raises CallCutError if the answer is truncated."""
         response = self.response
         assert response is not None
+        if self._is_shed:
+            raise CallCutError(ANSWERS_SHED)
         left_s = self.deadline - self.clock.monotonic()
         if left_s <= 0:
             raise CallCutError(_answer_cut("deadline"))
--- a/src/comfreytray/calls/httpserver.py
+++ b/src/comfreytray/calls/httpserver.py
@@ -1,12 +1,11 @@
 """HTTP server for callers: eventlet's WSGI server with strict head parsing."""
 
 import copy
-import functools
+import math
 import re
 import warnings
 from collections.abc import Callable
 from typing import Any, Protocol
-from urllib.parse import unquote
 
 import eventlet
 from eventlet import wsgi
@@ -20,10 +19,8 @@
 )
 from comfreytray.calls.heads import (
     MAX_HEAD_BYTES,
-    Fields,
     HeadError,
     HeadTooLargeError,
-    body_framing,
     read_fields,
 )
 from comfreytray.calls.pipelines import (
@@ -32,6 +29,8 @@
     Pipeline,
     PipelinedResponse,
 )
+from comfreytray.calls.requestheads import build_environ, check_head, has_body
+from comfreytray.calls.transitmemory import TransitMemory
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
@@ -54,15 +53,28 @@
 
     clock: Clock
     metrics: Metrics
+    answer_memory: TransitMemory
     callers: CallerConnections
     pending_head_by_socket: dict[Any, PendingHead]
 
+    @property
+    def leaving(self) -> bool:
+        """Whether connections of callers close after each answer."""
+        ...
+
     def caller_limits(self) -> CallerLimits:
         """Return the limits on requests that are in force."""
         ...
 
-    def encode_refusal(self, failure: Failure, accept_language: str) -> bytes:
-        """Return the complete HTTP response for a head that is refused."""
+    def encode_refusal(
+        self,
+        failure: Failure,
+        accept_language: str,
+        *,
+        closes: bool = True,
+        with_body: bool = True,
+    ) -> bytes:
+        """Return the complete HTTP response that reports a failure."""
         ...
 
 
@@ -127,6 +139,7 @@
             super().setup()
             self.pipeline = Pipeline(
                 send=self.connection.sendall,
+                memory=context.answer_memory,
                 on_idle=lambda: context.callers.mark_idle(self.connection),
                 on_close=self._stop_reading,
                 on_drop=_record_dropped(context.metrics),
@@ -168,13 +181,13 @@
             """Answer a request; a safe one without a body runs in its own greenlet."""
             self.pipeline.wait_for_capacity()
             exchange = copy.copy(self)
-            exchange.wfile = response = self.pipeline.add_response()
+            exchange.wfile = response = self.pipeline.add_response(exchange)
             exchange.environ["comfreytray.protocol"] = exchange
             request_input = exchange.environ["eventlet.input"]
             if request_input.wfile is not None:
                 # A `100 Continue` has its turn like the answer that it precedes.
                 request_input.wfile = response
-            if self.command in SAFE_METHODS and not _has_body(self.headers):
+            if self.command in SAFE_METHODS and not has_body(self.headers):
                 response.greenlet = eventlet.spawn(exchange._respond, response)
                 return
             response.greenlet = eventlet.getcurrent()
@@ -185,8 +198,11 @@
 
         def _respond(self, response: PipelinedResponse) -> None:
             """Run one request and write its answer into `response`."""
+            closes = bool(self.close_connection) or has_body(self.headers)
             try:
                 super().handle_one_response()
+                if response.failure is not None:
+                    self.close_connection = closes or context.leaving
                 response.finish(closes_connection=bool(self.close_connection))
             except OSError as error:
                 logs.log(logs.Event.CALLER_LOST, reason=type(error).__name__)
@@ -198,6 +214,19 @@
                     self.close_connection = True
                     self.pipeline.close(DropReason.ANSWER_FAILED)
 
+        def left_s(self) -> float:
+            deadline = self.environ.get("comfreytray.deadline", math.inf)
+            return float(deadline - context.clock.monotonic())
+
+        def encode_failure(self, failure: Failure, *, closes: bool) -> bytes:
+            context.metrics.count(f"refused_{failure.kind.value}")
+            return context.encode_refusal(
+                failure,
+                self.environ.get("HTTP_ACCEPT_LANGUAGE", ""),
+                closes=closes,
+                with_body=self.command != "HEAD",
+            )
+
         def parse_request(self) -> bool:
             self.close_connection = True
             self.headers = None
@@ -238,7 +267,7 @@
                 - _LINE_END_BYTES,
                 max_line_bytes=limits.max_line_bytes,
             )
-            _check_head(self.request_version, self.headers)
+            check_head(self.request_version, self.headers)
             connection = self.headers.get("connection", "").lower()
             if self.request_version == "HTTP/1.1":
                 self.close_connection = "close" in connection
@@ -247,24 +276,8 @@
 
         def get_environ(self) -> dict[str, Any]:
             """Return only the variables that the call path and the server read."""
-            path, _, query = self.path.partition("?")
-            pairs = tuple(self.headers.pairs)
-            environ: dict[str, Any] = {
-                "REQUEST_METHOD": self.command,
-                "RAW_PATH_INFO": path,
-                "PATH_INFO": unquote(path, "latin-1") if "%" in path else path,
-                "QUERY_STRING": query,
-                "headers_raw": pairs,
-                "eventlet.posthooks": [],
-                "comfreytray.protocol": self,
-            }
-            for name, value in pairs:
-                if "_" in name:
-                    # Its key would be the same as that of the name with a hyphen.
-                    continue
-                key = _environ_key(name)
-                previous = environ.get(key)
-                environ[key] = value if previous is None else f"{previous},{value}"
+            environ = build_environ(self.command, self.path, self.headers)
+            environ["comfreytray.protocol"] = self
             environ["wsgi.input"] = environ["eventlet.input"] = self._input(environ)
             return environ
 
@@ -321,13 +334,6 @@
     )
 
 
-@functools.lru_cache(maxsize=512)
-def _environ_key(name: str) -> str:
-    """Return the WSGI environ key of a header."""
-    key = name.upper().replace("-", "_")
-    return key if key == "CONTENT_LENGTH" else f"HTTP_{key}"
-
-
 def _record_dropped(metrics: Metrics) -> Callable[[int, DropReason], None]:
     """Return what counts and logs the answers that a connection drops."""
 
@@ -336,17 +342,3 @@
         logs.log(logs.Event.ANSWERS_DROPPED, count=count, reason=reason.value)
 
     return record
-
-
-def _has_body(headers: Fields) -> bool:
-    length = headers.get("content-length")
-    return headers.get("transfer-encoding") is not None or length not in (None, "0")
-
-
-def _check_head(version: str, headers: Fields) -> None:
-    chunked, _ = body_framing(headers)
-    if chunked and version == "HTTP/1.0":
-        raise HeadError("transfer coding in HTTP/1.0")
-    hosts = headers.get_all("host")
-    if len(hosts) > 1 or (not hosts and version == "HTTP/1.1"):
-        raise HeadError(f"expected one Host header, got {len(hosts)}")
--- a/src/comfreytray/calls/outbox.py
+++ b/src/comfreytray/calls/outbox.py
@@ -1,14 +1,21 @@
 """Bytes that wait to be written to a connection between nodes."""
 
 from collections import deque
+from collections.abc import Callable
 
 from attrs import define
 
+from comfreytray.calls.transitmemory import TransitMemory
+
 MAX_BLOCK_BYTES = 65_536
 """Size up to which queued bytes are joined for one write; the rest stays as it is, so
 that calls whose callers leave meanwhile can still be withdrawn."""
 
 
+def _do_nothing() -> None:
+    return None
+
+
 @define(kw_only=True, eq=False)
 class Block:
     """Bytes of the connection that are not written yet."""
@@ -31,7 +38,12 @@
     Offsets go on counting over what was withdrawn.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, memory: TransitMemory | None = None) -> None:
+        """Create it; `memory` bounds the unsent bytes of all outboxes."""
+        self.shed: Callable[[], None] = _do_nothing
+        """Closes the connection, whose peer does not read."""
+        self.held_bytes = 0
+        self._memory = memory
         self.enqueued = 0
         """Offset behind the last byte that was queued."""
         self.size = 0
@@ -78,6 +90,7 @@
             return False
         self._blocks.remove(block)
         self.size -= len(block.data)
+        self._release(len(block.data))
         return True
 
     def peek(self) -> bytes:
@@ -96,6 +109,7 @@
         """Remove `size` bytes, which the kernel has accepted, from the front."""
         first = self._blocks[0]
         self.size -= size
+        self._release(size)
         if size == len(first.data):
             # The stream of a call refers to its block for as long as the call runs.
             first.data = b""
@@ -108,8 +122,19 @@
     def _count(self, packed: bytes) -> int:
         self.enqueued += len(packed)
         self.size += len(packed)
+        if self._memory is not None:
+            self._memory.hold(self, len(packed))
         return self.enqueued
 
+    def close(self) -> None:
+        """Count the unsent bytes of a closed connection no longer."""
+        self._release(self.held_bytes)
+        self._memory = None
+
+    def _release(self, size: int) -> None:
+        if self._memory is not None:
+            self._memory.release(self, size)
+
     def _join(self, first: Block) -> None:
         """Append the blocks that follow without a gap to the first one."""
         parts = [bytes(first.data)]
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -22,6 +22,7 @@
 from comfreytray.calls.retries import FAILED_STATUSES
 from comfreytray.calls.tickets import Ticket, TicketState
 from comfreytray.calls.tracing import Tracer, traced
+from comfreytray.calls.transitmemory import TransitMemory
 from comfreytray.calls.upstream import UpstreamPool
 from comfreytray.common.decimals import parse_decimal
 from comfreytray.common.errors import Failure, Kind, Ran
@@ -61,6 +62,7 @@
         dialect: Dialect = NATIVE,
         call_log: CallLog | None = None,
         on_leaving: Callable[[str], None] = lambda _: None,
+        memory: TransitMemory | None = None,
     ) -> None:
         """Create it; `on_leaving` gets an instance that says in an answer it leaves."""
         self.local_upstream = local_upstream
@@ -84,6 +86,7 @@
             metrics=metrics,
             on_head=self._learn,
             on_ended=self._record_end,
+            memory=memory,
         )
 
     def __enter__(self) -> "Owner":
--- a/src/comfreytray/calls/ownerstreams.py
+++ b/src/comfreytray/calls/ownerstreams.py
@@ -9,6 +9,7 @@
 from comfreytray.calls.outbox import Outbox
 from comfreytray.calls.receiveduploads import ReceivedUpload
 from comfreytray.calls.streams import do_nothing
+from comfreytray.calls.transitmemory import TransitMemory
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import invariant
 from comfreytray.common.interfaces import Clock
@@ -34,10 +35,12 @@
 class OwnerStreams:
     """Calls received on one connection, and the frames that answer them."""
 
-    def __init__(self, *, node_id: str, clock: Clock) -> None:
+    def __init__(
+        self, *, node_id: str, clock: Clock, outbox_memory: TransitMemory | None = None
+    ) -> None:
         self.node_id = node_id
         self.clock = clock
-        self.outbox = Outbox()
+        self.outbox = Outbox(memory=outbox_memory)
         self.hello: callframes.Hello | None = None
         self.stream_by_id: dict[int, OwnerStream] = {}
         self.closed = False
--- a/src/comfreytray/calls/pipelines.py
+++ b/src/comfreytray/calls/pipelines.py
@@ -7,13 +7,21 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from enum import Enum
-from typing import Any
+from typing import Any, Protocol
 
 import eventlet
 
+from comfreytray.calls.transitmemory import ANSWERS_SHED, TransitMemory
+from comfreytray.common.errors import Failure, Kind
+from comfreytray.common.signals import Signal
+
 MAX_CONCURRENT_REQUESTS = 32
 """Requests of one connection that run at a time; further ones are not read yet."""
+MAX_WAITING_BYTES = 65_536
+"""Bytes of an answer above which its greenlet waits until the connection takes some."""
 POLL_S = 0.01
+WAIT_S = 1.0
+"""Time after which an answer that waits looks again; it is woken before."""
 
 
 class DropReason(Enum):
@@ -25,42 +33,124 @@
     WRITE_FAILED = "write-failed"
     ANSWER_FAILED = "answer-failed"
     """The greenlet of an answer ended before the answer did."""
+    MEMORY = "memory"
+    """The caller did not take its answers while they filled the node's memory."""
+
+
+class AnsweredRequest(Protocol):
+    """The request of a pending answer."""
+
+    def left_s(self) -> float:
+        """Return the seconds until the deadline of its call."""
+        ...
+
+    def encode_failure(self, failure: Failure, *, closes: bool) -> bytes:
+        """Return the whole answer that reports a failure."""
+        ...
 
 
 class PipelinedResponse:
-    """Buffers one answer until all earlier ones of the connection are written."""
+    """Buffers one answer until all earlier ones of the connection are written.
 
-    def __init__(self, *, pipeline: "Pipeline") -> None:
+    An answer that is given up before any byte of it was sent is replaced by a refusal,
+    so that the answers behind it still come.
+    """
+
+    def __init__(
+        self,
+        *,
+        pipeline: "Pipeline",
+        memory: TransitMemory,
+        request: AnsweredRequest | None,
+    ) -> None:
         self._pipeline = pipeline
+        self._memory = memory
+        self._request = request
         self._parts: list[bytes] = []
+        self._has_room = Signal()
+        self.held_bytes = 0
+        self.is_started = False
+        """Whether any of it was handed to the connection."""
         self.finished = False
         self.closes_connection = False
         """Whether the connection closes after this answer."""
+        self.failure: Failure | None = None
+        """Why the answer was given up."""
         self.greenlet: Any = None
 
     def writelines(self, parts: Iterable[bytes]) -> None:
-        """Buffer parts of the answer."""
-        self._parts.extend(parts)
+        """Buffer parts of the answer, unless it was given up."""
+        if self.failure is None and not self._pipeline.closed:
+            self._add(list(parts))
 
     def write(self, data: bytes) -> None:
-        """Buffer a part of the answer."""
-        self._parts.append(data)
+        """Buffer a part of the answer, unless it was given up."""
+        self.writelines((data,))
 
     def flush(self) -> None:
-        """Write the buffer to the connection once all earlier answers are written."""
+        """Write the buffer once all earlier answers are written.
+
+        Waits while much of it is buffered, so that no more is read for it.
+        """
         self._pipeline.write_ready()
+        while self._must_wait():
+            left_s = self._request.left_s() if self._request is not None else WAIT_S
+            if left_s <= 0 and not self.is_started:
+                self.fail(Failure(kind=Kind.ANSWER_CUT, detail="deadline in the queue"))
+            else:
+                self._has_room.wait(min(left_s, WAIT_S) if left_s > 0 else WAIT_S)
 
     def finish(self, *, closes_connection: bool) -> None:
         """Mark the answer as ended, complete or not."""
-        self.finished = True
         self.closes_connection = closes_connection
+        self.finished = True
+        self._replace_if_failed()
         self._pipeline.write_ready()
 
+    def fail(self, failure: Failure) -> None:
+        """Give the answer up; if a part was sent, its connection closes."""
+        if self.is_started or self._request is None:
+            self._pipeline.close(DropReason.MEMORY)
+        elif self.failure is None:
+            self.failure = failure
+            self.drop()
+            if self.finished:
+                self._replace_if_failed()
+            self._has_room.fire()
+
+    def shed(self) -> None:
+        """Give the answer up, as all answers hold too much."""
+        self.fail(ANSWERS_SHED)
+
     def take(self) -> bytes:
-        """Remove and return what is buffered."""
+        """Remove and return what is buffered; `release` follows once it is sent."""
         parts, self._parts = self._parts, []
+        self.is_started = self.is_started or bool(parts)
         return b"".join(parts)
 
+    def release(self, size: int) -> None:
+        """Count bytes that were taken as sent."""
+        self._memory.release(self, size)
+        self._has_room.fire()
+
+    def drop(self) -> None:
+        """Discard what is buffered."""
+        self.release(sum(len(part) for part in self._parts))
+        self._parts = []
+
+    def _must_wait(self) -> bool:
+        is_waiting = self.held_bytes > MAX_WAITING_BYTES
+        return is_waiting and self.failure is None and not self._pipeline.closed
+
+    def _replace_if_failed(self) -> None:
+        if self.failure is not None and self._request is not None:
+            closes = self.closes_connection
+            self._add([self._request.encode_failure(self.failure, closes=closes)])
+
+    def _add(self, parts: list[bytes]) -> None:
+        self._parts += parts
+        self._memory.hold(self, sum(map(len, parts)))
+
 
 class Pipeline:
     """The pending answers of one connection, in the order of their requests.
@@ -73,6 +163,7 @@
         self,
         *,
         send: Callable[[bytes], object],
+        memory: TransitMemory,
         on_idle: Callable[[], None],
         on_close: Callable[[], None],
         on_drop: Callable[[int, DropReason], None],
@@ -83,6 +174,7 @@
         number of answers that will not be written, and why.
         """
         self._send = send
+        self._memory = memory
         self._on_idle = on_idle
         self._on_close = on_close
         self._on_drop = on_drop
@@ -95,9 +187,11 @@
         """Whether no answer is pending."""
         return not self._responses
 
-    def add_response(self) -> PipelinedResponse:
+    def add_response(self, request: AnsweredRequest | None = None) -> PipelinedResponse:
         """Return the buffer for the answer to the next request."""
-        response = PipelinedResponse(pipeline=self)
+        response = PipelinedResponse(
+            pipeline=self, memory=self._memory, request=request
+        )
         self._responses.append(response)
         return response
 
@@ -138,6 +232,7 @@
         self._responses.clear()
         current = eventlet.getcurrent()
         for response in responses:
+            response.drop()
             if response.greenlet is not None and response.greenlet is not current:
                 eventlet.spawn_n(response.greenlet.kill)
         if responses:
@@ -151,7 +246,10 @@
             data = first.take()
             if data:
                 # Other greenlets run meanwhile, and may add to this answer.
-                self._send(data)
+                try:
+                    self._send(data)
+                finally:
+                    first.release(len(data))
                 continue
             if not first.finished:
                 return
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -23,6 +23,7 @@
 from comfreytray.calls.owner import Owner
 from comfreytray.calls.peercalls import SERVICE as PEER_SERVICE
 from comfreytray.calls.peercalls import PeerCalls
+from comfreytray.calls.quotaentry import run_within_quota
 from comfreytray.calls.reaper import Reaper
 from comfreytray.calls.responder import Responder
 from comfreytray.calls.retries import DEFAULT_RETRY_LIMITS, RetryLimits
@@ -32,8 +33,9 @@
 from comfreytray.calls.streamserver import StreamServer
 from comfreytray.calls.streamuploads import UPLOADS_TOPIC
 from comfreytray.calls.tracing import Tracer, traced
+from comfreytray.calls.transitmemory import build_memories
 from comfreytray.common import logs
-from comfreytray.common.errors import Failure, Kind, Ran
+from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock, ObjectStore
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import LocalUpstream, MembershipView, NodeRecord
@@ -70,6 +72,7 @@
         on_leaving: Callable[[str], None] = lambda _: None,
         is_current: Callable[[], bool] = lambda: True,
         link_bytes_per_s: float = math.inf,
+        memory_bytes: float = math.inf,
     ) -> None:
         self.node = node
         self.snapshot = snapshot
@@ -82,6 +85,7 @@
         self.encode_refusal = self.responder.encode_refusal
         self.quota: QuotaAdmission | None = None
         self.in_flight = 0
+        self.answer_memory, outbox_memory = build_memories(memory_bytes, metrics)
         self.call_log = CallLog(clock=clock)
         own_id = node().node_id
         self.router = Router(
@@ -102,6 +106,7 @@
             dialect=dialect,
             call_log=self.call_log,
             on_leaving=on_leaving,
+            memory=self.answer_memory,
         )
         self.reader = requests.RequestReader(
             dialect=dialect,
@@ -117,6 +122,8 @@
             clock=clock,
             metrics=metrics,
             announces_bodies=link_bytes_per_s < math.inf,
+            answer_memory=self.answer_memory,
+            outbox_memory=outbox_memory,
         )
         self.peers = PeerCalls(client=self.client, clock=clock)
         self.notices = NoticeSender(
@@ -135,6 +142,7 @@
             handle=self._run_for_other_node,
             load=lambda: self.owner.load,
             budget=self.body_budget,
+            outbox_memory=outbox_memory,
             link_bytes_per_s=link_bytes_per_s,
         )
         self.dispatcher = Dispatcher(
@@ -261,9 +269,10 @@
             if isinstance(call, Failure):
                 result = self._refuse_at_entry(environ, call)
             else:
+                environ["comfreytray.deadline"] = call.deadline
                 result = self._run(call)
             if isinstance(result, Reply) and requests.must_buffer(environ, result):
-                result = buffer_reply(result)
+                result = buffer_reply(result, self.answer_memory)
             if isinstance(result, Outcome):
                 return self.responder.refuse(environ, start_response, result)
             streaming = result.rest is not None
@@ -305,25 +314,15 @@
 
     def _run(self, call: Call) -> Reply | Outcome:
         started = self.clock.monotonic()
-        result = self._run_within_quota(call)
+        result = run_within_quota(
+            call, self._run_traced, quota=self.quota, snapshot=self.snapshot()
+        )
         duration_s = self.clock.monotonic() - started
         ended = "answered" if isinstance(result, Reply) else "refused"
         self.metrics.record_duration(f"calls_{ended}", duration_s)
         self.call_log.ended(call, result, self._configuration_version)
         return result
 
-    def _run_within_quota(self, call: Call) -> Reply | Outcome:
-        snapshot = self.snapshot()
-        if self.quota is None or snapshot is None or snapshot.accounts is None:
-            return self._run_traced(call)
-        failure = self.quota.admit(call.customer)
-        if failure is not None:
-            return Outcome.of(failure)
-        result = self._run_traced(call)
-        if isinstance(result, Outcome) and result.ran is Ran.NO:
-            self.quota.refund(call.customer)
-        return result
-
     def _run_traced(self, call: Call) -> Reply | Outcome:
         self.metrics.count("calls")
         run = self.dispatcher.run
--- a/src/comfreytray/calls/responder.py
+++ b/src/comfreytray/calls/responder.py
@@ -4,10 +4,11 @@
 from typing import Any
 
 from comfreytray.calls.answers import (
+    AnswerTarget,
     MessageFor,
     StreamedBody,
     build_refusal,
-    encode_closing_refusal,
+    encode_refusal,
 )
 from comfreytray.calls.call import Outcome, Reply
 from comfreytray.calls.dialect import Dialect
@@ -51,7 +52,7 @@
         start_response(status, list(reply.headers))
         if reply.rest is None:
             return [reply.body]
-        return StreamedBody(reply=reply, on_end=on_end)
+        return StreamedBody(reply=reply, on_end=on_end, target=_target_of(environ))
 
     def refuse(
         self,
@@ -70,7 +71,21 @@
         start_response(status, headers)
         return [body]
 
-    def encode_refusal(self, failure: Failure, accept_language: str) -> bytes:
-        """Return the complete HTTP response for a head that is refused."""
+    def encode_refusal(
+        self,
+        failure: Failure,
+        accept_language: str,
+        *,
+        closes: bool = True,
+        with_body: bool = True,
+    ) -> bytes:
+        """Return the complete HTTP response that reports a failure."""
         text = self.message_for(failure, accept_language)
-        return encode_closing_refusal(Outcome.of(failure), text, self.dialect)
+        return encode_refusal(
+            Outcome.of(failure), text, self.dialect, closes=closes, with_body=with_body
+        )
+
+
+def _target_of(environ: Environ) -> AnswerTarget | None:
+    """Return where the answer to a request is written, if its server tells."""
+    return getattr(environ.get("comfreytray.protocol"), "wfile", None)
--- a/src/comfreytray/calls/streams.py
+++ b/src/comfreytray/calls/streams.py
@@ -6,12 +6,14 @@
 
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 from attrs import define, field
 
 from comfreytray.calls import callframes
 from comfreytray.calls.call import IDLE, Call, Headers, Load, Outcome, fail
 from comfreytray.calls.outbox import Block, Outbox
+from comfreytray.calls.transitmemory import ANSWERS_SHED, TransitMemory
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import invariant
 
@@ -37,7 +39,8 @@
     headers: Headers = ()
     load: Load = IDLE
     chunks: deque[bytes] = field(factory=deque)
-    buffered_bytes: int = 0
+    held_bytes: int = 0
+    """Bytes of `chunks`."""
     complete: bool = False
     """Whether the last byte of the answer was received."""
     has_upload: bool = False
@@ -46,6 +49,8 @@
     notify_credit: Callable[[], None] = do_nothing
     """Called after the owner granted credit."""
     outcome: Outcome | None = None
+    shed: Callable[[], None] = do_nothing
+    """Gives the answer up, as all answers hold too much."""
 
     @property
     def ended(self) -> bool:
@@ -56,13 +61,23 @@
 class CallStreams:
     """Calls opened on one connection; matches received frames to them."""
 
-    def __init__(self, *, caller_id: str, expected_id: str) -> None:
+    def __init__(
+        self,
+        *,
+        caller_id: str,
+        expected_id: str,
+        answer_memory: TransitMemory | None = None,
+        outbox_memory: TransitMemory | None = None,
+    ) -> None:
         """Queue the opening frame.
 
         `caller_id` is this node; `expected_id` is the node that the peer should be,
         which refuses the calls if it is another.
         """
-        self.outbox = Outbox()
+        self.memory = answer_memory or TransitMemory(purpose="answers")
+        self.flush: Callable[[], None] = do_nothing
+        """Called after a frame was queued that nothing else would send."""
+        self.outbox = Outbox(memory=outbox_memory)
         self.stream_by_id: dict[int, CallStream] = {}
         self.closed = False
         self.late_frames = 0
@@ -88,17 +103,24 @@
             end_offset=block.end,
             has_upload=call.upload is not None,
         )
+        stream.shed = partial(self._shed, stream)
         self.stream_by_id[stream.stream_id] = stream
         return stream
 
     def take_chunk(self, stream: CallStream) -> bytes:
         """Return the next part of an answer and grant the owner credit for as much."""
         chunk = stream.chunks.popleft()
-        stream.buffered_bytes -= len(chunk)
+        self.memory.release(stream, len(chunk))
         if not stream.ended and chunk and not self.closed:
             self.outbox.push(callframes.pack_credit(stream.stream_id, len(chunk)))
         return chunk
 
+    def take_all(self, stream: CallStream) -> bytes:
+        """Return all that was received of an answer and not taken yet."""
+        body = b"".join(stream.chunks)
+        self._drop(stream)
+        return body
+
     def send_part(self, stream: CallStream, part: bytes, *, last: bool) -> None:
         """Queue a part of the body of a call."""
         invariant(len(part) <= stream.upload_credit, "credits are never overdrawn")
@@ -111,6 +133,7 @@
 
         Return whether it was withdrawn, so that the owner never gets it.
         """
+        self._drop(stream)
         if self.stream_by_id.pop(stream.stream_id, None) is None or self.closed:
             return False
         # The frame that announces a streamed body could not be withdrawn with it.
@@ -185,17 +208,18 @@
     def _append_chunk(
         self, stream: CallStream, chunk: bytes, *, last: bool
     ) -> Failure | None:
-        if chunk:
-            stream.chunks.append(chunk)
-            stream.buffered_bytes += len(chunk)
-        if stream.buffered_bytes > callframes.WINDOW_BYTES:
+        if stream.held_bytes + len(chunk) > callframes.WINDOW_BYTES:
             return Failure(
                 kind=Kind.FRAME_TOO_LARGE, detail="flow-control window exceeded"
             )
+        if chunk:
+            stream.chunks.append(chunk)
         if last:
             stream.complete = True
             del self.stream_by_id[stream.stream_id]
         stream.notify()
+        # It may give up this answer, too.
+        self.memory.hold(stream, len(chunk))
         return None
 
     def _receive_credit(
@@ -232,6 +256,19 @@
         self._finish(stream, fail(kind, frame[3]))
         return None
 
+    def _drop(self, stream: CallStream) -> None:
+        stream.chunks.clear()
+        self.memory.release(stream, stream.held_bytes)
+
+    def _shed(self, stream: CallStream) -> None:
+        """Give up an answer; the owner is told, if it still sends."""
+        stream.complete = False
+        stream.outcome = Outcome.of(ANSWERS_SHED)
+        self.cancel(stream)
+        if not self.closed:
+            self.flush()
+        stream.notify()
+
     def _finish(self, stream: CallStream, outcome: Outcome) -> None:
         self.stream_by_id.pop(stream.stream_id, None)
         stream.outcome = outcome
--- a/src/comfreytray/calls/streamserver.py
+++ b/src/comfreytray/calls/streamserver.py
@@ -25,6 +25,7 @@
 from comfreytray.calls.receiveduploads import ReceivedUpload, read_whole
 from comfreytray.calls.requestbodies import BodyBudget
 from comfreytray.calls.streamwriter import Writer, shut_down_socket
+from comfreytray.calls.transitmemory import TransitMemory
 from comfreytray.calls.uploads import UPLOAD_RESERVED_BYTES
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
@@ -57,6 +58,7 @@
         load: Callable[[], Load],
         budget: BodyBudget,
         link_bytes_per_s: float = math.inf,
+        outbox_memory: TransitMemory | None = None,
     ) -> None:
         """Create it.
 
@@ -68,6 +70,7 @@
         self.handle = handle
         self.load = load
         self.budget = budget
+        self.outbox_memory = outbox_memory
         self.link = InboundLink(clock=clock, bytes_per_s=link_bytes_per_s)
         self._sockets: set[Any] = set()
 
@@ -96,7 +99,9 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         enable_keepalive(sock)
         self._sockets.add(sock)
-        streams = OwnerStreams(node_id=self.node_id, clock=self.clock)
+        streams = OwnerStreams(
+            node_id=self.node_id, clock=self.clock, outbox_memory=self.outbox_memory
+        )
 
         def close() -> None:
             streams.connection_lost()
@@ -248,6 +253,8 @@
         try:
             for part in parts or ():
                 self._send(part)
+            # The outbox, or the other node, holds it now.
+            reply.body, parts = b"", None
             for part in reply.rest or ():
                 for chunk in split_chunks(part):
                     self._send(chunk)
--- a/src/comfreytray/calls/streamwriter.py
+++ b/src/comfreytray/calls/streamwriter.py
@@ -17,6 +17,8 @@
         self.sock = sock
         self.outbox = outbox
         self.on_lost = on_lost
+        # Not at once: a frame may just be queued for the same connection.
+        outbox.shed = lambda: eventlet.spawn_n(on_lost)
         self.drain_waiters: list[Callable[[], None]] = []
         """Called once, after bytes were written next."""
         self._writing = False
@@ -42,6 +44,7 @@
     def close(self) -> None:
         """Shut the socket down and close it once no greenlet writes to it."""
         shut_down_socket(self.sock)
+        self.outbox.close()
         if self._writing:
             self._close_when_written = True
         else:
--- a/src/comfreytray/calls/upstream.py
+++ b/src/comfreytray/calls/upstream.py
@@ -20,6 +20,7 @@
 from comfreytray.calls.heads import HeadError, StrictResponse
 from comfreytray.calls.idlelimit import IdleLimit
 from comfreytray.calls.instanceends import EndDetector, EndedInstance
+from comfreytray.calls.transitmemory import TransitMemory
 from comfreytray.calls.uploadpump import UploadPump
 from comfreytray.calls.upstreamconnection import UpstreamConnection
 from comfreytray.common.decimals import parse_decimal
@@ -57,6 +58,7 @@
         dialect: Dialect = NATIVE,
         on_head: Callable[[str, FieldLookup], None] = _ignore_head,
         on_ended: Callable[[EndedInstance], None] = _ignore_end,
+        memory: TransitMemory | None = None,
     ) -> None:
         """Create it.
 
@@ -64,6 +66,7 @@
         has ended while calls were under way.
         """
         self.clock = clock
+        self.memory = memory or TransitMemory(purpose="answers")
         self._ends = EndDetector(on_ended=on_ended)
         self._call_by_connection: dict[UpstreamConnection, Call] = {}
         self._on_head = on_head
@@ -106,6 +109,7 @@
             clock=self.clock,
             release=self.release,
             on_end=on_end,
+            memory=self.memory,
         )
         self._call_by_connection[connection] = call
         try:
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -35,6 +35,7 @@
     HEARTBEAT_STALE = "heartbeat-stale"
     CALLER_LOST = "caller-lost"
     ANSWERS_DROPPED = "answers-dropped"
+    BYTES_SHED = "bytes-shed"
     CALL_ANSWERED = "call-answered"
     LINES_LEFT_OUT = "lines-left-out"
     CALLS_CUT = "calls-cut"
--- a/src/comfreytray/node/options.py
+++ b/src/comfreytray/node/options.py
@@ -43,6 +43,8 @@
     """Processor share of the machine, in percent of a core."""
     link_bytes_per_s: float = field(default=math.inf, kw_only=True)
     """Speed of the machine's link; infinite if it is not known."""
+    memory_bytes: float = field(default=math.inf, kw_only=True)
+    """Memory of the process; infinite if it is not known."""
     heartbeat_s: float
     grace_s: float
     """Time between the signal to stop and the forced end of the process."""
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -144,6 +144,7 @@
             on_leaving=self.register.drain,
             is_current=self._is_configuration_current,
             link_bytes_per_s=options.link_bytes_per_s,
+            memory_bytes=options.memory_bytes,
         )
         self.quotas = build_quotas(
             options=options,
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -26,6 +26,7 @@
 )
 
 PERCENT = 100
+BYTES_PER_MEGABYTE = 1_000_000
 BYTES_PER_MEGABIT = 125_000
 DEFAULT_QUOTAS = QuotaBounds()
 MIN_WINDOW_S = 0.1
@@ -75,6 +76,7 @@
         http_address=_address(listen, "outbound"),
         capacity=_capacity(_json_object(document, "limits")),
         link_bytes_per_s=_link_bytes_per_s(_json_object(document, "limits")),
+        memory_bytes=_memory_bytes(_json_object(document, "limits")),
         heartbeat_s=_number(document, "heartbeat_s"),
         grace_s=_bound(bounds, "grace_s"),
         retries=RetryBudget(
@@ -131,6 +133,13 @@
     return _number(limits, "link_mbps") * BYTES_PER_MEGABIT
 
 
+def _memory_bytes(limits: Mapping[str, Any]) -> float:
+    """Return the memory of a process; infinite if the settings have none."""
+    if "memory_mb" not in limits:
+        return math.inf
+    return _number(limits, "memory_mb") * BYTES_PER_MEGABYTE
+
+
 def _first_free_port(document: Mapping[str, Any]) -> int:
     """Return the first of the ports that are free for traffic between nodes."""
     ports = document.get("port_range")
--- a/standins/endless_upstream.py
+++ b/standins/endless_upstream.py
@@ -19,6 +19,8 @@
     b"HTTP/1.1 200 Fine\r\nX-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 BLANKS = b" " * 4000
+LATE_S = 1.5
+"""Time after which the target `/late` is answered."""
 
 PARTS_BY_KIND: dict[str, tuple[bytes, bytes]] = {
     "status-line": (b"HTTP/1.1 200 ", b"f"),
@@ -50,6 +52,8 @@
     if kind in CUT_BY_KIND:
         yield CUT_BY_KIND[kind].replace(CALL_ID, call_id)
         raise ConnectionAbortedError
+    if kind == "late":
+        time.sleep(LATE_S)
     if kind not in PARTS_BY_KIND:
         yield ANSWER.replace(CALL_ID, call_id)
         return
