Tell the next coordinator of quotas when calls were admitted

Cause, found in a simulation with a log of reports and answers (6 nodes, a surge from rest): 1. a new coordinator dated what it did not know evenly over the window before it, so that it came back at once, though a surge had used it in the last second; 2. nodes acknowledged the answers of a coordinator that still gathers, and counted the tokens of their old lease from there again, every 0.1 s; 3. a coordinator began its accounts anew every 0.6 s while less than half of the nodes followed it; 4. one that took over after the last answer had lapsed believed that nothing had run; 5. the tokens of a process that ends were free again, used or not. 2 was told from 1 by calls that enter at one living node only: its own use is known exactly, and 79 too many ran.

Change: a node tells a new coordinator when it admitted the calls of the last window, in slots of 0.25 s; a coordinator's answers to the node that would follow it hold totals of all nodes, so that also the calls of nodes that end with it are known; what is still unknown counts as admitted at the take-over, and at no more than nodes that are missing could have. Lease tokens count from answers that are followed only; tokens of an ended process count as used; accounts begin anew only where no node was in contact; a quota that is known to be used up stops free admission at once; a node admits 3 calls and a quarter of a second's rate between two answers, in place of burst and half a second's. A system's first start (`bootstrap`) keeps the former ramp. Reports with a history and answers with totals have formats of their own; nodes of before refuse those.

The steps that build a system's first start say so (`is_first_start`), as the platform does; the bounds that they check are the same.

--- a/features/customers_quotas.feature
+++ b/features/customers_quotas.feature
@@ -73,6 +73,43 @@
       | the network falls into six parts for 8 s        |
       | no node reaches another for 8 s                 |
 
+  # The next coordinator granted a quota again that a surge had just used up (review/9).
+  Scenario Outline: A quota that a surge from rest has used up is not granted again
+    Given 6 nodes and a customer with a quota of 10 calls a second and burst 10
+    When a surge of <surge> times the quota enters at <entry>, and after <after> s <failure>
+    Then the customer ran no more calls in any 5 s than the bound allows, with any seed
+
+    Examples:
+      | surge | entry                  | after | failure                             |
+      | 6     | all nodes              | 1.5   | the coordinator is killed           |
+      | 6     | the coordinator's node | 1.5   | the coordinator is killed           |
+      | 6     | one other node         | 1     | the coordinator is killed           |
+      | 6     | all nodes              | 3     | the coordinator is killed           |
+      | 6     | one other node         | 1     | the coordinator ends for good       |
+      | 6     | all nodes              | 1.5   | the coordinator is paused for 2 s   |
+      | 6     | the coordinator's node | 1.5   | the coordinator is paused for 2 s   |
+      | 6     | one other node         | 1     | the coordinator is paused for 2 s   |
+      | 6     | all nodes              | 4.9   | the coordinator is paused for 2 s   |
+      | 6     | all nodes              | 1.5   | two coordinators end after another  |
+      | 6     | one other node         | 1     | two coordinators end after another  |
+      | 6     | all nodes              | 2     | all nodes are killed                |
+      | 6     | the coordinator's node | 1     | all nodes are killed                |
+      | 6     | all nodes              | 1.5   | the coordinator is cut off for 3 s  |
+      | 6     | all nodes              | 4.9   | the coordinator is cut off for 3 s  |
+      | 6     | all nodes              | 1.5   | the choice of coordinator moves     |
+      | 5     | all nodes              | 0.5   | the coordinator is killed           |
+      | 5     | all nodes              | 0.5   | all nodes are killed                |
+
+  Scenario: Answers of a coordinator that is still gathering renew no lease
+    Given a node with a valid answer that leaves 2 tokens to a customer
+    When it admits 2 calls and a coordinator that is gathering answers each report
+    Then it refuses the next call
+
+  Scenario: A process that ends leaves its tokens used
+    Given a coordinator that has leased tokens to a node
+    When another process of that node reports
+    Then the balance has fallen by the tokens of the lease
+
   Scenario: Few calls are refused while another node takes over from the coordinator
     Given 60 nodes and customers with quotas of 362, 60 and 6 calls a second
     When all send 0.625 of their quotas and the coordinator dies
--- a/features/steps/customers_quotas_steps.py
+++ b/features/steps/customers_quotas_steps.py
@@ -293,7 +293,11 @@
 def make_coordinator(context):
     clock = _Clock()
     context.coordinator = QuotaCoordinator(
-        clock=clock, name="k/1", terms=lambda _: TERMS, member_ids=lambda: {"n"}
+        clock=clock,
+        name="k/1",
+        terms=lambda _: TERMS,
+        member_ids=lambda: frozenset({"n"}),
+        window_s=BOUNDS.window_s,
     )
     clock.now += 60
     context.reports = [
@@ -450,7 +454,9 @@
     for node_id in ("a", "b", "c"):
         fleet.add(node_id, script=lambda *_: answer(200, b"", "X-Response-Seal: s"))
     for node_id, path in fleet.path_by_id.items():
-        options = SimpleNamespace(node_id=node_id, quotas=QuotaBounds())
+        options = SimpleNamespace(
+            node_id=node_id, quotas=QuotaBounds(), is_first_start=True
+        )
         path.quota = build_quotas(
             options=options,
             session=1,
--- a/features/steps/platform_node_steps.py
+++ b/features/steps/platform_node_steps.py
@@ -101,6 +101,7 @@
         replication_port=_free_port(),
         http_address=http_address,
         capacity=86,
+        is_first_start=True,
         heartbeat_s=1.5,
         grace_s=6.0,
         retries=RetryBudget(ratio=0.2, slack=56.0, window_s=10.0),
--- a/features/steps/quota_rig.py
+++ b/features/steps/quota_rig.py
@@ -50,6 +50,9 @@
             name=f"{node_id}/{session}",
             terms=terms,
             member_ids=lambda: self.choice.member_ids,
+            window_s=fleet.bounds.window_s,
+            successor=self.choice.successor,
+            is_first_start=session == 1,
         )
         self.gate = QuotaGate(
             clock=self.clock,
@@ -69,7 +72,7 @@
 
     def report(self):
         target, sent_at = self.choice.pick(), self.clock.monotonic()
-        message = quotamessages.encode_report(self.gate.build_report())
+        message = quotamessages.encode_report(self.gate.build_report(target))
         self.is_reporting = True
 
         def handle(node):
@@ -86,6 +89,7 @@
             else:
                 answer = quotamessages.decode_answer(reply)
                 self.choice.note_answered()
+                self.coordinator.replicate(answer)
                 self.gate.take_answer(answer, sent_at=sent_at)
 
         self.fleet.ask(self, target, message, handle, done)
@@ -95,7 +99,9 @@
         message = quotamessages.encode_answer(self.coordinator.answer(node_id))
 
         def handle(node):
-            report = node.gate.take_push(quotamessages.decode_answer(message))
+            answer = quotamessages.decode_answer(message)
+            node.coordinator.replicate(answer)
+            report = node.gate.take_push(answer)
             return b"" if report is None else quotamessages.encode_report(report)
 
         def done(reply):
--- a/src/comfreytray/customers/quotaaccount.py
+++ b/src/comfreytray/customers/quotaaccount.py
@@ -1,11 +1,14 @@
 """The coordinator's account of one customer: its balance and what nodes hold of it."""
 
 import math
+from bisect import bisect_left
 from collections import deque
+from collections.abc import Iterable
 
 from attrs import define, field
 
-from comfreytray.customers.quotamessages import Lease
+from comfreytray.customers.quotahistory import CustomerHistory, Slot
+from comfreytray.customers.quotamessages import Lease, Usage
 from comfreytray.customers.quotaterms import QuotaTerms
 
 DEMAND_S = 1.0
@@ -21,8 +24,6 @@
 is full. Without this rule leases ended and began about every second in a long surge,
 and all nodes are told each time."""
 FULL_SHARE = 0.98
-UNKNOWN_STEPS = 50
-"""Steps in which an account that begins below its quota gets the rest of it."""
 MIN_USE_S = 0.05
 """Time within which admitted calls are kept as one entry."""
 LAPSED_S = 2.5
@@ -59,6 +60,8 @@
     seen_at: float = 0.0
     lacks_tokens: bool = False
     """Whether the newest report has rejected calls."""
+    assumed: int = 0
+    """Calls that were counted without a report, when a lease lapsed."""
 
     def observe(self, offered: int, now: float) -> None:
         """Update the load offered at the node."""
@@ -91,41 +94,63 @@
     """
 
     terms: QuotaTerms
-    balance: float
     window_end_s: float
     """Accrued time, in seconds, up to which the balance was refilled."""
+    unknown_calls: float = 0.0
+    """Most calls that may have been admitted before the account, beyond those known."""
+    unknown_at_s: float = -math.inf
+    """Accrued time, in seconds, at which they may have been admitted at the latest."""
+    spreads_unknown: bool = False
+    """Whether they count as spread evenly over the window before that time."""
     is_limited: bool = False
     demand_per_s: float = 0.0
     """Load offered at all nodes when the last lease was granted."""
     used_at: float = -math.inf
+    total: int = 0
+    """Calls that were counted since the account began."""
     usage_by_node_id: dict[str, NodeUsage] = field(factory=dict)
 
-    _uses: deque[_Use] = field(init=False)
+    balance: float = field(init=False)
+    _unknown_at_first: float = field(init=False)
+    _replica_at: float = field(default=-math.inf, init=False)
+    _uses: deque[_Use] = field(factory=deque, init=False)
     """Calls that were admitted in the window, oldest first."""
 
-    @_uses.default
-    def _spread_unknown_uses(self) -> deque[_Use]:
-        """Spread what is missing at the start evenly over the window before."""
-        missing = self.terms.window_calls - self.balance
-        if missing <= 0:
-            return deque()
-        step_s = self.terms.bounds.window_s / UNKNOWN_STEPS
-        return deque(
-            _Use(at_s=self.window_end_s - step_s * n, calls=missing / UNKNOWN_STEPS)
-            for n in reversed(range(UNKNOWN_STEPS))
-        )
+    @_unknown_at_first.default
+    def _keep_unknown(self) -> float:
+        return self.unknown_calls
+
+    @balance.default
+    def _first_balance(self) -> float:
+        return self.terms.window_calls - self.unknown_calls
+
+    @property
+    def recent_calls(self) -> int:
+        """Calls that were, or may have been, admitted in the window."""
+        return max(0, math.ceil(self.terms.window_calls - self.balance))
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether the known calls alone leave no token to lease."""
+        return self.balance + self.unknown_calls <= -self.terms.leased_excess
 
     def advance_window(self, accrued_s: float) -> None:
         """Give back the calls that were admitted before the window."""
         oldest_s = accrued_s - self.terms.bounds.window_s
         while self._uses and self._uses[0].at_s <= oldest_s:
             self.balance += self._uses.popleft().calls
+        if self.unknown_at_s <= oldest_s:
+            self.forget_unknown()
+        elif self.spreads_unknown:
+            part = (self.unknown_at_s - oldest_s) / self.terms.bounds.window_s
+            self.limit_unknown(part * self._unknown_at_first)
         self.window_end_s = accrued_s
 
     def use(self, calls: int) -> None:
         """Count calls that were admitted; below 0 if some were given back."""
         if not calls:
             return
+        self.total += max(0, calls)
         self.balance -= calls
         last = self._uses[-1] if self._uses else None
         if last is not None and self.window_end_s - last.at_s < MIN_USE_S:
@@ -133,6 +158,96 @@
         else:
             self._uses.append(_Use(at_s=self.window_end_s, calls=calls))
 
+    def forget_unknown(self) -> None:
+        """Give back the calls that may have been admitted, as it is known that none was
+        or as they would be out of the window."""
+        self.limit_unknown(0.0)
+
+    def take_totals(self, node_id: str, usage: Usage, *, now: float) -> tuple[int, int]:
+        """Count what a report adds; return the calls admitted and rejected since."""
+        node_usage = self.usage_by_node_id.get(node_id)
+        admitted, rejected = usage.admitted - usage.acknowledged, 0
+        if node_usage is not None and node_usage.admitted >= 0:
+            admitted = usage.admitted - node_usage.admitted
+            rejected = usage.rejected - node_usage.rejected
+        if node_usage is None:
+            node_usage = NodeUsage(admitted=0, rejected=0)
+            self.usage_by_node_id[node_id] = node_usage
+        node_usage.admitted, node_usage.rejected = usage.admitted, usage.rejected
+        node_usage.tokens = max(0.0, node_usage.tokens - admitted)
+        node_usage.lacks_tokens = rejected > 0
+        node_usage.observe(admitted + rejected, now)
+        self.use(admitted - node_usage.assumed)
+        node_usage.assumed = 0
+        return admitted, rejected
+
+    def take_history(
+        self, node_id: str, told: CustomerHistory, unknown_after_s: float, *, now: float
+    ) -> None:
+        """Count the calls that a node admitted before it reported here.
+
+        Those older than `unknown_after_s` are part of the unknown ones.
+        """
+        node_usage = self.usage_by_node_id.get(node_id)
+        left = sum(slot.calls for slot in told.slots)
+        if node_usage is None:
+            recent = sum(slot.calls for slot in told.slots if slot.age_s < DEMAND_S)
+            node_usage = NodeUsage(
+                admitted=0, rejected=0, demand_per_s=recent / DEMAND_S, seen_at=now
+            )
+            self.usage_by_node_id[node_id] = node_usage
+        elif node_usage.admitted >= 0:
+            left = min(left, told.admitted - node_usage.admitted)
+        node_usage.admitted = told.admitted
+        for slot in reversed(told.slots):
+            calls = min(slot.calls, left)
+            if calls <= 0:
+                break
+            left -= calls
+            if slot.age_s > self.replica_age_s(now):
+                continue
+            self._use_at(self.window_end_s - slot.age_s, calls)
+            if slot.age_s >= unknown_after_s:
+                self._reduce_unknown(calls)
+
+    def take_replica(self, slots: Iterable[Slot], *, updated_at: float) -> None:
+        """Count what the coordinator before had counted, of all nodes."""
+        self._replica_at = updated_at
+        for slot in slots:
+            self._use_at(self.window_end_s - slot.age_s, slot.calls)
+            self._reduce_unknown(slot.calls)
+
+    def replica_age_s(self, now: float) -> float:
+        """Return the age of calls that the coordinator before had counted already."""
+        return now - self._replica_at
+
+    def limit_unknown(self, calls: float) -> None:
+        """Lower what may have been admitted without being known."""
+        self._reduce_unknown(max(0.0, self.unknown_calls - calls))
+
+    def _reduce_unknown(self, calls: float) -> None:
+        known = min(self.unknown_calls, calls)
+        self.unknown_calls -= known
+        self.balance += known
+
+    def end_node(self, node_id: str) -> None:
+        """Count the tokens of a node's process that has ended as used."""
+        node_usage = self.usage_by_node_id.pop(node_id, None)
+        if node_usage is not None:
+            self.use(round(node_usage.tokens))
+
+    def _use_at(self, at_s: float, calls: int) -> None:
+        """Count calls that were admitted at an earlier time, or slightly later."""
+        if at_s <= self.window_end_s - self.terms.bounds.window_s:
+            return
+        self.total += calls
+        self.balance -= calls
+        place = bisect_left(self._uses, at_s, key=lambda use: use.at_s)
+        if place < len(self._uses) and self._uses[place].at_s - at_s < MIN_USE_S:
+            self._uses[place].calls += calls
+        else:
+            self._uses.insert(place, _Use(at_s=at_s, calls=calls))
+
     def change_terms(self, terms: QuotaTerms) -> None:
         """Apply another quota; the balance changes with it."""
         self.balance += terms.window_calls - self.terms.window_calls
@@ -154,6 +269,13 @@
         self.is_limited = not (is_full or (is_calm and has_recovered))
         return False
 
+    def assume_used(self, node_usage: NodeUsage) -> None:
+        """Count the tokens of a lapsed lease until its node tells what it used."""
+        tokens = round(node_usage.tokens)
+        node_usage.tokens = 0.0
+        node_usage.assumed += tokens
+        self.use(tokens)
+
     def spendable(self, contact_share: float) -> float:
         """Return the tokens that leases may hold at one time."""
         spare = self.terms.leased_excess
@@ -173,8 +295,9 @@
         held = 0.0
         demand = 0.0
         for other_id, node_usage in self.usage_by_node_id.items():
-            if now - node_usage.leased_at > LAPSED_S:
-                node_usage.tokens = 0.0
+            if node_usage.tokens and now - node_usage.leased_at > LAPSED_S:
+                # The node may have used them, and then ended or lost contact.
+                self.assume_used(node_usage)
             demand += node_usage.demand_at(now)
             if other_id != node_id:
                 held += node_usage.tokens
--- a/src/comfreytray/customers/quotachoice.py
+++ b/src/comfreytray/customers/quotachoice.py
@@ -47,6 +47,11 @@
                 return node_id
         return self._ranked[0] if self._ranked else ""
 
+    def successor(self) -> str:
+        """Return the node that is asked if the first one ends; empty if none."""
+        self._follow()
+        return self._ranked[1] if len(self._ranked) > 1 else ""
+
     def note_answered(self) -> None:
         """Note that the node that was picked last has answered."""
         self._failures = 0
--- a/src/comfreytray/customers/quotaexchange.py
+++ b/src/comfreytray/customers/quotaexchange.py
@@ -126,6 +126,7 @@
         answer = quotamessages.decode_answer(message)
         if isinstance(answer, str):
             return Failure(kind=Kind.BAD_REQUEST, detail=f"quota push: {answer}")
+        self.coordinator.replicate(answer)
         report = self.gate.take_push(answer)
         return b"" if report is None else quotamessages.encode_report(report)
 
@@ -138,7 +139,7 @@
     def _exchange_report(self) -> None:
         node_id = self._choice.pick()
         sent_at = self._clock.monotonic()
-        report = self.gate.build_report()
+        report = self.gate.build_report(node_id)
         if node_id == self._own_id:
             answer = self.coordinator.receive(report)
             self.gate.take_answer(answer, sent_at=sent_at)
@@ -150,6 +151,7 @@
             self.gate.note_failed()
             return
         self._choice.note_answered()
+        self.coordinator.replicate(answer_or_text)
         self.gate.take_answer(answer_or_text, sent_at=sent_at)
 
     def _ask_coordinator(self, node_id: str, report: Report) -> Answer | str:
--- a/src/comfreytray/customers/quotagate.py
+++ b/src/comfreytray/customers/quotagate.py
@@ -4,19 +4,21 @@
 import random
 from collections.abc import Callable, Collection
 
-from attrs import define, evolve, field
+from attrs import evolve
 
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.metrics import Metrics
-from comfreytray.customers.quotamessages import Answer, Lease, Report, Usage
+from comfreytray.customers.quotaadopted import AdoptedAnswer
+from comfreytray.customers.quotahistory import HistorySender
+from comfreytray.customers.quotamessages import Answer, Report
 from comfreytray.customers.quotashares import FallbackShares
 from comfreytray.customers.quotaterms import (
     REPORT_PERIOD_S,
     QuotaTerms,
     report_period_s,
 )
-from comfreytray.customers.quotausage import CustomerUsage
+from comfreytray.customers.quotausage import CustomerUsage, CustomerUsages
 
 VALID_S = 2.0
 """Time after a report was sent for which its answer holds."""
@@ -24,15 +26,14 @@
 """Time after a call of a customer with a quota for which reports go on."""
 URGENT_PERIOD_S = 0.1
 """Shortest time between two reports."""
-MAX_CLOCK_LEAD_S = 1.0
-"""Lead of the wall clock over the monotonic clock, since the last answer, from which
-the machine counts as having been suspended and the answer as no longer valid."""
 NO_WAIT_S = 2.0
 """Time after a report without an answer in which no call waits for one."""
 UNANSWERED_S = 0.2
 """Time after a report, three round trips between regions, from which free admission
 ends. With 0.25 s a network that fell into parts just before a surge exceeded the
 bound."""
+EXHAUSTED_S = 0.3
+"""Time for which a new coordinator's word holds that a quota is used up."""
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 10.0
 RETRY_JITTER = 0.25
@@ -40,18 +41,6 @@
 at once."""
 
 
-@define(kw_only=True)
-class _Contact:
-    """The newest answer of a coordinator."""
-
-    coordinator: str = ""
-    number: int = 0
-    valid_until: float = -math.inf
-    clock_lead_s: float = 0.0
-    """Wall clock less monotonic clock when the answer arrived."""
-    lease_by_customer: dict[str, Lease] = field(factory=dict)
-
-
 class QuotaGate:
     """Admits calls by the coordinator's answers, or by a share that needs none."""
 
@@ -73,10 +62,8 @@
         self._terms = terms
         self._member_ids = member_ids
         self._random = random
-        self._customer_by_name: dict[str, CustomerUsage] = {}
-        self._changed: set[str] = set()
-        """Customers whose totals differ from the newest answered report."""
-        self._contact = _Contact()
+        self._usages = CustomerUsages()
+        self._contact = AdoptedAnswer()
         self._started_at = clock.monotonic()
         self._number = 0
         self._answered_number = 0
@@ -86,6 +73,9 @@
         self._failed_at = -math.inf
         self._unanswered_since = math.inf
         self._acknowledged_at = self._started_at
+        self._window_s = 0.0
+        """Window of the quotas, once a call was counted."""
+        self._history = HistorySender()
         self._fallback_shares = FallbackShares(node_id=node_id, member_ids=member_ids)
 
     @property
@@ -108,12 +98,13 @@
         terms = self._terms(customer)
         if terms is None:
             return None
-        state = self._customer(customer)
+        state = self._usages.mark(customer)
         self._active_until = self._clock.monotonic() + ACTIVE_S
-        self._changed.add(customer)
         wait_s = self._wait_s(customer, state, terms)
         if wait_s is None:
             state.admitted += 1
+            self._window_s = terms.bounds.window_s
+            state.history.add(self._clock.monotonic(), window_s=terms.bounds.window_s)
             if self._uses_fallback(customer):
                 state.fallback.tokens -= 1.0
                 self._is_urgent = True
@@ -147,29 +138,34 @@
         now = self._clock.monotonic()
         if now - self._failed_at < NO_WAIT_S:
             return False
+        state = self._usages.of(customer)
         if self._has_contact():
             lease = self._contact.lease_by_customer.get(customer)
-            if lease is None or not lease.has_more:
+            if lease is None and self._uses_fallback(customer):
                 return False
-        return self._wait_s(customer, self._customer(customer), terms) is not None
+            if lease is not None and not lease.has_more:
+                return False
+        if self._is_used_up(state, terms):
+            return False
+        return self._wait_s(customer, state, terms) is not None
 
     def note_waiting(self, customer: str) -> None:
         """Note that a call waits for an answer, which makes a report due."""
-        self._customer(customer).rejected += 1
-        self._changed.add(customer)
+        self._usages.mark(customer).rejected += 1
         self._active_until = self._clock.monotonic() + ACTIVE_S
         self._is_urgent = True
 
     def note_waited(self, customer: str) -> None:
         """Note that a call no longer waits; it is counted again when it is decided."""
-        self._customer(customer).rejected -= 1
+        self._usages.of(customer).rejected -= 1
 
     def refund(self, customer: str) -> None:
         """Give back the token of a call that is proved not to have run."""
-        state = self._customer_by_name.get(customer)
+        state = self._usages.by_customer.get(customer)
         if state is not None and state.admitted > 0:
             state.admitted -= 1
-            self._changed.add(customer)
+            state.history.give_back()
+            self._usages.mark(customer)
             self.metrics.count("quota_refunded")
 
     def note_failed(self) -> None:
@@ -186,39 +182,40 @@
             period_s = URGENT_PERIOD_S
         return self._clock.monotonic() - self._reported_at >= period_s
 
-    def build_report(self) -> Report:
-        """Return what is to be reported now."""
+    def build_report(self, target_id: str = "") -> Report:
+        """Return what is to be reported now to a node.
+
+        A coordinator that has not kept the accounts until now gets the history, too.
+        """
         self._number += 1
         self._reported_at = self._clock.monotonic()
         self._is_urgent = False
         self._unanswered_since = min(self._unanswered_since, self._reported_at)
-        rows: list[Usage] = []
-        for customer in sorted(self._changed):
-            state = self._customer_by_name[customer]
-            state.note_sent()
-            rows.append(
-                Usage(
-                    customer=customer,
-                    admitted=state.admitted,
-                    rejected=state.rejected,
-                    acknowledged=state.base,
-                )
-            )
-        limited = self._contact.lease_by_customer if self.coordinator else {}
-        return Report(
+        now = self._reported_at
+        # An account holds the calls of a window, beyond the validity of an answer.
+        has_prior = now < self._contact.valid_until + self._window_s
+        limited = self._contact.lease_by_customer if has_prior else {}
+        report = Report(
             node_id=self._node_id,
             session=self._session,
             number=self._number,
-            prior=self.coordinator,
+            prior=self._contact.coordinator if has_prior else "",
             prior_limited=tuple(sorted(limited)),
-            usage=tuple(rows),
+            usage=self._usages.rows(),
         )
+        if self._history.is_known_to(target_id):
+            return report
+        self._history.note_told(self._number)
+        told = self._usages.histories(now)
+        return evolve(report, history=told, history_s=now - self._started_at)
 
     def take_answer(self, answer: Answer, *, sent_at: float) -> None:
         """Apply the answer to the newest report, which was sent at `sent_at`."""
+        if self._history.note_answer(answer.coordinator, answer.report):
+            self._is_urgent = True
+        is_followed = self._adopt(answer, valid_until=sent_at + VALID_S)
         if answer.report == self._number:
-            self._acknowledge()
-        self._adopt(answer, valid_until=sent_at + VALID_S)
+            self._acknowledge(is_followed=is_followed)
 
     def take_push(self, answer: Answer) -> Report | None:
         """Apply an answer that was not asked for and return a report.
@@ -228,66 +225,69 @@
         if self.coordinator not in ("", answer.coordinator):
             return None
         valid_until = self._clock.monotonic() + VALID_S
-        if answer.report == self._number:
-            self._acknowledge()
-        elif answer.report != self._answered_number:
+        is_newest = answer.report == self._number
+        if not is_newest and answer.report != self._answered_number:
             # The tokens count from a report that this node can't tell the total of.
             leases = tuple(evolve(lease, tokens=0) for lease in answer.leases)
             answer = evolve(answer, leases=leases)
-        self._adopt(answer, valid_until=valid_until)
+        if self._history.note_answer(answer.coordinator, answer.report):
+            self._is_urgent = True
+        is_followed = self._adopt(answer, valid_until=valid_until)
+        if is_newest:
+            self._acknowledge(is_followed=is_followed)
         unanswered_since = self._unanswered_since
-        report = self.build_report()
+        report = self.build_report(answer.coordinator.rpartition("/")[0])
         self._unanswered_since = unanswered_since
         return report
 
-    def _acknowledge(self) -> None:
+    def _acknowledge(self, *, is_followed: bool) -> None:
         """Count what the newest report held as known to the coordinator."""
         self._answered_number = self._number
         now = self._clock.monotonic()
         passed_s = max(URGENT_PERIOD_S, now - self._acknowledged_at)
         self._acknowledged_at = now
-        for customer in list(self._changed):
-            state = self._customer_by_name[customer]
-            if state.acknowledge(passed_s):
-                self._changed.discard(customer)
+        self._usages.acknowledge(passed_s, is_followed=is_followed)
 
-    def _adopt(self, answer: Answer, *, valid_until: float) -> None:
+    def _adopt(self, answer: Answer, *, valid_until: float) -> bool:
+        """Follow an answer, unless there is a newer one or it binds nobody yet."""
         contact = self._contact
         is_same = contact.coordinator == answer.coordinator
         if is_same and answer.number <= contact.number:
-            return
+            return False
         if answer.is_gathering:
+            self._note_exhausted(answer)
             # A new coordinator does not yet know what the leases before have left.
             self._is_urgent = not self._has_contact()
-            return
+            return False
         self._unanswered_since = math.inf
-        self._contact = _Contact(
+        self._contact = AdoptedAnswer(
             coordinator=answer.coordinator,
             number=answer.number,
             valid_until=max(valid_until, contact.valid_until if is_same else 0.0),
             clock_lead_s=self._clock.wall() - self._clock.monotonic(),
             lease_by_customer={lease.customer: lease for lease in answer.leases},
         )
+        return True
 
-    def _has_contact(self) -> bool:
-        now = self._clock.monotonic()
-        contact = self._contact
-        if now >= contact.valid_until:
-            return False
-        return self._clock.wall() - now - contact.clock_lead_s <= MAX_CLOCK_LEAD_S
+    def _note_exhausted(self, answer: Answer) -> None:
+        """Stop customers that have used up their quota, whatever is yet unknown."""
+        until = self._clock.monotonic() + EXHAUSTED_S
+        for lease in answer.leases:
+            self._usages.of(lease.customer).exhausted_until = until
 
-    def _customer(self, customer: str) -> CustomerUsage:
-        if customer not in self._customer_by_name:
-            self._customer_by_name[customer] = CustomerUsage()
-        return self._customer_by_name[customer]
+    def _has_contact(self) -> bool:
+        return self._contact.is_valid(self._clock)
 
     def _wait_s(
         self, customer: str, state: CustomerUsage, terms: QuotaTerms
     ) -> float | None:
         """Return the seconds until a token is expected; None if there is one."""
+        now = self._clock.monotonic()
+        if self._is_used_up(state, terms):
+            return max(MIN_RETRY_S, state.exhausted_until - now)
         if not self._has_contact():
             # `valid_until` may lie ahead if the machine was suspended.
-            lapsed_at = min(self._clock.monotonic(), self._contact.valid_until)
+            lapsed_at = min(now, self._contact.valid_until)
             since = max(self._started_at, lapsed_at)
             return self._fallback_wait_s(
                 customer, state, terms, since=since, filled=False
@@ -298,7 +298,7 @@
                 customer, state, terms, since=since, filled=True
             )
         lease = self._contact.lease_by_customer.get(customer)
-        used = state.admitted - state.base
+        used = state.admitted - state.lease_base
         if lease is None:
             if used < terms.free_calls:
                 return None
@@ -308,6 +308,14 @@
             return None
         return 1.0 / lease.rate_per_s if lease.rate_per_s > 0 else MAX_RETRY_S
 
+    def _is_used_up(self, state: CustomerUsage, terms: QuotaTerms) -> bool:
+        """Whether no answer could admit a call: this node alone has used the quota up,
+        or a new coordinator says that all have."""
+        now = self._clock.monotonic()
+        if now < state.exhausted_until:
+            return True
+        return state.history.recent_calls(now) >= terms.most_calls
+
     def _uses_fallback(self, customer: str) -> bool:
         """Whether the answer does not say what the node may admit now."""
         if not self._has_contact():
--- a/src/comfreytray/customers/quotamessages.py
+++ b/src/comfreytray/customers/quotamessages.py
@@ -4,12 +4,21 @@
 message can't count a call twice or leave it out.
 """
 
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 import msgpack
 from attrs import frozen
 
+from comfreytray.customers.quotahistory import CustomerHistory, Slot, Total
+
 FORMAT = 1
+HISTORY_FORMAT = 2
+"""Format of a report with a history, which is rare."""
+TOTALS_FORMAT = 3
+"""Format of an answer with totals, for the node that would follow the coordinator."""
+MAX_SLOTS = 256
+MS_PER_S = 1000
 MAX_MESSAGE_BYTES = 262_144
 MAX_TEXT = 256
 MAX_ROWS = 4096
@@ -42,6 +51,10 @@
     prior_limited: tuple[str, ...] = ()
     """Customers that the prior coordinator had limited."""
     usage: tuple[Usage, ...] = ()
+    history: tuple[CustomerHistory, ...] = ()
+    """Calls of the last window, for a coordinator that does not know them."""
+    history_s: float | None = None
+    """Seconds for which the history has all calls; None if it is not told."""
 
 
 @frozen(kw_only=True)
@@ -70,6 +83,8 @@
     is_gathering: bool = False
     """Whether most nodes have not yet reported, so that a call may wait a moment."""
     leases: tuple[Lease, ...] = ()
+    totals: tuple[Total, ...] = ()
+    """What was counted, for the node that would follow as coordinator."""
 
 
 def encode_report(report: Report) -> bytes:
@@ -78,23 +93,37 @@
         [row.customer, row.admitted, row.rejected, row.admitted - row.acknowledged]
         for row in report.usage
     ]
-    return _pack(
-        [
-            FORMAT,
-            report.node_id,
-            report.session,
-            report.number,
-            report.prior,
-            list(report.prior_limited),
-            rows,
+    values = [
+        FORMAT if report.history_s is None else HISTORY_FORMAT,
+        report.node_id,
+        report.session,
+        report.number,
+        report.prior,
+        list(report.prior_limited),
+        rows,
+    ]
+    if report.history_s is not None:
+        told = [
+            [row.customer, row.admitted, *_pack_slots(row.slots)]
+            for row in report.history
         ]
-    )
+        values += [int(report.history_s * MS_PER_S), told]
+    return _pack(values)
+
+
+def _pack_slots(slots: tuple[Slot, ...]) -> Iterator[int]:
+    for slot in slots:
+        # A call that counts as younger counts for longer.
+        yield max(0, int(slot.age_s * MS_PER_S))
+        yield slot.calls
 
 
 def decode_report(message: bytes) -> Report | str:
     """Decode a report; a text says what is malformed."""
     try:
-        node_id, session, number, prior, limited, rows = _unpack(message, 7)
+        values = _unpack(message, {FORMAT: 7, HISTORY_FORMAT: 9})
+        node_id, session, number, prior, limited, rows = values[:6]
+        has_history = len(values) > 6
         return Report(
             node_id=_text(node_id),
             session=_count(session),
@@ -110,33 +139,56 @@
                 )
                 for customer, admitted, rejected, open_calls in _list(rows)
             ),
+            history_s=_count(values[6]) / MS_PER_S if has_history else None,
+            history=(
+                tuple(_customer_history(row) for row in _list(values[7]))
+                if has_history
+                else ()
+            ),
         )
     except (ValueError, TypeError) as error:
         return f"{type(error).__name__}: {error!s:.80}"
 
 
+def _customer_history(row: object) -> CustomerHistory:
+    customer, admitted, *numbers = _list(row)
+    if len(numbers) % 2 or len(numbers) > 2 * MAX_SLOTS:
+        raise ValueError("expected pairs of an age and a count")
+    return CustomerHistory(
+        customer=_text(customer),
+        admitted=_count(admitted),
+        slots=tuple(
+            Slot(age_s=_count(age_ms) / MS_PER_S, calls=_count(calls))
+            for age_ms, calls in zip(numbers[::2], numbers[1::2], strict=True)
+        ),
+    )
+
+
 def encode_answer(answer: Answer) -> bytes:
     """Encode an answer."""
     rows = [
         [lease.customer, lease.tokens, round(lease.rate_per_s, 3), lease.has_more]
         for lease in answer.leases
     ]
-    return _pack(
-        [
-            FORMAT,
-            answer.coordinator,
-            answer.number,
-            answer.report,
-            answer.is_gathering,
-            rows,
-        ]
-    )
+    values = [
+        TOTALS_FORMAT if answer.totals else FORMAT,
+        answer.coordinator,
+        answer.number,
+        answer.report,
+        answer.is_gathering,
+        rows,
+    ]
+    if answer.totals:
+        values.append([[row.customer, row.calls, row.recent] for row in answer.totals])
+    return _pack(values)
 
 
 def decode_answer(message: bytes) -> Answer | str:
     """Decode an answer; a text says what is malformed."""
     try:
-        coordinator, number, report, is_gathering, rows = _unpack(message, 6)
+        values = _unpack(message, {FORMAT: 6, TOTALS_FORMAT: 7})
+        coordinator, number, report, is_gathering, rows = values[:5]
+        totals = _list(values[5]) if len(values) > 5 else []
         return Answer(
             coordinator=_text(coordinator),
             number=_count(number),
@@ -151,6 +203,12 @@
                 )
                 for customer, tokens, rate_per_s, has_more in _list(rows)
             ),
+            totals=tuple(
+                Total(
+                    customer=_text(customer), calls=_count(calls), recent=_count(recent)
+                )
+                for customer, calls, recent in totals
+            ),
         )
     except (ValueError, TypeError) as error:
         return f"{type(error).__name__}: {error!s:.80}"
@@ -161,11 +219,13 @@
     return packed
 
 
-def _unpack(message: bytes, length: int) -> list[Any]:
+def _unpack(message: bytes, length_by_format: Mapping[int, int]) -> list[Any]:
     if len(message) > MAX_MESSAGE_BYTES:
         raise ValueError(f"message of {len(message)} bytes")
     values = msgpack.unpackb(message)
-    if not isinstance(values, list) or len(values) != length or values[0] != FORMAT:
+    if not isinstance(values, list) or not values or type(values[0]) is not int:
+        raise ValueError("unknown format")
+    if len(values) != length_by_format.get(values[0]):
         raise ValueError("unknown format")
     return values[1:]
 
--- a/src/comfreytray/customers/quotaterms.py
+++ b/src/comfreytray/customers/quotaterms.py
@@ -18,8 +18,10 @@
 MARGIN_S = 0.28
 """Calls added to the margin, as seconds of the rate within two bounds: customers with
 fewer calls cause fewer early reports."""
-FREE_PERIOD_S = 0.5
-"""Seconds of the rate that a node may admit, beyond the burst, between two answers."""
+FREE_CALLS = 3.0
+FREE_PERIOD_S = 0.25
+"""Calls, and seconds of the rate, that a node may admit between two answers. All nodes
+may do so where a coordinator is lost."""
 LEASED_SHARE = 0.5
 """Part of the permitted excess that leases may use; the rest covers lost answers."""
 REPORT_PERIOD_S = 0.5
@@ -70,6 +72,11 @@
         """Part of the excess that leases may use."""
         return self.excess * LEASED_SHARE
 
+    @property
+    def most_calls(self) -> float:
+        """Calls that are admitted at most in any window, but for lost messages."""
+        return self.window_calls + self.leased_excess
+
     @property
     def free_balance(self) -> float:
         """Balance from which nodes may admit calls without a lease."""
@@ -80,7 +87,7 @@
     @property
     def free_calls(self) -> float:
         """Calls that one node may admit without a lease between two answers."""
-        return self.burst + self.rate_per_s * FREE_PERIOD_S
+        return FREE_CALLS + self.rate_per_s * FREE_PERIOD_S
 
 
 class TermsSource:
--- a/src/comfreytray/customers/quotausage.py
+++ b/src/comfreytray/customers/quotausage.py
@@ -4,6 +4,8 @@
 
 from attrs import define, field
 
+from comfreytray.customers.quotahistory import AdmissionHistory, CustomerHistory
+from comfreytray.customers.quotamessages import Usage
 from comfreytray.customers.quotashares import FallbackBucket
 from comfreytray.customers.quotaterms import QuotaTerms
 
@@ -35,23 +37,31 @@
     sent_rejected: int = 0
     base: int = 0
     """Total in the newest report that was answered."""
+    lease_base: int = 0
+    """Total from which the answer that is followed counts."""
+    exhausted_until: float = -math.inf
+    """Time until which a new coordinator has said that the quota is used up."""
     mean_per_s: float = 0.0
     """Mean rate of admitted calls while reports were answered."""
     fallback: FallbackBucket = field(factory=FallbackBucket)
+    history: AdmissionHistory = field(factory=AdmissionHistory)
 
     def note_sent(self) -> None:
         """Note that the totals are in the newest report."""
         self.sent_admitted, self.sent_rejected = self.admitted, self.rejected
 
-    def acknowledge(self, passed_s: float) -> bool:
+    def acknowledge(self, passed_s: float, *, is_followed: bool) -> bool:
         """Note the answer to the newest report, `passed_s` after the last such answer.
 
+        An answer that is not followed leaves the tokens of the one before as they are.
         Returns whether nothing was counted since that report.
         """
         weight = 1.0 - math.exp(-passed_s / MEAN_S)
         recent_per_s = (self.sent_admitted - self.base) / passed_s
         self.mean_per_s += weight * (recent_per_s - self.mean_per_s)
         self.base = self.sent_admitted
+        if is_followed:
+            self.lease_base = self.base
         totals = (self.admitted, self.rejected)
         return totals == (self.sent_admitted, self.sent_rejected)
 
@@ -67,3 +77,54 @@
             or used >= max(URGENT_CALLS, URGENT_SHARE * terms.burst)
             or (tokens >= MIN_HALF_TOKENS and 2 * used >= tokens)
         )
+
+
+class CustomerUsages:
+    """The calls of all customers at this node, and which are to be reported."""
+
+    def __init__(self) -> None:
+        self.by_customer: dict[str, CustomerUsage] = {}
+        self._changed: set[str] = set()
+        """Customers whose totals differ from the newest answered report."""
+
+    def of(self, customer: str) -> CustomerUsage:
+        """Return the calls of a customer."""
+        if customer not in self.by_customer:
+            self.by_customer[customer] = CustomerUsage()
+        return self.by_customer[customer]
+
+    def mark(self, customer: str) -> CustomerUsage:
+        """Return the calls of a customer, whose totals change."""
+        self._changed.add(customer)
+        return self.of(customer)
+
+    def rows(self) -> tuple[Usage, ...]:
+        """Return what is to be reported now."""
+        rows: list[Usage] = []
+        for customer in sorted(self._changed):
+            state = self.by_customer[customer]
+            state.note_sent()
+            rows.append(
+                Usage(
+                    customer=customer,
+                    admitted=state.admitted,
+                    rejected=state.rejected,
+                    acknowledged=state.base,
+                )
+            )
+        return tuple(rows)
+
+    def histories(self, now: float) -> tuple[CustomerHistory, ...]:
+        """Return when the calls of the last window were admitted."""
+        return tuple(
+            state.history.tell(customer, now, admitted=state.admitted)
+            for customer, state in sorted(self.by_customer.items())
+            if state.history.recent_calls(now)
+        )
+
+    def acknowledge(self, passed_s: float, *, is_followed: bool) -> None:
+        """Note the answer to the newest report, as `CustomerUsage.acknowledge`."""
+        for customer in list(self._changed):
+            state = self.by_customer[customer]
+            if state.acknowledge(passed_s, is_followed=is_followed) and is_followed:
+                self._changed.discard(customer)
--- a/src/comfreytray/node/options.py
+++ b/src/comfreytray/node/options.py
@@ -51,6 +51,8 @@
     retries: RetryBudget
     freshness: FreshnessLimits
     """How old the node's configuration may be."""
+    is_first_start: bool = False
+    """Whether the whole system starts for the first time."""
     quotas: QuotaBounds = field(factory=QuotaBounds)
     """How far the calls of a customer may exceed its quota."""
     rollouts: RolloutBounds | None = None
--- a/src/comfreytray/node/quotas.py
+++ b/src/comfreytray/node/quotas.py
@@ -60,6 +60,9 @@
         name=f"{options.node_id}/{session}",
         terms=terms,
         member_ids=lambda: choice.member_ids,
+        window_s=options.quotas.window_s,
+        successor=choice.successor,
+        is_first_start=options.is_first_start,
     )
     gate = QuotaGate(
         clock=clock,
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -88,6 +88,7 @@
             propagation_s=bounds.get("config_deadline_s", DEFAULT_PROPAGATION_S),
             recovery_s=bounds.get("stable_window_s", DEFAULT_RECOVERY_S),
         ),
+        is_first_start=document.get("bootstrap") is True,
         quotas=QuotaBounds(
             window_s=_bound_from(
                 bounds, "quota_window_s", DEFAULT_QUOTAS.window_s, low=MIN_WINDOW_S
