Bound the answers of the stores by the memory of the node

Heads, bodies, uploads and interim answers of instances are bounded already (calls_endless), and so are frames between nodes; two places were not.

What on-call would see: a node on the platform kept up to 64 MB of one answer of the store before it gave up, and as much again when joining it, on machines of 128 MB; the client of the product's own store kept any answer whole, without end.

Change: both read a body in parts, within a bound and a deadline. On the platform the bound is a sixteenth of the memory in the settings, 4 MB at least. A watch whose answer is too large becomes a list, which has pages and each object once.

--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -64,3 +64,14 @@
       | speed |
       | fast  |
       | slow  |
+
+  # A watch after many changes brings each whole object; the node kept up to 64 MB of it.
+  Scenario: A watch whose answer is too large for the node's memory becomes a list
+    Given a store whose watches answer with 32 MB, and a node of 64 MB
+    When the node watches the configuration
+    Then it gets the objects, and took at most 12 MB of the answer
+
+  Scenario: An answer without end of the product's own store is given up
+    Given a store of the product's own whose answers never end
+    When a client reads an object of it
+    Then the read fails, and the client took at most 80 MB of the answer
--- a/src/comfreytray/platform/main.py
+++ b/src/comfreytray/platform/main.py
@@ -17,6 +17,7 @@
 from comfreytray.platform.interfaces import Exposition, Heartbeats, Readiness
 from comfreytray.platform.objectstore import PlatformStore
 from comfreytray.platform.settings import PlatformSettings, load
+from comfreytray.store.storebodies import body_limit
 
 METRICS_PORT = 9464
 """As in deploy/system.toml; outside the range of ports that the platform assigns."""
@@ -31,7 +32,10 @@
     except SettingError as error:
         logs.warn(logs.Event.SETTING_REFUSED, reason=str(error))
         return error.exit_code
-    with PlatformStore(address=settings.store_address) as store:
+    max_answer_bytes = body_limit(settings.node_options.memory_bytes)
+    with PlatformStore(
+        address=settings.store_address, max_answer_bytes=max_answer_bytes
+    ) as store:
         _run(settings, store, path, early)
     return 0
 
--- a/src/comfreytray/platform/objectstore.py
+++ b/src/comfreytray/platform/objectstore.py
@@ -15,7 +15,7 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, StoredObject, WatchBatch
 from comfreytray.common.keepalive import OPTIONS as KEEPALIVE_OPTIONS
-from comfreytray.platform.storeanswers import decode_era, read_body
+from comfreytray.platform.storeanswers import decode_era
 from comfreytray.platform.storedobjects import (
     MALFORMED_ERRORS,
     decode_all,
@@ -23,6 +23,12 @@
     is_change,
     last_name,
 )
+from comfreytray.store.storebodies import (
+    BODY_TIMEOUT_S,
+    MAX_BODY_BYTES,
+    AnswerTooLargeError,
+    read_body,
+)
 
 OBJECTS_PATH = "/-/objects"
 CALL_TIMEOUT_S = 1.0
@@ -30,9 +36,8 @@
 """Time beyond the wait of a watch until the client gives up on its answer."""
 MAX_IDLE_CONNECTIONS = 4
 """Connections kept open between calls; more are opened when all are in use."""
-BODY_TIMEOUT_S = 4.0
-"""Time for the body of an answer, beyond the time-out of its call."""
 MS_PER_S = 1000
+_TOO_LARGE = Failure(kind=Kind.STORE_UNAVAILABLE, detail=AnswerTooLargeError.__name__)
 _NOT_SENT_ERRORS = (http_errors.NewConnectionError, http_errors.ConnectTimeoutError)
 """Errors before a request was sent: a write was not applied."""
 _STATUS_HISTORY_GONE = 410
@@ -70,7 +75,10 @@
     of the object's spec. Versions and revisions are those of `common.revisions`.
     """
 
-    def __init__(self, *, address: Address) -> None:
+    def __init__(
+        self, *, address: Address, max_answer_bytes: int = MAX_BODY_BYTES
+    ) -> None:
+        self._max_answer_bytes = max_answer_bytes
         self._era = 0
         """The latest era that is known; answers of earlier ones are out of date."""
         self._pool = urllib3.HTTPConnectionPool(
@@ -186,8 +194,9 @@
         path = f"{OBJECTS_PATH}/{quote(kind)}?watch={after}&wait_ms={wait_ms}"
         answer = self._read(path, timeout_s + WATCH_MARGIN_S)
         if isinstance(answer, Failure):
-            is_history_gone = answer.kind is Kind.NOT_FOUND
-            return self._list(prefix) if is_history_gone else answer
+            # A list has pages, and each object once.
+            must_list = answer.kind is Kind.NOT_FOUND or answer is _TOO_LARGE
+            return self._list(prefix) if must_list else answer
         if answer.era != era:
             return self._list(prefix)
         try:
@@ -249,6 +258,8 @@
     def _read(self, path: str, timeout_s: float) -> _Answer | Failure:
         try:
             response = self._request("GET", path, None, timeout_s)
+        except AnswerTooLargeError:
+            return _TOO_LARGE
         except (http_errors.HTTPError, OSError) as error:
             return Failure(kind=Kind.STORE_UNAVAILABLE, detail=type(error).__name__)
         if response.era < self._era:
@@ -299,12 +310,7 @@
             timeout=urllib3.Timeout(connect=CALL_TIMEOUT_S, read=timeout_s),
             preload_content=False,
         )
-        try:
-            data = read_body(response, deadline)
-        except BaseException:
-            response.close()
-            raise
-        response.release_conn()
+        data = read_body(response, deadline=deadline, max_bytes=self._max_answer_bytes)
         era = decode_era(response)
         if era is None:
             era = self._era
--- a/src/comfreytray/store/storeclient.py
+++ b/src/comfreytray/store/storeclient.py
@@ -1,16 +1,19 @@
 """HTTP client of the platform's object store."""
 
 import base64
+import time
 from types import TracebackType
 from typing import Any, Self
 from urllib.parse import quote, urlencode
 
 import urllib3
+from attrs import frozen
 from urllib3 import exceptions as http_errors
 
 from comfreytray.common import outerjson
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import StoredObject, WatchBatch
+from comfreytray.store.storebodies import BODY_TIMEOUT_S, read_body
 
 OBJECTS_PATH = "/v1/objects"
 WATCH_MARGIN_S = 2.0
@@ -28,6 +31,15 @@
 }
 
 
+@frozen(kw_only=True)
+class _Response:
+    """A complete answer of the store."""
+
+    status: int
+    data: bytes
+    etag: str
+
+
 class StoreClient:
     """Client of the platform's store at a URL; implements `ObjectStore`."""
 
@@ -113,7 +125,7 @@
             detail = f"malformed response: {type(error).__name__}"
             return Failure(kind=Kind.STORE_UNAVAILABLE, detail=detail)
 
-    def _read(self, path: str, timeout_s: float) -> urllib3.BaseHTTPResponse | Failure:
+    def _read(self, path: str, timeout_s: float) -> _Response | Failure:
         try:
             response = self._request("GET", path, {}, None, timeout_s)
         except http_errors.HTTPError as error:
@@ -125,7 +137,7 @@
 
     def _write(
         self, method: str, key: str, headers: dict[str, str], value: bytes | None
-    ) -> urllib3.BaseHTTPResponse | Failure:
+    ) -> _Response | Failure:
         try:
             response = self._request(
                 method, _object_path(key), headers, value, self._timeout_s
@@ -148,14 +160,20 @@
         headers: dict[str, str],
         body: bytes | None,
         timeout_s: float,
-    ) -> urllib3.BaseHTTPResponse:
-        return self._pool.urlopen(
+    ) -> _Response:
+        deadline = time.monotonic() + timeout_s + BODY_TIMEOUT_S
+        response = self._pool.urlopen(
             method,
             path,
             body=body,
             headers=headers,
             redirect=False,
             timeout=urllib3.Timeout(connect=self._timeout_s, read=timeout_s),
+            preload_content=False,
+        )
+        data = read_body(response, deadline=deadline)
+        return _Response(
+            status=response.status, data=data, etag=response.headers.get("ETag", "")
         )
 
 
@@ -171,8 +189,8 @@
     return {"If-Match": f'"{expected_version}"'}
 
 
-def _version_from_etag(response: urllib3.BaseHTTPResponse) -> int | None:
-    tag = response.headers.get("ETag", "").strip('"')
+def _version_from_etag(response: _Response) -> int | None:
+    tag = response.etag.strip('"')
     return int(tag) if tag.isdecimal() else None
 
 
