Send a whole answer that waits beyond its deadline for its turn

Answers that are ready are to be delivered, also when late.

Cause: the wait for room stood behind each write, also behind the last one. It stands before the next part is read now, and ends at the deadline: what has come until then is still taken, within the window; what has not come is cut.

--- a/features/calls_unread_answers.feature
+++ b/features/calls_unread_answers.feature
@@ -30,6 +30,18 @@
       | same    |
       | another |
 
+  # An answer that is ready is sent, also when late.
+  Scenario Outline: A whole answer that waits beyond its deadline is still sent
+    Given a node beside an upstream whose answers may never end
+    And another node without it
+    When a caller of the <beside> node sends a late lookup and one of 200 KB for 1 s
+    Then it gets both answers whole on one connection
+
+    Examples:
+      | beside  |
+      | same    |
+      | another |
+
   Scenario: Callers that read nothing take no more memory than the node has for answers
     Given two nodes, of which one has 2 MB for answers
     When 24 callers of that node ask for large answers and read nothing
--- a/features/steps/calls_unread_answers_steps.py
+++ b/features/steps/calls_unread_answers_steps.py
@@ -11,6 +11,7 @@
 
 from comfreytray.calls.outbox import Outbox
 from comfreytray.calls.transitmemory import TransitMemory
+from standins.endless_upstream import WHOLE_BYTES
 
 PIPELINED_ENDLESS = 2
 CALLER_BUFFER_BYTES = 16_384
@@ -93,6 +94,28 @@
     ]
 
 
+@when("a caller of the {beside} node sends a late lookup and one of 200 KB for 1 s")
+def send_whole(context, beside):
+    data = _lookup("/late") + _lookup("/whole", deadline_ms=DEADLINE_MS)
+    sock = context.fleet.raw(_node(context, beside), data)
+    context.received = b""
+    with eventlet.Timeout(WAIT_S):
+        while len(context.received) < WHOLE_BYTES:
+            part = sock.recv(65536)
+            assert part, context.received[-200:]
+            context.received += part
+    sock.close()
+
+
+@then("it gets both answers whole on one connection")
+def check_whole(context):
+    heads = context.received.split(b"HTTP/1.1 ")[1:]
+    assert [head[:3] for head in heads] == [b"200", b"200"], [
+        head[:80] for head in heads
+    ]
+    assert context.received.endswith(b"w" * WHOLE_BYTES)
+
+
 @given("two nodes, of which one has 2 MB for answers")
 def make_two(context):
     def script(head, body):
--- a/src/comfreytray/calls/answers.py
+++ b/src/comfreytray/calls/answers.py
@@ -34,6 +34,10 @@
     failure: Failure | None
     """Why the answer was given up."""
 
+    def wait_for_room(self) -> None:
+        """Wait until a further part may be written."""
+        ...
+
     def fail(self, failure: Failure) -> None:
         """Give the answer up, and report the failure in its place."""
         ...
@@ -53,18 +57,21 @@
                 body, self.reply.body = self.reply.body, b""
                 yield body
                 del body
-            for part in self.reply.rest or ():
-                self._check()
+            rest = iter(self.reply.rest or ())
+            while (part := self._next(rest)) is not None:
                 yield part
         except CallCutError as error:
             if self.target is not None and not self.target.is_started:
                 self.target.fail(error.failure)
             raise
 
-    def _check(self) -> None:
-        """Raise CallCutError if the answer was given up."""
-        if self.target is not None and self.target.failure is not None:
-            raise CallCutError(self.target.failure)
+    def _next(self, rest: Iterator[bytes]) -> bytes | None:
+        """Return the next part once it may be written; raises CallCutError."""
+        if self.target is not None:
+            self.target.wait_for_room()
+            if self.target.failure is not None:
+                raise CallCutError(self.target.failure)
+        return next(rest, None)
 
     def close(self) -> None:
         """Release the resources of the answer, even if it was not read to its end."""
--- a/standins/endless_upstream.py
+++ b/standins/endless_upstream.py
@@ -15,6 +15,8 @@
     b"HTTP/1.1 200 Fine\r\nX-Response-Seal: s\r\n" + CALL_ID_FIELD + CALL_ID + b"\r\n"
 )
 ANSWER = SUCCESS + b"Content-Length: 2\r\n\r\nok"
+WHOLE_BYTES = 200_000
+WHOLE = SUCCESS + b"Content-Length: %d\r\n\r\n" % WHOLE_BYTES + b"w" * WHOLE_BYTES
 OTHER_ANSWER = (
     b"HTTP/1.1 200 Fine\r\nX-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
@@ -54,6 +56,9 @@
         raise ConnectionAbortedError
     if kind == "late":
         time.sleep(LATE_S)
+    if kind == "whole":
+        yield WHOLE.replace(CALL_ID, call_id)
+        return
     if kind not in PARTS_BY_KIND:
         yield ANSWER.replace(CALL_ID, call_id)
         return
