Hold nothing for an answer that is given up after its connection has closed

What on-call would see: 46 bytes of `answers` for good for each answer that was cut after its caller had left, with the answer's object, so that in the end sound answers are shed.

Cause: the refusal that takes the place of a cut answer was buffered, and counted, on a pipeline that was closed and takes nothing any more.

Change: a closed pipeline buffers nothing.

--- a/features/calls_unread_answers.feature
+++ b/features/calls_unread_answers.feature
@@ -55,6 +55,11 @@
     Then it never holds more than 2 MB for them
     And it holds nothing more once the callers have left
 
+  # The refusal in place of a cut answer stayed counted where its caller had left.
+  Scenario: An answer that is given up after its connection has closed holds nothing
+    When a connection closes and then its two pending answers are given up and end
+    Then nothing is held for them
+
   Scenario: The largest holder gives up its bytes, and the sum is kept
     When 200 seeded holders take and release bytes at random
     Then no sum exceeded its limit, and each time the largest was given up
--- a/features/steps/calls_unread_answers_steps.py
+++ b/features/steps/calls_unread_answers_steps.py
@@ -10,7 +10,8 @@
 from eventlet.green import socket
 
 from comfreytray.calls.outbox import Outbox
-from comfreytray.calls.transitmemory import TransitMemory
+from comfreytray.calls.pipelines import DropReason, Pipeline
+from comfreytray.calls.transitmemory import ANSWERS_SHED, TransitMemory
 from standins.endless_upstream import WHOLE_BYTES
 
 PIPELINED_ENDLESS = 2
@@ -189,6 +190,40 @@
     sock.close()
 
 
+class _Request:
+    """The request of an answer that is given up."""
+
+    def left_s(self):
+        return 1.0
+
+    def encode_failure(self, failure, *, closes):
+        return b"HTTP/1.1 502 answer-cut\r\nContent-Length: 0\r\n\r\n"
+
+
+@when("a connection closes and then its two pending answers are given up and end")
+def give_up_after_close(context):
+    context.memory = TransitMemory(purpose="answers")
+    pipeline = Pipeline(
+        send=lambda _: None,
+        memory=context.memory,
+        on_idle=lambda: None,
+        on_close=lambda: None,
+        on_drop=lambda count, reason: None,
+    )
+    responses = [pipeline.add_response(_Request()) for _ in range(2)]
+    responses[1].write(b"part")
+    pipeline.close(DropReason.CALLER_LEFT)
+    for response in responses:
+        response.write(b"late part")
+        response.fail(ANSWERS_SHED)
+        response.finish(closes_connection=False)
+
+
+@then("nothing is held for them")
+def check_nothing_held(context):
+    assert context.memory.held_bytes == 0, context.memory.held_bytes
+
+
 class _Holder:
     """Holds bytes until they are shed."""
 
--- a/src/comfreytray/calls/pipelines.py
+++ b/src/comfreytray/calls/pipelines.py
@@ -80,7 +80,7 @@
 
     def writelines(self, parts: Iterable[bytes]) -> None:
         """Buffer parts of the answer, unless it was given up."""
-        if self.failure is None and not self._pipeline.closed:
+        if self.failure is None:
             self._add(list(parts))
 
     def write(self, data: bytes) -> None:
@@ -150,6 +150,9 @@
             self._add([self._request.encode_failure(self.failure, closes=closes)])
 
     def _add(self, parts: list[bytes]) -> None:
+        if self._pipeline.closed:
+            # Nothing would take them any more.
+            return
         self._parts += parts
         self._memory.hold(self, sum(map(len, parts)))
 
