Say that the event loop does not wait, and who runs or holds it

The loop now counts its turns without a wait; after 512 it pauses (1 ms, or as long as the turns took where they were too short for any work, 16 ms at most) and tells a watch, which logs loop-not-waiting after 1 s with turns, pauses and the sampled greenlets. A periodic signal logs loop-held with the function's name if the loop has not turned between two checks; one check is not enough, so a frozen machine leaves no line.

--- a/src/comfreytray/node/daemon.py
+++ b/src/comfreytray/node/daemon.py
@@ -6,10 +6,11 @@
 
 import eventlet
 
-from comfreytray.common import logs
+from comfreytray.common import logs, loop
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.exceptions import SettingError
 from comfreytray.common.logs import Event
+from comfreytray.common.loopwatch import LoopWatch
 from comfreytray.common.settings import Settings
 from comfreytray.node.node import Node
 
@@ -37,6 +38,7 @@
     """Run a node until SIGTERM or SIGINT; return the exit code."""
     check_settings(settings)
     logs.configure(settings.log_level)
+    paced_loop = loop.install()
     node = Node(settings=settings)
 
     def stop(_: int, __: FrameType | None) -> None:
@@ -44,7 +46,7 @@
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
-    with node:
+    with LoopWatch(loop=paced_loop, metrics=node.metrics), node:
         print(f"ready node={node.record().node_id}", flush=True)
         # Objects made at start-up live until the end: no collection need scan them.
         gc.collect()
--- a/src/comfreytray/platform/main.py
+++ b/src/comfreytray/platform/main.py
@@ -8,8 +8,9 @@
 
 import eventlet
 
-from comfreytray.common import logs
+from comfreytray.common import logs, loop
 from comfreytray.common.exceptions import SettingError
+from comfreytray.common.loopwatch import LoopWatch
 from comfreytray.node.proxynode import ProxyNode
 from comfreytray.platform import configuration
 from comfreytray.platform.earlystart import FILE_VARIABLE, EarlyStart
@@ -46,6 +47,7 @@
     path: Path,
     early: EarlyStart,
 ) -> None:
+    paced_loop = loop.install()
     node = ProxyNode(
         options=settings.node_options,
         store=store,
@@ -69,7 +71,7 @@
     signal.signal(signal.SIGHUP, reload)
     if early.is_stop_requested:
         node.ask_to_stop()
-    with node:
+    with LoopWatch(loop=paced_loop, metrics=node.metrics), node:
         node.serve(settings.ready_address, Readiness(is_ready=lambda: node.is_ready))
         node.serve(
             settings.heartbeat_address,
