Wait in each round of a loop that goes on until it is killed

Cause: thirteen loops were written out, each with its own pause; a step that asked for 0 s made the loop of the process turn without waiting, and a signal that had been fired returned from its wait without a switch, so that a greenlet that fires it in each round would have held the thread. Change: repeat and repeat_when are the only loops that go on until killed; a pause below 1 ms, or one that is no number, is 1 ms, and an exception is logged and paused for. A signal's wait gives way to others in any case. A review in the tests reads all `while` loops: each path round must wait or use something up, or be listed with what ends it.

--- /dev/null
+++ b/features/no_busy_loops.feature
@@ -0,0 +1,18 @@
+Feature: No part of a node goes round without waiting
+
+  # A process that does not wait uses its machine's whole processor. Each scenario is one
+  # way in which a wait returns at once, again and again.
+
+  Scenario: A signal that is fired before each wait lets others run
+    Given a greenlet that fires a signal and waits for it 1000 times
+    When another greenlet runs beside it
+    Then that one had its turn before the first one ended
+
+  Scenario: A step that asks for no pause, or for one that is no number, is paused
+    Given steps that return 0, a negative pause and one that is no number
+    When each is repeated for 0.1 s
+    Then none was called more than 100 times
+
+  Scenario: A review of all loops: each round waits or uses something up
+    When the loops of all modules are read
+    Then each path round a loop waits, or takes away from what it goes over
--- a/src/comfreytray/calls/holdrecords.py
+++ b/src/comfreytray/calls/holdrecords.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterable
 from typing import Any
 
-import eventlet
 from attrs import evolve, frozen
 
 from comfreytray.calls.fingerprints import name_of, parse_name
@@ -18,6 +17,7 @@
 from comfreytray.common.budgets import Backoff
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock, ObjectStore, StoredObject
+from comfreytray.common.repeating import repeat
 from comfreytray.common.signals import Signal
 
 MAX_RECORD_BYTES = 4096
@@ -97,15 +97,12 @@
 
     def run(self) -> None:
         """Write what is due, until killed."""
-        while True:
-            if not self._queue:
-                self._wake.wait(IDLE_WAIT_S)
-                continue
-            try:
-                eventlet.sleep(self.step())
-            except Exception as error:
-                logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
-                eventlet.sleep(self._backoff.next_s())
+        repeat("hold-records", self._wait_and_step)
+
+    def _wait_and_step(self) -> float:
+        if not self._queue:
+            self._wake.wait(IDLE_WAIT_S)
+        return self.step()
 
     def step(self) -> float:
         """Make one write, if any is due; return the seconds to wait after it."""
--- a/src/comfreytray/calls/noticesender.py
+++ b/src/comfreytray/calls/noticesender.py
@@ -10,10 +10,10 @@
 from comfreytray.calls.notices import Notice, decode, encode
 from comfreytray.calls.peercalls import PeerCalls
 from comfreytray.calls.quarantine import Quarantine
-from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.records import MembershipView, NodeRecord
+from comfreytray.common.repeating import repeat_when
 from comfreytray.common.signals import Signal
 
 TOPIC = "/notices"
@@ -99,13 +99,11 @@
 
     def run(self) -> None:
         """Send what is due, until killed."""
-        while True:
-            is_idle = self._quarantine().is_empty and not self._queue
-            self._wake.wait(IDLE_TICK_S if is_idle else TICK_S)
-            try:
-                self.step()
-            except Exception as error:
-                logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+        repeat_when("notices", self._wake, self.step, period_s=self._period_s)
+
+    def _period_s(self) -> float:
+        is_idle = self._quarantine().is_empty and not self._queue
+        return IDLE_TICK_S if is_idle else TICK_S
 
     def step(self) -> None:
         """Start the sends that are due."""
--- a/src/comfreytray/calls/reaper.py
+++ b/src/comfreytray/calls/reaper.py
@@ -16,8 +16,8 @@
 from comfreytray.calls.connections import StreamClient
 from comfreytray.calls.owner import Owner
 from comfreytray.calls.routing import Router
-from comfreytray.common import logs
 from comfreytray.common.interfaces import Clock
+from comfreytray.common.repeating import repeat
 from comfreytray.configuration.callerlimits import CallerLimits
 
 if TYPE_CHECKING:
@@ -62,6 +62,7 @@
         self.router = router
         self.keyed = keyed
         self.limits = limits
+        self._close_idle_at = 0.0
         self.tracked_calls: set[TrackedCall] = set()
         self.pending_head_by_socket: dict[Any, PendingHead] = {}
 
@@ -82,17 +83,15 @@
 
     def run(self) -> None:
         """Sweep once per period, until killed."""
-        close_idle_at = 0.0
-        while True:
-            eventlet.sleep(SWEEP_PERIOD_S if self._has_work() else IDLE_SWEEP_PERIOD_S)
-            try:
-                self.sweep()
-                now = self.clock.monotonic()
-                if now >= close_idle_at:
-                    close_idle_at = now + CLOSE_IDLE_PERIOD_S
-                    self._close_idle()
-            except Exception as error:
-                logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+        repeat("reaper", self._sweep_when_due)
+
+    def _sweep_when_due(self) -> float:
+        self.sweep()
+        now = self.clock.monotonic()
+        if now >= self._close_idle_at:
+            self._close_idle_at = now + CLOSE_IDLE_PERIOD_S
+            self._close_idle()
+        return SWEEP_PERIOD_S if self._has_work() else IDLE_SWEEP_PERIOD_S
 
     def _has_work(self) -> bool:
         waiting = self.owner.admission.queued
--- a/src/comfreytray/calls/tracing.py
+++ b/src/comfreytray/calls/tracing.py
@@ -13,7 +13,7 @@
 import eventlet
 
 from comfreytray.calls.call import Call, Outcome, Reply
-from comfreytray.common import logs
+from comfreytray.common.repeating import repeat
 
 MAX_QUEUED_SPANS = 2048
 FLUSH_INTERVAL_S = 0.5
@@ -184,10 +184,7 @@
         return self._stack.enter_context(open(self.path, "a", buffering=1)).write
 
     def _flush(self) -> None:
-        while True:
-            eventlet.sleep(FLUSH_INTERVAL_S)
-            try:
-                while self.queue.flush():
-                    eventlet.sleep(0)
-            except OSError as error:
-                logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+        repeat("spans", self._flush_some)
+
+    def _flush_some(self) -> float:
+        return 0.0 if self.queue.flush() else FLUSH_INTERVAL_S
--- a/src/comfreytray/common/signals.py
+++ b/src/comfreytray/common/signals.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import eventlet
 from eventlet import getcurrent
 from eventlet.hubs import get_hub
 
@@ -26,12 +27,14 @@
         self._wake = get_hub().schedule_call_global(0, waiter.switch, True)
 
     def wait(self, timeout_s: float) -> bool:
-        """Return True once fired, False if the time-out passes first."""
-        if self._fired:
-            self._fired = False
-            return True
-        if timeout_s <= 0:
-            return False
+        """Return True once fired, False if the time-out passes first.
+
+        Gives way to other greenlets in any case: no loop of waits holds them up.
+        """
+        if self._fired or not timeout_s > 0:
+            eventlet.sleep(0)
+            fired, self._fired = self._fired, False
+            return fired
         hub = get_hub()
         self._waiter = getcurrent()
         timer = hub.schedule_call_global(timeout_s, self._waiter.switch, False)
--- a/src/comfreytray/common/tasks.py
+++ b/src/comfreytray/common/tasks.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from comfreytray.common.logs import Event, warn
+from comfreytray.common.repeating import repeat
 
 
 class TaskGroup:
@@ -42,13 +43,16 @@
     ) -> None:
         """Run functions in turn, periodically; an exception ends only that run."""
 
-        def loop() -> None:
-            while True:
-                for name, function in function_by_name.items():
-                    _run(name, function)
-                eventlet.sleep(period_s)
+        def step() -> float:
+            for name, function in function_by_name.items():
+                _run(name, function)
+            return period_s
 
-        self._threads.append(eventlet.spawn(loop))
+        self.repeat("/".join(function_by_name), step)
+
+    def repeat(self, name: str, step: Callable[[], float]) -> None:
+        """Call a step again and again, each time after the seconds it returned."""
+        self._threads.append(eventlet.spawn(repeat, name, step))
 
     def close(self) -> None:
         """Kill all green threads."""
--- a/src/comfreytray/customers/quotaexchange.py
+++ b/src/comfreytray/customers/quotaexchange.py
@@ -4,9 +4,9 @@
 
 import eventlet
 
-from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock
+from comfreytray.common.repeating import repeat_when
 from comfreytray.common.signals import Signal
 from comfreytray.customers import quotamessages
 from comfreytray.customers.quotachoice import CoordinatorChoice
@@ -90,13 +90,11 @@
 
     def run(self) -> None:
         """Send what is due, until killed."""
-        while True:
-            is_active = self.gate.is_active or self.coordinator.is_active
-            self._wake.wait(TICK_S if is_active else IDLE_TICK_S)
-            try:
-                self.step()
-            except Exception as error:
-                logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+        repeat_when("quotas", self._wake, self.step, period_s=self._period_s)
+
+    def _period_s(self) -> float:
+        is_active = self.gate.is_active or self.coordinator.is_active
+        return TICK_S if is_active else IDLE_TICK_S
 
     def step(self) -> None:
         """Start the sends that are due."""
--- a/src/comfreytray/node/recordsync.py
+++ b/src/comfreytray/node/recordsync.py
@@ -7,6 +7,7 @@
 
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.records import Departure, ListedRecord, NodeRecord
+from comfreytray.common.repeating import repeat
 from comfreytray.common.signals import Signal
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.heartbeats import InstanceRegister
@@ -85,12 +86,14 @@
             FIRST_HEARTBEAT_TIMEOUT_S,
             self._clock,
         )
-        while True:
-            record = self._record()
-            if self._own_record.is_current(record):
-                self._changed.wait(MEMBERS_WAIT_S)
-                continue
-            eventlet.sleep(self._own_record.write(record))
+        repeat("own-record", self._write_if_changed)
+
+    def _write_if_changed(self) -> float:
+        record = self._record()
+        if self._own_record.is_current(record):
+            self._changed.wait(MEMBERS_WAIT_S)
+            return 0.0
+        return self._own_record.write(record)
 
     def _await_members(self) -> None:
         poll_until(lambda: self._members.is_known, PROMPT_LIST_S, self._clock)
--- a/src/comfreytray/replication/replicator.py
+++ b/src/comfreytray/replication/replicator.py
@@ -11,6 +11,7 @@
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import MembershipView, NodeRecord
+from comfreytray.common.repeating import repeat
 from comfreytray.common.signals import Signal
 from comfreytray.common.tasks import TaskGroup
 from comfreytray.replication import frames
@@ -195,15 +196,16 @@
         """Follow the store whenever the plan says so."""
         if number > 0:
             self._await_members()
-        while True:
-            if not self.plan.watches:
-                if self._wake_by_feed[number].wait(TICK_S) and self._is_overdue(feed):
-                    eventlet.sleep(self._step(number, feed))
-                continue
-            if number > 0 and self._is_probed_by_first(feed):
-                eventlet.sleep(TICK_S)
-                continue
-            eventlet.sleep(self._step(number, feed))
+        repeat("store-feed", lambda: self._follow_if_planned(number, feed))
+
+    def _follow_if_planned(self, number: int, feed: Feed) -> float:
+        if not self.plan.watches:
+            is_woken = self._wake_by_feed[number].wait(TICK_S)
+            if not (is_woken and self._is_overdue(feed)):
+                return 0.0
+        elif number > 0 and self._is_probed_by_first(feed):
+            return TICK_S
+        return self._step(number, feed)
 
     def _is_overdue(self, feed: Feed) -> bool:
         return feed is self._age.feed and self._age.check()
--- a/src/comfreytray/rollouts/coordinator.py
+++ b/src/comfreytray/rollouts/coordinator.py
@@ -14,6 +14,7 @@
 from comfreytray.common.interfaces import Clock, StoredObject
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import MembershipView, NodeRecord
+from comfreytray.common.repeating import repeat_when
 from comfreytray.common.signals import Signal
 from comfreytray.rollouts import messages, orders, upstreams
 from comfreytray.rollouts.bounds import RolloutBounds
@@ -118,14 +119,11 @@
 
     def run(self) -> None:
         """Make the steps that are due, until killed."""
-        while True:
-            has_orders = self.gate.open_orders or self.gate.lost_orders
-            is_idle = not has_orders and not self._has_writes
-            self._wake.wait(IDLE_TICK_S if is_idle else TICK_S)
-            try:
-                self.step()
-            except Exception as error:
-                logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
+        repeat_when("rollouts", self._wake, self.step, period_s=self._period_s)
+
+    def _period_s(self) -> float:
+        has_orders = self.gate.open_orders or self.gate.lost_orders
+        return TICK_S if has_orders or self._has_writes else IDLE_TICK_S
 
     def step(self) -> None:
         """Report, decide and write what is due; does not wait."""
