Go on accepting after errors, and by turns

Cause: the accept loops of callers, call streams, replication, heartbeats, readiness and the administration ended at the first error of accept: with no descriptors left, or one connection reset before it was accepted, the node listened and served nobody. And accept returns without a switch while connections are queued. Change: SteadyListener pauses for 0.1 s after an error, logs the first of a series (accept-failed), ends only once its socket is closed or shut down, and takes turns. What did the users see of it: nothing known.

--- a/features/no_busy_loops.feature
+++ b/features/no_busy_loops.feature
@@ -13,6 +13,23 @@
     When each is repeated for 0.1 s
     Then none was called more than 100 times
 
+  Scenario Outline: The listener of <server> outlasts errors without going round
+    Given <server> on a listener that runs out of descriptors, then loses a connection
+    When a connection comes after these errors
+    Then it is served, and the listener was asked less than ten times
+
+    Examples:
+      | server               |
+      | the call streams     |
+      | the replication      |
+      | the control streams  |
+      | the callers          |
+
+  Scenario: Connections that are queued are accepted in turns
+    Given a listener with 300 queued connections
+    When they are accepted beside another greenlet
+    Then that one had a turn for each 8 of them
+
   Scenario: A review of all loops: each round waits or uses something up
     When the loops of all modules are read
     Then each path round a loop waits, or takes away from what it goes over
--- a/src/comfreytray/calls/callers.py
+++ b/src/comfreytray/calls/callers.py
@@ -8,6 +8,8 @@
 from attrs import define
 from eventlet.event import Event
 
+from comfreytray.common.listening import SteadyListener
+
 POLL_S = 0.02
 FIRST_REQUEST_S = 0.5
 """Time in which the first request of a new connection is awaited during a stop."""
@@ -97,22 +99,19 @@
             eventlet.sleep(POLL_S)
 
 
-class Listener:
+class Listener(SteadyListener):
     """A listening socket that can stop accepting while the server still runs."""
 
     def __init__(self, sock: Any) -> None:
-        self._sock = sock
+        super().__init__(sock)
         self._stopping = False
         self._ended = Event()
 
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._sock, name)
-
     def accept(self) -> Any:
         """Return the next connection; raises SystemExit at `end`, after a stop."""
-        while not self._stopping:
+        if not self._stopping:
             try:
-                return self._sock.accept()
+                return super().accept()
             except OSError:
                 if not self._stopping:
                     raise
--- a/src/comfreytray/calls/streamserver.py
+++ b/src/comfreytray/calls/streamserver.py
@@ -31,6 +31,7 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock
 from comfreytray.common.keepalive import enable_keepalive
+from comfreytray.common.listening import SteadyListener
 from comfreytray.common.signals import Signal
 from comfreytray.common.turns import Turns
 
@@ -88,9 +89,10 @@
 
     def serve(self, listener: Any) -> None:
         """Accept connections until the listener is closed."""
+        steady = SteadyListener(listener)
         while True:
             try:
-                sock, address = listener.accept()
+                sock, address = steady.accept()
             except (OSError, EOFError):
                 return
             eventlet.spawn_n(self._serve_connection, sock, address)
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -57,6 +57,7 @@
     AGE_RENEWED = "age-renewed"
     LOOP_STALLED = "loop-stalled"
     LOOP_HELD = "loop-held"
+    ACCEPT_FAILED = "accept-failed"
     LOOP_NOT_WAITING = "loop-not-waiting"
     LOOP_WAITS_AGAIN = "loop-waits-again"
     SELF_DOUBT = "self-doubt"
--- a/src/comfreytray/node/node.py
+++ b/src/comfreytray/node/node.py
@@ -2,7 +2,6 @@
 
 import random
 import uuid
-from collections.abc import Callable
 from contextlib import ExitStack
 from types import TracebackType
 from typing import Any
@@ -22,6 +21,7 @@
 from comfreytray.common.errors import Failure
 from comfreytray.common.exceptions import SettingError
 from comfreytray.common.interfaces import Address
+from comfreytray.common.listening import SteadyListener
 from comfreytray.common.logs import Event, log
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import Endpoint, NodeRecord
@@ -239,7 +239,7 @@
 
     def _serve_admin(self, listener: Any) -> None:
         eventlet.wsgi.server(
-            listener,
+            SteadyListener(listener),
             self.admin.wsgi_app,
             log_output=False,
             max_size=MAX_ADMIN_CONNECTIONS,
@@ -256,10 +256,11 @@
                 "status": self.status.tick,
             },
         )
-        tasks.spawn("seeds", self._run_seeds)
+        self.membership.start(self.seeds.addresses)
+        tasks.repeat("seeds", self._follow_seeds)
         tasks.spawn("holds", self._run_holds)
-        tasks.spawn("store-watch", lambda: _repeat(self.watcher.watch_step))
-        tasks.spawn("store-fetch", lambda: _repeat(self.watcher.fetch_step))
+        tasks.repeat("store-watch", self.watcher.watch_step)
+        tasks.repeat("store-fetch", self.watcher.fetch_step)
 
     def _tick_membership(self) -> None:
         """Tick the membership; stop this node if another one has its id."""
@@ -272,12 +273,10 @@
             eventlet.sleep(HOLDS_RETRY_MAX_S)
         self.holds.run()
 
-    def _run_seeds(self) -> None:
-        self.membership.start(self.seeds.addresses)
-        while True:
-            if self.seeds.tick(self.membership.view):
-                self.membership.start(self.seeds.addresses)
-            eventlet.sleep(SEEDS_PERIOD_S)
+    def _follow_seeds(self) -> float:
+        if self.seeds.tick(self.membership.view):
+            self.membership.start(self.seeds.addresses)
+        return SEEDS_PERIOD_S
 
     def _listen(self, stack: ExitStack, port: int) -> Any:
         listener = eventlet.listen((self.settings.host, port), backlog=LISTEN_BACKLOG)
@@ -339,9 +338,3 @@
         }
         raise SettingError(attrs.evolve(peers, fields=fields))
     return peers
-
-
-def _repeat(step: Callable[[], float]) -> None:
-    """Call a step again and again, each time after the seconds it returned."""
-    while True:
-        eventlet.sleep(step())
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -16,6 +16,7 @@
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.interfaces import Address, ObjectStore, StoredObject
+from comfreytray.common.listening import SteadyListener
 from comfreytray.common.logs import Event, log, warn
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import (
@@ -236,7 +237,7 @@
         self._tasks.spawn(
             f"http-{address[1]}",
             lambda: eventlet.wsgi.server(
-                listener,
+                SteadyListener(listener),
                 application,
                 log_output=False,
                 max_size=MAX_INTERFACE_CONNECTIONS,
--- a/src/comfreytray/replication/links.py
+++ b/src/comfreytray/replication/links.py
@@ -13,6 +13,7 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock
 from comfreytray.common.keepalive import enable_keepalive
+from comfreytray.common.listening import SteadyListener
 from comfreytray.common.turns import Turns
 from comfreytray.replication import frames
 
@@ -126,9 +127,10 @@
 
     def serve(self, listener: Any) -> None:
         """Accept connections until the listener is closed."""
+        steady = SteadyListener(listener)
         while True:
             try:
-                sock, address = listener.accept()
+                sock, address = steady.accept()
             except (OSError, EOFError):
                 return
             if len(self._links) >= MAX_FOLLOWERS:
