Wait at least a millisecond for the rate of an instance

Cause: the wait for the next call is what is left of a token; rounded, it can lie below the resolution of the clock. The timer is then due at once, finds the same wait, and is set again, for as long as the clock stands still between two turns. Change: a shortest wait of 1 ms.

--- a/features/no_busy_loops.feature
+++ b/features/no_busy_loops.feature
@@ -8,6 +8,11 @@
     When 0.5 s pass
     Then it was read at most 10 times, and the transport still accepts streams
 
+  Scenario: A wait for the rate of an instance that is too short for the clock
+    Given a node whose next call may run after a time below the clock's resolution
+    When it waits for that time for 0.2 s
+    Then the time was looked at no more than once a millisecond
+
   Scenario: A signal that is fired before each wait lets others run
     Given a greenlet that fires a signal and waits for it 1000 times
     When another greenlet runs beside it
--- a/src/comfreytray/calls/owner.py
+++ b/src/comfreytray/calls/owner.py
@@ -44,6 +44,7 @@
     }
 )
 """Failures of a call that count against the upstream."""
+MIN_ADMISSION_WAIT_S = 0.001
 LEAST_PRIORITY = 1_000
 """A priority that ranks after that of every route."""
 
@@ -249,7 +250,10 @@
         """Admit waiting calls again once the rate of the instance allows it."""
         wait_s = self.admission.admit_in_s()
         if wait_s is not None and self._admit_timer is None:
-            self._admit_timer = eventlet.spawn_after(wait_s, self._admit_waiting)
+            # A wait below the resolution of the clock would be due again at once.
+            self._admit_timer = eventlet.spawn_after(
+                max(MIN_ADMISSION_WAIT_S, wait_s), self._admit_waiting
+            )
 
     def _admit_waiting(self) -> None:
         self._admit_timer = None
