Pause after a watch that is answered at once without a change

Cause: the next watch follows an empty answer without a pause, as the store is trusted to wait. One that does not gets calls as fast as it answers. Change: 0.1 s after an empty answer that came sooner than that.

--- a/features/no_busy_loops.feature
+++ b/features/no_busy_loops.feature
@@ -23,6 +23,11 @@
     When each is repeated for 0.1 s
     Then none was called more than 100 times
 
+  Scenario: A store that answers each watch at once, though nothing has changed
+    Given a subscription to a store that does not let watches wait
+    When it is followed for 2 s
+    Then it has made at most 25 calls
+
   Scenario Outline: The listener of <server> outlasts errors without going round
     Given <server> on a listener that runs out of descriptors, then loses a connection
     When a connection comes after these errors
--- a/src/comfreytray/store/subscriptions.py
+++ b/src/comfreytray/store/subscriptions.py
@@ -8,6 +8,9 @@
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock, ObjectStore, WatchBatch
 
+EARLY_PAUSE_S = 0.1
+"""Pause after a watch that was answered at once, although nothing had changed."""
+
 
 class Subscription:
     """Read a prefix once, then watch it; each step is one call of the store.
@@ -100,7 +103,10 @@
         self._revision = max(batch.revision, self._revision)
         self._is_behind = not reads_newest and len(batch.objects) > 1
         self._on_batch(batch)
-        return min(self._gap_s(), self.max_wait_s()) if batch.objects else 0.0
+        if batch.objects:
+            return min(self._gap_s(), self.max_wait_s())
+        answered_in_s = self._clock.monotonic() - asked_at
+        return EARLY_PAUSE_S if answered_in_s < min(wait_s, EARLY_PAUSE_S) else 0.0
 
     def _next_wait_s(self) -> float:
         # A call that a silent store has lost is never answered. Until the store
