Leave the other nodes to the coordinator of quotas that is asked

What callers saw: after a kill of the coordinator in a surge at one node, two coordinators for 4 s, and calls refused that long. Cause: when the one that ended is back, the node with calls asks it again, but the other goes on pushing to all nodes without calls, which refuse the pushes of the first; so a sixth of the members is in contact there, and the rest of the quota is reserved. Change: a coordinator that no node has asked for two periods of the reports pushes no more.

--- a/features/customers_quotas.feature
+++ b/features/customers_quotas.feature
@@ -120,6 +120,11 @@
     When all send 0.625 of their quotas and the coordinator dies
     Then less than 1 in 20 calls was refused in the 5 s after that
 
+  Scenario: Who is no longer asked leaves the other nodes to the next coordinator
+    Given a coordinator to which a node has reported
+    When 2 s pass in which nobody reports
+    Then it pushes to no node
+
   Scenario: A lowered quota binds within 8 s and a raised one frees within 3 s
     Given 60 nodes and a customer with a quota of 60 calls a second
     When its quota is lowered to 30 calls a second while it sends 60
--- a/features/steps/quota_takeover_steps.py
+++ b/features/steps/quota_takeover_steps.py
@@ -161,3 +161,32 @@
 def check_tokens(context):
     balance = context.coordinator.balance_of("c")
     assert balance == context.balance - context.tokens, balance
+
+
+@given("a coordinator to which a node has reported")
+def report_once(context):
+    context.clock = _Clock()
+    context.coordinator = QuotaCoordinator(
+        clock=context.clock,
+        name="k/1",
+        terms=lambda _: TERMS,
+        member_ids=lambda: frozenset({"n", "o", "p"}),
+        window_s=BOUNDS.window_s,
+    )
+    usage = Usage(customer="c", admitted=2, rejected=0, acknowledged=0)
+    context.coordinator.receive(
+        Report(node_id="n", session=1, number=1, usage=(usage,))
+    )
+    pushed = context.coordinator.due_pushes()
+    assert {"o", "p"} <= set(pushed), pushed
+
+
+@when("2 s pass in which nobody reports")
+def pass_unasked(context):
+    context.clock.now += 2
+
+
+@then("it pushes to no node")
+def check_no_pushes(context):
+    assert context.coordinator.is_active
+    assert context.coordinator.due_pushes() == []
--- a/src/comfreytray/customers/quotacoordinator.py
+++ b/src/comfreytray/customers/quotacoordinator.py
@@ -11,13 +11,15 @@
 from comfreytray.customers.quotahistory import KnownUsage, Total, UsageReplica
 from comfreytray.customers.quotamessages import Answer, Lease, Report, Usage
 from comfreytray.customers.quotapushes import PushSchedule
-from comfreytray.customers.quotaterms import QuotaTerms
+from comfreytray.customers.quotaterms import QuotaTerms, report_period_s
 
 ACTIVE_S = 3.0
 """Time after a call for which a customer counts as calling."""
 GATHERING_S = 0.6
 """Time in which the reports of most nodes arrive at a new coordinator."""
 GATHERED_SHARE = 0.95
+ASKED_PERIODS = 2.0
+"""Periods of the reports in which a coordinator is asked at least once."""
 SELF_ANSWER_S = 0.1
 """Shortest time between the answers by which a coordinator lets its own node admit
 further calls."""
@@ -69,6 +71,8 @@
         self._limited_before: set[str] = set()
         self._limited_at = -math.inf
         self._active_until = -math.inf
+        self._asked_at = -math.inf
+        """When a node has reported of itself last."""
         self._accrued_before_s = 0.0
         self._evaluated_share = 0.0
         self._lines = TokenBucket(
@@ -94,6 +98,7 @@
         """Take a report and return the answer to it."""
         now = self._clock.monotonic()
         self._active_until = now + ACTIVE_S
+        self._asked_at = now
         self.take(report, sent_at=now)
         return self.answer(report.node_id)
 
@@ -175,12 +180,15 @@
         """Return the nodes to which an answer is to be sent unasked.
 
         Nodes without calls don't report; a new limit can't wait for the next reports.
+        Whom nobody asks any more leaves them to the coordinator that is asked instead.
         """
         now = self._clock.monotonic()
         self._advance(now)
         if not self.is_active or not self._contacts.by_id:
             return []
         members = self._member_ids()
+        if now - self._asked_at > ASKED_PERIODS * report_period_s(len(members)):
+            return []
         self._forget_departed(members)
         bound_after = self._limited_at
         if not self._is_gathering(now):
