Split the account of a quota: calls of the window, and what is known of one node

Change: the deque of admitted calls is a class of its own, as is what is known of one node; the limits that follow from the terms alone are methods of the terms. No behaviour changes.

--- a/src/comfreytray/customers/quotaaccount.py
+++ b/src/comfreytray/customers/quotaaccount.py
@@ -1,8 +1,6 @@
 """The coordinator's account of one customer: its balance and what nodes hold of it."""
 
 import math
-from bisect import bisect_left
-from collections import deque
 from collections.abc import Iterable
 
 from attrs import define, field
@@ -10,16 +8,12 @@
 from comfreytray.customers.quotahistory import CustomerHistory, Slot
 from comfreytray.customers.quotalevel import BucketLevel
 from comfreytray.customers.quotamessages import Lease, Usage
+from comfreytray.customers.quotanodeusage import DEMAND_S, NodeUsage
 from comfreytray.customers.quotaterms import QuotaTerms
+from comfreytray.customers.quotauses import Uses
 
-DEMAND_S = 1.0
-"""Time constant of the mean by which the load offered at a node is estimated."""
 EQUAL_SHARE = 0.25
 """Part of the tokens that all nodes get alike, for load that moves to other nodes."""
-RESUME_S = 0.25
-RESUME_CALLS = 5.0
-"""Seconds of the rate, and calls, by which the balance must recover before leases
-end."""
 CALM_FACTOR = 1.2
 """Offered load, as a multiple of the rate, above which leases go on until the balance
 is full. Without this rule leases ended and began about every second in a long surge,
@@ -30,8 +24,6 @@
 TAKEOVER_S = 0.8
 """Time from the end of a coordinator until nodes no longer admit freely: the period of
 their reports, and the time for which one is unanswered."""
-MIN_USE_S = 0.05
-"""Time within which admitted calls are kept as one entry."""
 LAPSED_S = 2.5
 """Age at which a lease is no longer valid at any node; later than at the node."""
 LEASE_S = 0.8
@@ -41,54 +33,6 @@
 MORE_SHARE = 0.2
 """Part of the tokens that must be left for a node to ask again at once. In a surge less
 is left, and calls are refused without waiting."""
-MIN_INTERVAL_S = 0.02
-MAX_INTERVAL_S = 0.5
-"""Bounds of the time over which newly offered calls are taken to have come: a node with
-calls reports this often, and one that begins to get calls had none before."""
-
-
-def resume_balance(terms: QuotaTerms, limit: float) -> float:
-    """Return the balance from which leases end that began below a limit."""
-    step = terms.rate_per_s * RESUME_S + RESUME_CALLS
-    return limit + min(step, max(0.0, terms.most_at_once - limit) / 2)
-
-
-@define(kw_only=True)
-class NodeUsage:
-    """What the coordinator knows of one customer at one node."""
-
-    admitted: int
-    rejected: int
-    tokens: float = 0.0
-    """Tokens of the last lease that are not yet reported as used."""
-    leased_at: float = 0.0
-    demand_per_s: float = 0.0
-    seen_at: float = 0.0
-    lacks_tokens: bool = False
-    """Whether the newest report has rejected calls."""
-    assumed: int = 0
-    """Calls that were counted without a report, when a lease lapsed."""
-
-    def observe(self, offered: int, now: float) -> None:
-        """Update the load offered at the node."""
-        recent_s = min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, now - self.seen_at))
-        weight = 1.0 - math.exp(-recent_s / DEMAND_S)
-        recent_per_s = max(0, offered) / recent_s
-        self.demand_per_s = self.demand_at(now) + weight * recent_per_s
-        self.seen_at = now
-
-    def demand_at(self, now: float) -> float:
-        """Return the estimated load; it decays while nothing is reported."""
-        return self.demand_per_s * math.exp(-max(0.0, now - self.seen_at) / DEMAND_S)
-
-
-@define(kw_only=True)
-class _Use:
-    """Calls admitted at about the same time."""
-
-    at_s: float
-    """Accrued time, in seconds."""
-    calls: float
 
 
 @define(kw_only=True)
@@ -126,8 +70,7 @@
     """The level if it was the lowest when the unknown calls may have been admitted."""
     _unknown_at_first: float = field(init=False)
     _replica_at: float = field(default=-math.inf, init=False)
-    _uses: deque[_Use] = field(factory=deque, init=False)
-    """Calls that were admitted in the window, oldest first."""
+    _uses: Uses = field(factory=Uses, init=False)
 
     @_unknown_at_first.default
     def _keep_unknown(self) -> float:
@@ -179,8 +122,7 @@
     def advance_window(self, accrued_s: float) -> None:
         """Give back the calls that were admitted before the window."""
         oldest_s = accrued_s - self.terms.bounds.window_s
-        while self._uses and self._uses[0].at_s <= oldest_s:
-            self._window_balance += self._uses.popleft().calls
+        self._window_balance += self._uses.expire(oldest_s)
         if self.unknown_at_s <= oldest_s:
             self.forget_unknown()
         elif self.spreads_unknown:
@@ -202,11 +144,7 @@
         self._window_balance -= calls
         for level in self._levels:
             level.use(calls)
-        last = self._uses[-1] if self._uses else None
-        if last is not None and self.window_end_s - last.at_s < MIN_USE_S:
-            last.calls += calls
-        else:
-            self._uses.append(_Use(at_s=self.window_end_s, calls=calls))
+        self._uses.add(calls, now_s=self.window_end_s)
 
     def forget_unknown(self) -> None:
         """Give back the calls that may have been admitted, as it is known that none was
@@ -294,11 +232,7 @@
         self._window_balance -= calls
         if self._lowest is not None and at_s > self.unknown_at_s:
             self._lowest.use(calls)
-        place = bisect_left(self._uses, at_s, key=lambda use: use.at_s)
-        if place < len(self._uses) and self._uses[place].at_s - at_s < MIN_USE_S:
-            self._uses[place].calls += calls
-        else:
-            self._uses.insert(place, _Use(at_s=at_s, calls=calls))
+        self._uses.insert(calls, at_s=at_s)
         self._replay()
 
     def _replay(self) -> None:
@@ -327,7 +261,7 @@
             self.is_limited = self.balance < limit
             return self.is_limited
         is_calm = self.demand_per_s <= self.terms.rate_per_s * CALM_FACTOR
-        has_recovered = self.balance >= resume_balance(self.terms, limit)
+        has_recovered = self.balance >= self.terms.resume_balance(limit)
         is_full = self.balance >= max(limit, self.terms.most_at_once * FULL_SHARE)
         self.is_limited = not (is_full or (is_calm and has_recovered))
         return False
@@ -341,11 +275,7 @@
 
     def _surge_calls(self) -> float:
         """Return what a surge would take until another coordinator could end it."""
-        calls = 0.0
-        for use in reversed(self._uses):
-            if self.window_end_s - use.at_s >= SURGE_S:
-                break
-            calls += use.calls
+        calls = self._uses.since(self.window_end_s - SURGE_S)
         usual_per_s = self.terms.rate_per_s * CALM_FACTOR
         return max(0.0, calls / SURGE_S - usual_per_s) * TAKEOVER_S
 
--- a/src/comfreytray/customers/quotacoordinator.py
+++ b/src/comfreytray/customers/quotacoordinator.py
@@ -6,7 +6,7 @@
 from comfreytray.common.budgets import TokenBucket
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.logs import Event, log
-from comfreytray.customers.quotaaccount import RESUME_CALLS, QuotaAccount
+from comfreytray.customers.quotaaccount import QuotaAccount
 from comfreytray.customers.quotacontacts import Contacts
 from comfreytray.customers.quotahistory import KnownUsage, Total, UsageReplica
 from comfreytray.customers.quotamessages import Answer, Lease, Report, Usage
@@ -241,22 +241,12 @@
         self._limited_before.update(report.prior_limited)
 
     def _unknown_calls(self, customer: str, terms: QuotaTerms) -> float:
-        """Return the most calls that may have been admitted before this account.
-
-        The coordinator before has left at least the excess that leases may use, and
-        more where it did not limit the customer.
-        """
+        """Return the most calls that may have been admitted before this account."""
         if self._is_known:
             return 0.0
-        lowest = -terms.leased_excess
-        if self._has_taken_over and customer not in self._limited_before:
-            free_balance = terms.free_balance + RESUME_CALLS
-            lowest = max(lowest, min(terms.window_calls, free_balance))
-        return terms.window_calls - lowest
-
-    @property
-    def _has_taken_over(self) -> bool:
-        return self._taken_over_at > -math.inf
+        has_taken_over = self._taken_over_at > -math.inf
+        was_free = has_taken_over and customer not in self._limited_before
+        return terms.most_unknown(was_free=was_free)
 
     def _account(self, customer: str) -> QuotaAccount | None:
         terms = self._terms(customer)
--- a/src/comfreytray/customers/quotagate.py
+++ b/src/comfreytray/customers/quotagate.py
@@ -56,10 +56,7 @@
         random: random.Random,
         process_began_at: float = math.inf,
     ) -> None:
-        """Create it; `process_began_at` is when this process began, before its imports.
-
-        The monotonic time; no call was admitted from then until now.
-        """
+        """Create it; no call was admitted from `process_began_at`, monotonic, on."""
         self.metrics = metrics
         self._clock = clock
         self._node_id = node_id
@@ -122,8 +119,8 @@
             return None
         state.rejected += 1
         self.metrics.count("quota_rejected")
-        wait_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
-        retry_after_s = wait_s * (1.0 + self._random.uniform(0.0, RETRY_JITTER))
+        retry_after_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+        retry_after_s *= 1.0 + self._random.uniform(0.0, RETRY_JITTER)
         reason = "leased" if self._has_contact() else "no coordinator"
         return Failure(
             kind=Kind.QUOTA_EXCEEDED,
@@ -315,8 +312,7 @@
         return 1.0 / lease.rate_per_s if lease.rate_per_s > 0 else MAX_RETRY_S
 
     def _is_used_up(self, state: CustomerUsage, terms: QuotaTerms) -> bool:
-        """Whether no answer could admit a call: this node alone has used the quota up,
-        or a new coordinator says that all have."""
+        """Whether this node, or by a new coordinator all, have used the quota up."""
         now = self._clock.monotonic()
         if now < state.exhausted_until:
             return True
--- a/src/comfreytray/customers/quotaterms.py
+++ b/src/comfreytray/customers/quotaterms.py
@@ -24,6 +24,10 @@
 may do so where a coordinator is lost."""
 LEASED_SHARE = 0.5
 """Part of the permitted excess that leases may use; the rest covers lost answers."""
+RESUME_S = 0.25
+RESUME_CALLS = 5.0
+"""Seconds of the rate, and calls, by which the balance must recover before leases
+end."""
 SPARE_SHARE = 0.25
 """Part of the permitted excess that is added to the burst of an idle customer."""
 REPORT_PERIOD_S = 0.5
@@ -91,6 +95,23 @@
         margin = min(MAX_MARGIN, max(MIN_MARGIN, self.rate_per_s * MARGIN_S))
         return surge_per_s * REACTION_S + margin - self.excess
 
+    def resume_balance(self, limit: float) -> float:
+        """Return the balance from which leases end that began below a limit."""
+        step = self.rate_per_s * RESUME_S + RESUME_CALLS
+        return limit + min(step, max(0.0, self.most_at_once - limit) / 2)
+
+    def most_unknown(self, *, was_free: bool) -> float:
+        """Return the most calls of a window that an earlier coordinator admitted.
+
+        It has left at least the excess that leases may use, and more where it let
+        nodes admit calls without leases.
+        """
+        lowest = -self.leased_excess
+        if was_free:
+            free_balance = self.free_balance + RESUME_CALLS
+            lowest = max(lowest, min(self.window_calls, free_balance))
+        return self.window_calls - lowest
+
     @property
     def free_calls(self) -> float:
         """Calls that one node may admit without a lease between two answers."""
