Tell a node's new process the departures that only other nodes remember

Cause: a confirmed departure is kept by the store and by the node that confirmed it. A store that comes back from an older copy while that node restarts loses it at both. The other nodes have seen the record and ignore the older one, but nobody tells the node, and a late heartbeat brings the instance back. Change: a node that sees a member's new process name fewer departures than the one before tells it, if it is one of three chosen by rendezvous hashing: at once, then each 0.25 s until it answers, its record names them, or 30 s have passed. The member refuses the heartbeats of those lifetimes, and writes the departures into its record. The scenarios of store_restored.feature fail on the code before, which has no such messages.

--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -51,3 +51,19 @@
     Given an empty store
     When an operator's second change is lost with the store's return and a third follows
     Then the third is accepted as version 3 and the second is still shown
+
+  # The store came back without a departure, and the node that had confirmed it restarted.
+  Scenario: A new process is told a departure that only other nodes remember
+    Given 6 nodes that have seen a seventh one confirm a departure
+    When its new process writes a record without it, and one of those that tell it fails
+    Then two of them have told it once, and the third one goes on trying for 30 s
+    And the instance's late heartbeat is refused by the process that was told
+
+  Scenario: A record that names the departure again needs no telling
+    Given 6 nodes that have seen a seventh one confirm a departure
+    When its new process writes a record without it and then one with it
+    Then no node tells it anything
+
+  Scenario: Malformed words about departures are refused
+    When a node gets malformed words about its departures
+    Then each is refused, and nothing is learnt
--- /dev/null
+++ b/src/comfreytray/membership/departurewitness.py
@@ -0,0 +1,168 @@
+"""Tells a node's new process what its earlier one had confirmed, if it doesn't know.
+
+A departure that a node has confirmed is kept by the store and the node. A store that
+comes back from an older copy while the node restarts loses it at both, and a late
+heartbeat brings the instance back. The other nodes have seen the record that named it.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import msgpack
+import xxhash
+from attrs import define
+
+from comfreytray.common import logs
+from comfreytray.common.errors import Failure, Kind
+from comfreytray.common.interfaces import Clock
+from comfreytray.common.records import Departure, MembershipView, NodeRecord
+from comfreytray.common.repeating import repeat_when
+from comfreytray.common.signals import Signal
+
+TOPIC = "/departures"
+KEEP_S = 30.0
+"""Time for which a departure is told; late heartbeats are seconds old at most."""
+PERIOD_S = 0.25
+IDLE_PERIOD_S = 5.0
+TELLERS = 3
+"""Nodes that tell a member; each one alone may have failed."""
+ASK_TIMEOUT_S = 0.5
+MAX_DEPARTURES = 16
+MAX_TEXT = 256
+MAX_TIME_MS = 2**53
+
+
+class Ask(Protocol):
+    """Sends a message to a node, on a topic, and waits for its answer."""
+
+    def __call__(
+        self, record: NodeRecord, topic: str, message: bytes, *, timeout_s: float
+    ) -> bytes | Failure:
+        """Return the answer, or why there is none."""
+        ...
+
+
+@define(kw_only=True)
+class _Missing:
+    """Departures that the record of a member's process has not named yet."""
+
+    incarnation: int
+    departures: tuple[Departure, ...]
+    until: float
+
+
+class DepartureWitness:
+    """Compares the records of members with those of their earlier processes."""
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        members: Callable[[], MembershipView],
+        ask: Ask,
+        learn: Callable[[tuple[Departure, ...]], None],
+        clock: Clock,
+    ) -> None:
+        """Create it; `learn` gets the departures that others have seen of this node."""
+        self._own_id = own_id
+        self._members = members
+        self._ask = ask
+        self._learn = learn
+        self._clock = clock
+        self._missing_by_id: dict[str, _Missing] = {}
+        self._wake = Signal()
+
+    def compare(self, before: NodeRecord, after: NodeRecord) -> None:
+        """Note the departures that a member's later record does not name."""
+        missing = self._missing_by_id.pop(after.node_id, None)
+        departures: tuple[Departure, ...] = ()
+        if missing is not None and missing.incarnation == after.incarnation:
+            departures = missing.departures
+        if before.incarnation != after.incarnation:
+            departures = before.departures
+        lacking = tuple(d for d in departures if not _names(after, d))
+        if lacking:
+            self._missing_by_id[after.node_id] = _Missing(
+                incarnation=after.incarnation,
+                departures=lacking,
+                until=self._clock.monotonic() + KEEP_S,
+            )
+            self._wake.fire()
+
+    def run(self) -> None:
+        """Tell members what they lack, until killed."""
+        repeat_when(
+            "departures",
+            self._wake,
+            self.step,
+            period_s=lambda: PERIOD_S if self._missing_by_id else IDLE_PERIOD_S,
+        )
+
+    def step(self) -> None:
+        """Tell each member once, if this node is one of those that tell it."""
+        now = self._clock.monotonic()
+        by_id = self._members().by_id
+        for node_id, missing in list(self._missing_by_id.items()):
+            if now >= missing.until or self._own_id not in _tellers(node_id, by_id):
+                del self._missing_by_id[node_id]
+                continue
+            record = by_id.get(node_id)
+            if record is not None and self._tell(record, missing):
+                self._missing_by_id.pop(node_id, None)
+
+    def receive(self, message: bytes) -> bytes | Failure:
+        """Take what another node has seen of this one; the answer is empty."""
+        departures = _decode(message)
+        if isinstance(departures, Failure):
+            return departures
+        self._learn(departures)
+        return b""
+
+    def _tell(self, record: NodeRecord, missing: _Missing) -> bool:
+        message = msgpack.packb(
+            [[d.instance_id, d.before_ms] for d in missing.departures]
+        )
+        answer = self._ask(record, TOPIC, message, timeout_s=ASK_TIMEOUT_S)
+        told = not isinstance(answer, Failure)
+        logs.log(
+            logs.Event.DEPARTURES_TOLD,
+            member=record.node_id,
+            instances=",".join(d.instance_id for d in missing.departures),
+            taken=told,
+        )
+        return told
+
+
+def _names(record: NodeRecord, departure: Departure) -> bool:
+    """Whether a record names a departure, or a later one of the same instance."""
+    return any(
+        named.instance_id == departure.instance_id
+        and named.before_ms >= departure.before_ms
+        for named in record.departures
+    )
+
+
+def _tellers(node_id: str, member_ids: Iterable[str]) -> list[str]:
+    """Return the members that tell a node, by rendezvous hashing."""
+    others = [other for other in member_ids if other != node_id]
+    others.sort(key=lambda other: xxhash.xxh64_intdigest(f"{node_id}/{other}".encode()))
+    return others[:TELLERS]
+
+
+def _decode(message: bytes) -> tuple[Departure, ...] | Failure:
+    try:
+        rows = msgpack.unpackb(message, max_array_len=MAX_DEPARTURES)
+        departures = tuple(_departure(*row) for row in rows)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        detail = f"departures: {type(error).__name__}"
+        return Failure(kind=Kind.BAD_REQUEST, detail=detail)
+    return departures
+
+
+def _departure(instance_id: object, before_ms: object) -> Departure:
+    """Return a departure; raises TypeError, ValueError for other values."""
+    if type(instance_id) is not str or type(before_ms) is not int:
+        raise TypeError("expected a text and a number")
+    if len(instance_id) > MAX_TEXT or not 0 <= before_ms <= MAX_TIME_MS:
+        raise ValueError("text or number too large")
+    return Departure(instance_id=instance_id, before_ms=before_ms)
--- a/src/comfreytray/membership/directory.py
+++ b/src/comfreytray/membership/directory.py
@@ -145,10 +145,15 @@
         *,
         clock: Clock,
         on_earlier_self: Callable[[NodeRecord], None] = lambda _: None,
+        on_replaced: Callable[[NodeRecord, NodeRecord], None] = lambda _, __: None,
     ) -> None:
-        """Create it; `on_earlier_self` gets the record of an earlier incarnation."""
+        """Create it; `on_earlier_self` gets the record of an earlier incarnation.
+
+        `on_replaced` gets the record of another member, and the one in its place.
+        """
         self._clock = clock
         self._on_earlier_self = on_earlier_self
+        self._on_replaced = on_replaced
         self._revision_by_id: dict[str, int] = {}
         self._cold_until_by_id: dict[str, float] = {}
         self._record_by_id: dict[str, NodeRecord] = {}
@@ -224,6 +229,8 @@
         if held is not None and _is_outdated(record, held, in_same_era=in_same_era):
             _log_outdated(stored, record, held)
             return False
+        if held is not None:
+            self._on_replaced(held, record)
         self._record_by_id[node_id] = record
         self.capacity_by_id[node_id] = capacity
         if held is None or held.endpoint != record.endpoint:
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -2,13 +2,12 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from contextlib import ExitStack
 from types import TracebackType
 from typing import Any
 
 import eventlet
-import eventlet.wsgi
 from eventlet.greenio import GreenSocket
 
 from comfreytray.calls.dialect import Dialect
@@ -17,10 +16,10 @@
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.interfaces import Address, ObjectStore, StoredObject
-from comfreytray.common.listening import SteadyListener
 from comfreytray.common.logs import Event, log, warn
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import (
+    Departure,
     Endpoint,
     NodeRecord,
     NodeState,
@@ -28,10 +27,12 @@
 from comfreytray.common.stalls import StallMonitor
 from comfreytray.common.tasks import TaskGroup
 from comfreytray.configuration.snapshots import Snapshot
+from comfreytray.membership.departurewitness import TOPIC, DepartureWitness
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.heartbeats import InstanceRegister
 from comfreytray.membership.ownrecord import OwnRecord
 from comfreytray.node.activation import ActiveConfiguration, DecodeConfiguration
+from comfreytray.node.interfaceserver import Application, serve_interface
 from comfreytray.node.noderecord import RecordSource
 from comfreytray.node.options import NodeOptions
 from comfreytray.node.quotas import build_quotas
@@ -56,8 +57,6 @@
 EXIT_MARGIN_S = 0.6
 """Part of the grace period that is reserved for the exit of the process."""
 
-Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
-
 
 class ProxyNode:
     """Proxy calls by what the store holds; a context manager that owns all it opens."""
@@ -90,7 +89,9 @@
             decode=decode_configuration, metrics=self.metrics
         )
         self.directory = Directory(
-            clock=self.clock, on_earlier_self=self._learn_departures
+            clock=self.clock,
+            on_earlier_self=self._learn_departures,
+            on_replaced=lambda before, after: self.witness.compare(before, after),
         )
         self.incarnation = int(self.clock.wall() * 1000)
         self.register = InstanceRegister(
@@ -164,6 +165,14 @@
         )
         self.calls.quota = self.quotas
         self.holds = feeds.holds(self.calls.guard)
+        self.witness = DepartureWitness(
+            own_id=options.node_id,
+            members=lambda: self.directory.view,
+            ask=self.calls.peers.ask,
+            learn=self._learn_witnessed,
+            clock=self.clock,
+        )
+        self.calls.peers.register(TOPIC, self.witness.receive)
         self.rollouts = build_rollouts(
             bounds=options.rollouts,
             store=status_store,
@@ -240,12 +249,8 @@
         listener = self._listen(address)
         self._tasks.spawn(
             f"http-{address[1]}",
-            lambda: eventlet.wsgi.server(
-                SteadyListener(listener),
-                application,
-                log_output=False,
-                max_size=MAX_INTERFACE_CONNECTIONS,
-                debug=False,
+            lambda: serve_interface(
+                listener, application, max_connections=MAX_INTERFACE_CONNECTIONS
             ),
         )
 
@@ -294,6 +299,7 @@
         self._tasks.spawn("own-record", self.record_sync.run)
         self._tasks.spawn("holds", self.holds.run)
         self._tasks.spawn("quotas", self.quotas.run)
+        self._tasks.spawn("departures", self.witness.run)
         stalls = StallMonitor(period_s=TICK_S, clock=self.clock, metrics=self.metrics)
         self._tasks.run_every(
             TICK_S, {"stalls": stalls.check, "register": self.register.tick}
@@ -338,12 +344,7 @@
         for departure in reversed(stored.departures):
             self.register.restore(departure)
 
-    def report(self) -> Mapping[str, object]:
-        """Return the state of the node in plain types."""
-        return {
-            "node": self.options.node_id,
-            "ready": self.is_ready,
-            "version": self.snapshot.head.version if self.snapshot else 0,
-            "calls": self.calls.report(),
-            "metrics": self.metrics.report(),
-        }
+    def _learn_witnessed(self, departures: tuple[Departure, ...]) -> None:
+        for departure in departures:
+            self.register.restore(departure)
+        self._on_endpoint_change(None)
