Have other nodes keep a departure before it is confirmed

Change: with the write to the store, three nodes chosen by rendezvous hashing are asked to keep the departure, for 30 s; the confirmation waits for the store, and for one of them to answer or all to fail, 0.8 s at most as before. They tell a later process of the node as they tell what they have seen.

--- a/features/steps/departures_witnessed_steps.py
+++ b/features/steps/departures_witnessed_steps.py
@@ -1,4 +1,5 @@
 import attrs
+import eventlet
 import msgpack
 from behave import given, then, when
 from samples import endpoint, node_record
@@ -14,6 +15,17 @@
 )
 from comfreytray.testing import FakeClock
 
+
+class Peers:
+    """Hands the messages that a node sends to a function."""
+
+    def __init__(self, ask=None):
+        self.ask = ask
+
+    def register(self, topic, handler):
+        pass
+
+
 GONE = Departure(instance_id="i-1", before_ms=5_001)
 
 
@@ -29,7 +41,7 @@
     told = DepartureWitness(
         own_id="x",
         members=lambda: view,
-        ask=None,
+        peers=Peers(),
         learn=context.learnt.append,
         clock=context.clock,
     )
@@ -48,7 +60,7 @@
         DepartureWitness(
             own_id=node_id,
             members=lambda: view,
-            ask=asking(node_id),
+            peers=Peers(asking(node_id)),
             learn=None,
             clock=context.clock,
         )
@@ -115,13 +127,71 @@
     assert not context.told
 
 
+@given("a node that confirms a departure, and one of its three keepers answers")
+def confirm_departure(context):
+    context.clock = FakeClock()
+    ids = [f"w-{number}" for number in range(6)]
+    context.record = node_record("x")
+    records = [node_record(node_id) for node_id in ids]
+    view = MembershipView(by_id={r.node_id: r for r in (*records, context.record)})
+    context.asked, context.told = [], []
+
+    def ask(record, topic, message, *, timeout_s):
+        context.asked.append(record.node_id)
+        if len(context.asked) > 1:
+            return Failure(kind=Kind.NODE_UNREACHABLE)
+        assert topic == departurewitness.KEEP_TOPIC
+        return context.keeper.receive_keep(message)
+
+    def tell(record, topic, message, *, timeout_s):
+        context.told.append((record.node_id, topic, message))
+        return b""
+
+    (keeper_id, *_) = departurewitness._tellers("x", ids)
+    context.keeper = DepartureWitness(
+        own_id=keeper_id,
+        members=lambda: view,
+        peers=Peers(tell),
+        learn=None,
+        clock=context.clock,
+    )
+    confirming = DepartureWitness(
+        own_id="x",
+        members=lambda: view,
+        peers=Peers(ask),
+        learn=None,
+        clock=context.clock,
+    )
+    keeping = confirming.keep(GONE)
+    assert not keeping.is_settled
+    eventlet.sleep(0)
+    assert keeping.is_settled and keeping.is_kept and len(context.asked) == 3
+
+
+@when("the store loses it before any node has seen it, and the node starts anew")
+def start_anew(context):
+    after = attrs.evolve(context.record, incarnation=2)
+    # The same process needs no telling.
+    context.keeper.compare(context.record, attrs.evolve(context.record, revision=3))
+    context.keeper.step()
+    assert not context.told
+    context.keeper.compare(context.record, after)
+    context.keeper.step()
+
+
+@then("the one that keeps it tells the new process")
+def check_kept_told(context):
+    message = msgpack.packb([[GONE.instance_id, GONE.before_ms]])
+    assert context.told == [("x", departurewitness.TOPIC, message)], context.told
+
+
 @when("a node gets malformed words about its departures")
 def receive_malformed(context):
     context.learnt = []
     witness = DepartureWitness(
         own_id="x",
         members=MembershipView,
-        ask=None,
+        peers=Peers(),
         learn=context.learnt.append,
         clock=FakeClock(),
     )
@@ -129,6 +199,8 @@
     messages = [msgpack.packb([row]) for row in rows]
     messages += [b"", b"\xc1", msgpack.packb(3), msgpack.packb([["i", 1]] * 17)]
     context.answers = [witness.receive(message) for message in messages]
+    kept = (["x"], ["x", 1], ["x", 1, "i"], ["x", "1", "i", 1], [1, 1, "i", 1], 7)
+    context.answers += [witness.receive_keep(msgpack.packb(item)) for item in kept]
 
 
 @then("each is refused, and nothing is learnt")
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -59,6 +59,11 @@
     Then two of them have told it once, and the third one goes on trying for 30 s
     And the instance's late heartbeat is refused by the process that was told
 
+  Scenario: A departure that only the store had seen is kept by another node
+    Given a node that confirms a departure, and one of its three keepers answers
+    When the store loses it before any node has seen it, and the node starts anew
+    Then the one that keeps it tells the new process
+
   Scenario: A record that names the departure again needs no telling
     Given 6 nodes that have seen a seventh one confirm a departure
     When its new process writes a record without it and then one with it
--- a/src/comfreytray/membership/departurewitness.py
+++ b/src/comfreytray/membership/departurewitness.py
@@ -2,12 +2,14 @@
 
 A departure that a node has confirmed is kept by the store and the node. A store that
 comes back from an older copy while the node restarts loses it at both, and a late
-heartbeat brings the instance back. The other nodes have seen the record that named it.
+heartbeat brings the instance back. Other nodes have seen the record that named it, or
+were told before it was confirmed.
 """
 
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+import eventlet
 import msgpack
 import xxhash
 from attrs import define
@@ -20,6 +22,7 @@
 from comfreytray.common.signals import Signal
 
 TOPIC = "/departures"
+KEEP_TOPIC = "/departures/keep"
 KEEP_S = 30.0
 """Time for which a departure is told; late heartbeats are seconds old at most."""
 PERIOD_S = 0.25
@@ -29,16 +32,22 @@
 ASK_TIMEOUT_S = 0.5
 MAX_DEPARTURES = 16
 MAX_TEXT = 256
+MAX_KEPT_NODES = 1024
 MAX_TIME_MS = 2**53
+_MALFORMED = (ValueError, TypeError, msgpack.UnpackException)
 
 
-class Ask(Protocol):
-    """Sends a message to a node, on a topic, and waits for its answer."""
+class Peers(Protocol):
+    """Carries messages to and from other nodes."""
 
-    def __call__(
+    def ask(
         self, record: NodeRecord, topic: str, message: bytes, *, timeout_s: float
     ) -> bytes | Failure:
-        """Return the answer, or why there is none."""
+        """Send a message on a topic; return the answer, or why there is none."""
+        ...
+
+    def register(self, topic: str, handler: Callable[[bytes], bytes | Failure]) -> None:
+        """Have a function answer the messages of a topic."""
         ...
 
 
@@ -51,6 +60,30 @@
     until: float
 
 
+@define(kw_only=True)
+class _Kept:
+    """A departure that a process of a member has asked this node to keep."""
+
+    incarnation: int
+    departure: Departure
+    until: float
+
+
+@define(kw_only=True)
+class Keeping:
+    """The requests to keep one departure of this node."""
+
+    asked: int
+    refused: int = 0
+    is_kept: bool = False
+    """Whether another node keeps it."""
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether one node keeps it, or none will."""
+        return self.is_kept or self.refused >= self.asked
+
+
 class DepartureWitness:
     """Compares the records of members with those of their earlier processes."""
 
@@ -59,17 +92,20 @@
         *,
         own_id: str,
         members: Callable[[], MembershipView],
-        ask: Ask,
+        peers: Peers,
         learn: Callable[[tuple[Departure, ...]], None],
         clock: Clock,
     ) -> None:
         """Create it; `learn` gets the departures that others have seen of this node."""
         self._own_id = own_id
         self._members = members
-        self._ask = ask
+        self._ask = peers.ask
+        peers.register(TOPIC, self.receive)
+        peers.register(KEEP_TOPIC, self.receive_keep)
         self._learn = learn
         self._clock = clock
         self._missing_by_id: dict[str, _Missing] = {}
+        self._kept_by_id: dict[str, list[_Kept]] = {}
         self._wake = Signal()
 
     def compare(self, before: NodeRecord, after: NodeRecord) -> None:
@@ -79,8 +115,8 @@
         if missing is not None and missing.incarnation == after.incarnation:
             departures = missing.departures
         if before.incarnation != after.incarnation:
-            departures = before.departures
-        lacking = tuple(d for d in departures if not _names(after, d))
+            departures = (*before.departures, *self._kept_for(after))
+        lacking = tuple(d for d in departures if not _names(after, d))[-MAX_DEPARTURES:]
         if lacking:
             self._missing_by_id[after.node_id] = _Missing(
                 incarnation=after.incarnation,
@@ -89,6 +125,53 @@
             )
             self._wake.fire()
 
+    def keep(self, departure: Departure) -> Keeping:
+        """Ask those that would tell this node to keep a departure; does not wait."""
+        by_id = self._members().by_id
+        tellers = _tellers(self._own_id, by_id)
+        own = by_id.get(self._own_id)
+        if own is None:
+            return Keeping(asked=0)
+        message = msgpack.packb([self._own_id, own.incarnation, *_row(departure)])
+        keeping = Keeping(asked=len(tellers))
+        for node_id in tellers:
+            eventlet.spawn_n(self._ask_to_keep, by_id[node_id], message, keeping)
+        return keeping
+
+    def _ask_to_keep(
+        self, record: NodeRecord, message: bytes, keeping: Keeping
+    ) -> None:
+        answer = self._ask(record, KEEP_TOPIC, message, timeout_s=ASK_TIMEOUT_S)
+        if isinstance(answer, Failure):
+            keeping.refused += 1
+        else:
+            keeping.is_kept = True
+
+    def receive_keep(self, message: bytes) -> bytes | Failure:
+        """Keep a departure of another node; the answer is empty."""
+        try:
+            node_id, incarnation, *row = msgpack.unpackb(message, max_array_len=4)
+            departure = _departure(*row)
+            _departure(node_id, incarnation)
+        except _MALFORMED as error:
+            return _refuse(error)
+        until = self._clock.monotonic() + KEEP_S
+        kept = _Kept(incarnation=incarnation, departure=departure, until=until)
+        held = [*self._kept_by_id.pop(node_id, ()), kept][-MAX_DEPARTURES:]
+        self._kept_by_id[node_id] = held
+        if len(self._kept_by_id) > MAX_KEPT_NODES:
+            del self._kept_by_id[next(iter(self._kept_by_id))]
+        return b""
+
+    def _kept_for(self, record: NodeRecord) -> tuple[Departure, ...]:
+        """Return what earlier processes of a node have asked this one to keep."""
+        now = self._clock.monotonic()
+        return tuple(
+            kept.departure
+            for kept in self._kept_by_id.get(record.node_id, ())
+            if kept.incarnation != record.incarnation and now < kept.until
+        )
+
     def run(self) -> None:
         """Tell members what they lack, until killed."""
         repeat_when(
@@ -119,9 +202,7 @@
         return b""
 
     def _tell(self, record: NodeRecord, missing: _Missing) -> bool:
-        message = msgpack.packb(
-            [[d.instance_id, d.before_ms] for d in missing.departures]
-        )
+        message = msgpack.packb([_row(departure) for departure in missing.departures])
         answer = self._ask(record, TOPIC, message, timeout_s=ASK_TIMEOUT_S)
         told = not isinstance(answer, Failure)
         logs.log(
@@ -149,13 +230,21 @@
     return others[:TELLERS]
 
 
+def _row(departure: Departure) -> list[object]:
+    return [departure.instance_id, departure.before_ms]
+
+
+def _refuse(error: Exception) -> Failure:
+    detail = f"departures: {type(error).__name__}"
+    return Failure(kind=Kind.BAD_REQUEST, detail=detail)
+
+
 def _decode(message: bytes) -> tuple[Departure, ...] | Failure:
     try:
         rows = msgpack.unpackb(message, max_array_len=MAX_DEPARTURES)
         departures = tuple(_departure(*row) for row in rows)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        detail = f"departures: {type(error).__name__}"
-        return Failure(kind=Kind.BAD_REQUEST, detail=detail)
+    except _MALFORMED as error:
+        return _refuse(error)
     return departures
 
 
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -27,7 +27,7 @@
 from comfreytray.common.stalls import StallMonitor
 from comfreytray.common.tasks import TaskGroup
 from comfreytray.configuration.snapshots import Snapshot
-from comfreytray.membership.departurewitness import TOPIC, DepartureWitness
+from comfreytray.membership.departurewitness import DepartureWitness
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.heartbeats import InstanceRegister
 from comfreytray.membership.ownrecord import OwnRecord
@@ -126,6 +126,7 @@
             members=self.members,
             register=self.register,
             clock=self.clock,
+            keep=lambda departure: self.witness.keep(departure),
         )
         self._retry_limits = NodeRetryLimits(
             budget=options.retries, nodes=lambda: len(self.directory.view.by_id)
@@ -168,11 +169,10 @@
         self.witness = DepartureWitness(
             own_id=options.node_id,
             members=lambda: self.directory.view,
-            ask=self.calls.peers.ask,
+            peers=self.calls.peers,
             learn=self._learn_witnessed,
             clock=self.clock,
         )
-        self.calls.peers.register(TOPIC, self.witness.receive)
         self.rollouts = build_rollouts(
             bounds=options.rollouts,
             store=status_store,
--- a/src/comfreytray/node/recordsync.py
+++ b/src/comfreytray/node/recordsync.py
@@ -9,6 +9,7 @@
 from comfreytray.common.records import Departure, ListedRecord, NodeRecord
 from comfreytray.common.repeating import repeat
 from comfreytray.common.signals import Signal
+from comfreytray.membership.departurewitness import Keeping
 from comfreytray.membership.directory import Directory
 from comfreytray.membership.heartbeats import InstanceRegister
 from comfreytray.membership.ownrecord import OwnRecord
@@ -51,7 +52,10 @@
         members: Feed,
         register: InstanceRegister,
         clock: Clock,
+        keep: Callable[[Departure], Keeping] = lambda _: Keeping(asked=0),
     ) -> None:
+        """Create it; `keep` asks other nodes to keep a departure."""
+        self._keep = keep
         self._record = record
         self._own_record = own_record
         self._members = members
@@ -65,10 +69,15 @@
         self._changed.fire()
 
     def store(self, departure: Departure) -> bool:
-        """Wait until the store holds a departure; return whether it does in time."""
+        """Wait until the store holds a departure; return whether it does in time.
+
+        Another node, if one answers, holds it too: the store may lose what it has
+        acknowledged, and this process may end at any moment.
+        """
         self.check()
+        keeping = self._keep(departure)
         holds = partial(self._own_record.holds, departure)
-        poll_until(holds, STORE_TIMEOUT_S, self._clock)
+        poll_until(lambda: holds() and keeping.is_settled, STORE_TIMEOUT_S, self._clock)
         return holds()
 
     def run(self) -> None:
