Keep what a member lacks if its record changes while it is told

Cause: the answer of a member was taken for its newest record's, so that departures noted while it was asked were dropped. Found on reading. Change: only what was told is dropped; the id and the time in a message to keep a departure are checked by a function of their own. Measured: the scenarios of store_restored.feature and the layout's pass; no test brings the change in the midst of a message.

--- a/src/comfreytray/membership/departurewitness.py
+++ b/src/comfreytray/membership/departurewitness.py
@@ -151,8 +151,8 @@
         """Keep a departure of another node; the answer is empty."""
         try:
             node_id, incarnation, *row = msgpack.unpackb(message, max_array_len=4)
+            _check(node_id, incarnation)
             departure = _departure(*row)
-            _departure(node_id, incarnation)
         except _MALFORMED as error:
             return _refuse(error)
         until = self._clock.monotonic() + KEEP_S
@@ -190,8 +190,10 @@
                 del self._missing_by_id[node_id]
                 continue
             record = by_id.get(node_id)
-            if record is not None and self._tell(record, missing):
-                self._missing_by_id.pop(node_id, None)
+            told = record is not None and self._tell(record, missing)
+            # Its record may have changed meanwhile.
+            if told and self._missing_by_id.get(node_id) is missing:
+                del self._missing_by_id[node_id]
 
     def receive(self, message: bytes) -> bytes | Failure:
         """Take what another node has seen of this one; the answer is empty."""
@@ -250,8 +252,14 @@
 
 def _departure(instance_id: object, before_ms: object) -> Departure:
     """Return a departure; raises TypeError, ValueError for other values."""
-    if type(instance_id) is not str or type(before_ms) is not int:
+    text, time_ms = _check(instance_id, before_ms)
+    return Departure(instance_id=text, before_ms=time_ms)
+
+
+def _check(text: object, time_ms: object) -> tuple[str, int]:
+    """Return an id and a time; raises TypeError, ValueError for other values."""
+    if type(text) is not str or type(time_ms) is not int:
         raise TypeError("expected a text and a number")
-    if len(instance_id) > MAX_TEXT or not 0 <= before_ms <= MAX_TIME_MS:
+    if len(text) > MAX_TEXT or not 0 <= time_ms <= MAX_TIME_MS:
         raise ValueError("text or number too large")
-    return Departure(instance_id=instance_id, before_ms=before_ms)
+    return text, time_ms
