--- a/features/steps/no_busy_loops_steps.py
+++ b/features/steps/no_busy_loops_steps.py
@@ -325,7 +325,7 @@
     context.fleet = Fleet(slots=1)
     context.add_cleanup(context.fleet.__exit__)
     context.fleet.add("a")
-    # The last one has another method, so that its answer can be told from the others.
+    # The last one closes the connection, which ends the reading of the answers.
     one = b"POST /x HTTP/1.1\r\nHost: no.test\r\nContent-Length: 0\r\n\r\n"
     last = b"POST /x HTTP/1.1\r\nHost: no.test\r\nContent-Length: 0\r\n"
     context.count = 400
