Don't blame a version for answers that are a few milliseconds late

Cause: an answer counted as slow from 2.4 times the old version's median on, whatever the times are. The stand-in answers in 0.4 ms, so a pause of the node's process of 1 to 3 ms is a slow answer. One adds 1.4 to 1.9 to the score of the route and 1.9 is no longer clean: with fewer than 40 answers the good version is rolled back at the end. Traced by printing the counts by time at each decision: the slow ones lie at 1.7 to 2.8 ms. Change: an answer of less than 10 ms is not slow.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -37,6 +37,12 @@
       | failing under load        | 150  |
       | slow under load           | 600  |
 
+  Scenario: A version isn't blamed for answers that are a few milliseconds late
+    When one answer in six of a version is 2 ms late where half a millisecond is usual
+    Then nothing tells against it
+    When they are 20 ms late
+    Then it is clearly bad
+
   Scenario Outline: A good version is completed in time
     Given 60 nodes with <rate> calls a second
     When a version that is <kind> is rolled out
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -44,6 +44,7 @@
 from comfreytray.platform.objectstore import PlatformStore
 from comfreytray.rollouts import messages, orders
 from comfreytray.rollouts.bounds import RolloutBounds
+from comfreytray.rollouts.evidence import Evidence, RouteTally
 from comfreytray.rollouts.orders import State, Status
 from features.samples import endpoint, node_record
 from standins.platform_store import StoreStandIn
@@ -252,6 +253,39 @@
     assert not late, len(late)
 
 
+def _judge_late_answers(context, late_s):
+    """Judge a version of which each sixth answer is late, step by step."""
+    tally = RouteTally()
+    evidence = Evidence()
+    for index in range(60):
+        for _ in range(10):
+            tally.old.count(0.0005, failed=False)
+        tally.new.count(late_s if index % 6 == 5 else 0.0005, failed=False)
+        evidence.update({"r": tally})
+    context.evidence = evidence
+
+
+@when("one answer in six of a version is 2 ms late where half a millisecond is usual")
+def judge_brief_delays(context):
+    _judge_late_answers(context, 0.0025)
+
+
+@then("nothing tells against it")
+def check_nothing_against(context):
+    assert context.evidence.is_clean, context.evidence.worst
+    assert not context.evidence.is_bad, context.evidence.worst
+
+
+@when("they are 20 ms late")
+def judge_long_delays(context):
+    _judge_late_answers(context, 0.0205)
+
+
+@then("it is clearly bad")
+def check_clearly_bad(context):
+    assert context.evidence.is_bad, context.evidence.worst
+
+
 @then("it is completed before its time limit")
 def check_completed(context):
     fleet = context.fleet
--- a/src/comfreytray/rollouts/evidence.py
+++ b/src/comfreytray/rollouts/evidence.py
@@ -17,6 +17,8 @@
 SLOW_BUCKETS = 6
 """Distance from the median at which an answer is slow: a factor of 2.4 to 2.8. A
 smaller distance counts the normal answers of slower instances."""
+MIN_SLOW_S = 0.01
+"""Time below which no answer is slow: a pause of a node's process may take as long."""
 MIN_TYPICAL_ANSWERS = 10
 """Answers of the old version on a route from which its usual time is known."""
 MIN_BAD_SHARE = 0.02
@@ -88,7 +90,7 @@
         """Return the answers that took several times the typical time."""
         if typical is None:
             return 0
-        limit = typical + SLOW_BUCKETS
+        limit = max(typical + SLOW_BUCKETS, bucket_of(MIN_SLOW_S))
         return sum(n for bucket, n in self.count_by_bucket.items() if bucket >= limit)
 
 
