Count only the window's calls in the level of a quota

Cause: the balance was the level of a bucket without end. After the burst it stays below 0, and what is below 0 has to refill first, however long ago it was used. Change: the level is the lowest of those of the buckets that were full at some moment of the window, kept as a sliding minimum. Any admission leaves at most burst + R x t calls in the last t up to a window, as before, so the bound on a window and what a take-over may assume stay as they were; calls out of the window bind no more.

--- a/features/customers_quotas.feature
+++ b/features/customers_quotas.feature
@@ -133,6 +133,13 @@
       | 17    |
       | 6     |
 
+  # A bucket that refills from far below 0 granted five sixths of what the quota allows.
+  Scenario: A surge that goes on gets what the quota allows in each window
+    Given 60 nodes and customers with quotas of 362, 60 and 6 calls a second
+    When all send 5 times their quotas for 30 s
+    Then the last 10 s had at least 0.9 of the calls that two windows allow
+    And no customer ran more calls in any 5 s than the bound allows
+
   Scenario: Who is no longer asked leaves the other nodes to the next coordinator
     Given a coordinator to which a node has reported
     When 2 s pass in which nobody reports
--- a/features/steps/customers_quotas_steps.py
+++ b/features/steps/customers_quotas_steps.py
@@ -237,6 +237,20 @@
     assert refused < 0.05 * 5 * USUAL * 428, refused
 
 
+@when("all send 5 times their quotas for 30 s")
+def send_long_surge(context):
+    _load(context, 5.0, 30)
+    context.fleet.run(30)
+
+
+@then("the last 10 s had at least 0.9 of the calls that two windows allow")
+def check_long_surge(context):
+    for customer, (rate, burst) in context.quotas.items():
+        start = context.fleet.now - 10
+        ran = sum(at >= start for at in context.fleet.admitted_at[customer])
+        assert ran >= 0.9 * 2 * (5 * rate + burst), (customer, ran)
+
+
 @when("its quota is lowered to {rate:d} calls a second while it sends 60")
 def lower(context, rate):
     fleet = context.fleet
--- a/src/comfreytray/customers/quotaaccount.py
+++ b/src/comfreytray/customers/quotaaccount.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from comfreytray.customers.quotahistory import CustomerHistory, Slot
-from comfreytray.customers.quotalevel import BucketLevel
+from comfreytray.customers.quotalevel import BucketLevel, WindowLevel
 from comfreytray.customers.quotamessages import Lease, Usage
 from comfreytray.customers.quotanodeusage import DEMAND_S, NodeUsage
 from comfreytray.customers.quotaterms import QuotaTerms
@@ -39,10 +39,11 @@
 class QuotaAccount:
     """What a customer may still use of its quota at this moment.
 
-    The balance is the level of a bucket of burst and rate: any time t has at most
-    burst + rate x t calls, which is also what the quota allows in a window. So whoever
-    knows nothing of the calls before a moment knows that the bucket may have been empty
-    then, and how much has come into it since. It may be negative after over-admission.
+    The balance is the level of a bucket of burst and rate: any time t within a window
+    has at most burst + rate x t calls, which is also what the quota allows in a window.
+    So whoever knows nothing of the calls before a moment knows that the bucket may have
+    been empty then, and how much has come into it since. It may be negative after
+    over-admission.
     """
 
     terms: QuotaTerms
@@ -64,8 +65,8 @@
 
     _window_balance: float = field(init=False)
     """What a window allows, less what was, or may have been, admitted in it."""
-    _known: BucketLevel = field(init=False)
-    """The level by the known calls alone."""
+    _known: WindowLevel = field(init=False)
+    """The level by the known calls of the window alone."""
     _lowest: BucketLevel | None = field(init=False)
     """The level if it was the lowest when the unknown calls may have been admitted."""
     _unknown_at_first: float = field(init=False)
@@ -81,23 +82,28 @@
         return self.terms.window_calls - self.unknown_calls
 
     @_known.default
-    def _first_level(self) -> BucketLevel:
-        return self._level_at(self.window_end_s, self.terms.most_at_once)
+    def _first_level(self) -> WindowLevel:
+        return self._full_level(self.window_end_s)
 
     @_lowest.default
     def _first_lowest(self) -> BucketLevel | None:
         if self.unknown_calls <= 0 or math.isinf(self.unknown_at_s):
             return None
-        level = self._level_at(self.unknown_at_s, -self.terms.leased_excess)
+        level = BucketLevel(
+            rate_per_s=self.terms.rate_per_s,
+            burst=self.terms.most_at_once,
+            at_s=self.unknown_at_s,
+            level=-self.terms.leased_excess,
+        )
         level.advance(self.window_end_s)
         return level
 
-    def _level_at(self, at_s: float, level: float) -> BucketLevel:
-        return BucketLevel(
+    def _full_level(self, now_s: float) -> WindowLevel:
+        return WindowLevel(
             rate_per_s=self.terms.rate_per_s,
             burst=self.terms.most_at_once,
-            at_s=at_s,
-            level=level,
+            window_s=self.terms.bounds.window_s,
+            now_s=now_s,
         )
 
     @property
@@ -129,12 +135,9 @@
             part = (self.unknown_at_s - oldest_s) / self.terms.bounds.window_s
             self.limit_unknown(part * self._unknown_at_first)
         self.window_end_s = accrued_s
-        for level in self._levels:
-            level.advance(accrued_s)
-
-    @property
-    def _levels(self) -> list[BucketLevel]:
-        return [self._known] if self._lowest is None else [self._known, self._lowest]
+        self._known.advance(accrued_s)
+        if self._lowest is not None:
+            self._lowest.advance(accrued_s)
 
     def use(self, calls: int) -> None:
         """Count calls that were admitted; below 0 if some were given back."""
@@ -142,8 +145,9 @@
             return
         self.total += max(0, calls)
         self._window_balance -= calls
-        for level in self._levels:
-            level.use(calls)
+        self._known.use(calls)
+        if self._lowest is not None:
+            self._lowest.use(calls)
         self._uses.add(calls, now_s=self.window_end_s)
 
     def forget_unknown(self) -> None:
@@ -237,7 +241,7 @@
 
     def _replay(self) -> None:
         """Find the known level from the calls of the window, in order of their time."""
-        self._known = self._level_at(-math.inf, self.terms.most_at_once)
+        self._known = self._full_level(self.window_end_s - self.terms.bounds.window_s)
         for use in self._uses:
             self._known.advance(use.at_s)
             self._known.use(use.calls)
@@ -246,9 +250,10 @@
     def change_terms(self, terms: QuotaTerms) -> None:
         """Apply another quota; the balance changes with it."""
         self._window_balance += terms.window_calls - self.terms.window_calls
-        for level in self._levels:
-            level.change(rate_per_s=terms.rate_per_s, burst=terms.most_at_once)
         self.terms = terms
+        if self._lowest is not None:
+            self._lowest.change(rate_per_s=terms.rate_per_s, burst=terms.most_at_once)
+        self._replay()
 
     def update_limited(self, contact_share: float) -> bool:
         """Decide whether nodes need leases; return whether they just became needed.
--- a/src/comfreytray/customers/quotalevel.py
+++ b/src/comfreytray/customers/quotalevel.py
@@ -1,6 +1,8 @@
 """The level of a token bucket of a customer's rate and burst."""
 
-from attrs import define
+from collections import deque
+
+from attrs import define, field
 
 
 @define(kw_only=True)
@@ -30,3 +32,47 @@
         """Apply another rate and burst; the level changes with the burst."""
         self.level += burst - self.burst
         self.rate_per_s, self.burst = rate_per_s, burst
+
+
+@define(kw_only=True)
+class WindowLevel:
+    """What is left of a burst that refills at a rate, by the calls of a window alone.
+
+    It is the lowest of the levels of the buckets that were full at some moment of the
+    window. So it recovers from an overload as soon as that is out of the window, where
+    a bucket without end would first refill what it is below 0. Times are accrued
+    seconds.
+    """
+
+    rate_per_s: float
+    burst: float
+    window_s: float
+    now_s: float
+
+    _calls: float = field(default=0.0, init=False)
+    _lowest: deque[tuple[float, float]] = field(factory=deque, init=False)
+    """Times of the window at which it counts as full, each with the calls before it
+    less the refill until then; both ascend."""
+
+    @property
+    def level(self) -> float:
+        """Return the calls that are left; below 0 after over-admission."""
+        if not self._lowest:
+            return self.burst
+        used = self._calls - self._lowest[0][1]
+        return self.burst + min(0.0, self.now_s * self.rate_per_s - used)
+
+    def advance(self, now_s: float) -> None:
+        """Move the window to end at a time."""
+        self.now_s = max(self.now_s, now_s)
+        oldest_s = self.now_s - self.window_s
+        while self._lowest and self._lowest[0][0] <= oldest_s:
+            self._lowest.popleft()
+
+    def use(self, calls: float) -> None:
+        """Take calls at the end of the window; below 0 if some were given back."""
+        before = self._calls - self.now_s * self.rate_per_s
+        while self._lowest and self._lowest[-1][1] >= before:
+            self._lowest.pop()
+        self._lowest.append((self.now_s, before))
+        self._calls += calls
