Revert "Ask for departures before a new process offers its instance"

Cause of the revert: callers pay for it at each start. After a loss of power of all nodes each waits up to 0.3 s for answers of nodes that are starting, too. A way that costs nothing where the store has not come back older would have to tell in which era a record was written; the version that is listed tells only in which era it was read.

--- a/features/steps/departures_witnessed_steps.py
+++ b/features/steps/departures_witnessed_steps.py
@@ -201,8 +201,6 @@
     context.answers = [witness.receive(message) for message in messages]
     kept = (["x"], ["x", 1], ["x", 1, "i"], ["x", "1", "i", 1], [1, 1, "i", 1], 7)
     context.answers += [witness.receive_keep(msgpack.packb(item)) for item in kept]
-    asked = ([], ["x", "y"], [1], ["x" * 300], 7)
-    context.answers += [witness.receive_recall(msgpack.packb(item)) for item in asked]
 
 
 @then("each is refused, and nothing is learnt")
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -64,12 +64,6 @@
     When the store loses it before any node has seen it, and the node starts anew
     Then the one that keeps it tells the new process
 
-  # A new process was told 0.05 to 0.17 s after it had offered the instance.
-  Scenario: A new process asks for departures before it offers an instance
-    Given a departure that the store has lost and another node keeps
-    When the node starts again and a late heartbeat comes at once
-    Then the instance is never offered, and the stored record names the departure
-
   Scenario: A record that names the departure again needs no telling
     Given 6 nodes that have seen a seventh one confirm a departure
     When its new process writes a record without it and then one with it
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -58,7 +58,6 @@
     LOOP_STALLED = "loop-stalled"
     LOOP_HELD = "loop-held"
     ACCEPT_FAILED = "accept-failed"
-    DEPARTURES_RECALLED = "departures-recalled"
     DEPARTURES_TOLD = "departures-told"
     LOOP_NOT_WAITING = "loop-not-waiting"
     LOOP_WAITS_AGAIN = "loop-waits-again"
--- a/src/comfreytray/membership/departurewitness.py
+++ b/src/comfreytray/membership/departurewitness.py
@@ -3,8 +3,7 @@
 A departure that a node has confirmed is kept by the store and the node. A store that
 comes back from an older copy while the node restarts loses it at both, and a late
 heartbeat brings the instance back. Other nodes have seen the record that named it, or
-were told before it was confirmed. A new process asks them before it offers an instance,
-and those that see its record without the departure tell it.
+were told before it was confirmed.
 """
 
 from collections.abc import Callable, Iterable
@@ -24,7 +23,6 @@
 
 TOPIC = "/departures"
 KEEP_TOPIC = "/departures/keep"
-RECALL_TOPIC = "/departures/recall"
 KEEP_S = 30.0
 """Time for which a departure is told; late heartbeats are seconds old at most."""
 PERIOD_S = 0.25
@@ -32,9 +30,6 @@
 TELLERS = 3
 """Nodes that tell a member; each one alone may have failed."""
 ASK_TIMEOUT_S = 0.5
-RECALL_TIMEOUT_S = 0.3
-"""Time for which a starting node offers no instance, to learn what others keep of it:
-a connection and an answer between regions."""
 MAX_DEPARTURES = 16
 MAX_TEXT = 256
 MAX_KEPT_NODES = 1024
@@ -107,7 +102,6 @@
         self._ask = peers.ask
         peers.register(TOPIC, self.receive)
         peers.register(KEEP_TOPIC, self.receive_keep)
-        peers.register(RECALL_TOPIC, self.receive_recall)
         self._learn = learn
         self._clock = clock
         self._missing_by_id: dict[str, _Missing] = {}
@@ -169,62 +163,15 @@
             del self._kept_by_id[next(iter(self._kept_by_id))]
         return b""
 
-    def recall(self) -> None:
-        """Learn what those that would tell this node keep of its earlier processes.
-
-        Waits for their answers, and at most RECALL_TIMEOUT_S for those that are away.
-        """
-        by_id = self._members().by_id
-        message = msgpack.packb([self._own_id])
-        asked = [
-            eventlet.spawn(self._ask_what_is_kept, by_id[node_id], message)
-            for node_id in _tellers(self._own_id, by_id)
-        ]
-        answered = sum(answer.wait() for answer in asked)
-        logs.log(logs.Event.DEPARTURES_RECALLED, asked=len(asked), answered=answered)
-
-    def _ask_what_is_kept(self, record: NodeRecord, message: bytes) -> bool:
-        answer = self._ask(record, RECALL_TOPIC, message, timeout_s=RECALL_TIMEOUT_S)
-        if isinstance(answer, Failure):
-            return False
-        departures = _decode(answer)
-        if isinstance(departures, Failure):
-            return False
-        if departures:
-            self._learn(departures)
-        return True
-
-    def receive_recall(self, message: bytes) -> bytes | Failure:
-        """Answer a starting process with the departures that are known of its node."""
-        try:
-            (node_id,) = msgpack.unpackb(message, max_array_len=1)
-            _check(node_id, 0)
-        except _MALFORMED as error:
-            return _refuse(error)
-        record = self._members().by_id.get(node_id)
-        missing = self._missing_by_id.get(node_id)
-        known = {
-            *(() if record is None else record.departures),
-            *(() if missing is None else missing.departures),
-            *(kept.departure for kept in self._held_for(node_id)),
-        }
-        latest = sorted(known, key=lambda departure: departure.before_ms)
-        rows = [_row(departure) for departure in latest[-MAX_DEPARTURES:]]
-        packed: bytes = msgpack.packb(rows)
-        return packed
-
     def _kept_for(self, record: NodeRecord) -> tuple[Departure, ...]:
         """Return what earlier processes of a node have asked this one to keep."""
+        now = self._clock.monotonic()
         return tuple(
             kept.departure
-            for kept in self._held_for(record.node_id)
-            if kept.incarnation != record.incarnation
+            for kept in self._kept_by_id.get(record.node_id, ())
+            if kept.incarnation != record.incarnation and now < kept.until
         )
 
-    def _held_for(self, node_id: str) -> list[_Kept]:
-        now = self._clock.monotonic()
-        return [kept for kept in self._kept_by_id.get(node_id, ()) if now < kept.until]
-
     def run(self) -> None:
         """Tell members what they lack, until killed."""
         repeat_when(
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -126,7 +126,7 @@
             members=self.members,
             register=self.register,
             clock=self.clock,
-            witness=lambda: self.witness,
+            keep=lambda departure: self.witness.keep(departure),
         )
         self._retry_limits = NodeRetryLimits(
             budget=options.retries, nodes=lambda: len(self.directory.view.by_id)
--- a/src/comfreytray/node/recordsync.py
+++ b/src/comfreytray/node/recordsync.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol
 
 import eventlet
 
@@ -42,18 +41,6 @@
     return directory.own_listed(members.replica.progress.complete_to)
 
 
-class Witness(Protocol):
-    """Has other nodes keep what this one confirms."""
-
-    def keep(self, departure: Departure) -> Keeping:
-        """Ask other nodes to keep a departure; does not wait."""
-        ...
-
-    def recall(self) -> None:
-        """Wait for what other nodes keep of earlier processes, for a bounded time."""
-        ...
-
-
 class RecordSync:
     """Writes the record when it changes, and again when the store has lost it."""
 
@@ -65,9 +52,10 @@
         members: Feed,
         register: InstanceRegister,
         clock: Clock,
-        witness: Callable[[], Witness],
+        keep: Callable[[Departure], Keeping] = lambda _: Keeping(asked=0),
     ) -> None:
-        self._witness = witness
+        """Create it; `keep` asks other nodes to keep a departure."""
+        self._keep = keep
         self._record = record
         self._own_record = own_record
         self._members = members
@@ -87,7 +75,7 @@
         acknowledged, and this process may end at any moment.
         """
         self.check()
-        keeping = self._witness().keep(departure)
+        keeping = self._keep(departure)
         holds = partial(self._own_record.holds, departure)
         poll_until(lambda: holds() and keeping.is_settled, STORE_TIMEOUT_S, self._clock)
         return holds()
@@ -96,13 +84,11 @@
         """Show the instance and write the record, once the members are known.
 
         Before, the node does not know which departures an earlier process of it has
-        acknowledged; a late heartbeat would bring the instance back. The members may
-        know of one that the store has lost. Mostly the first heartbeat comes soon
-        enough for the first write.
+        acknowledged; a late heartbeat would bring the instance back. Mostly the first
+        heartbeat comes soon enough for the first write.
         """
         register = self._register
         self._await_members()
-        self._witness().recall()
         register.show()
         poll_until(
             lambda: register.upstream is not None,
