--- a/src/comfreytray/customers/quotalevel.py
+++ b/src/comfreytray/customers/quotalevel.py
@@ -36,12 +36,12 @@
 
 @define(kw_only=True)
 class WindowLevel:
-    """What is left of a burst that refills at a rate, by the calls of a window alone.
+    """The level of a token bucket by the calls of a sliding window alone.
 
     It is the lowest of the levels of the buckets that were full at some moment of the
-    window. So it recovers from an overload as soon as that is out of the window, where
-    a bucket without end would first refill what it is below 0. Times are accrued
-    seconds.
+    window, kept as a sliding minimum. So it recovers from an overload as soon as that
+    is out of the window; a bucket that remembers all calls would first refill what it
+    is below 0. Times are accrued seconds.
     """
 
     rate_per_s: float
@@ -51,8 +51,8 @@
 
     _calls: float = field(default=0.0, init=False)
     _lowest: deque[tuple[float, float]] = field(factory=deque, init=False)
-    """Times of the window at which it counts as full, each with the calls before it
-    less the refill until then; both ascend."""
+    """Moments of the window at which the bucket that is the lowest may have been full,
+    each with the calls before it less the refill until then; both ascend."""
 
     @property
     def level(self) -> float:
