Answer what was read before a planned stop closes its connection

Callers saw: on a kept connection with requests sent ahead, the first answer after a SIGTERM said "Connection: close", and the requests behind it, which were at work at their upstream, ended without an answer. Cause: the close was announced in whichever answer came first, though up to 32 requests of a connection run at a time (class: a connection is closed by when an answer comes, not by what was accepted on it). Change: the answer behind which no request was taken closes the connection; from the stop on no further request is read while some are pending.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -34,3 +34,10 @@
     When calls of 3 s are complete 0.1, 0.7 and 0.9 s after a stop began that leaves 1 s
     Then those that could not end in time are refused as not run and ran nowhere
     And a call whose caller waits for less than what is left gets its answer
+
+  # The first answer closed the connection, with a request behind it at its upstream.
+  Scenario: Requests sent ahead that were passed on before a stop are all answered
+    Given a node that enters calls for an instance beside another node
+    When three lookups sent ahead are at their upstream and a stop begins
+    And the caller sends a fourth before the first is answered
+    Then each request that ran is answered by its upstream, and only the last answer closes the connection
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -1,6 +1,6 @@
 import eventlet
 from behave import given, then, when
-from calls_rig import Fleet, answer, read_answer
+from calls_rig import Fleet, answer, read_answer, until
 from eventlet.green import socket
 
 from comfreytray.calls import callers, httpserver
@@ -17,6 +17,8 @@
 
 
 class _CallPathStub:
+    leaving = False
+
     def __init__(self):
         self.clock = SystemClock()
         self.metrics = Metrics()
@@ -240,3 +242,37 @@
 @then("a call whose caller waits for less than what is left gets its answer")
 def check_short_answered(context):
     assert context.got["short"].status == 200, context.got["short"].status
+
+
+@when("three lookups sent ahead are at their upstream and a stop begins")
+def stop_with_lookups_ahead(context):
+    lookups = [b"GET /%s HTTP/1.1\r\nHost: canhdieu.test\r\n\r\n"] * 3
+    names = (b"first", b"second", b"third")
+    data = b"".join(line % name for line, name in zip(lookups, names, strict=True))
+    context.sock = context.fleet.raw("entry", data)
+    ran = context.fleet.upstream_by_id["owner"].ran
+    assert until(lambda: len(ran) == 3), ran
+    path = context.fleet.path_by_id["entry"]
+    now = path.clock.monotonic()
+    path.ask_to_close(StopSchedule(began_at=now, ends_at=now + 10.0))
+
+
+@when("the caller sends a fourth before the first is answered")
+def send_fourth(context):
+    context.sock.sendall(_NODE_REQUEST % b"fourth")
+
+
+@then(
+    "each request that ran is answered by its upstream, "
+    "and only the last answer closes the connection"
+)
+def check_all_answered(context):
+    data = b""
+    while part := context.sock.recv(65536):
+        data += part
+    heads = [part for part in data.split(b"HTTP/1.1 ") if part]
+    ran = context.fleet.upstream_by_id["owner"].ran
+    assert len(ran) >= 3, ran
+    assert [head[:3] for head in heads] == [b"200"] * len(ran), (ran, data)
+    closes = [b"connection: close" in head.lower() for head in heads]
+    assert closes == [False] * (len(ran) - 1) + [True], data
--- a/src/comfreytray/calls/httpserver.py
+++ b/src/comfreytray/calls/httpserver.py
@@ -28,6 +28,7 @@
     DropReason,
     Pipeline,
     PipelinedResponse,
+    record_dropped,
 )
 from comfreytray.calls.requestheads import build_environ, check_head, has_body
 from comfreytray.calls.transitmemory import TransitMemory
@@ -60,7 +61,7 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether connections of callers close after each answer."""
+        """Whether connections of callers close behind the requests that were read."""
         ...
 
     def caller_limits(self) -> CallerLimits:
@@ -145,7 +146,7 @@
                 memory=context.answer_memory,
                 on_idle=lambda: context.callers.mark_idle(self.connection),
                 on_close=self._stop_reading,
-                on_drop=_record_dropped(context.metrics),
+                on_drop=record_dropped(context.metrics),
             )
             # Nothing but the pipeline writes to the connection.
             self.wfile.close()
@@ -178,6 +179,8 @@
         def handle_one_request(self) -> None:
             # Requests that were sent ahead are read without a switch.
             self.turns.take()
+            if context.leaving:
+                self.pipeline.wait_until_empty()
             if self.pipeline.is_empty:
                 context.callers.mark_idle(self.connection)
             super().handle_one_request()
@@ -185,6 +188,9 @@
         def handle_one_response(self) -> None:
             """Answer a request; a safe one without a body runs in its own greenlet."""
             self.pipeline.wait_for_capacity()
+            if self.pipeline.is_ending:
+                self.close_connection = True
+                return
             exchange = copy.copy(self)
             exchange.wfile = response = self.pipeline.add_response(exchange)
             exchange.environ["comfreytray.protocol"] = exchange
@@ -207,7 +213,8 @@
             try:
                 super().handle_one_response()
                 if response.failure is not None:
-                    self.close_connection = closes or context.leaving
+                    leaves = context.leaving and self.ends_connection()
+                    self.close_connection = closes or leaves
                 response.finish(closes_connection=bool(self.close_connection))
             except OSError as error:
                 logs.log(logs.Event.CALLER_LOST, reason=type(error).__name__)
@@ -219,6 +226,10 @@
                     self.close_connection = True
                     self.pipeline.close(DropReason.ANSWER_FAILED)
 
+        def ends_connection(self) -> bool:
+            """Take no request behind this one; false if one was taken already."""
+            return self.pipeline.end_after(self.wfile)
+
         def left_s(self) -> float:
             deadline = self.environ.get("comfreytray.deadline", math.inf)
             return float(deadline - context.clock.monotonic())
@@ -337,13 +348,3 @@
         minimum_chunk_size=1,
         capitalize_response_headers=False,
     )
-
-
-def _record_dropped(metrics: Metrics) -> Callable[[int, DropReason], None]:
-    """Return what counts and logs the answers that a connection drops."""
-
-    def record(count: int, reason: DropReason) -> None:
-        metrics.count("answers_dropped", count)
-        logs.log(logs.Event.ANSWERS_DROPPED, count=count, reason=reason.value)
-
-    return record
--- a/src/comfreytray/calls/pipelines.py
+++ b/src/comfreytray/calls/pipelines.py
@@ -12,7 +12,9 @@
 import eventlet
 
 from comfreytray.calls.transitmemory import ANSWERS_SHED, TransitMemory
+from comfreytray.common import logs
 from comfreytray.common.errors import Failure
+from comfreytray.common.metrics import Metrics
 from comfreytray.common.signals import Signal
 
 MAX_CONCURRENT_REQUESTS = 32
@@ -185,6 +187,8 @@
         self._on_drop = on_drop
         self._responses: deque[PipelinedResponse] = deque()
         self._is_writing = False
+        self.is_ending = False
+        """Whether no request is run behind those that were read."""
         self.closed = False
 
     @property
@@ -200,6 +204,13 @@
         self._responses.append(response)
         return response
 
+    def end_after(self, response: PipelinedResponse) -> bool:
+        """Run no request behind that of an answer; false if one runs already."""
+        if self._responses and self._responses[-1] is not response:
+            return False
+        self.is_ending = True
+        return True
+
     def wait_for_capacity(self) -> None:
         """Wait until another request may run."""
         while len(self._responses) >= MAX_CONCURRENT_REQUESTS and not self.closed:
@@ -290,3 +301,13 @@
     def close(self) -> None:
         """Take no further answer."""
         self.closed = True
+
+
+def record_dropped(metrics: Metrics) -> Callable[[int, DropReason], None]:
+    """Return what counts and logs the answers that a connection drops."""
+
+    def record(count: int, reason: DropReason) -> None:
+        metrics.count("answers_dropped", count)
+        logs.log(logs.Event.ANSWERS_DROPPED, count=count, reason=reason.value)
+
+    return record
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -299,7 +299,7 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether connections of callers close after each answer."""
+        """Whether connections of callers close behind the requests that were read."""
         return self.responder.closes_connections
 
     @property
--- a/src/comfreytray/calls/requestbodies.py
+++ b/src/comfreytray/calls/requestbodies.py
@@ -227,3 +227,10 @@
     if protocol is not None:
         protocol.close_connection = True
         protocol.lingers = has_unread_body(environ)
+
+
+def close_behind_last(environ: Environ) -> None:
+    """Have the server close the connection unless requests were read behind this."""
+    protocol = environ.get("comfreytray.protocol")
+    if protocol is not None and protocol.ends_connection():
+        protocol.close_connection = True
--- a/src/comfreytray/calls/responder.py
+++ b/src/comfreytray/calls/responder.py
@@ -14,6 +14,7 @@
 from comfreytray.calls.dialect import Dialect
 from comfreytray.calls.requestbodies import (
     close_after,
+    close_behind_last,
     has_unread_body,
     has_unread_upload,
 )
@@ -33,7 +34,7 @@
         self.metrics = metrics
         self.message_for = message_for
         self.closes_connections = False
-        """Whether the connection of a caller is closed after each answer."""
+        """Whether connections of callers close behind the requests that were read."""
 
     def answer(
         self,
@@ -46,8 +47,10 @@
         """Answer a call; `on_end` is called at the end of a streamed answer."""
         # After an early answer, the rest of a streamed body must not be read as a
         # request.
-        if self.closes_connections or has_unread_upload(environ):
+        if has_unread_upload(environ):
             close_after(environ)
+        elif self.closes_connections:
+            close_behind_last(environ)
         status = f"{reply.status} {reply.reason or 'Status'}"
         start_response(status, list(reply.headers))
         if reply.rest is None:
@@ -66,8 +69,10 @@
         language = environ.get("HTTP_ACCEPT_LANGUAGE", "")
         text = self.message_for(outcome.failure, language)
         status, headers, body = build_refusal(outcome, text, self.dialect)
-        if has_unread_body(environ) or self.closes_connections:
+        if has_unread_body(environ):
             close_after(environ)
+        elif self.closes_connections:
+            close_behind_last(environ)
         start_response(status, headers)
         return [body]
 
