Serve connections that wait to be accepted when a stop begins

Callers saw their connection reset in the middle of a planned stop, with a whole request sent and no answer. Nothing ran and no line of the node named them.

Cause: a stop shuts the listening socket down, and Linux then resets every connection that the kernel had taken and the process had not accepted yet. On a busy or slow machine the queue holds connections for longer than the slack that callers are promised. A second moment is of the same kind: a connection that was accepted, but whose greenlet had not begun, was in no table, so that a stop could end without it.

Change: a stop first accepts all that is queued, without waiting, and hands it to the server; the stop waits for them like for other connections. `connections-taken` tells how many there were.

Not closed: a connection that the kernel takes between the last accept and the shutdown, a few microseconds, is still reset.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -29,6 +29,12 @@
     Then the request runs once and its whole answer arrives
     And the connection is closed and a new connection is refused
 
+  Scenario: Requests on connections that wait to be accepted as the stop begins are answered
+    Given an HTTP server with an open connection that has had one answer
+    When 40 callers connect and send a request, and the stop begins before any is accepted
+    Then each of their requests runs once and its whole answer arrives
+    And the connections are closed and a new connection is refused
+
   Scenario: A request that is complete late in a stop isn't passed on and then cut off
     Given a node that enters calls for an instance beside another node
     When calls of 3 s are complete 0.1, 0.7 and 0.9 s after a stop began that leaves 1 s
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -1,3 +1,5 @@
+import socket as plain_socket
+
 import eventlet
 from behave import given, then, when
 from calls_rig import Fleet, answer, read_answer, until
@@ -69,7 +71,8 @@
     context.call_path_stub = _CallPathStub()
     sock = eventlet.listen(("127.0.0.1", 0))
     context.address = sock.getsockname()
-    context.listener = Listener(sock)
+    on_accept = context.call_path_stub.callers.mark_accepted
+    context.listener = Listener(sock, on_accept=on_accept)
     context.server = eventlet.spawn(
         httpserver.serve, context.listener, application, context.call_path_stub
     )
@@ -117,6 +120,47 @@
     context.connection.sendall(REQUEST % b"next")
 
 
+@when(
+    "{count:d} callers connect and send a request, and the stop begins before any is "
+    "accepted"
+)
+def stop_with_queued_connections(context, count):
+    context.connections = []
+    # The kernel takes the bytes; no other green thread runs before the stop begins.
+    for number in range(count):
+        sock = plain_socket.create_connection(context.address)
+        sock.sendall(REQUEST % b"queued-%d" % number)
+        sock.setblocking(False)
+        context.connections.append(socket.socket(fileno=sock.detach()))
+    context.connection.close()
+    context.stop = _begin_stop(context)
+
+
+@then("each of their requests runs once and its whole answer arrives")
+def check_queued_answers(context):
+    got = [_read_or_error(sock) for sock in context.connections]
+    assert set(got) == {""}, f"{sum(map(bool, got))} of {len(got)}: {set(got)}"
+    wanted = {f"/queued-{number}" for number in range(len(got))}
+    assert sorted(context.ran[1:]) == sorted(wanted), context.ran
+
+
+def _read_or_error(sock):
+    try:
+        _read_answer(sock)
+    except (OSError, AssertionError) as error:
+        return repr(error)
+    return ""
+
+
+@then("the connections are closed and a new connection is refused")
+def check_queued_ends(context):
+    assert [sock.recv(1) for sock in context.connections] == [b""] * len(
+        context.connections
+    )
+    context.connection = context.connections[0]
+    check_end(context)
+
+
 @when("the stop begins while a slow request runs")
 def stop_while_running(context):
     context.path = "/slow"
--- a/src/comfreytray/calls/callers.py
+++ b/src/comfreytray/calls/callers.py
@@ -2,15 +2,23 @@
 
 import contextlib
 import socket as plain_socket
+from collections import deque
+from collections.abc import Callable
 from typing import Any
+from weakref import WeakSet
 
 import eventlet
 from attrs import define
 from eventlet.event import Event
+from eventlet.greenio import GreenSocket
+from eventlet.hubs import notify_opened
 
+from comfreytray.common import logs
 from comfreytray.common.listening import SteadyListener
 
 POLL_S = 0.02
+MAX_QUEUED = 1_025
+"""Connections that the kernel holds for a listener, at most: its backlog and one."""
 FIRST_REQUEST_S = 0.5
 """Time in which the first request of a new connection is awaited during a stop."""
 LINGER_S = 0.5
@@ -46,9 +54,16 @@
         self.stopping = False
         self._used_sockets: set[Any] = set()
         """Connections that have carried a request."""
+        self._accepted_sockets: WeakSet[Any] = WeakSet()
+        """Connections that the server has not begun to serve."""
+
+    def mark_accepted(self, sock: Any) -> None:
+        """Record that a connection was accepted, which the server will serve."""
+        self._accepted_sockets.add(sock)
 
     def mark_idle(self, sock: Any) -> None:
         """Record that a connection waits for its next request."""
+        self._accepted_sockets.discard(sock)
         self.busy_sockets.discard(sock)
         self.idle_sockets.add(sock)
         if self.stopping and sock in self._used_sockets:
@@ -95,34 +110,67 @@
                 self.shut_reading(sock)
 
     def _wait_until_closed(self) -> None:
-        while self.idle_sockets or self.busy_sockets:
+        while self.idle_sockets or self.busy_sockets or self._has_accepted():
             eventlet.sleep(POLL_S)
 
+    def _has_accepted(self) -> bool:
+        """Whether a connection, unless it has failed, is still to be served."""
+        return any(sock.fileno() >= 0 for sock in self._accepted_sockets)
+
 
 class Listener(SteadyListener):
     """A listening socket that can stop accepting while the server still runs."""
 
-    def __init__(self, sock: Any) -> None:
+    def __init__(
+        self, sock: Any, *, on_accept: Callable[[Any], None] = lambda _: None
+    ) -> None:
+        """Create it; `on_accept` gets each connection that was accepted."""
         super().__init__(sock)
+        self._on_accept = on_accept
         self._stopping = False
+        self._queued: deque[Any] = deque()
+        """Connections that were accepted as the stop began."""
         self._ended = Event()
 
     def accept(self) -> Any:
         """Return the next connection; raises SystemExit at `end`, after a stop."""
         if not self._stopping:
             try:
-                return super().accept()
+                accepted = super().accept()
             except OSError:
                 if not self._stopping:
                     raise
+            else:
+                self._on_accept(accepted[0])
+                return accepted
+        if self._queued:
+            return self._queued.popleft()
         self._ended.wait()
         raise SystemExit
 
     def stop_accepting(self) -> None:
-        """Refuse new connections."""
+        """Refuse new connections.
+
+        Those that wait in the kernel's queue, which a shutdown would reset, are served:
+        their requests may already have arrived.
+        """
         self._stopping = True
+        with contextlib.suppress(OSError):
+            self._take_queued()
         with contextlib.suppress(OSError):
             self._sock.shutdown(plain_socket.SHUT_RDWR)
+        if self._queued:
+            logs.log(logs.Event.CONNECTIONS_TAKEN, count=len(self._queued))
+
+    def _take_queued(self) -> None:
+        """Accept without waiting; raises OSError once no connection is queued."""
+        listener = self._sock.fd
+        while len(self._queued) < MAX_QUEUED:
+            plain, address = listener.accept()
+            notify_opened(plain.fileno())
+            sock = GreenSocket(plain)
+            self._on_accept(sock)
+            self._queued.append((sock, address))
 
     def end(self) -> None:
         """End the server, which waits in `accept` after a stop."""
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -198,7 +198,7 @@
 
     def serve_http(self, listener: Any) -> None:
         """Serve callers until stopped or until the listener is closed."""
-        self._listener = Listener(listener)
+        self._listener = Listener(listener, on_accept=self.callers.mark_accepted)
         httpserver.serve(self._listener, self.wsgi_app, self)
 
     def stop_http(self, timeout_s: float) -> bool:
