Judge in the soak the calls that planned work loses

Each call's sending, runs and end are recorded now and judged by the platform's rule LOST, in all seeds. From seed 10000 on a schedule holds planned work only, with callers that keep connections, send ahead, send bodies late, make long calls, read large answers slowly or connect anew. Earlier seeds keep their schedules.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -23,7 +23,17 @@
     When the soak test runs seed 3 for 15 s with 4 nodes
     Then no promise was broken
 
+  # From seed 10000 on there is only planned work: without this, calls that a stopping
+  # node loses show only on the users' bench.
+  Scenario: A short soak test of planned work, two nodes stopping at once
+    When the soak test runs seed 10028 for 7 s with 3 nodes
+    Then no promise was broken
+
   Scenario: A seed always gives the same fault schedule, and schedules hold every kind
     When the fault schedules of fifteen seeds are drawn twice
     Then both draws are equal and hold every kind of fault
     And no schedule holds a kind that applies only from a later seed on
+
+  Scenario: A seed of planned work always gives the same schedule, of planned work only
+    When the planned work of ten seeds is drawn twice
+    Then both draws are equal and hold stops, reloads, departures and configurations
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,6 +5,7 @@
 from behave import then, when
 
 from soak.faults import FIRST_SEED_BY_KIND, KINDS, draw_schedule
+from soak.planned import FIRST_PLANNED_SEED, MEAN_GAP_S_BY_KIND, draw_planned
 from standins.processes import python_environment
 
 ROOT = Path(__file__).parents[2]
@@ -56,3 +57,26 @@
     for seed, schedule in zip(SEEDS, context.schedules[0], strict=True):
         first_seeds = [FIRST_SEED_BY_KIND.get(fault.kind, 0) for fault in schedule]
         assert max(first_seeds) <= seed
+
+
+@when("the planned work of ten seeds is drawn twice")
+def draw_planned_work(context):
+    context.schedules = [
+        [
+            list(draw_planned(FIRST_PLANNED_SEED + number, nodes=3, seconds=30.0))
+            for number in range(10)
+        ]
+        for _ in range(2)
+    ]
+
+
+@then("both draws are equal and hold stops, reloads, departures and configurations")
+def check_planned_work(context):
+    first, second = context.schedules
+    assert first == second
+    for schedule in first:
+        assert [work.at_s for work in schedule] == sorted(
+            work.at_s for work in schedule
+        )
+    kinds = {work.kind for schedule in first for work in schedule}
+    assert kinds == set(MEAN_GAP_S_BY_KIND)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 
 import fire  # noqa: E402
 
+from soak.endings import EndingChecker  # noqa: E402
 from soak.run import Result, run_seed  # noqa: E402
 
 
@@ -51,10 +52,25 @@
             f"  keys: {result.keys.withdrawn_calls} calls had to be refused, "
             f"{result.keys.added_calls} with an added key accepted"
         )
+    _report_endings(result.endings)
     for line in promises.violations[:10]:
         print(f"  BROKEN: {line}")
     if promises.violations:
-        print(f"  logs: {result.folder}")
+        print(f"  {len(promises.violations)} in all; logs: {result.folder}")
+
+
+def _report_endings(endings: EndingChecker) -> None:
+    killed = sum(stop.was_killed for stop in endings.stops)
+    lag_s = max((lag_s for _, lag_s in endings.lags), default=0.0)
+    print(
+        f"  {len(endings.stops)} stops, {killed} killed at the end of their grace; "
+        f"held up for {lag_s:.2f} s at most"
+    )
+    for name, count in sorted(endings.count_by_class.items()):
+        print(f"  {count} {name}")
+    print(f"  {len(endings.at_the_exit)} cut at the exit, as RULES allows")
+    for line in endings.at_the_exit[:5]:
+        print(f"    {line}")
 
 
 if __name__ == "__main__":
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -98,6 +98,16 @@
     return range(0)
 
 
+def is_unplanned_at_its_node(fault: Fault) -> bool:
+    """Return whether a fault is no planned work and disturbs the node that it names.
+
+    Disturbance of the store alone excuses no lost call.
+    """
+    return fault.kind not in ("node-stop", "node-reload", "upstream-replaced") and (
+        fault.kind.startswith(("node-", "link-", "upstream-"))
+    )
+
+
 def draw_schedule(seed: int, *, nodes: int, seconds: float) -> Iterator[Fault]:
     """Yield the faults of a run in order of time; a seed always yields the same."""
     return heapq.merge(
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -3,12 +3,14 @@
 import http.client
 import json
 import random
+import re
 import time
 from typing import Any
 
 import eventlet
 from attrs import define, field
 
+from soak.endings import EndingChecker
 from soak.keypromises import KeyChecker
 from soak.promises import PromiseChecker
 from standins.scripted import CRASH, RESET, Upstream, answer
@@ -33,6 +35,8 @@
 """Time for which an instance is down after a crash."""
 WELL_AFTER_S = 4.0
 """Time after the last fault of a node from which it counts as well."""
+_WORK = re.compile(rb"/[a-z]+/work-([0-9]+)-([0-9]+)$")
+"""Paths that say how many milliseconds a call works and how long its answer is."""
 MAX_IDLE_S = 0.1
 """Idle time after which `upstream-resets-idle` resets a connection."""
 
@@ -47,6 +51,8 @@
     control: tuple[str, int]
     service: str
     promises: PromiseChecker
+    endings: EndingChecker
+    slots: int = SLOTS
     keys: KeyChecker | None = None
     """None if the configuration has no accounts."""
     random: random.Random
@@ -86,7 +92,8 @@
     def crash(self) -> None:
         """End, and start again after a while."""
         self.upstream.down_s = self.random.uniform(*DOWN_RANGE_S)
-        self.upstream.crash()
+        with self.endings.disturbing(self.node):
+            self.upstream.crash()
 
     def _restart(self) -> None:
         self.generation += 1
@@ -122,7 +129,7 @@
             "address": f"{self.host}:{self.port}",
             "zone": "z",
             "version": "v1",
-            "slots": SLOTS,
+            "slots": self.slots,
             "state": "ready",
             "cold_remaining_s": 0,
             "sequence": self.sequence,
@@ -162,24 +169,35 @@
         if self.keys is not None:
             customer = headers.get("x-tenant", "")
             self.keys.record_run(call_id, head=head, customer=customer, node=self.node)
+        with self.endings.running(call_id, self.node) as run:
+            answered = self._work(head, call_id)
+            run.broke_off = not isinstance(answered, bytes)
+            return answered
+
+    def _work(self, head: bytes, call_id: str) -> Any:
         path = head.split(b" ")[1]
         if path.startswith(DEADLY_PATH):
             now = time.monotonic()
             is_well = now - self.node_disturbed_at > WELL_AFTER_S
             name = path.decode()
             self.promises.record_deadly_run(name, now, node_is_well=is_well)
-            eventlet.sleep(DEADLY_RUN_S)
+            with self.endings.disturbing(self.node):
+                eventlet.sleep(DEADLY_RUN_S)
             self.upstream.down_s = self.random.uniform(*DOWN_RANGE_S)
             return [CRASH]
+        fields = [f"X-Attempt-Id: {call_id}", "X-Response-Seal: s"]
+        if self.leaving:
+            fields.append("Server-Leaving: 1")
+        if work := _WORK.match(path):
+            eventlet.sleep(int(work[1]) / 1000)
+            body = call_id.encode().ljust(int(work[2]), b".")
+            return answer(200, body, *fields)
         slow = SLOW_FACTOR if "upstream-slow" in self.faults else 1.0
         eventlet.sleep(self.random.uniform(*WORK_RANGE_S) * slow)
         faulty = self.random.random() < FAULT_SHARE
         if faulty and "upstream-loses-answers" in self.faults:
             return [RESET]
         status = 500 if faulty and "upstream-fails" in self.faults else 200
-        fields = [f"X-Attempt-Id: {call_id}", "X-Response-Seal: s"]
-        if self.leaving:
-            fields.append("Server-Leaving: 1")
         if "upstream-limited" in self.faults:
             fields.append(f"Server-Limit: {LIMIT_PER_S}")
             self.promises.record_limit(self.instance_id, LIMIT_PER_S, time.monotonic())
--- a/soak/nodeprocess.py
+++ b/soak/nodeprocess.py
@@ -59,12 +59,14 @@
         if self.popen is not None and self.popen.poll() is None:
             self.popen.send_signal(signal_number)
 
-    def wait(self, timeout_s: float) -> None:
-        """Wait for the process to end; kill it after `timeout_s`."""
+    def wait(self, timeout_s: float) -> bool:
+        """Wait for the process to end; kill it after `timeout_s`, and return false."""
         assert self.popen is not None
         end = time.monotonic() + timeout_s
         while self.popen.poll() is None and time.monotonic() < end:
             eventlet.sleep(0.02)
+        has_ended = self.popen.poll() is not None
         self.send(signal.SIGCONT)
         self.send(signal.SIGKILL)
         self.popen.wait()
+        return has_ended
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,7 @@
 import tempfile
 import threading
 import time
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -13,9 +14,12 @@
 from attrs import frozen
 
 from soak.configuration import HOST, PUBLIC_PREFIX
+from soak.endings import Ending, EndingChecker, SentCall
 from soak.faults import draw_schedule
+from soak.habits import HABITS, HabitualCaller
 from soak.keypromises import KeyChecker
 from soak.keys import Credentials, every_credentials
+from soak.planned import draw_planned, is_planned
 from soak.promises import RECOVERY_S, PromiseChecker
 from soak.site import OUTBOUND, Site
 
@@ -34,6 +38,7 @@
     folder: Path
     """Holds the settings and logs of the nodes."""
     promises: PromiseChecker
+    endings: EndingChecker
     keys: KeyChecker | None
     """None if the configuration had no accounts."""
 
@@ -44,6 +49,7 @@
     def __init__(self, *, site: Site, node: int, name: str) -> None:
         self._host, self._node, self._name = site.hosts[node], node, name
         self._promises, self._keys = site.promises, site.keys
+        self._endings = site.endings
         self._numbers = itertools.count()
         self._connection: http.client.HTTPConnection | None = None
 
@@ -59,11 +65,21 @@
             if credentials.is_public:
                 path = f"{PUBLIC_PREFIX}x"
                 idempotent = True
+        is_kept = self._connection is not None
         if self._connection is None:
             self._connection = http.client.HTTPConnection(
                 self._host, OUTBOUND, timeout=DEADLINE_MS / 1000 + 1.0
             )
         status, body, answered_id, closing = 0, b"", "", True
+        sent = self._endings.begin(
+            SentCall(
+                call_id=call_id,
+                node=self._node,
+                limit_s=DEADLINE_MS / 1000,
+                is_kept=is_kept,
+            )
+        )
+        ending = Ending.CLOSED
         try:
             self._connection.request(
                 "GET" if idempotent else "POST",
@@ -75,12 +91,19 @@
                     **fields,
                 },
             )
+            sent.record_sent()
             answer = self._connection.getresponse()
+            ending = Ending.CUT
             body = answer.read()
+            is_sealed = "X-Response-Seal" in answer.headers
+            ending = Ending.WHOLE if is_sealed else Ending.OWN
             status, answered_id = answer.status, answer.headers.get("X-Attempt-Id", "")
             closing = answer.will_close
+        except TimeoutError:
+            ending = Ending.GIVEN_UP
         except (OSError, http.client.HTTPException):
             status = 0
+        self._endings.end(sent, ending)
         if closing:
             self._connection.close()
             self._connection = None
@@ -102,11 +125,7 @@
     with Site(nodes=nodes, seed=seed, folder=folder) as site:
         _wait_for_start(site)
         stop = threading.Event()
-        callers = [
-            eventlet.spawn(_keep_calling, site, number, name, seed, stop)
-            for number in range(nodes)
-            for name in range(CALLERS_PER_NODE)
-        ]
+        callers = list(_spawn_callers(site, stop))
         _inject_faults(site, seed, seconds, nodes)
         eventlet.sleep(RECOVERY_S)
         stop.set()
@@ -116,7 +135,32 @@
         if site.keys is not None:
             _check_keys(site)
             site.keys.check_logs(node.log for node in site.nodes)
-        return Result(seed=seed, folder=folder, promises=site.promises, keys=site.keys)
+        site.endings.check()
+        return Result(
+            seed=seed,
+            folder=folder,
+            promises=site.promises,
+            endings=site.endings,
+            keys=site.keys,
+        )
+
+
+def _spawn_callers(site: Site, stop: threading.Event) -> Iterator[Any]:
+    """Start the callers of each node."""
+    for number in range(len(site.nodes)):
+        if not is_planned(site.seed):
+            for name in range(CALLERS_PER_NODE):
+                yield eventlet.spawn(_keep_calling, site, number, name, site.seed, stop)
+            continue
+        for habit in HABITS:
+            for place in range(habit.callers):
+                caller = HabitualCaller(
+                    site=site,
+                    node=number,
+                    habit=habit,
+                    name=f"{habit.name}{number}.{place}",
+                )
+                yield eventlet.spawn(caller.keep_calling, stop)
 
 
 def _wait_for_start(site: Site) -> None:
@@ -141,7 +185,8 @@
 def _inject_faults(site: Site, seed: int, seconds: float, nodes: int) -> None:
     started = time.monotonic()
     running: list[Any] = []
-    for fault in draw_schedule(seed, nodes=nodes, seconds=seconds):
+    draw = draw_planned if is_planned(seed) else draw_schedule
+    for fault in draw(seed, nodes=nodes, seconds=seconds):
         eventlet.sleep(max(0.0, started + fault.at_s - time.monotonic()))
         running.append(eventlet.spawn(site.apply, fault))
     for greenlet in running:
--- a/soak/site.py
+++ b/soak/site.py
@@ -12,7 +12,8 @@
 import eventlet
 from attrs import evolve
 
-from soak.configuration import HOST, SERVICE, build_resources
+from soak.configuration import HOST, SERVICE, TIMEOUT_S, build_resources
+from soak.endings import GRACE_S, EndingChecker
 from soak.faults import (
     CRASHED,
     KEY_ADDED,
@@ -21,11 +22,13 @@
     SILENT,
     Fault,
     disturbed_nodes,
+    is_unplanned_at_its_node,
 )
-from soak.instances import DEADLY_PATH, HEARTBEAT_S, Instance
+from soak.instances import DEADLY_PATH, HEARTBEAT_S, SLOTS, Instance
 from soak.keypromises import KeyChecker
 from soak.keys import FIRST_SEED_WITH_ACCOUNTS, Disturbances, Keyring
 from soak.nodeprocess import NodeProcess
+from soak.planned import is_planned
 from soak.promises import LIMIT_WINDOW_S, PromiseChecker
 from soak.relay import Relay
 from standins.platform_store import StoreStandIn
@@ -35,8 +38,9 @@
 DEADLY_REQUESTS = 2
 """Different deadly requests in a run; each comes again."""
 DEADLY_GAP_RANGE_S = (0.05, 0.3)
-GRACE_S = 6.0
-"""Time that a node has to stop before it is killed."""
+PLANNED_SLOTS = 48
+PLANNED_TIMEOUT_S = 5.0
+"""Slots of instances and time limit of routes in runs that hold only planned work."""
 MAX_COPY_AGE_S = 9.0
 """Age of the oldest copy from which the store comes back."""
 BOUNDS = ("grace_s=6", "retry_budget_ratio=0.2", "retry_slack=56", "budget_window_s=10")
@@ -53,10 +57,13 @@
     """
 
     def __init__(self, *, nodes: int, seed: int, folder: Path) -> None:
+        self.seed = seed
         self.random = random.Random(seed)
         self.promises = PromiseChecker()
+        self.endings = EndingChecker(violations=self.promises.violations)
         self.disturbances = Disturbances()
-        self.ring = Keyring(seed=seed) if seed >= FIRST_SEED_WITH_ACCOUNTS else None
+        has_accounts = seed >= FIRST_SEED_WITH_ACCOUNTS and not is_planned(seed)
+        self.ring = Keyring(seed=seed) if has_accounts else None
         """None if the configuration has no accounts."""
         self.keys = self._key_checker()
         self.store = StoreStandIn()
@@ -76,6 +83,7 @@
         for instance in self.instances:
             eventlet.spawn(instance.send_heartbeats)
         eventlet.spawn(self._poll_versions)
+        eventlet.spawn(self.endings.watch_lag)
         return self
 
     def __exit__(
@@ -90,7 +98,9 @@
     def configure(self) -> None:
         """Write the next version of the configuration, as an operator does."""
         self.version += self.random.randrange(1, 4)
-        resources = build_resources(self.ring)
+        timeout_s = PLANNED_TIMEOUT_S if is_planned(self.seed) else TIMEOUT_S
+        resources = build_resources(self.ring, timeout_s=timeout_s)
+        self.endings.configured_at.append(time.monotonic())
         self.store.put(
             "config", "main", {"version": self.version, "resources": resources}
         )
@@ -98,7 +108,11 @@
     def apply(self, fault: Fault) -> None:
         """Start a fault, wait for its duration and end it; blocks its greenlet."""
         with self.disturbances.during(disturbed_nodes(fault, nodes=len(self.nodes))):
-            self._apply(fault)
+            if is_unplanned_at_its_node(fault):
+                with self.endings.disturbing(fault.node):
+                    self._apply(fault)
+            else:
+                self._apply(fault)
 
     def _apply(self, fault: Fault) -> None:
         match fault.kind.partition("-")[0]:
@@ -145,6 +159,7 @@
         node = self.nodes[fault.node]
         if fault.kind == "node-reload":
             if node.handles_sighup:
+                self.endings.record_reload(fault.node)
                 node.send(signal.SIGHUP)
             return
         if node.busy:
@@ -158,15 +173,25 @@
                 eventlet.sleep(fault.duration_s)
                 node.send(signal.SIGCONT)
                 return
-            stop = fault.kind == "node-stop"
-            node.send(signal.SIGTERM if stop else signal.SIGKILL)
+            if fault.kind == "node-stop":
+                self._stop_and_start(node)
+                return
+            node.send(signal.SIGKILL)
             node.wait(GRACE_S)
-            eventlet.sleep(0.0 if stop else fault.duration_s / 2)
+            eventlet.sleep(fault.duration_s / 2)
             node.start()
         finally:
             node.busy = False
             instance.node_disturbed_at = time.monotonic()
 
+    def _stop_and_start(self, node: NodeProcess) -> None:
+        stop = self.endings.record_stop(node.number)
+        node.send(signal.SIGTERM)
+        stop.was_killed = not node.wait(GRACE_S)
+        stop.gone_at = time.monotonic()
+        node.start()
+        stop.back_at = time.monotonic()
+
     def _apply_store_fault(self, fault: Fault) -> None:
         if fault.kind == RESTORED:
             self._restore_store(fault.duration_s)
@@ -277,6 +302,8 @@
             control=(host, CONTROL),
             service=SERVICE,
             promises=self.promises,
+            endings=self.endings,
+            slots=PLANNED_SLOTS if is_planned(self.seed) else SLOTS,
             keys=self.keys,
             random=self.random,
         )
