Let callers take their answers before a connection with unread input closes

Callers saw an answer break off in the middle, on a connection on which they had sent further requests, although its endpoint had run the call and the log says that it was answered. A planned stop closes each connection behind its next answer, so this happens most there; an answer that closes its connection at any other time is cut in the same way.

Cause: a closing connection with unread input is reset, and Linux then discards what is unsent of the answer. The lingering close existed, but only for refusals. A shutdown of both sides doesn't help: further input then resets the connection as well.

Change: before a connection closes, what its caller sent ahead is read and discarded while the caller takes its answers: up to 0.5 s without progress, 3 s in all and 2 MiB. A stop waits for this like for other connections, also for the lingering close of refusals.

--- a/src/comfreytray/calls/callers.py
+++ b/src/comfreytray/calls/callers.py
@@ -1,7 +1,12 @@
 """Connections of callers: accepting, tracking, and closing them at a graceful stop."""
 
 import contextlib
+import fcntl
+import math
 import socket as plain_socket
+import struct
+import termios
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -23,8 +28,11 @@
 """Time in which the first request of a new connection is awaited during a stop."""
 LINGER_S = 0.5
 """Time to read and discard what a caller still sends before the connection closes."""
+MAX_LINGER_S = 3.0
+"""Time for which a caller that goes on taking its answers may take."""
 MAX_LINGER_BYTES = 2_097_152
 READ_BYTES = 65_536
+_INT = struct.Struct("i")
 _PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
 
 
@@ -204,3 +212,41 @@
             if not part:
                 return
             remaining -= len(part)
+
+
+def linger_until_taken(sock: Any) -> None:
+    """Discard what a caller sent ahead while it takes its answers.
+
+    Both sides stay as they are: once both were shut down, further input would reset the
+    connection as well.
+    """
+    began_at = moved_at = time.monotonic()
+    remaining, unsent = MAX_LINGER_BYTES, math.inf
+    with contextlib.suppress(OSError):
+        while remaining > 0:
+            remaining -= _discard_input(sock, remaining)
+            left, now = _unsent_bytes(sock), time.monotonic()
+            moved_at = now if left < unsent else moved_at
+            is_late = now - moved_at >= LINGER_S or now - began_at >= MAX_LINGER_S
+            if not left or is_late:
+                return
+            unsent = left
+            eventlet.sleep(POLL_S)
+
+
+def _discard_input(sock: Any, limit: int) -> int:
+    """Discard up to `limit` bytes that have come; return how many there were."""
+    discarded = 0
+    with contextlib.suppress(BlockingIOError):
+        while discarded < limit:
+            part = sock.fd.recv(READ_BYTES)
+            if not part:
+                break
+            discarded += len(part)
+    return discarded
+
+
+def _unsent_bytes(sock: Any) -> int:
+    """Return how many of the written bytes the peer has not confirmed."""
+    size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    return int(_INT.unpack(size)[0])
--- a/src/comfreytray/calls/httpserver.py
+++ b/src/comfreytray/calls/httpserver.py
@@ -16,6 +16,7 @@
     HeadTimeoutError,
     PendingHead,
     linger,
+    linger_until_taken,
 )
 from comfreytray.calls.heads import (
     MAX_HEAD_BYTES,
@@ -159,6 +160,7 @@
             finally:
                 self.pipeline.close(DropReason.CALLER_LEFT)
                 context.pending_head_by_socket.pop(self.connection, None)
+                (linger if self.lingers else linger_until_taken)(self.connection)
                 context.callers.remove(self.connection)
 
         def _stop_reading(self) -> None:
@@ -321,11 +323,6 @@
                 logs.log(logs.Event.CALLER_LOST, reason=type(error).__name__)
             self.pipeline.wait_until_empty()
 
-        def finish(self) -> None:
-            if self.lingers:
-                linger(self.connection)
-            super().finish()
-
     return StrictProtocol
 
 
