Test the judge of lost calls on calls of each kind

Longest calls, more stops, and only the called node's own SIGTERM excuses a call at work at the end: where both nodes stop, an answer in the place of a running instance counts.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -37,3 +37,41 @@
   Scenario: A seed of planned work always gives the same schedule, of planned work only
     When the planned work of ten seeds is drawn twice
     Then both draws are equal and hold stops, reloads, departures and configurations
+
+  Scenario Outline: The soak reports a call that planned work lost, and no other
+    Given node 0 <told> at 0 s, and a limit of 4 s
+    When a call sent to it whole at <sent> s works at node 1 <work> and ends at <ended> s, <ending>
+    Then the soak says <verdict>
+
+    Examples: Calls beside a SIGTERM
+      | told        | sent | work              | ended | ending                   | verdict                                   |
+      | got SIGTERM | -0.5 | from -0.4 to 2.0  | 1.0   | closed without an answer | LOST beside the stop of node 0            |
+      | got SIGTERM | 0.5  | from 0.6 to 3.0   | 1.0   | cut in its answer        | LOST beside the stop of node 0            |
+      | got SIGTERM | 0.5  | from 0.6 to 0.7   | 1.0   | cut in its answer        | LOST beside the stop of node 0            |
+      | got SIGTERM | 0.5  | from 0.6 to 3.0   | 1.0   | answered by the node     | LOST beside the stop of node 0            |
+      | got SIGTERM | 0.5  | from 0.6 to 0.9   | 1.0   | answered by the node     | nothing                                   |
+      | got SIGTERM | 0.5  | never             | 0.8   | closed without an answer | LOST beside the stop of node 0            |
+      | got SIGTERM | 0.5  | never             | 0.6   | closed without an answer | crossed the close of a kept connection    |
+      | got SIGTERM | 2.9  | from 3.0 to 6.2   | 5.4   | closed without an answer | at work at the end of the grace period    |
+      | got SIGTERM | 3.1  | from 3.2 to 6.4   | 5.4   | closed without an answer | LOST beside the stop of node 0            |
+      | got SIGTERM | 2.9  | from 3.0 to 6.2   | 4.9   | closed without an answer | LOST beside the stop of node 0            |
+      | got SIGTERM | 2.9  | from 3.0 to 4.9   | 5.4   | closed without an answer | LOST beside the stop of node 0            |
+      | got SIGTERM | 1.5  | from 1.6 to 6.2   | 5.6   | closed without an answer | time limit reached                        |
+      | got SIGTERM | 6.0  | from 6.1 to 8.0   | 6.9   | closed without an answer | LOST beside the stop of node 0            |
+      | got SIGTERM | 6.0  | from 6.1 to 8.0   | 7.1   | closed without an answer | no planned work                           |
+
+    Examples: Calls beside other planned work
+      | told                | sent | work              | ended | ending                   | verdict                     |
+      | got SIGHUP          | -0.5 | from -0.4 to 2.0  | 0.1   | closed without an answer | LOST beside a reload        |
+      | got SIGHUP          | 2.4  | from 2.5 to 4.0   | 3.5   | closed without an answer | LOST beside a reload        |
+      | got SIGHUP          | 2.6  | from 2.7 to 4.0   | 3.5   | closed without an answer | no planned work             |
+      | got SIGHUP          | 0.5  | from 0.6 to 3.0   | 1.0   | answered by the node     | no planned work             |
+      | got a configuration | 2.4  | from 2.5 to 4.0   | 3.4   | closed without an answer | LOST beside a configuration |
+      | got a configuration | 2.4  | from 2.5 to 4.0   | 3.6   | closed without an answer | no planned work             |
+      | got a configuration | 0.1  | from 0.2 to 4.0   | 3.0   | closed without an answer | most of its time used       |
+
+    Examples: The instance's node stops
+      | told            | sent | work             | ended | ending                   | verdict                                |
+      | saw node 1 stop | 0.5  | from 0.6 to 3.0  | 1.0   | closed without an answer | no planned work                        |
+      | saw node 1 stop | 0.5  | from 0.6 to 3.0  | 1.0   | answered by the node     | LOST beside the stop of node 1         |
+      | saw node 1 stop | 2.2  | from 2.3 to 5.6  | 5.4   | answered by the node     | at work at the end of the grace period |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,9 +1,11 @@
 import subprocess
 import sys
+import time
 from pathlib import Path
 
-from behave import then, when
+from behave import given, then, when
 
+from soak.endings import Ending, EndingChecker, Run, SentCall
 from soak.faults import FIRST_SEED_BY_KIND, KINDS, draw_schedule
 from soak.planned import FIRST_PLANNED_SEED, MEAN_GAP_S_BY_KIND, draw_planned
 from standins.processes import python_environment
@@ -80,3 +82,56 @@
         )
     kinds = {work.kind for schedule in first for work in schedule}
     assert kinds == set(MEAN_GAP_S_BY_KIND)
+
+
+@given("node 0 {told} at 0 s, and a limit of 4 s")
+def tell_node(context, told):
+    context.zero = time.monotonic()
+    context.checker = EndingChecker(violations=[])
+    if told == "got SIGTERM":
+        context.checker.record_stop(0)
+    elif told == "got SIGHUP":
+        context.checker.record_reload(0)
+    elif told == "got a configuration":
+        context.checker.configured_at.append(context.zero)
+    else:
+        assert told == "saw node 1 stop"
+        context.checker.record_stop(1)
+
+
+@when(
+    "a call sent to it whole at {sent:g} s works at node 1 {work} and ends at "
+    "{ended:g} s, {ending}"
+)
+def end_call(context, sent, work, ended, ending):
+    runs = []
+    if work != "never":
+        _, began, _, worked = work.split()
+        began_at, ended_at = context.zero + float(began), context.zero + float(worked)
+        runs.append(Run(node=1, began_at=began_at, ended_at=ended_at))
+    call = SentCall(
+        call_id="c",
+        node=0,
+        limit_s=4.0,
+        is_kept=True,
+        began_at=context.zero + sent,
+        sent_at=context.zero + sent,
+        runs=runs,
+    )
+    context.checker.begin(call)
+    context.checker.end(call, Ending(ending))
+    call.ended_at = context.zero + ended
+    context.checker.check()
+
+
+@then("the soak says {verdict}")
+def check_verdict(context, verdict):
+    checker = context.checker
+    violations = [line.partition(":")[0] for line in checker.violations]
+    if verdict.startswith("LOST"):
+        assert violations == [verdict], checker.violations
+    else:
+        assert not violations, checker.violations
+        excuses = [name.partition(": ")[2] for name in checker.count_by_class]
+        expected = [] if verdict == "nothing" else [verdict]
+        assert [excuse for excuse in excuses if excuse] == expected, excuses
--- a/soak/endings.py
+++ b/soak/endings.py
@@ -261,14 +261,14 @@
         )
 
     def _stops_of(self, call: SentCall) -> list[Stop]:
-        """Return the stops that a call ended beside.
+        """Return the stops of its node that a call ended beside.
 
-        That of the instance's node counts where its caller's node answers instead.
+        Those of its instance's node count if there are none and the node answered.
         """
-        nodes = {call.node}
-        if call.ending is Ending.OWN:
-            nodes.update(run.node for run in call.runs)
-        return self._stops_at(call, nodes)
+        stops = self._stops_at(call, {call.node})
+        if stops or call.ending is not Ending.OWN:
+            return stops
+        return self._stops_at(call, {run.node for run in call.runs})
 
     def _stops_at(self, call: SentCall, nodes: set[int]) -> list[Stop]:
         return [
--- a/soak/habits.py
+++ b/soak/habits.py
@@ -46,6 +46,7 @@
     Habit(name="ahead", callers=2, ahead=(2, 4)),
     Habit(name="body", callers=2, body_wait_s=(0.1, 2.5)),
     Habit(name="long", callers=3, work_s=(0.5, 3.3)),
+    Habit(name="longest", callers=3, work_s=(2.9, 3.3)),
     Habit(name="large", answer_bytes=3_000_000, read_s=2.0),
     Habit(name="new", callers=2, keeps=False, gap_s=(0.0, 0.03)),
 )
--- a/soak/planned.py
+++ b/soak/planned.py
@@ -8,7 +8,7 @@
 
 FIRST_PLANNED_SEED = 10_000
 MEAN_GAP_S_BY_KIND = {
-    "node-stop": 4.0,
+    "node-stop": 2.5,
     "node-reload": 1.5,
     "configuration": 2.0,
     "upstream-replaced": 6.0,
