Drain until the other nodes have taken the answers of a stopping one

Callers at other nodes saw the end of a large answer missing when the node beside the endpoint stopped: the endpoint had run the call and answered in full.

Cause: the drain counted a call until its endpoint had answered. What the other node had not taken yet (it grants 256 KiB at a time, as its own caller reads) was in no table, and the process ended at once.

Change: the drain counts open streams, and then waits until the other nodes have confirmed what was written, for as long as they make progress (0.5 s without ends it) and the stop lasts. The wait for callers uses the same code.

--- a/features/steps/planned_stop_answers_steps.py
+++ b/features/steps/planned_stop_answers_steps.py
@@ -1,6 +1,6 @@
 import eventlet
 from behave import given, then, when
-from calls_rig import Fleet, answer, until
+from calls_rig import Fleet, answer, read_answer, until
 
 from comfreytray.calls.stopping import StopSchedule
 
@@ -55,3 +55,40 @@
     assert b"connection: close" in head.lower(), head
     assert len(body) == len(LARGE), f"cut off after {len(body)} of {len(LARGE)} bytes"
     assert context.fleet.upstream_by_id["a"].ran == ["/first"]
+
+
+HUGE_BYTES = 4_200_000
+
+
+@given("a node that enters calls for an instance whose answers have 4.2 MB")
+def make_node_of_huge_answers(context):
+    context.fleet = Fleet()
+    context.add_cleanup(context.fleet.__exit__)
+    context.fleet.add("entry", service="other")
+    body = b"x" * HUGE_BYTES
+    context.fleet.add("owner", script=lambda head, _: answer(200, body))
+
+
+@when("a caller reads its answer only as the instance's node drains and ends")
+def read_after_drain(context):
+    path = context.fleet.path_by_id["owner"]
+    sock = context.fleet.raw(
+        "entry", b"GET /huge HTTP/1.1\r\nHost: canhdieu.test\r\n\r\n"
+    )
+    assert until(lambda: path.owner.in_flight == 1)
+    assert until(lambda: path.owner.in_flight == 0)
+
+    def drain_and_end():
+        assert path.drain(10.0)
+        path.server.__exit__(None, None, None)
+
+    ended = eventlet.spawn(drain_and_end)
+    eventlet.sleep(0.2)
+    context.got = read_answer(sock)
+    ended.wait()
+
+
+@then("the whole answer of 4.2 MB arrives")
+def check_huge_answer(context):
+    got = context.got
+    assert (got.status, len(got.body)) == (200, HUGE_BYTES), len(got.body)
--- a/src/comfreytray/calls/callers.py
+++ b/src/comfreytray/calls/callers.py
@@ -1,12 +1,7 @@
 """Connections of callers: accepting, tracking, and closing them at a graceful stop."""
 
 import contextlib
-import fcntl
-import math
 import socket as plain_socket
-import struct
-import termios
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -20,6 +15,7 @@
 
 from comfreytray.common import logs
 from comfreytray.common.listening import SteadyListener
+from comfreytray.common.unsent import unsent_bytes, wait_until_taken
 
 POLL_S = 0.02
 MAX_QUEUED = 1_025
@@ -32,7 +28,6 @@
 """Time for which a caller that goes on taking its answers may take."""
 MAX_LINGER_BYTES = 2_097_152
 READ_BYTES = 65_536
-_INT = struct.Struct("i")
 _PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
 
 
@@ -220,18 +215,15 @@
     Both sides stay as they are: once both were shut down, further input would reset the
     connection as well.
     """
-    began_at = moved_at = time.monotonic()
-    remaining, unsent = MAX_LINGER_BYTES, math.inf
+    remaining = MAX_LINGER_BYTES
+
+    def discard_and_count() -> int:
+        nonlocal remaining
+        remaining -= _discard_input(sock, remaining)
+        return unsent_bytes(sock) if remaining > 0 else 0
+
     with contextlib.suppress(OSError):
-        while remaining > 0:
-            remaining -= _discard_input(sock, remaining)
-            left, now = _unsent_bytes(sock), time.monotonic()
-            moved_at = now if left < unsent else moved_at
-            is_late = now - moved_at >= LINGER_S or now - began_at >= MAX_LINGER_S
-            if not left or is_late:
-                return
-            unsent = left
-            eventlet.sleep(POLL_S)
+        wait_until_taken(discard_and_count, MAX_LINGER_S)
 
 
 def _discard_input(sock: Any, limit: int) -> int:
@@ -244,9 +236,3 @@
                 break
             discarded += len(part)
     return discarded
-
-
-def _unsent_bytes(sock: Any) -> int:
-    """Return how many of the written bytes the peer has not confirmed."""
-    size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
-    return int(_INT.unpack(size)[0])
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -239,12 +239,14 @@
             if self.clock.monotonic() >= end:
                 return False
             eventlet.sleep(DRAIN_POLL_S)
+        self.server.wait_until_taken(end - self.clock.monotonic())
         return True
 
     def _has_calls(self) -> bool:
         from_callers = self.in_flight if self.callers.stopping else 0
         settled = self.keyed is None or self.keyed.settled
-        return bool(from_callers or self.owner.in_flight or not settled)
+        at_owner = self.owner.in_flight or self.server.has_open_streams
+        return bool(from_callers or at_owner or not settled)
 
     def report(self) -> dict[str, object]:
         """Return the state of the call path as JSON-compatible values."""
--- a/src/comfreytray/calls/streamserver.py
+++ b/src/comfreytray/calls/streamserver.py
@@ -34,6 +34,7 @@
 from comfreytray.common.listening import SteadyListener
 from comfreytray.common.signals import Signal
 from comfreytray.common.turns import Turns
+from comfreytray.common.unsent import unsent_bytes, wait_until_taken
 
 MAX_UNREAD_BYTES = 4 * MAX_OUTBOX_BYTES
 """Unsent bytes at which a caller that sends but does not read is disconnected."""
@@ -73,7 +74,22 @@
         self.budget = budget
         self.outbox_memory = outbox_memory
         self.link = InboundLink(clock=clock, bytes_per_s=link_bytes_per_s)
-        self._sockets: set[Any] = set()
+        self._streams_by_socket: dict[Any, OwnerStreams] = {}
+
+    @property
+    def has_open_streams(self) -> bool:
+        """Whether a call, or its answer, is not complete."""
+        return any(streams.stream_by_id for streams in self._streams_by_socket.values())
+
+    def wait_until_taken(self, timeout_s: float) -> None:
+        """Wait until the other nodes have taken their answers."""
+        wait_until_taken(self._count_unsent, timeout_s)
+
+    def _count_unsent(self) -> int:
+        return sum(
+            streams.outbox.size + unsent_bytes(sock)
+            for sock, streams in self._streams_by_socket.items()
+        )
 
     def __enter__(self) -> "StreamServer":
         return self
@@ -84,7 +100,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        for sock in list(self._sockets):
+        for sock in list(self._streams_by_socket):
             shut_down_socket(sock)
 
     def serve(self, listener: Any) -> None:
@@ -100,7 +116,6 @@
     def _serve_connection(self, sock: Any, address: Address) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         enable_keepalive(sock)
-        self._sockets.add(sock)
         streams = OwnerStreams(
             node_id=self.node_id, clock=self.clock, outbox_memory=self.outbox_memory
         )
@@ -109,6 +124,7 @@
             streams.connection_lost()
             shut_down_socket(sock)
 
+        self._streams_by_socket[sock] = streams
         writer = Writer(sock=sock, outbox=streams.outbox, on_lost=close)
         streams.flush = writer.flush
         turns = Turns()
@@ -134,7 +150,7 @@
             return
         finally:
             streams.connection_lost()
-            self._sockets.discard(sock)
+            self._streams_by_socket.pop(sock, None)
             writer.close()
 
     def _log_refused(self, failure: Failure, address: Address) -> None:
