--- a/soak/endings.py
+++ b/soak/endings.py
@@ -70,7 +70,7 @@
     is_behind: bool = False
     """Whether it was sent behind another that was not answered."""
     is_behind_close: bool = False
-    """Whether the answer before it closed the connection: it counts as not read."""
+    """Whether the answer before it closed the connection."""
     is_safe: bool = True
     began_at: float = field(factory=time.monotonic)
     sent_at: float = math.inf
@@ -235,8 +235,8 @@
             return "not sent whole"
         if call.ended_at - call.began_at >= call.limit_s:
             return "time limit reached"
-        if call.is_behind_close:
-            return f"behind a closing answer, {'ran' if call.runs else 'not passed on'}"
+        if call.is_behind_close and not call.runs:
+            return "behind a closing answer, not passed on"
         if call.is_behind and not call.runs:
             return "behind another, not passed on"
         if not call.runs and call.ended_at <= call.sent_at + LOSS_SLACK_S:
