Tell callers that still wait when a process ends, and name their calls

Callers whose calls outlast a planned stop saw their connection close without an answer, 0.6 s before the grace time was over. The log had a number of such calls and no names.

Cause: the end of the drain ended the process, whoever still waited; its margin was set without a measurement of what the exit takes.

Change: at the end, each caller whose answer has not begun is told: 504, may have run, no promise; 503, not run, where the request was not read whole. Then the process waits up to 0.15 s for these answers to go out. `call-cut` names each call: id, route, age, time left, whether its answer had begun; `calls-cut` still tells how many. The margin is 0.4 s in place of 0.6 s.

An answer that has begun still ends with its connection.

--- a/src/comfreytray/calls/call.py
+++ b/src/comfreytray/calls/call.py
@@ -70,6 +70,9 @@
 class CallCancelledError(Exception):
     """Raised in the greenlet of a call whose caller hung up or cancelled it."""
 
+    kind = Kind.CANCELLED
+    """How the call failed."""
+
 
 @define(kw_only=True, eq=False)
 class Call:
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable
+from functools import partial
 from types import TracebackType
 from typing import Any
 
@@ -83,7 +84,6 @@
         )
         self.encode_refusal = self.responder.encode_refusal
         self.quota: QuotaAdmission | None = None
-        self.in_flight = 0
         self.answer_memory, outbox_memory = build_memories(memory_bytes, metrics)
         self.call_log = CallLog(clock=clock)
         own_id = node().node_id
@@ -260,7 +260,6 @@
         self, environ: Environ, start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Answer one call of a caller."""
-        self.in_flight += 1
         streaming = False
         tracked = self.reaper.track(environ)
         try:
@@ -268,6 +267,7 @@
             if isinstance(call, Failure):
                 result = self._refuse_at_entry(environ, call)
             else:
+                tracked.call = call
                 environ["comfreytray.deadline"] = call.deadline
                 result = self._run(call)
             if isinstance(result, Reply) and requests.must_buffer(environ, result):
@@ -275,13 +275,12 @@
             if isinstance(result, Outcome):
                 return self.responder.refuse(environ, start_response, result)
             streaming = result.rest is not None
-            return self.responder.answer(
-                environ, start_response, result, on_end=self._end_streaming
-            )
-        except CallCancelledError:
+            end = partial(self.reaper.end, tracked)
+            return self.responder.answer(environ, start_response, result, on_end=end)
+        except CallCancelledError as error:
             self.metrics.count("calls_cancelled")
             requestbodies.close_after(environ)
-            return self.responder.refuse(environ, start_response, fail(Kind.CANCELLED))
+            return self.responder.refuse(environ, start_response, fail(error.kind))
         except Exception as error:
             logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
             return self.responder.refuse(environ, start_response, fail(Kind.INTERNAL))
@@ -289,13 +288,18 @@
             self.reaper.untrack(tracked)
             requestbodies.release_body(environ, self.body_budget)
             if not streaming:
-                self.in_flight -= 1
+                self.reaper.end(tracked)
 
     def caller_limits(self) -> CallerLimits:
         """Return the limits on requests of the configuration in force."""
         snapshot = self.snapshot()
         return DEFAULT_CALLER_LIMITS if snapshot is None else snapshot.limits
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls of callers."""
+        return len(self.reaper.entered_calls)
+
     @property
     def leaving(self) -> bool:
         """Whether connections of callers close behind the requests that were read."""
@@ -339,12 +343,8 @@
         if call.service == PEER_SERVICE:
             return self.peers.answer(call)
         self.metrics.count("calls_for_nodes")
-        refused = self.stop_gate.refuse_at_owner(call)
-        if refused is not None:
+        if (refused := self.stop_gate.refuse_at_owner(call)) is not None:
             return Outcome.of(refused)
         if call.key and self.keyed is not None:
             return self.keyed.claim_and_run(call)
         return self.owner.run(call)
-
-    def _end_streaming(self) -> None:
-        self.in_flight -= 1
--- a/src/comfreytray/calls/reaper.py
+++ b/src/comfreytray/calls/reaper.py
@@ -7,7 +7,7 @@
 import eventlet
 from attrs import define
 
-from comfreytray.calls.call import CallCancelledError
+from comfreytray.calls.call import Call, CallCancelledError
 from comfreytray.calls.callers import (
     CallerConnections,
     HeadTimeoutError,
@@ -39,6 +39,8 @@
     greenlet: Any
     sock: Any
     started_at: float
+    call: Call | None = None
+    """None until the request is read."""
 
 
 class Reaper:
@@ -64,6 +66,8 @@
         self.limits = limits
         self._close_idle_at = 0.0
         self.tracked_calls: set[TrackedCall] = set()
+        self.entered_calls: set[TrackedCall] = set()
+        """Calls of which the answer has not ended, also those that send it."""
         self.pending_head_by_socket: dict[Any, PendingHead] = {}
 
     def track(self, environ: dict[str, Any]) -> TrackedCall:
@@ -75,12 +79,17 @@
             started_at=self.clock.monotonic(),
         )
         self.tracked_calls.add(tracked)
+        self.entered_calls.add(tracked)
         return tracked
 
     def untrack(self, tracked: TrackedCall) -> None:
-        """Stop tracking a call."""
+        """Stop watching the caller of a call."""
         self.tracked_calls.discard(tracked)
 
+    def end(self, tracked: TrackedCall) -> None:
+        """Record the end of a call and of its answer."""
+        self.entered_calls.discard(tracked)
+
     def run(self) -> None:
         """Sweep once per period, until killed."""
         repeat("reaper", self._sweep_when_due)
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -39,6 +39,7 @@
     CALL_ANSWERED = "call-answered"
     LINES_LEFT_OUT = "lines-left-out"
     CALLS_CUT = "calls-cut"
+    CALL_CUT = "call-cut"
     CONNECTIONS_TAKEN = "connections-taken"
     REQUEST_HELD = "request-held"
     REQUEST_RELEASED = "request-released"
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -10,13 +10,14 @@
 import eventlet
 from eventlet.greenio import GreenSocket
 
+from comfreytray.calls.cutcalls import END_MARGIN_S, cut_calls
 from comfreytray.calls.dialect import Dialect
 from comfreytray.calls.proxy import CallPath
 from comfreytray.calls.retries import RetryLimits
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.common.clock import SystemClock
 from comfreytray.common.interfaces import Address, ObjectStore, StoredObject
-from comfreytray.common.logs import Event, log, warn
+from comfreytray.common.logs import Event, log
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import (
     Departure,
@@ -54,8 +55,6 @@
 """Time in which callers learn that a node is no longer ready: two readiness checks."""
 LEAVE_PROPAGATION_S = 0.9
 """Time in which most other nodes learn that this node leaves."""
-EXIT_MARGIN_S = 0.6
-"""Part of the grace period that is reserved for the exit of the process."""
 
 
 class ProxyNode:
@@ -268,7 +267,7 @@
         """
         self._stop.wait()
         began_at = self.clock.monotonic()
-        deadline = began_at + self.options.grace_s - EXIT_MARGIN_S
+        deadline = began_at + self.options.grace_s - END_MARGIN_S
         log(
             Event.NODE_STOPPING, node=self.options.node_id, grace_s=self.options.grace_s
         )
@@ -281,7 +280,7 @@
         finished = self.calls.stop_http(self._remaining_s(deadline))
         finished = self.calls.drain(self._remaining_s(deadline)) and finished
         if not finished:
-            warn(Event.CALLS_CUT, in_flight=self.calls.in_flight)
+            cut_calls(self.calls)
 
     def _remaining_s(self, deadline: float) -> float:
         return max(0.0, deadline - self.clock.monotonic())
