Keep the loop alive when a timer is cancelled in its own turn

A node's process ended with AttributeError in Sampler.add_timer: while the paced loop looks for the greenlets that keep it from waiting, it reads each new timer, and one that was cancelled before the turn ended has nothing left to read. Such a timer is passed over now.

The new example of loop_waits.feature fails on the code before: the loop ends.

--- a/features/loop_waits.feature
+++ b/features/loop_waits.feature
@@ -15,6 +15,8 @@
       | a greenlet that pauses for 0 s again and again   | _turn       |
       | a timer that is due again at once                | _due_again  |
       | a read of a socket that was never connected      | _read_fresh |
+      # The loop, and with it the process, ended in the search for the place.
+      | a timer that is cancelled in the turn it is made | _cancel     |
 
   Scenario: A loop with much to do does not count as one that does not wait
     Given a paced loop with work of 2 ms after each wait of 1 ms
--- a/features/steps/loop_waits_steps.py
+++ b/features/steps/loop_waits_steps.py
@@ -31,6 +31,12 @@
     socket.socket(socket.AF_INET, socket.SOCK_STREAM).recv(1)
 
 
+def _cancel():
+    while True:
+        eventlet.hubs.get_hub().schedule_call_global(1, _work).cancel()
+        eventlet.sleep(0)
+
+
 def _work():
     while True:
         eventlet.sleep(0.001)
@@ -43,6 +49,7 @@
     "a greenlet that pauses for 0 s again and again": lambda: eventlet.spawn(_turn),
     "a timer that is due again at once": _due_again,
     "a read of a socket that was never connected": lambda: eventlet.spawn(_read_fresh),
+    "a timer that is cancelled in the turn it is made": lambda: eventlet.spawn(_cancel),
     "work of 2 ms after each wait of 1 ms": lambda: eventlet.spawn(_work),
 }
 
--- a/src/comfreytray/common/loop.py
+++ b/src/comfreytray/common/loop.py
@@ -164,6 +164,9 @@
 
     def add_timer(self, timer: Any) -> None:
         """Count a function that a timer calls, or starts in a greenlet of its own."""
+        if timer.called:
+            # It was cancelled in the turn in which it was made.
+            return
         callback, arguments, _ = timer.tpl
         if arguments and callable(arguments[0]):
             callback = arguments[0]
