Reproduce the calls lost to a SIGTERM during a node's start

The node is told to stop before its imports are done; it counts the grace period from the end of its start, takes calls that its kill then cuts, and is still there when the platform kills it. The soak can make starts longer now, so that this shows on any machine.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -29,6 +29,12 @@
     When the soak test runs seed 10028 for 6 s with 3 nodes
     Then no promise was broken
 
+  # A node counted its grace period from the end of its start, not from the SIGTERM.
+  Scenario: A node that is told to stop while it starts is gone within its grace period
+    When the soak test runs seed 10025 for 4 s with 3 nodes that start 1.5 s later
+    Then no promise was broken
+    And no node was still there at the end of its grace period
+
   Scenario: A seed always gives the same fault schedule, and schedules hold every kind
     When the fault schedules of fifteen seeds are drawn twice
     Then both draws are equal and hold every kind of fault
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -20,8 +20,17 @@
 
 @when("the soak test runs seed {seed:d} for {seconds:d} s with {nodes:d} nodes")
 def run_seed(context, seed, seconds, nodes):
+    run_seed_with_late_starts(context, seed, seconds, nodes, 0.0)
+
+
+@when(
+    "the soak test runs seed {seed:d} for {seconds:d} s with {nodes:d} nodes that "
+    "start {start_s:g} s later"
+)
+def run_seed_with_late_starts(context, seed, seconds, nodes, start_s):
     command = [sys.executable, "-W", "ignore", "-m", "soak"]
     arguments = [f"--seed={seed}", f"--seconds={seconds}", f"--nodes={nodes}"]
+    arguments.append(f"--start_s={start_s}")
     context.done = subprocess.run(
         [*command, *arguments],
         cwd=ROOT,
@@ -38,6 +47,12 @@
     assert "runs; answers" in output
 
 
+@then("no node was still there at the end of its grace period")
+def check_none_killed(context):
+    output = context.done.stdout
+    assert " stops, 0 killed at the end of their grace" in output, output[-2000:]
+
+
 @when("the fault schedules of fifteen seeds are drawn twice")
 def draw_schedules(context):
     context.schedules = [
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,24 +18,34 @@
 from soak.run import Result, run_seed  # noqa: E402
 
 
-def main(seed: int = 1, seeds: int = 1, seconds: float = 20.0, nodes: int = 5) -> None:
-    """Run seeds one after the other; exit with 1 if a promise was broken."""
+def main(
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20.0,
+    nodes: int = 5,
+    start_s: float = 0.0,
+) -> None:
+    """Run seeds one after the other; exit with 1 if a promise was broken.
+
+    Nodes take `start_s` longer to start than they do on this machine.
+    """
     if seeds == 1:
-        result = run_seed(seed=seed, seconds=seconds, nodes=nodes)
+        result = run_seed(seed=seed, seconds=seconds, nodes=nodes, start_s=start_s)
         _report(result)
         sys.exit(1 if result.promises.violations else 0)
     failed = [
         number
         for number in range(seed, seed + seeds)
-        if _run_in_process(number, seconds, nodes)
+        if _run_in_process(number, seconds, nodes, start_s)
     ]
     print(f"{seeds} seeds run, failed: {failed or 'none'}")
     sys.exit(1 if failed else 0)
 
 
-def _run_in_process(seed: int, seconds: float, nodes: int) -> int:
+def _run_in_process(seed: int, seconds: float, nodes: int, start_s: float) -> int:
     """Run a seed in a process of its own; return its exit code."""
     arguments = [f"--seed={seed}", f"--seconds={seconds}", f"--nodes={nodes}"]
+    arguments.append(f"--start_s={start_s}")
     return subprocess.run([sys.executable, "-m", "soak", *arguments]).returncode
 
 
--- a/soak/nodeprocess.py
+++ b/soak/nodeprocess.py
@@ -12,6 +12,16 @@
 from attrs import define
 
 ROOT = Path(__file__).resolve().parent.parent
+_SLOW_START = """
+import runpy, sys, time
+class Slow:
+    def find_spec(self, name, path=None, target=None):
+        if name == "comfreytray.platform.main":
+            time.sleep({seconds})
+sys.meta_path.insert(0, Slow())
+runpy.run_path("deploy/node.py", run_name="__main__")
+"""
+"""Starts a node whose imports take longer, as on a slower machine."""
 
 
 @define(kw_only=True, eq=False)
@@ -22,6 +32,8 @@
     settings: Path
     log: Path
     popen: subprocess.Popen[bytes] | None = None
+    start_s: float = 0.0
+    """Time that a start takes longer than on this machine."""
     version_in_force: int = 0
     busy: bool = False
     """Whether a fault is stopping, pausing or starting the process now."""
@@ -33,9 +45,13 @@
             "COMFREYTRAY_NODE_FILE": str(self.settings),
             "EVENTLET_NO_GREENDNS": "yes",
         }
+        slow_start = ["-c", _SLOW_START.format(seconds=self.start_s)]
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen(
-                [sys.executable, "deploy/node.py"],
+                [
+                    sys.executable,
+                    *(slow_start if self.start_s else ["deploy/node.py"]),
+                ],
                 cwd=ROOT,
                 env=environment,
                 stdin=subprocess.DEVNULL,
--- a/soak/run.py
+++ b/soak/run.py
@@ -119,10 +119,10 @@
         return status
 
 
-def run_seed(*, seed: int, seconds: float, nodes: int) -> Result:
-    """Run a seed and check the promises."""
+def run_seed(*, seed: int, seconds: float, nodes: int, start_s: float = 0.0) -> Result:
+    """Run a seed and check the promises; nodes take `start_s` longer to start."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    with Site(nodes=nodes, seed=seed, folder=folder) as site:
+    with Site(nodes=nodes, seed=seed, folder=folder, start_s=start_s) as site:
         _wait_for_start(site)
         stop = threading.Event()
         callers = list(_spawn_callers(site, stop))
--- a/soak/site.py
+++ b/soak/site.py
@@ -57,7 +57,9 @@
     run has a process of its own.
     """
 
-    def __init__(self, *, nodes: int, seed: int, folder: Path) -> None:
+    def __init__(
+        self, *, nodes: int, seed: int, folder: Path, start_s: float = 0.0
+    ) -> None:
         self.seed = seed
         self.random = random.Random(seed)
         self.promises = PromiseChecker()
@@ -76,6 +78,8 @@
         self.links = [Relay(self.store.address) for _ in range(nodes)]
         self.instances = [self._instance(number) for number in range(nodes)]
         self.nodes = [self._node(number, folder) for number in range(nodes)]
+        for node in self.nodes:
+            node.start_s = start_s
 
     def __enter__(self) -> "Site":
         self.configure()
