Keep reading a head during a stop when the answer before it ends

A caller that sent ahead got a 400 in place of an answer, in a stop that began while a head came in two pieces; once the answer before it was cut, too.

Cause: when all answers of a connection were written it was marked idle, also while the next head was being read. A stop then found no unread input (the first piece was taken already) and shut the read side, so that the rest of the head never came.

Change: a connection of which a head is being read stays busy.

LOST does not count requests that were not read whole, so this is no explanation of the users' cases; the answer that was cut would be one.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -12,6 +12,13 @@
     Then the request runs once and its whole answer arrives
     And the connection is closed and a new connection is refused
 
+  Scenario: A request whose head is being read when the answer before it ends is answered
+    Given an HTTP server with an open connection that has had one answer
+    When half of a head arrives behind a slow request, that one ends and the stop begins
+    Then the slow request's answer is whole
+    And the request runs once and its whole answer arrives
+    And the connection is closed and a new connection is refused
+
   Scenario: A call in flight when the stop begins gets its whole answer
     Given an HTTP server with an open connection that has had one answer
     When the stop begins while a slow request runs
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -171,6 +171,28 @@
     context.may_finish.send()
 
 
+@when("half of a head arrives behind a slow request, that one ends and the stop begins")
+def stop_within_head(context):
+    context.path = "/next"
+    stub, head = context.call_path_stub, REQUEST % b"next"
+    context.connection.sendall(REQUEST % b"slow")
+    context.slow_started.wait()
+    context.connection.sendall(head[:20])
+    while not stub.pending_head_by_socket:
+        eventlet.sleep(0)
+    eventlet.sleep(0.02)
+    context.may_finish.send()
+    eventlet.sleep(0.05)
+    context.stop = _begin_stop(context)
+    eventlet.sleep(0.05)
+    context.connection.sendall(head[20:])
+
+
+@then("the slow request's answer is whole")
+def check_slow_answer(context):
+    _read_answer(context.connection)
+
+
 @then("the request runs once and its whole answer arrives")
 def check_answer(context):
     _read_answer(context.connection)
--- a/src/comfreytray/calls/httpserver.py
+++ b/src/comfreytray/calls/httpserver.py
@@ -78,7 +78,6 @@
         with_body: bool = True,
     ) -> bytes:
         """Return the complete HTTP response that reports a failure."""
-        ...
 
 
 def protocol_for(context: ServerContext) -> type[wsgi.HttpProtocol]:
@@ -145,7 +144,7 @@
             self.pipeline = Pipeline(
                 send=self.connection.sendall,
                 memory=context.answer_memory,
-                on_idle=lambda: context.callers.mark_idle(self.connection),
+                on_idle=self._note_idle,
                 on_close=self._stop_reading,
                 on_drop=record_dropped(context.metrics),
             )
@@ -163,6 +162,11 @@
                 (linger if self.lingers else linger_until_taken)(self.connection)
                 context.callers.remove(self.connection)
 
+        def _note_idle(self) -> None:
+            """Record that all answers are written, unless a head is being read."""
+            if self.connection not in context.pending_head_by_socket:
+                context.callers.mark_idle(self.connection)
+
         def _stop_reading(self) -> None:
             """Read no further request.
 
