Show that a caller that sent ahead may pause before it takes its answer

What the caller sent ahead has been discarded by then, so the kernel delivers the rest after the close. A caller that goes on sending into the pause may still be reset; that is not tested.

--- a/features/steps/planned_stop_answers_steps.py
+++ b/features/steps/planned_stop_answers_steps.py
@@ -19,8 +19,10 @@
     return head.encode() + b"\r\n\r\n" + b"y" * size
 
 
-@when("a caller sends a request and more behind it, and reads once the stop closes it")
-def send_ahead_and_stop(context):
+@when(
+    "a caller sends a request and more behind it, and reads {pause:g} s after the stop"
+)
+def send_ahead_and_stop(context, pause):
     path = context.fleet.path_by_id["a"]
     now = path.clock.monotonic()
     path.ask_to_close(StopSchedule(began_at=now, ends_at=now + 5.0))
@@ -29,7 +31,7 @@
     assert until(lambda: path.owner.admission.held == 0 and path.in_flight == 0)
     finished = eventlet.spawn(path.stop_http, 5.0)
     # The answer is in the kernel's buffers; the caller takes it only now.
-    eventlet.sleep(0.2)
+    eventlet.sleep(pause)
     context.got = _read_slowly(sock)
     assert finished.wait()
 
