See that a caller has gone behind the bytes of its body

Ruled out: an end that stands behind a full receive window does not reach this node's kernel at all, so only reading can find it. A chunked body may be whole, and is still read.

--- a/features/body_crowds.feature
+++ b/features/body_crowds.feature
@@ -15,6 +15,18 @@
       | large    | its neighbour |
       | chunked  | its neighbour |
 
+  # Its end stood behind bytes that were not read before it had a slot.
+  Scenario Outline: A body that waits for its turn gives its memory back as its caller <leaves>
+    Given a node beside an upstream that stops reading
+    When 12 callers, more than there are slots, send large bodies in part
+    And the callers that wait for a slot <leave>
+    Then the node holds only what the others need
+
+    Examples:
+      | leaves  | leave  |
+      | hangs up | hang up |
+      | resets  | reset  |
+
   Scenario Outline: Who gives way in a full pool (<newcomer>, <holders>)
     Given a pool of 8 units and a reserve of 2 that is held by <holders>
     When <newcomer> needs <units> units
--- a/features/steps/body_crowds_steps.py
+++ b/features/steps/body_crowds_steps.py
@@ -3,14 +3,23 @@
 from operator import itemgetter
 
 import eventlet
+from attrs import evolve
 from behave import given, then, when
-from calls_rig import Fleet, until
+from calls_rig import Fleet, answer, until
 
 from comfreytray.calls import bodypool
+from comfreytray.calls.uploads import UPLOAD_RESERVED_BYTES
 from comfreytray.common.errors import Kind
+from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS
 from comfreytray.testing import FakeClock
+from standins.body_upstream import BodyUpstream
+from standins.scripted import reset_at_close
 
 MIB = 1_048_576
+UNIT_BYTES = bodypool.SMALL_BODY_BYTES
+"""Bytes of one unit of the table."""
+UNREAD_BYTES = 40_000
+"""Bytes behind the first part of a body, which wait in the kernel."""
 HOST = b"Host: canhdieu.test\r\n"
 
 
@@ -66,8 +75,51 @@
     assert until(lambda: not any(path.body_budget.reserved for path in paths))
 
 
-UNIT_BYTES = bodypool.SMALL_BODY_BYTES
-"""Bytes of one unit of the table."""
+@given("a node beside an upstream that stops reading")
+def make_paused(context):
+    upstream = context.upstream = BodyUpstream(lambda head: answer(200, b"ok"))
+    context.add_cleanup(upstream.close)
+    upstream.pause_at = MIB
+    fleet = context.fleet = Fleet()
+    context.add_cleanup(fleet.__exit__)
+    fleet.limits = evolve(DEFAULT_CALLER_LIMITS, max_body_bytes=64 * MIB)
+    fleet.add("a", upstream_port=upstream.port)
+    context.crowd = []
+
+
+@when("{count:d} callers, more than there are slots, send large bodies in part")
+def send_parts(context, count):
+    fleet, upstream = context.fleet, context.upstream
+    path = context.path = fleet.path_by_id["a"]
+    assert count > fleet.slots
+    head = _head(b"Content-Length: %d" % (64 * MIB))
+    context.crowd = [fleet.raw("a", head + b"x" * 2 * MIB) for _ in range(fleet.slots)]
+    assert until(
+        lambda: [body.size >= MIB for body in upstream.bodies] == [True] * fleet.slots
+    )
+    for _ in range(count - fleet.slots):
+        context.crowd.append(fleet.raw("a", head + b"x" * (UNIT_BYTES + UNREAD_BYTES)))
+    assert until(lambda: path.owner.admission.queued == count - fleet.slots)
+
+
+@when("the callers that wait for a slot {leave}")
+def leave(context, leave):
+    waiting = context.crowd[context.fleet.slots :]
+    for sock in waiting:
+        if leave == "reset":
+            reset_at_close(sock)
+        sock.close()
+
+
+@then("the node holds only what the others need")
+def check_held(context):
+    path, slots = context.path, context.fleet.slots
+    assert until(lambda: not path.owner.admission.queued)
+    assert until(lambda: path.body_budget.reserved == slots * UPLOAD_RESERVED_BYTES)
+    counts = path.metrics.count_by_name
+    assert counts.get("calls_cancelled") == len(context.crowd) - slots, counts
+
+
 NOW_S = 100.0
 
 
--- a/src/comfreytray/calls/reaper.py
+++ b/src/comfreytray/calls/reaper.py
@@ -1,6 +1,5 @@
 """Periodic cleanup: callers that hung up, slow request heads, idle connections."""
 
-import socket as plain_socket
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -14,6 +13,7 @@
     PendingHead,
 )
 from comfreytray.calls.connections import StreamClient
+from comfreytray.calls.hangups import has_hung_up
 from comfreytray.calls.owner import Owner
 from comfreytray.calls.routing import Router
 from comfreytray.common.interfaces import Clock
@@ -29,7 +29,6 @@
 CALLER_CHECK_DELAY_S = 0.05
 """Age from which a call is checked for a caller that hung up."""
 CLOSE_IDLE_PERIOD_S = 2.0
-_PEEK_FLAGS = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
 
 
 @define(kw_only=True, eq=False)
@@ -37,6 +36,8 @@
     """A call of a caller that waits for its answer."""
 
     greenlet: Any
+    source: Any
+    """The input of its request, None for one that has no connection."""
     sock: Any
     started_at: float
     call: Call | None = None
@@ -75,6 +76,7 @@
         source = environ.get("eventlet.input")
         tracked = TrackedCall(
             greenlet=eventlet.getcurrent(),
+            source=source,
             sock=source.get_socket() if source is not None else None,
             started_at=self.clock.monotonic(),
         )
@@ -114,7 +116,7 @@
                 continue
             if tracked.sock in self.callers.shut_sockets:
                 continue
-            if _has_hung_up(tracked.sock):
+            if has_hung_up(tracked.source):
                 self.tracked_calls.discard(tracked)
                 eventlet.kill(tracked.greenlet, CallCancelledError())
         self._refuse_slow_heads(now)
@@ -136,14 +138,3 @@
         self.router.forget_unused()
         if self.keyed is not None:
             self.keyed.tidy()
-
-
-def _has_hung_up(sock: Any) -> bool:
-    if sock is None:
-        return False
-    try:
-        return not sock.fd.recv(1, _PEEK_FLAGS)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
