--- a/features/body_crowds.feature
+++ b/features/body_crowds.feature
@@ -15,6 +15,30 @@
       | large    | its neighbour |
       | chunked  | its neighbour |
 
+  Scenario Outline: A body that is stuck gives way to one that moves (<entry>)
+    Given a node beside an upstream, and its neighbour
+    When 4 callers of <entry> that are stuck fill its memory for large bodies
+    And a whole large body is sent to it
+    Then it is served, and a stuck caller gets 408 as not run and no other answer
+    And nothing is held once the crowd has hung up
+
+    Examples:
+      | entry         |
+      | the node      |
+      | its neighbour |
+
+  Scenario Outline: A body of another node that is stuck gives way to one that moves
+    Given a node beside an upstream, and its neighbour
+    When 4 bodies of <size> bytes from its neighbour are stuck and fill the node's memory
+    And a whole large body comes from its neighbour
+    Then it is served, and a stuck body is refused as <outcome>
+    And nothing is held once the bodies were cut
+
+    Examples: one that is received before its call runs, and one that is passed on
+      | size      | outcome               |
+      | 262144    | overloaded, ran no    |
+      | 4194304   | body-cut, ran unknown |
+
   # Its end stood behind bytes that were not read before it had a slot.
   Scenario Outline: A body that waits for its turn gives its memory back as its caller <leaves>
     Given a node beside an upstream that stops reading
--- a/features/steps/body_crowds_steps.py
+++ b/features/steps/body_crowds_steps.py
@@ -5,10 +5,14 @@
 import eventlet
 from attrs import evolve
 from behave import given, then, when
-from calls_rig import Fleet, answer, until
+from calls_rig import WAIT_S, Fleet, answer, make_call, read_answer, until
 
 from comfreytray.calls import bodypool
-from comfreytray.calls.uploads import UPLOAD_RESERVED_BYTES
+from comfreytray.calls.uploads import (
+    PART_BYTES,
+    UPLOAD_RESERVED_BYTES,
+    BufferedUpload,
+)
 from comfreytray.common.errors import Kind
 from comfreytray.configuration.callerlimits import DEFAULT_CALLER_LIMITS
 from comfreytray.testing import FakeClock
@@ -18,6 +22,8 @@
 MIB = 1_048_576
 UNIT_BYTES = bodypool.SMALL_BODY_BYTES
 """Bytes of one unit of the table."""
+STUCK_BYTES = 262_144
+"""Bytes of a large body that is buffered."""
 UNREAD_BYTES = 40_000
 """Bytes behind the first part of a body, which wait in the kernel."""
 HOST = b"Host: canhdieu.test\r\n"
@@ -75,6 +81,104 @@
     assert until(lambda: not any(path.body_budget.reserved for path in paths))
 
 
+def _make_impatient(context):
+    stall_s = bodypool.STALL_S
+    bodypool.STALL_S = 0.3
+    context.add_cleanup(setattr, bodypool, "STALL_S", stall_s)
+
+
+@when("{count:d} callers of {entry} that are stuck fill its memory for large bodies")
+def fill_with_callers(context, count, entry):
+    _make_impatient(context)
+    context.entry = "a" if entry == "the node" else "b"
+    context.pool = context.fleet.path_by_id[context.entry].body_budget
+    context.pool.limit = count * STUCK_BYTES
+    for _ in range(count):
+        data = _head(b"Content-Length: %d" % STUCK_BYTES) + b"x" * (STUCK_BYTES - 1)
+        context.crowd.append(context.fleet.raw(context.entry, data))
+    assert until(lambda: context.pool.held_bytes == context.pool.limit)
+    eventlet.sleep(2 * bodypool.STALL_S)
+
+
+@when("a whole large body is sent to it")
+def send_whole(context):
+    body = b"y" * (UNIT_BYTES + 1)
+    context.answer = context.fleet.call(context.entry, "POST", "/whole", body)
+
+
+@then("it is served, and a stuck caller gets 408 as not run and no other answer")
+def check_stuck_caller(context):
+    assert context.answer.status == 200, (context.answer.status, context.answer.kind)
+    # The one that was stuck first.
+    sock = context.crowd[0]
+    shed = read_answer(sock)
+    assert (shed.status, shed.kind, shed.ran) == (408, "body-too-slow", "no")
+    assert shed.headers["connection"] == "close" and sock.recv(1) == b""
+    metrics = context.fleet.path_by_id[context.entry].metrics
+    assert metrics.count_by_name["bodies_shed"] == 1
+    ran = [target for u in context.fleet.upstream_by_id.values() for target in u.ran]
+    assert ran == ["/whole"], ran
+
+
+class _StuckUpload:
+    """A body whose first part comes, and no more."""
+
+    def __init__(self, length):
+        self.length, self.started, self.complete = length, False, False
+
+    def read(self):
+        if self.started:
+            eventlet.sleep(WAIT_S)
+        self.started = True
+        return b"x" * PART_BYTES
+
+
+def _call_from_neighbour(context, target, upload):
+    call = evolve(make_call(target=target), method="POST", upload=upload)
+    return context.fleet.path_by_id["b"].client.call(
+        context.fleet.record_by_id["a"], call
+    )
+
+
+@when(
+    "{count:d} bodies of {size:d} bytes from its neighbour are stuck and fill the "
+    "node's memory"
+)
+def fill_with_bodies(context, count, size):
+    _make_impatient(context)
+    is_streamed = size > MIB
+    pool = context.pool = context.fleet.path_by_id["a"].body_budget
+    # What came of a body and the next part, or the window of one.
+    pool.limit = count * (UPLOAD_RESERVED_BYTES if is_streamed else 2 * PART_BYTES)
+    context.stuck = [
+        eventlet.spawn(_call_from_neighbour, context, "/stuck", _StuckUpload(size))
+        for _ in range(count)
+    ]
+    assert until(lambda: pool.held_bytes == pool.limit)
+    eventlet.sleep(2 * bodypool.STALL_S)
+
+
+@when("a whole large body comes from its neighbour")
+def send_from_neighbour(context):
+    upload = BufferedUpload(b"y" * (UNIT_BYTES + 1))
+    context.answer = _call_from_neighbour(context, "/whole", upload)
+
+
+@then("it is served, and a stuck body is refused as {kind}, ran {ran}")
+def check_stuck_body(context, kind, ran):
+    assert getattr(context.answer, "status", 0) == 200, context.answer
+    [shed] = [call.wait() for call in context.stuck if call.dead]
+    assert (shed.failure.kind.value, shed.ran.value) == (kind, ran), shed
+    assert context.fleet.upstream_by_id["a"].ran == ["/whole"]
+
+
+@then("nothing is held once the bodies were cut")
+def check_bodies_cut(context):
+    for call in context.stuck:
+        call.kill()
+    assert until(lambda: not context.pool.reserved)
+
+
 @given("a node beside an upstream that stops reading")
 def make_paused(context):
     upstream = context.upstream = BodyUpstream(lambda head: answer(200, b"ok"))
