Test the largest body at a node of the least memory

64 MiB, with a length and in chunks, through one node and through two, with a pool of 4 MiB; and the sizes of pools for some sizes of memory.

--- a/features/large_bodies.feature
+++ b/features/large_bodies.feature
@@ -29,6 +29,20 @@
     Then no node held more bytes than it had reserved, nor more than its limit
     And the upstream has received each body once and whole
 
+  Scenario Outline: The largest body passes a node of the least memory (<entry>)
+    Given nodes "a" and "b" with the native dialect, and an upstream beside "b"
+    When a body of 64 MiB is sent to <entry>, whole and in chunks, with the smallest pool
+    Then the upstream has received each body once and whole
+    And connections of callers are kept, and all memory and slots are free
+
+    Examples:
+      | entry |
+      | "b"   |
+      | "a"   |
+
+  Scenario: The pool for bodies follows the memory of the process
+    Then processes of some sizes have pools of a sixteenth, from 4 MiB to 12 MiB
+
   Scenario: A body that finds no memory is refused before any of it is read
     Given nodes "a" and "b" with the native dialect, and an upstream beside "b"
     When bodies are sent to "a" and "b" while memory for one is left at each
--- a/features/steps/large_bodies_steps.py
+++ b/features/steps/large_bodies_steps.py
@@ -21,7 +21,7 @@
     until,
 )
 
-from comfreytray.calls import connections, ownerstreams, requestbodies
+from comfreytray.calls import bodypool, connections, ownerstreams, requestbodies
 from comfreytray.calls.dialect import NATIVE
 from comfreytray.calls.receiveduploads import ReceivedUpload
 from comfreytray.calls.streamuploads import UPLOADS_TOPIC, StreamSink
@@ -336,6 +336,33 @@
     assert 0 < held.most <= 4 * UPLOAD_RESERVED_BYTES, held.most
 
 
+@when(
+    'a body of 64 MiB is sent to "{entry}", whole and in chunks, with the smallest pool'
+)
+def send_largest(context, entry):
+    context.numbers = itertools.count()
+    for path in _paths(context):
+        path.body_budget.limit = bodypool.MIN_LIMIT_BYTES
+    for chunked in (False, True):
+        context.got.append(_send(context, entry, 64 * MIB, chunked=chunked))
+
+
+@then("processes of some sizes have pools of a sixteenth, from 4 MiB to 12 MiB")
+def check_pool_sizes(context):
+    limit_by_memory = {
+        memory_mib: bodypool.limit_for(memory_mib * MIB) / MIB
+        for memory_mib in (16, 64, 128, 192, 1024, float("inf"))
+    }
+    assert limit_by_memory == {
+        16: 4,
+        64: 4,
+        128: 8,
+        192: 12,
+        1024: 12,
+        float("inf"): 12,
+    }, limit_by_memory
+
+
 @when('bodies are sent to "a" and "b" while memory for one is left at each')
 def send_without_memory(context):
     context.numbers = itertools.count()
