Bound what requests that were sent ahead take of a node

Callers that sent ahead and read nothing took all turns of the loop, much memory, and the node went on with their requests after they had left: the end of a connection did not end its reading, every request had a turn and a greenlet, and 32 were begun behind an answer that nobody took.

A connection begins at most 4 requests behind a blocked answer, none once it has closed. The reader of a connection is woken instead of polling each 10 ms.

--- a/features/steps/loop_review.py
+++ b/features/steps/loop_review.py
@@ -16,6 +16,7 @@
 """Calls of `Turns`: the loop of the process waits if nobody else does."""
 TAKES = frozenset({"pop", "popleft", "popitem", "heappop", "clear"})
 REVIEWED = {
+    "calls.answersending.send_all": "sends a part, or waits until some is taken",
     "calls.claimlog.catch_up": "a call to the store in each round, one segment further",
     "calls.connections._stream_body": "takes a chunk, which the owner needs credit for",
     "calls.dispatch.run": "attempts are bounded by redirects, tokens and the deadline",
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -6,6 +6,7 @@
 from eventlet.green import socket
 
 from comfreytray.calls import callers, httpserver
+from comfreytray.calls.aheadshare import AheadShare
 from comfreytray.calls.callers import CallerConnections, Listener
 from comfreytray.calls.stopping import StopSchedule
 from comfreytray.calls.transitmemory import TransitMemory
@@ -26,6 +27,7 @@
         self.metrics = Metrics()
         self.answer_memory = TransitMemory(purpose="answers")
         self.callers = CallerConnections()
+        self.ahead_share = AheadShare()
         self.pending_head_by_socket = {}
 
     def caller_limits(self):
@@ -301,8 +303,10 @@
 @then("those that could not end in time are refused as not run and ran nowhere")
 def check_late_refused(context):
     late = [context.got[name] for name in ("late", "last")]
-    assert [(got.status, got.ran) for got in late] == [(503, "no")] * 2, late
-    assert set(context.fleet.upstream_by_id["owner"].ran) == {"/early", "/short"}
+    got = [(answer.status, answer.kind, answer.ran) for answer in late]
+    assert [(status, ran) for status, _, ran in got] == [(503, "no")] * 2, got
+    ran = context.fleet.upstream_by_id["owner"].ran
+    assert set(ran) == {"/early", "/short"}, ran
 
 
 @then("a call whose caller waits for less than what is left gets its answer")
--- a/src/comfreytray/calls/bodies.py
+++ b/src/comfreytray/calls/bodies.py
@@ -74,3 +74,20 @@
         if not line.endswith(_LINE_END):
             break
     raise BodyError("malformed or oversized trailer")
+
+
+def build_input(
+    environ: dict[str, Any], *, rfile: Any, sock: Any, wfile: Any
+) -> StrictInput:
+    """Return the body of a request; `wfile` takes a `100 Continue`."""
+    chunked = "HTTP_TRANSFER_ENCODING" in environ
+    length = environ.get("CONTENT_LENGTH")
+    expects = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
+    return StrictInput(
+        rfile,
+        length if chunked or length is not None else "0",
+        sock,
+        wfile=wfile if expects else None,
+        wfile_line=b"HTTP/1.1 100 Continue\r\n" if expects else None,
+        chunked_input=chunked,
+    )
--- a/src/comfreytray/calls/httpserver.py
+++ b/src/comfreytray/calls/httpserver.py
@@ -5,12 +5,15 @@
 import re
 import warnings
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Protocol
 
 import eventlet
 from eventlet import wsgi
 
-from comfreytray.calls.bodies import StrictInput
+from comfreytray.calls.aheadshare import AheadShare
+from comfreytray.calls.answersending import record_dropped, send_all
+from comfreytray.calls.bodies import build_input
 from comfreytray.calls.callers import (
     CallerConnections,
     HeadTimeoutError,
@@ -29,7 +32,6 @@
     DropReason,
     Pipeline,
     PipelinedResponse,
-    record_dropped,
 )
 from comfreytray.calls.requestheads import build_environ, check_head, has_body
 from comfreytray.calls.transitmemory import TransitMemory
@@ -57,6 +59,7 @@
     clock: Clock
     metrics: Metrics
     answer_memory: TransitMemory
+    ahead_share: AheadShare
     callers: CallerConnections
     pending_head_by_socket: dict[Any, PendingHead]
 
@@ -119,7 +122,7 @@
             return line
 
         def _await_request(self) -> bool:
-            """Wait for the first byte of a request; false if there is none in time."""
+            """Wait for a request to begin; false if none does in time or may follow."""
             self.limits = context.caller_limits()
             # The server reads it for its Keep-Alive header.
             self.server.keepalive = self.limits.idle_timeout_s
@@ -131,6 +134,9 @@
             except TimeoutError:
                 self.has_timed_out = True
                 return False
+            self.pipeline.wait_for_turn()
+            if self.pipeline.closed:
+                return False
             sock.settimeout(SOCKET_TIMEOUT_S)
             context.callers.mark_busy(sock)
             context.pending_head_by_socket[sock] = PendingHead(
@@ -142,11 +148,12 @@
             super().setup()
             self.turns = Turns()
             self.pipeline = Pipeline(
-                send=self.connection.sendall,
+                send=partial(send_all, self.connection),
                 memory=context.answer_memory,
                 on_idle=self._note_idle,
                 on_close=self._stop_reading,
                 on_drop=record_dropped(context.metrics),
+                ahead=context.ahead_share,
             )
             # Nothing but the pipeline writes to the connection.
             self.wfile.close()
@@ -185,6 +192,7 @@
         def handle_one_request(self) -> None:
             # Requests that were sent ahead are read without a switch.
             self.turns.take()
+            self.pipeline.wait_for_capacity()
             if context.leaving:
                 self.pipeline.wait_until_empty()
             if self.pipeline.is_empty:
@@ -193,8 +201,7 @@
 
         def handle_one_response(self) -> None:
             """Answer a request; a safe one without a body runs in its own greenlet."""
-            self.pipeline.wait_for_capacity()
-            if self.pipeline.is_ending:
+            if self.pipeline.closed or self.pipeline.is_ending:
                 self.close_connection = True
                 return
             exchange = copy.copy(self)
@@ -300,21 +307,10 @@
             """Return only the variables that the call path and the server read."""
             environ = build_environ(self.command, self.path, self.headers)
             environ["comfreytray.protocol"] = self
-            environ["wsgi.input"] = environ["eventlet.input"] = self._input(environ)
-            return environ
-
-        def _input(self, environ: dict[str, Any]) -> StrictInput:
-            chunked = "HTTP_TRANSFER_ENCODING" in environ
-            length = environ.get("CONTENT_LENGTH")
-            expects = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
-            return StrictInput(
-                self.rfile,
-                length if chunked or length is not None else "0",
-                self.connection,
-                wfile=self.wfile if expects else None,
-                wfile_line=b"HTTP/1.1 100 Continue\r\n" if expects else None,
-                chunked_input=chunked,
+            environ["wsgi.input"] = environ["eventlet.input"] = build_input(
+                environ, rfile=self.rfile, sock=self.connection, wfile=self.wfile
             )
+            return environ
 
         def _refuse(self, failure: Failure) -> None:
             headers = getattr(self, "headers", None)
--- a/src/comfreytray/calls/pipelines.py
+++ b/src/comfreytray/calls/pipelines.py
@@ -11,19 +11,19 @@
 
 import eventlet
 
+from comfreytray.calls.aheadshare import AheadShare
 from comfreytray.calls.transitmemory import ANSWERS_SHED, TransitMemory
-from comfreytray.common import logs
 from comfreytray.common.errors import Failure
-from comfreytray.common.metrics import Metrics
 from comfreytray.common.signals import Signal
 
 MAX_CONCURRENT_REQUESTS = 32
 """Requests of one connection that run at a time; further ones are not read yet."""
+MAX_BEHIND_BLOCKED = 4
+"""The same while the caller does not take the answer that is being written."""
 MAX_WAITING_BYTES = 65_536
 """Bytes of an answer above which its greenlet waits until the connection takes some."""
-POLL_S = 0.01
 WAIT_S = 1.0
-"""Time after which an answer that waits looks again; it is woken before."""
+"""Time after which a greenlet that waits looks again; it is woken before."""
 
 
 class DropReason(Enum):
@@ -174,18 +174,23 @@
         on_idle: Callable[[], None],
         on_close: Callable[[], None],
         on_drop: Callable[[int, DropReason], None],
+        ahead: AheadShare | None = None,
     ) -> None:
         """Create it.
 
         `send` writes bytes to the connection and raises OSError; `on_drop` gets the
-        number of answers that will not be written, and why.
+        number of answers that will not be written, and why. The requests beyond the
+        first count as a part of `ahead`.
         """
         self._send = send
         self._memory = memory
         self._on_idle = on_idle
         self._on_close = on_close
         self._on_drop = on_drop
+        self._ahead = ahead or AheadShare()
         self._responses: deque[PipelinedResponse] = deque()
+        self._has_advanced = Signal()
+        """Wakes the greenlet that reads the connection."""
         self._is_writing = False
         self.is_ending = False
         """Whether no request is run behind those that were read."""
@@ -201,6 +206,8 @@
         response = PipelinedResponse(
             pipeline=self, memory=self._memory, request=request
         )
+        if self._responses:
+            self._ahead.pending += 1
         self._responses.append(response)
         return response
 
@@ -212,14 +219,19 @@
         return True
 
     def wait_for_capacity(self) -> None:
-        """Wait until another request may run."""
-        while len(self._responses) >= MAX_CONCURRENT_REQUESTS and not self.closed:
-            eventlet.sleep(POLL_S)
+        """Wait until another request may run or the pipeline is closed."""
+        while self._is_full() and not self.closed:
+            self._has_advanced.wait(WAIT_S)
+
+    def wait_for_turn(self) -> None:
+        """Let requests of other connections run before one that was sent ahead."""
+        if self._responses:
+            self._ahead.wait_for_turn()
 
     def wait_until_empty(self) -> None:
         """Wait until all answers are written or the pipeline is closed."""
         while self._responses and not self.closed:
-            eventlet.sleep(POLL_S)
+            self._has_advanced.wait(WAIT_S)
 
     def write_ready(self) -> None:
         """Write the buffered answers in order; raises OSError.
@@ -238,6 +250,7 @@
             raise
         finally:
             self._is_writing = False
+            self._has_advanced.fire()
 
     def close(self, reason: DropReason) -> None:
         """Drop the pending answers and kill the greenlets of their requests."""
@@ -246,6 +259,8 @@
         self.closed = True
         responses = list(self._responses)
         self._responses.clear()
+        self._ahead.pending -= max(0, len(responses) - 1)
+        self._has_advanced.fire()
         current = eventlet.getcurrent()
         for response in responses:
             response.drop()
@@ -255,6 +270,18 @@
             self._on_drop(len(responses), reason)
         self._on_close()
 
+    def _is_full(self) -> bool:
+        pending = len(self._responses)
+        # Seen from another greenlet, a write under way is one that is blocked.
+        limit = MAX_BEHIND_BLOCKED if self._is_writing else MAX_CONCURRENT_REQUESTS
+        return pending >= limit or (pending > 0 and self._ahead.is_used_up)
+
+    def _remove_first(self) -> None:
+        self._responses.popleft()
+        if self._responses:
+            self._ahead.pending -= 1
+        self._has_advanced.fire()
+
     def _write_in_order(self) -> None:
         """Write answers up to the first that has not ended."""
         while self._responses and not self.closed:
@@ -269,7 +296,7 @@
                 continue
             if not first.finished:
                 return
-            self._responses.popleft()
+            self._remove_first()
             if first.closes_connection:
                 self.close(DropReason.CLOSING_ANSWER)
                 return
@@ -301,13 +328,3 @@
     def close(self) -> None:
         """Take no further answer."""
         self.closed = True
-
-
-def record_dropped(metrics: Metrics) -> Callable[[int, DropReason], None]:
-    """Return what counts and logs the answers that a connection drops."""
-
-    def record(count: int, reason: DropReason) -> None:
-        metrics.count("answers_dropped", count)
-        logs.log(logs.Event.ANSWERS_DROPPED, count=count, reason=reason.value)
-
-    return record
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -9,7 +9,7 @@
 
 import eventlet
 
-from comfreytray.calls import bodypool, httpserver, requestbodies, requests
+from comfreytray.calls import httpserver, requestbodies, requests
 from comfreytray.calls.answers import MessageFor, buffer_reply, plain_message
 from comfreytray.calls.call import Call, CallCancelledError, Outcome, Reply, fail
 from comfreytray.calls.callers import CallerConnections, Listener
@@ -30,12 +30,12 @@
 from comfreytray.calls.responder import Responder
 from comfreytray.calls.retries import DEFAULT_RETRY_LIMITS, RetryLimits
 from comfreytray.calls.routing import Router, has_cold_endpoint
+from comfreytray.calls.shares import build_shares
 from comfreytray.calls.splits import Splitter
 from comfreytray.calls.stopping import StopGate, StopSchedule
 from comfreytray.calls.streamserver import StreamServer
 from comfreytray.calls.streamuploads import UPLOADS_TOPIC
 from comfreytray.calls.tracing import Tracer, traced
-from comfreytray.calls.transitmemory import build_memories
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Clock, ObjectStore
@@ -84,8 +84,9 @@
         )
         self.encode_refusal = self.responder.encode_refusal
         self.quota: QuotaAdmission | None = None
-        self.answer_memory, outbox_memory = build_memories(memory_bytes, metrics)
-        self.body_budget = bodypool.build_pool(memory_bytes, clock, metrics)
+        shares = build_shares(memory_bytes, clock, metrics)
+        self.answer_memory, self.ahead_share = shares.answers, shares.ahead
+        self.body_budget = shares.bodies
         self.call_log = CallLog(clock=clock)
         own_id = node().node_id
         self.router = Router(
@@ -125,7 +126,7 @@
             metrics=metrics,
             announces_bodies=link_bytes_per_s < math.inf,
             answer_memory=self.answer_memory,
-            outbox_memory=outbox_memory,
+            outbox_memory=shares.outboxes,
         )
         self.peers = PeerCalls(client=self.client, clock=clock)
         self.notices = NoticeSender(
@@ -144,7 +145,7 @@
             handle=self._run_for_other_node,
             load=lambda: self.owner.load,
             budget=self.body_budget,
-            outbox_memory=outbox_memory,
+            outbox_memory=shares.outboxes,
             link_bytes_per_s=link_bytes_per_s,
         )
         self.dispatcher = Dispatcher(
@@ -321,9 +322,8 @@
         result = run_within_quota(
             call, self._run_traced, quota=self.quota, snapshot=self.snapshot()
         )
-        duration_s = self.clock.monotonic() - started
         ended = "answered" if isinstance(result, Reply) else "refused"
-        self.metrics.record_duration(f"calls_{ended}", duration_s)
+        self.metrics.record_duration(f"calls_{ended}", self.clock.monotonic() - started)
         self.call_log.ended(call, result, self._configuration_version)
         return result
 
