--- a/src/comfreytray/calls/requestbodies.py
+++ b/src/comfreytray/calls/requestbodies.py
@@ -218,18 +218,18 @@
         close_after(environ)
         return _truncated(f"body truncated: got {len(body)} of {length} bytes").failure
     environ["comfreytray.body_read"] = True
-    source.share.resize(len(body))
+    if length is None:
+        source.share.resize(len(body))
     return body
 
 
 def _read_growing(source: _Source, limit: int) -> bytes:
     """Read to the end, or `limit` bytes, and hold room for one read in advance."""
-    if source.share.is_small:
-        source.reserve(limit)
+    most = limit if source.share.is_small else READ_BYTES
     parts: list[bytes] = []
     size = 0
     while size < limit:
-        ahead = min(READ_BYTES, limit - size)
+        ahead = min(most, limit - size)
         source.reserve(size + ahead)
         part = source.receive(ahead)
         if not part:
