--- a/features/body_crowds.feature
+++ b/features/body_crowds.feature
@@ -27,6 +27,12 @@
       | the node      |
       | its neighbour |
 
+  Scenario: Half-received bodies don't wait for each other in a full pool
+    Given a node beside an upstream, and its neighbour
+    When 3 callers send bodies of 1 MiB by turns to a pool of 2 MiB
+    Then the first two are served, and the last is refused as not run
+    And nothing is held once the crowd has hung up
+
   Scenario Outline: A body of another node that is stuck gives way to one that moves
     Given a node beside an upstream, and its neighbour
     When 4 bodies of <size> bytes from its neighbour are stuck and fill the node's memory
--- a/features/steps/body_crowds_steps.py
+++ b/features/steps/body_crowds_steps.py
@@ -120,6 +120,35 @@
     assert ran == ["/whole"], ran
 
 
+@when("{count:d} callers send bodies of 1 MiB by turns to a pool of 2 MiB")
+def send_by_turns(context, count):
+    path = context.fleet.path_by_id["a"]
+    path.body_budget.limit = 2 * MIB
+    head = _head(b"Content-Length: %d" % MIB)
+    for number in range(count):
+        context.crowd.append(context.fleet.raw("a", head))
+        # In the order of their numbers.
+        assert until(lambda: len(path.reaper.tracked_calls) == len(context.crowd)), (
+            number
+        )
+    answers = [eventlet.spawn(read_answer, sock) for sock in context.crowd]
+    for _ in range(MIB // UNIT_BYTES):
+        for sock in context.crowd:
+            sock.sendall(b"x" * UNIT_BYTES)
+        eventlet.sleep(0.005)
+    context.got = [answer.wait() for answer in answers]
+
+
+@then("the first two are served, and the last is refused as not run")
+def check_by_turns(context):
+    *served, refused = context.got
+    assert [got.status for got in served] == [200, 200], [
+        (got.status, got.kind) for got in context.got
+    ]
+    assert (refused.status, refused.kind, refused.ran) == (503, "overloaded", "no")
+    assert len(context.fleet.upstream_by_id["a"].ran) == len(served)
+
+
 class _StuckUpload:
     """A body whose first part comes, and no more."""
 
