--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -329,9 +329,7 @@
 
     def _run_traced(self, call: Call) -> Reply | Outcome:
         self.metrics.count("calls")
-        run = self.dispatcher.run
-        if call.key and self.keyed is not None:
-            run = self.keyed.run
+        run = self.keyed.run if call.key and self.keyed else self.dispatcher.run
         return traced(self.tracer, "entry", call, run)
 
     def _is_nested(self, call_id: str) -> bool:
