Let no crowd of connections keep others out of a port

The interfaces (readiness, heartbeats, metrics) took 64 connections, with no time-out: 64 that said nothing, or that sent ahead, kept the platform's checks out. The ports for nodes took any number, the callers' port 2,048 whatever the process may open.

Each port of a node now has a limit from the memory and the descriptors of the process, so that a quarter of the free descriptors stays for endpoints, the store and other nodes. Over the limit the connection ends that is least useful: of peers that have not said who they are, then of idle or stuck ones, then of those that have sent ahead, the one that has done nothing for longest. One with a call under way does not end; the newcomer does if there are no others.

A node must begin to say who it is within 3 s.

Ruled out on the way: without a place for connections that wait for a turn all newcomers were reset.

--- a/src/comfreytray/calls/reaper.py
+++ b/src/comfreytray/calls/reaper.py
@@ -16,6 +16,7 @@
 from comfreytray.calls.hangups import has_hung_up
 from comfreytray.calls.owner import Owner
 from comfreytray.calls.routing import Router
+from comfreytray.common.connectionlimits import Rank
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.repeating import repeat
 from comfreytray.configuration.callerlimits import CallerLimits
@@ -92,6 +93,12 @@
         """Record the end of a call and of its answer."""
         self.entered_calls.discard(tracked)
 
+    def rank_of(self, sock: Any) -> Rank:
+        """Return whether a connection of a caller has sent a request."""
+        is_busy = sock in self.callers.busy_sockets
+        is_served = is_busy and sock not in self.pending_head_by_socket
+        return Rank.SERVED if is_served else Rank.IDLE
+
     def run(self) -> None:
         """Sweep once per period, until killed."""
         repeat("reaper", self._sweep_when_due)
--- a/src/comfreytray/calls/streamserver.py
+++ b/src/comfreytray/calls/streamserver.py
@@ -28,6 +28,7 @@
 from comfreytray.calls.transitmemory import TransitMemory
 from comfreytray.calls.uploads import UPLOAD_RESERVED_BYTES
 from comfreytray.common import logs
+from comfreytray.common.connectionlimits import Rank
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock
 from comfreytray.common.keepalive import enable_keepalive
@@ -36,6 +37,8 @@
 from comfreytray.common.turns import Turns
 from comfreytray.common.unsent import unsent_bytes, wait_until_taken
 
+HELLO_TIMEOUT_S = 3.0
+"""Time without a byte in which a node must say who it is."""
 MAX_UNREAD_BYTES = 4 * MAX_OUTBOX_BYTES
 """Unsent bytes at which a caller that sends but does not read is disconnected."""
 
@@ -113,12 +116,20 @@
                 return
             eventlet.spawn_n(self._serve_connection, sock, address)
 
+    def rank_of(self, sock: Any) -> Rank:
+        """Return whether a connection is that of a node, and has calls that run."""
+        streams = self._streams_by_socket.get(sock)
+        if streams is None or streams.hello is None:
+            return Rank.UNKNOWN
+        return Rank.SERVED if streams.stream_by_id else Rank.IDLE
+
     def _serve_connection(self, sock: Any, address: Address) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         enable_keepalive(sock)
         streams = OwnerStreams(
             node_id=self.node_id, clock=self.clock, outbox_memory=self.outbox_memory
         )
+        self._streams_by_socket[sock] = streams
 
         def close() -> None:
             streams.connection_lost()
@@ -128,6 +139,7 @@
         writer = Writer(sock=sock, outbox=streams.outbox, on_lost=close)
         streams.flush = writer.flush
         turns = Turns()
+        sock.settimeout(HELLO_TIMEOUT_S)
         try:
             while not streams.closed:
                 received = sock.recv(READ_BYTES)
@@ -138,6 +150,8 @@
                 if streams.outbox.size > MAX_UNREAD_BYTES:
                     detail = f"{streams.outbox.size} bytes not read by the peer"
                     opened = Failure(kind=Kind.FRAME_TOO_LARGE, detail=detail)
+                if streams.hello is not None:
+                    sock.settimeout(None)
                 if isinstance(opened, Failure):
                     self._log_refused(opened, address)
                     return
--- a/src/comfreytray/common/logs.py
+++ b/src/comfreytray/common/logs.py
@@ -36,6 +36,7 @@
     CALLER_LOST = "caller-lost"
     ANSWERS_DROPPED = "answers-dropped"
     BYTES_SHED = "bytes-shed"
+    CONNECTION_SHED = "connection-shed"
     CALL_ANSWERED = "call-answered"
     LINES_LEFT_OUT = "lines-left-out"
     CALLS_CUT = "calls-cut"
--- a/src/comfreytray/node/options.py
+++ b/src/comfreytray/node/options.py
@@ -45,6 +45,8 @@
     """Speed of the machine's link; infinite if it is not known."""
     memory_bytes: float = field(default=math.inf, kw_only=True)
     """Memory of the process; infinite if it is not known."""
+    max_fds: float = field(default=math.inf, kw_only=True)
+    """Descriptors that the process may have; infinite if they are not limited."""
     heartbeat_s: float
     grace_s: float
     """Time between the signal to stop and the forced end of the process."""
--- a/src/comfreytray/node/proxynode.py
+++ b/src/comfreytray/node/proxynode.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import eventlet
-from eventlet.greenio import GreenSocket
 
 from comfreytray.calls.cutcalls import END_MARGIN_S, cut_calls
 from comfreytray.calls.dialect import Dialect
@@ -36,6 +35,7 @@
 from comfreytray.node.interfaceserver import Application, serve_interface
 from comfreytray.node.noderecord import RecordSource
 from comfreytray.node.options import NodeOptions
+from comfreytray.node.ports import Port, Ports
 from comfreytray.node.quotas import build_quotas
 from comfreytray.node.recordsync import RecordSync, listed_record, poll_until
 from comfreytray.node.retrylimits import NodeRetryLimits
@@ -46,8 +46,6 @@
 from comfreytray.replication.replicator import Replicator
 from comfreytray.rollouts.statuswriter import StatusStore
 
-LISTEN_BACKLOG = 1024
-MAX_INTERFACE_CONNECTIONS = 64
 FIRST_CONFIGURATION_TIMEOUT_S = 0.6
 """Time in which the first configuration should be known; then callers are refused."""
 TICK_S = 0.25
@@ -79,11 +77,16 @@
         Roll-outs need `status_store`, and bounds in the options.
         """
         self.options = options
-        self._listeners = listeners or {}
         self.store = store
         self.clock = SystemClock()
         self.random = random.Random()
         self.metrics = Metrics()
+        self._ports = Ports(
+            early=listeners or {},
+            memory_bytes=options.memory_bytes,
+            max_fds=options.max_fds,
+            metrics=self.metrics,
+        )
         self._active = ActiveConfiguration(
             decode=decode_configuration, metrics=self.metrics
         )
@@ -245,12 +248,9 @@
 
     def serve(self, address: Address, application: Application) -> None:
         """Serve a WSGI application, such as the metrics, on an address of its own."""
-        listener = self._listen(address)
+        listener = self._ports.listen(address, Port.INTERFACE)
         self._tasks.spawn(
-            f"http-{address[1]}",
-            lambda: serve_interface(
-                listener, application, max_connections=MAX_INTERFACE_CONNECTIONS
-            ),
+            f"http-{address[1]}", lambda: serve_interface(listener, application)
         )
 
     def ask_to_stop(self, asked_at: float = math.inf) -> None:
@@ -285,10 +285,16 @@
         return max(0.0, deadline - self.clock.monotonic())
 
     def _open(self) -> None:
-        options = self.options
-        http_listener = self._listen(options.http_address)
-        streams_listener = self._listen((options.host, options.call_port))
-        followers_listener = self._listen((options.host, options.replication_port))
+        listen, options, calls = self._ports.listen, self.options, self.calls
+        http_listener = listen(options.http_address, Port.CALLERS, calls.reaper.rank_of)
+        streams_listener = listen(
+            (options.host, options.call_port), Port.NODES, calls.server.rank_of
+        )
+        followers_listener = listen(
+            (options.host, options.replication_port),
+            Port.REPLICATION,
+            self.replicator.rank_of,
+        )
         self._tasks.spawn("entry", lambda: self._serve_callers(http_listener))
         self._tasks.spawn("streams", lambda: self.calls.serve_streams(streams_listener))
         self._tasks.spawn(
@@ -303,12 +309,6 @@
             TICK_S, {"stalls": stalls.check, "register": self.register.tick}
         )
 
-    def _listen(self, address: Address) -> Any:
-        early = self._listeners.get(address)
-        if early is None:
-            return eventlet.listen(address, backlog=LISTEN_BACKLOG)
-        return GreenSocket(early)
-
     def _serve_callers(self, listener: Any) -> None:
         """Accept callers; those that come before the configuration wait a moment."""
         poll_until(
--- a/src/comfreytray/platform/settings.py
+++ b/src/comfreytray/platform/settings.py
@@ -77,6 +77,7 @@
         capacity=_capacity(_json_object(document, "limits")),
         link_bytes_per_s=_link_bytes_per_s(_json_object(document, "limits")),
         memory_bytes=_memory_bytes(_json_object(document, "limits")),
+        max_fds=_max_fds(_json_object(document, "limits")),
         heartbeat_s=_number(document, "heartbeat_s"),
         grace_s=_bound(bounds, "grace_s"),
         retries=RetryBudget(
@@ -141,6 +142,11 @@
     return _number(limits, "memory_mb") * BYTES_PER_MEGABYTE
 
 
+def _max_fds(limits: Mapping[str, Any]) -> float:
+    """Return the descriptors of a process; infinite if the settings have none."""
+    return _number(limits, "max_fds") if "max_fds" in limits else math.inf
+
+
 def _first_free_port(document: Mapping[str, Any]) -> int:
     """Return the first of the ports that are free for traffic between nodes."""
     ports = document.get("port_range")
--- a/src/comfreytray/replication/links.py
+++ b/src/comfreytray/replication/links.py
@@ -10,6 +10,7 @@
 from comfreytray.calls.outbox import Outbox
 from comfreytray.calls.streamwriter import Writer, shut_down_socket
 from comfreytray.common import logs
+from comfreytray.common.connectionlimits import Rank
 from comfreytray.common.errors import Failure, Kind
 from comfreytray.common.interfaces import Address, Clock
 from comfreytray.common.keepalive import enable_keepalive
@@ -40,7 +41,7 @@
         """Id of the node at the other end, or its address until it is known."""
         self.received_at = clock.monotonic()
         self.is_closed = False
-        self._sock = sock
+        self.sock = sock
         self._clock = clock
         self._on_frame = on_frame
         self._outbox = Outbox()
@@ -64,7 +65,7 @@
         turns = Turns()
         try:
             while not self.is_closed:
-                received = self._sock.recv(READ_BYTES)
+                received = self.sock.recv(READ_BYTES)
                 if not received:
                     return
                 turns.take()
@@ -85,7 +86,7 @@
         """Shut the connection down; the greenlet that reads it closes the socket."""
         if not self.is_closed:
             self.is_closed = True
-            shut_down_socket(self._sock)
+            shut_down_socket(self.sock)
 
     def _refuse(self, failure: Failure) -> None:
         logs.warn(
@@ -111,6 +112,7 @@
         self._on_frame = on_frame
         self._on_joined = on_joined
         self._links: set[Link] = set()
+        self._known_sockets: set[Any] = set()
         self.link_by_id: dict[str, Link] = {}
 
     def __enter__(self) -> "FollowerLinks":
@@ -138,6 +140,10 @@
                 continue
             eventlet.spawn_n(self._serve_follower, sock, address)
 
+    def rank_of(self, sock: Any) -> Rank:
+        """Return whether a connection is that of a follower."""
+        return Rank.IDLE if sock in self._known_sockets else Rank.UNKNOWN
+
     def send(self, packed: bytes) -> None:
         """Send a frame to all followers."""
         for link in list(self.link_by_id.values()):
@@ -157,6 +163,7 @@
             link.read()
         finally:
             self._links.discard(link)
+            self._known_sockets.discard(sock)
             if self.link_by_id.get(link.peer) is link:
                 del self.link_by_id[link.peer]
 
@@ -171,6 +178,7 @@
         link.peer = frame.node_id
         before = self.link_by_id.get(frame.node_id)
         self.link_by_id[frame.node_id] = link
+        self._known_sockets.add(link.sock)
         if before is not None and before is not link:
             before.close()
         self._on_joined(link)
--- a/src/comfreytray/replication/replicator.py
+++ b/src/comfreytray/replication/replicator.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from comfreytray.common import logs
+from comfreytray.common.connectionlimits import Rank
 from comfreytray.common.interfaces import Clock
 from comfreytray.common.metrics import Metrics
 from comfreytray.common.records import MembershipView, NodeRecord
@@ -117,6 +118,10 @@
         failing = any(feed.subscription.is_failing for feed in self._feeds)
         return failing or self._clock.monotonic() < self._blind_until
 
+    def rank_of(self, sock: Any) -> Rank:
+        """Return whether a connection is that of a follower."""
+        return self._followers.rank_of(sock)
+
     def serve(self, listener: Any) -> None:
         """Accept followers until the listener is closed."""
         self._followers.serve(listener)
