Keep few bytes for a peer that has not said who it is

Such a connection ends now after 8192 bytes and the read in which they come.

Two of the new scenarios of connection_limits.feature fail on the code before: the connection stays open.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -61,3 +61,19 @@
     Given a listener that takes 2 connections of which both are served
     When a third one connects
     Then only the third one ends
+
+  # 60 such connections held 188 MB: what is not a whole frame yet is kept.
+  Scenario Outline: A peer that has not said who it is can't have bytes kept: <server>
+    Given the server of <server>
+    When a peer sends it 100000 bytes of a frame that does not end
+    Then the connection ends
+
+    Examples:
+      | server           |
+      | the call streams |
+      | the replication  |
+
+  Scenario: A node that says nothing is disconnected
+    Given the server of the call streams, which waits 0.1 s for a hello
+    When a peer connects and says nothing
+    Then the connection ends
--- a/features/steps/connection_limits_steps.py
+++ b/features/steps/connection_limits_steps.py
@@ -9,7 +9,10 @@
 from calls_rig import WAIT_S, read_answer, until
 from eventlet.green import socket
 
+from comfreytray.calls import streamserver
 from comfreytray.calls.aheadshare import TURNS_PER_ROUND
+from comfreytray.calls.streamserver import StreamServer
+from comfreytray.common.clock import SystemClock
 from comfreytray.common.connectionlimits import (
     Connection,
     LimitedListener,
@@ -19,6 +22,8 @@
 from comfreytray.common.metrics import Metrics
 from comfreytray.node.interfaceserver import serve_interface
 from comfreytray.node.ports import RESERVED_DESCRIPTORS, Port, connections_for
+from comfreytray.replication import links
+from comfreytray.replication.links import FollowerLinks
 
 NOW_S = 1000.0
 PLACES = {"first": 0, "second": 1, "third": 2}
@@ -249,3 +254,52 @@
         sock.sendall(b"x")
     eventlet.sleep(0.05)
     assert len(context.listener._connections) == 2
+
+
+def _stream_server(context):
+    server = StreamServer(
+        node_id="a", clock=SystemClock(), handle=None, load=None, budget=None
+    )
+    return server.serve
+
+
+def _follower_links(context):
+    followers = FollowerLinks(clock=SystemClock(), on_frame=None, on_joined=None)
+    return followers.serve
+
+
+SERVER_BY_NAME = {
+    "the call streams": _stream_server,
+    "the replication": _follower_links,
+}
+
+
+@given("the server of {name}")
+def serve_nodes(context, name):
+    name, _, wait = name.partition(", ")
+    for module in (streamserver, links):
+        context.add_cleanup(setattr, module, "HELLO_TIMEOUT_S", module.HELLO_TIMEOUT_S)
+        # Without a short wait, only the bound on bytes ends a connection.
+        module.HELLO_TIMEOUT_S = 0.1 if wait else 3 * WAIT_S
+    listener = eventlet.listen(("127.0.0.1", 0))
+    context.address = listener.getsockname()
+    greenlet = eventlet.spawn(SERVER_BY_NAME[name](context), listener)
+    context.add_cleanup(greenlet.kill)
+
+
+@when("a peer sends it 100000 bytes of a frame that does not end")
+def send_part(context):
+    context.peer = _connect(context)
+    # The head of a value of 1 MB.
+    context.peer.sendall(b"\xc6\x00\x10\x00\x00" + bytes(100_000))
+
+
+@when("a peer connects and says nothing")
+def say_nothing(context):
+    context.peer = _connect(context)
+
+
+@then("the connection ends")
+def check_ends(context):
+    with eventlet.Timeout(WAIT_S), contextlib.suppress(ConnectionResetError):
+        assert context.peer.recv(1) == b""
--- a/src/comfreytray/calls/streamserver.py
+++ b/src/comfreytray/calls/streamserver.py
@@ -39,6 +39,8 @@
 
 HELLO_TIMEOUT_S = 3.0
 """Time without a byte in which a node must say who it is."""
+MAX_HELLO_BYTES = 8192
+"""Bytes within which a node must have said who it is."""
 MAX_UNREAD_BYTES = 4 * MAX_OUTBOX_BYTES
 """Unsent bytes at which a caller that sends but does not read is disconnected."""
 
@@ -140,6 +142,7 @@
         streams.flush = writer.flush
         turns = Turns()
         sock.settimeout(HELLO_TIMEOUT_S)
+        unknown_bytes: int | None = 0
         try:
             while not streams.closed:
                 received = sock.recv(READ_BYTES)
@@ -150,8 +153,13 @@
                 if streams.outbox.size > MAX_UNREAD_BYTES:
                     detail = f"{streams.outbox.size} bytes not read by the peer"
                     opened = Failure(kind=Kind.FRAME_TOO_LARGE, detail=detail)
-                if streams.hello is not None:
-                    sock.settimeout(None)
+                if unknown_bytes is not None:
+                    unknown_bytes += len(received)
+                    if streams.hello is not None:
+                        unknown_bytes = None
+                        sock.settimeout(None)
+                    elif unknown_bytes > MAX_HELLO_BYTES:
+                        opened = Failure(kind=Kind.FRAME_TOO_LARGE, detail="no hello")
                 if isinstance(opened, Failure):
                     self._log_refused(opened, address)
                     return
--- a/src/comfreytray/replication/links.py
+++ b/src/comfreytray/replication/links.py
@@ -21,6 +21,8 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 65_536
 HELLO_TIMEOUT_S = 3.0
+MAX_HELLO_BYTES = 8192
+"""Bytes within which a follower must have said who it is."""
 MAX_OUTBOX_BYTES = 8_388_608
 """Unsent bytes at which a follower that does not read is disconnected."""
 MAX_FOLLOWERS = 512
@@ -36,7 +38,10 @@
         peer: str,
         clock: Clock,
         on_frame: Callable[["Link", frames.Frame], None],
+        is_known: bool = True,
     ) -> None:
+        self.is_known = is_known
+        """Whether the other end has said who it is, or need not."""
         self.peer = peer
         """Id of the node at the other end, or its address until it is known."""
         self.received_at = clock.monotonic()
@@ -63,6 +68,7 @@
         """Handle received frames until the connection ends."""
         decoder = frames.Decoder()
         turns = Turns()
+        unknown_bytes = 0
         try:
             while not self.is_closed:
                 received = self.sock.recv(READ_BYTES)
@@ -76,6 +82,11 @@
                     return
                 for frame in decoded:
                     self._on_frame(self, frame)
+                if not self.is_known:
+                    unknown_bytes += len(received)
+                    if unknown_bytes > MAX_HELLO_BYTES:
+                        detail = "no hello"
+                        self._refuse(Failure(kind=Kind.FRAME_TOO_LARGE, detail=detail))
         except (OSError, EOFError):
             return
         finally:
@@ -156,6 +167,7 @@
             peer=f"{address[0]}:{address[1]}",
             clock=self._clock,
             on_frame=self._receive,
+            is_known=False,
         )
         self._links.add(link)
         eventlet.spawn_after(HELLO_TIMEOUT_S, self._close_if_unknown, link)
@@ -175,7 +187,7 @@
         if not isinstance(frame, frames.Hello):
             self._on_frame(link, frame)
             return
-        link.peer = frame.node_id
+        link.peer, link.is_known = frame.node_id, True
         before = self.link_by_id.get(frame.node_id)
         self.link_by_id[frame.node_id] = link
         self._known_sockets.add(link.sock)
