Forget the head of a request whose answer waits

An answer that had ended and waited for its caller kept the whole request: its lines, its fields and a second copy of them. It keeps the language and the deadline now, which a refusal in its place needs.

The new step of calls_sent_ahead.feature fails without the change: 168 answers wait with their heads.

--- a/features/calls_sent_ahead.feature
+++ b/features/calls_sent_ahead.feature
@@ -6,6 +6,7 @@
     Given a node that takes few bytes for a caller that does not read
     When 12 callers send 1000 requests each to a path of no route and read nothing
     Then few requests of each caller are pending
+    And answers that wait keep no head of their request
     And an ordinary call is answered
     When the 12 callers hang up
     Then no request that they had sent ahead is begun any more
--- a/features/steps/calls_sent_ahead_steps.py
+++ b/features/steps/calls_sent_ahead_steps.py
@@ -1,5 +1,6 @@
 # Requests that were sent ahead: what pends, whose turn it is, and when it ends.
 
+import gc
 import math
 import socket as plain_socket
 
@@ -9,7 +10,12 @@
 from eventlet.green import socket
 
 from comfreytray.calls.aheadshare import TURNS_PER_ROUND, AheadShare, pending_for
-from comfreytray.calls.pipelines import MAX_BEHIND_BLOCKED, DropReason, Pipeline
+from comfreytray.calls.pipelines import (
+    MAX_BEHIND_BLOCKED,
+    DropReason,
+    Pipeline,
+    PipelinedResponse,
+)
 from comfreytray.calls.transitmemory import TransitMemory
 from comfreytray.configuration.snapshots import Route
 
@@ -87,6 +93,17 @@
     assert pending <= CALLERS * TURNS_PER_ROUND, pending
 
 
+@then("answers that wait keep no head of their request")
+def check_heads(context):
+    waiting = [
+        held
+        for held in gc.get_objects()
+        if isinstance(held, PipelinedResponse) and held.finished
+    ]
+    assert waiting
+    assert all(held._request.headers is None for held in waiting), len(waiting)
+
+
 @then("an ordinary call is answered")
 def check_ordinary(context):
     got = context.fleet.call("a", target="/known")
--- a/features/steps/linear_time_steps.py
+++ b/features/steps/linear_time_steps.py
@@ -11,7 +11,7 @@
 from eventlet import wsgi
 
 import comfreytray
-from comfreytray.calls import bodies, heads, httpserver
+from comfreytray.calls import bodies, heads, requestheads
 from comfreytray.common import outerjson, stalls
 from comfreytray.common.logs import Event
 from comfreytray.common.metrics import Metrics
@@ -262,7 +262,7 @@
         (b"A:" + b" " * 1000 + b"\r\n") * heads.MAX_FIELDS,
     ),
     "request line": (
-        httpserver._REQUEST_LINE.fullmatch,
+        requestheads.REQUEST_LINE.fullmatch,
         b"GET" * 900 + b" /" + b"/HTTP" * 1000 + b" HTTP/1.1\r\n",
     ),
     "status line": (_read_status, b"HTTP/1.1 200 " + b" " * 65_000 + b"\r\n\r\n"),
--- a/src/comfreytray/calls/httpserver.py
+++ b/src/comfreytray/calls/httpserver.py
@@ -2,7 +2,6 @@
 
 import copy
 import math
-import re
 import warnings
 from collections.abc import Callable
 from functools import partial
@@ -11,6 +10,7 @@
 import eventlet
 from eventlet import wsgi
 
+from comfreytray.calls import requestheads
 from comfreytray.calls.aheadshare import AheadShare
 from comfreytray.calls.answersending import record_dropped, send_all
 from comfreytray.calls.bodies import build_input
@@ -33,7 +33,6 @@
     Pipeline,
     PipelinedResponse,
 )
-from comfreytray.calls.requestheads import build_environ, check_head, has_body
 from comfreytray.calls.transitmemory import TransitMemory
 from comfreytray.common import logs
 from comfreytray.common.errors import Failure, Kind
@@ -46,9 +45,6 @@
 SOCKET_TIMEOUT_S = 30.0
 MAX_CONNECTIONS = 2048
 
-_REQUEST_LINE = re.compile(
-    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) (/[\x21-\x7e]*) (HTTP/1\.[01])\r?\n"
-)
 _METHODS = frozenset({"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"})
 _LINE_END_BYTES = 2
 
@@ -211,7 +207,7 @@
             if request_input.wfile is not None:
                 # A `100 Continue` has its turn like the answer that it precedes.
                 request_input.wfile = response
-            if self.command in SAFE_METHODS and not has_body(self.headers):
+            if self.command in SAFE_METHODS and not requestheads.has_body(self.headers):
                 response.greenlet = eventlet.spawn(exchange._respond, response)
                 return
             response.greenlet = eventlet.getcurrent()
@@ -222,12 +218,14 @@
 
         def _respond(self, response: PipelinedResponse) -> None:
             """Run one request and write its answer into `response`."""
-            closes = bool(self.close_connection) or has_body(self.headers)
+            closes = bool(self.close_connection) or requestheads.has_body(self.headers)
             try:
                 super().handle_one_response()
                 if response.failure is not None:
                     leaves = context.leaving and self.ends_connection()
                     self.close_connection = closes or leaves
+                # The answer may wait for long, and needs little of the request.
+                requestheads.forget_head(self)
                 response.finish(closes_connection=bool(self.close_connection))
             except OSError as error:
                 logs.log(logs.Event.CALLER_LOST, reason=type(error).__name__)
@@ -281,7 +279,7 @@
             return True
 
         def _read_head(self) -> None:
-            match = _REQUEST_LINE.fullmatch(self.raw_requestline)
+            match = requestheads.REQUEST_LINE.fullmatch(self.raw_requestline)
             if match is None:
                 raise HeadError("malformed request line")
             self.requestline = self.raw_requestline.decode("latin-1").rstrip()
@@ -296,7 +294,7 @@
                 - _LINE_END_BYTES,
                 max_line_bytes=limits.max_line_bytes,
             )
-            check_head(self.request_version, self.headers)
+            requestheads.check_head(self.request_version, self.headers)
             connection = self.headers.get("connection", "").lower()
             if self.request_version == "HTTP/1.1":
                 self.close_connection = "close" in connection
@@ -305,7 +303,7 @@
 
         def get_environ(self) -> dict[str, Any]:
             """Return only the variables that the call path and the server read."""
-            environ = build_environ(self.command, self.path, self.headers)
+            environ = requestheads.build_environ(self.command, self.path, self.headers)
             environ["comfreytray.protocol"] = self
             environ["wsgi.input"] = environ["eventlet.input"] = build_input(
                 environ, rfile=self.rfile, sock=self.connection, wfile=self.wfile
--- a/src/comfreytray/calls/requestheads.py
+++ b/src/comfreytray/calls/requestheads.py
@@ -1,11 +1,17 @@
 """Heads of callers' requests: what they may hold, and their WSGI variables."""
 
 import functools
+import re
 from typing import Any
 from urllib.parse import unquote
 
 from comfreytray.calls.heads import Fields, HeadError, body_framing
 
+REQUEST_LINE = re.compile(
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) (/[\x21-\x7e]*) (HTTP/1\.[01])\r?\n"
+)
+_KEPT_KEYS = ("HTTP_ACCEPT_LANGUAGE", "comfreytray.deadline")
+
 
 def check_head(version: str, headers: Fields) -> None:
     """Check the framing and the host of a request; raises HeadError."""
@@ -50,3 +56,10 @@
     """Return the WSGI environ key of a header."""
     key = name.upper().replace("-", "_")
     return key if key == "CONTENT_LENGTH" else f"HTTP_{key}"
+
+
+def forget_head(exchange: Any) -> None:
+    """Keep of a request what its answer may need once it has ended."""
+    environ = exchange.environ
+    exchange.headers, exchange.raw_requestline = None, b""
+    exchange.environ = {key: environ[key] for key in _KEPT_KEYS if key in environ}
