Keep the connections of callers until the last answers of a stop are sent

Callers of safe calls that outlast a stop saw their connection close: of five GETs on five connections one got its 504. Found by review (five POSTs got five). Cause: the end of the wait for callers ended the WSGI server, which shuts each connection whose request runs in a greenlet of its own, before the last answers were written. Change: the server ends only if all callers have finished; else its connections end with the node.

--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -218,7 +218,8 @@
             return True
         self._listener.stop_accepting()
         finished = self.callers.stop(timeout_s)
-        self._listener.end()
+        if finished:
+            self._listener.end()
         return finished
 
     def serve_streams(self, listener: Any) -> None:
