Send the answers that wait behind a call that a stop cuts

A caller that sent a long call and two short ones behind it got a 504 and lost the two answers, which their upstream had given. Found by review. Change: such an answer closes the connection only if no request was read behind it, or if its own body was not read.

--- a/features/planned_stop_kinds.feature
+++ b/features/planned_stop_kinds.feature
@@ -25,3 +25,10 @@
       | 2.4   | 5.0      | 0.4   | takes    |
       | 2.8   | 5.0      | 0.4   | refuses  |
       | 4.5   | 0.8      | 0.4   | takes    |
+
+  # Only the first safe call got its 504, and answers that waited behind it were dropped.
+  Scenario: All callers that still wait are told, and answers behind a cut call are sent
+    Given a node that enters calls of 20 s and short ones
+    When five callers, and one that sends two short calls behind, outlast its stop
+    Then each of the five gets a 504
+    And the one that sent ahead gets a 504 and the two answers of the upstream
--- a/features/steps/planned_stop_kinds_steps.py
+++ b/features/steps/planned_stop_kinds_steps.py
@@ -1,8 +1,9 @@
 import eventlet
 from attrs import evolve
 from behave import given, then, when
-from calls_rig import Fleet, answer
+from calls_rig import Fleet, answer, until
 
+from comfreytray.calls.cutcalls import cut_calls
 from comfreytray.calls.stopping import StopSchedule
 
 
@@ -120,3 +121,48 @@
     context.refusal = context.schedule.refusal(
         now=now, deadline=now + deadline, expected_s=takes
     )
+
+
+@given("a node that enters calls of 20 s and short ones")
+def make_node_with_endless_calls(context):
+    def script(head, body):
+        eventlet.sleep(20.0 if b"/endless" in head else 0.0)
+        return answer(200, b"ok")
+
+    context.fleet = Fleet(slots=16, connections=32)
+    context.add_cleanup(context.fleet.__exit__)
+    context.fleet.add("entry", service="other")
+    context.fleet.add("owner", script=script)
+
+
+@when("five callers, and one that sends two short calls behind, outlast its stop")
+def cut_callers(context):
+    request = b"GET /%s HTTP/1.1\r\nHost: canhdieu.test\r\n\r\n"
+    fleet = context.fleet
+    socks = [fleet.raw("entry", request % b"endless") for _ in range(5)]
+    ahead = b"".join(request % name for name in (b"endless", b"short", b"short"))
+    socks.append(fleet.raw("entry", ahead))
+    assert until(lambda: len(fleet.upstream_by_id["owner"].ran) == 8)
+    path = fleet.path_by_id["entry"]
+    now = path.clock.monotonic()
+    path.ask_to_close(StopSchedule(began_at=now, ends_at=now + 0.5))
+    assert not path.stop_http(0.5)
+    cut_calls(path)
+    context.got = [_read_all(sock) for sock in socks]
+
+
+def _read_all(sock):
+    data = b""
+    while part := sock.recv(65536):
+        data += part
+    return [head[:3] for head in data.split(b"HTTP/1.1 ")[1:]]
+
+
+@then("each of the five gets a 504")
+def check_all_told(context):
+    assert context.got[:5] == [[b"504"]] * 5, context.got
+
+
+@then("the one that sent ahead gets a 504 and the two answers of the upstream")
+def check_answers_behind(context):
+    assert context.got[5] == [b"504", b"200", b"200"], context.got
--- a/src/comfreytray/calls/proxy.py
+++ b/src/comfreytray/calls/proxy.py
@@ -282,7 +282,7 @@
             return self.responder.answer(environ, start_response, result, on_end=end)
         except CallCancelledError as error:
             self.metrics.count("calls_cancelled")
-            requestbodies.close_after(environ)
+            requestbodies.close_after_cut(environ)
             return self.responder.refuse(environ, start_response, fail(error.kind))
         except Exception as error:
             logs.warn(logs.Event.INTERNAL_ERROR, error=repr(error))
--- a/src/comfreytray/calls/requestbodies.py
+++ b/src/comfreytray/calls/requestbodies.py
@@ -276,3 +276,11 @@
     protocol = environ.get("comfreytray.protocol")
     if protocol is not None and protocol.ends_connection():
         protocol.close_connection = True
+
+
+def close_after_cut(environ: Environ) -> None:
+    """Have the server close the connection of a call that was cut, when it may."""
+    if has_unread_body(environ):
+        close_after(environ)
+    else:
+        close_behind_last(environ)
