Lose no turn that is given as the wait for it ends

Connections that sent ahead hung for ever: 8 to 12 of 300 with 12 requests each (found by review). Cause: a turn is given by taking the waiter out of the queue and waking it in the next round. If the wait's own time ends in that round, the wake-up is cancelled, and the waiter waits again for a turn that nobody will give. Change: who is no longer in the queue has its turn.

--- a/features/calls_sent_ahead.feature
+++ b/features/calls_sent_ahead.feature
@@ -46,3 +46,9 @@
       | 300       | 1144     |
       | 552       | 2105     |
       | unlimited | 4096     |
+
+  # A turn that was given as the wait for it ended was lost, and with it the connection.
+  Scenario: No connection loses its turn when rounds take as long as its wait
+    Given a share of turns whose waits end after 1 ms
+    When 100 connections take 20 turns each in rounds of about 1 ms
+    Then all turns are taken
--- a/features/steps/calls_sent_ahead_steps.py
+++ b/features/steps/calls_sent_ahead_steps.py
@@ -3,12 +3,14 @@
 import gc
 import math
 import socket as plain_socket
+import time
 
 import eventlet
 from behave import given, then, when
 from calls_rig import WAIT_S, Fleet, answer, until
 from eventlet.green import socket
 
+from comfreytray.calls import aheadshare
 from comfreytray.calls.aheadshare import TURNS_PER_ROUND, AheadShare, pending_for
 from comfreytray.calls.pipelines import (
     MAX_BEHIND_BLOCKED,
@@ -260,3 +262,31 @@
 @then("it holds {requests:d} requests that were sent ahead")
 def check_requests(context, requests):
     assert pending_for(context.bytes) == requests, pending_for(context.bytes)
+
+
+@given("a share of turns whose waits end after 1 ms")
+def make_hasty_share(context):
+    context.add_cleanup(setattr, aheadshare, "WAIT_S", aheadshare.WAIT_S)
+    aheadshare.WAIT_S = 0.001
+    context.share = AheadShare()
+
+
+@when("{count:d} connections take {turns:d} turns each in rounds of about 1 ms")
+def take_turns(context, count, turns):
+    context.taken, context.due = 0, count * turns
+
+    def take():
+        for _ in range(turns):
+            context.share.wait_for_turn()
+            context.taken += 1
+            time.sleep(0.0001)
+
+    takers = [eventlet.spawn(take) for _ in range(count)]
+    until(lambda: context.taken == context.due)
+    for taker in takers:
+        taker.kill()
+
+
+@then("all turns are taken")
+def check_turns_taken(context):
+    assert context.taken == context.due, (context.taken, context.due)
--- a/src/comfreytray/calls/aheadshare.py
+++ b/src/comfreytray/calls/aheadshare.py
@@ -49,7 +49,8 @@
         signal = Signal()
         self._waiting.append(signal)
         try:
-            while not signal.wait(WAIT_S):
+            # A turn may be given in the moment in which the wait ends without it.
+            while signal in self._waiting and not signal.wait(WAIT_S):
                 pass
         finally:
             # Its greenlet may have been killed.
